--- /dev/null
+++ b/cmd/indigowalk/main.go
@@ -0,0 +1,111 @@
+// Command indigowalk is a pool of sessions onto databases: desks carry the
+// traffic, archives keep the control state.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	_ "indigowalk/internal/accessions"
+	_ "indigowalk/internal/catalogue"
+	"indigowalk/internal/charter"
+	_ "indigowalk/internal/circulation"
+	_ "indigowalk/internal/conservator"
+	_ "indigowalk/internal/custodian"
+	_ "indigowalk/internal/desk"
+	_ "indigowalk/internal/findingaid"
+	"indigowalk/internal/foundation"
+	_ "indigowalk/internal/loan"
+	_ "indigowalk/internal/registrar"
+	_ "indigowalk/internal/shelf"
+	_ "indigowalk/internal/subscription"
+	_ "indigowalk/internal/vault"
+)
+
+// Exit codes.
+const (
+	exitClean = 0
+	exitFault = 1
+	exitUsage = 2
+)
+
+const usage = `indigowalk: a pool of sessions onto databases
+
+  indigowalk desk       carry clients' sessions
+  indigowalk archive    keep the control state: databases and configuration
+  indigowalk help       this text
+
+The daemons read the settings file named by the variable ` + charter.EnvVar + `.
+Exit codes: 0 clean, 1 a fault, 2 wrong use.
+`
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		fmt.Fprint(errs, usage)
+		return exitUsage
+	}
+	switch args[0] {
+	case "desk", "archive":
+		if len(args) > 1 {
+			fmt.Fprintf(errs, "indigowalk %s takes no arguments\n", args[0])
+			return exitUsage
+		}
+		return serve(args[0], errs)
+	case "help", "-h", "--help":
+		fmt.Fprint(out, usage)
+		return exitClean
+	}
+	fmt.Fprintf(errs, "indigowalk: unknown command %q; see 'indigowalk help'\n", args[0])
+	return exitUsage
+}
+
+// tuneMemory trades a little memory for less work of the collector.
+func tuneMemory() {
+	debug.SetGCPercent(400)
+	debug.SetMemoryLimit(96 << 20)
+}
+
+func serve(role string, errs io.Writer) int {
+	tuneMemory()
+	path := os.Getenv(charter.EnvVar)
+	settings, err := charter.Load(path)
+	if err != nil {
+		fmt.Fprintln(errs, "indigowalk:", strings.ReplaceAll(err.Error(), "\n", "; "))
+		return exitFault
+	}
+	log := slog.New(slog.NewJSONHandler(errs, nil)).With("node", settings.NodeName, "role", role)
+	k := foundation.NewKernel(role, foundation.HostNetwork{}, log)
+	foundation.Offer(k, charter.NewBook(path, settings))
+	if err := k.Assemble(); err != nil {
+		fmt.Fprintln(errs, "indigowalk:", err)
+		return exitFault
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-term
+		grace := foundation.Micros(settings.GraceS)*foundation.Second - 300*foundation.Millisecond
+		left, done := context.WithTimeout(ctx, grace.Duration())
+		k.Leave(left)
+		done()
+		cancel()
+	}()
+	log.Info("start")
+	if err := k.Run(ctx); err != nil {
+		log.Error("end", "error", err)
+		return exitFault
+	}
+	log.Info("end", "counters", k.Counters.Snapshot())
+	return exitClean
+}
--- /dev/null
+++ b/internal/charter/charter.go
@@ -0,0 +1,186 @@
+// Package charter reads, checks and reloads the settings of a process.
+package charter
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/magiconair/properties"
+
+	"indigowalk/internal/foundation"
+)
+
+// EnvVar names the variable that holds the path of the settings file.
+const EnvVar = "INDIGOWALK_SETTINGS"
+
+// Error is a fault in the settings; it names the key.
+type Error struct{ Key, Reason string }
+
+func (e *Error) Error() string { return fmt.Sprintf("settings: %s: %s", e.Key, e.Reason) }
+
+// Settings are what a process is told. Unknown keys are ignored. Spans that
+// the operators set in milliseconds keep that unit here; Spans derives the
+// working times in microseconds.
+type Settings struct {
+	NodeName    string   `key:"node_name" validate:"required"`
+	IP          string   `key:"ip" validate:"required,ipv4"`
+	Zone        string   `key:"zone" validate:"required"`
+	Region      string   `key:"region"`
+	ClientAddr  string   `key:"listen.client_addr" validate:"omitempty,hostname_port"`
+	ReadyAddr   string   `key:"listen.ready_addr" validate:"omitempty,hostname_port"`
+	ControlAddr string   `key:"listen.control_addr" validate:"omitempty,hostname_port"`
+	PortRange   []string `key:"port_range" validate:"len=2,dive,number"`
+	Seeds       []string `key:"seeds" validate:"required,dive,hostname_port"`
+	Bootstrap   bool     `key:"bootstrap"`
+	DataDir     string   `key:"data_dir"`
+	HeartbeatMs int64    `key:"heartbeat_ms" validate:"gte=0"`
+
+	MemMB  float64 `key:"limits.mem_mb" validate:"gte=0"`
+	MaxFDs int64   `key:"limits.max_fds" validate:"gte=0"`
+
+	ContactMs  int64 `key:"bounds.contact_ms" default:"4000" validate:"gt=0"`
+	DrainMs    int64 `key:"bounds.drain_ms" default:"7000" validate:"gt=0"`
+	GraceS     int64 `key:"bounds.grace_s" default:"6" validate:"gt=0"`
+	ApplyMs    int64 `key:"bounds.apply_ms" default:"3000" validate:"gt=0"`
+	AckMs      int64 `key:"bounds.ack_ms" default:"5000" validate:"gt=0"`
+	UnfreezeMs int64 `key:"bounds.unfreeze_ms" default:"300" validate:"gt=0"`
+
+	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
+
+	VaultLeaseMs  int64 `key:"tune.vault_lease_ms" default:"1200" validate:"gte=100"`
+	ReaderLeaseMs int64 `key:"tune.reader_lease_ms" default:"2500" validate:"gte=100"`
+	PollMs        int64 `key:"tune.poll_ms" default:"600" validate:"gte=20"`
+	ProbeMs       int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
+	CheckMs       int64 `key:"tune.check_ms" default:"1000" validate:"gte=20"`
+	CheckWaitMs   int64 `key:"tune.check_wait_ms" default:"400" validate:"gte=10"`
+	SilenceMs     int64 `key:"tune.silence_ms" default:"700" validate:"gte=50"`
+	RecordKB      int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
+}
+
+// Span converts a setting in milliseconds.
+func Span(ms int64) foundation.Micros { return foundation.Micros(ms) * foundation.Millisecond }
+
+// Port returns the nth free port of the range as an address on this machine.
+func (s *Settings) Port(n int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.port(n))) }
+
+func (s *Settings) port(n int) int {
+	first, _ := strconv.Atoi(s.PortRange[0])
+	return first + n
+}
+
+// Ports of the range, by use.
+const (
+	ArchivePort = 0 // loans and datagrams of an archive
+	DeskPort    = 1 // loans and datagrams of a desk
+)
+
+// SeedPeers turns the seeds' control addresses into the inner addresses of the
+// archives there: every machine has the same ports.
+func (s *Settings) SeedPeers() []string {
+	out := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err == nil {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(s.port(ArchivePort))))
+		}
+	}
+	return out
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{EnvVar, err.Error()}
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks settings; the error joins every fault found.
+func Parse(raw []byte) (*Settings, error) {
+	l := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
+	p, err := l.LoadBytes(raw)
+	if err != nil {
+		return nil, &Error{"file", err.Error()}
+	}
+	s := &Settings{}
+	var faults []error
+	for _, f := range fieldsOf(s) {
+		text, ok := p.Get(f.key)
+		if !ok {
+			text = f.fallback
+		}
+		if text = strings.TrimSpace(text); text == "" {
+			continue
+		}
+		if err := f.set(text); err != nil {
+			faults = append(faults, &Error{f.key, err.Error()})
+		}
+	}
+	if len(faults) == 0 {
+		faults = validate(s)
+	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return s, nil
+}
+
+func validate(s *Settings) []error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(keyOf)
+	var out []error
+	var bad validator.ValidationErrors
+	if err := v.Struct(s); errors.As(err, &bad) {
+		for _, f := range bad {
+			reason := "fails " + f.Tag()
+			if f.Param() != "" {
+				reason += "=" + f.Param()
+			}
+			out = append(out, &Error{f.Field(), reason})
+		}
+	} else if err != nil {
+		out = append(out, &Error{"file", err.Error()})
+	}
+	return out
+}
+
+// Book holds the settings in force and tells of changes.
+type Book struct {
+	path string
+	mu   sync.Mutex
+	now  *Settings
+	bell foundation.Bell
+}
+
+// NewBook wraps settings that were loaded from path.
+func NewBook(path string, s *Settings) *Book { return &Book{path: path, now: s} }
+
+// Now returns the settings in force; they are not to be changed.
+func (b *Book) Now() *Settings {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now
+}
+
+// Changed returns a channel that closes at the next change.
+func (b *Book) Changed() <-chan struct{} { return b.bell.Wait() }
+
+// Reload reads the file again. A bad file leaves the old values in force.
+func (b *Book) Reload() error {
+	s, err := Load(b.path)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	b.now = s
+	b.mu.Unlock()
+	b.bell.Ring()
+	return nil
+}
--- /dev/null
+++ b/internal/charter/fields.go
@@ -0,0 +1,57 @@
+package charter
+
+import (
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+)
+
+type field struct {
+	key, fallback string
+	value         reflect.Value
+}
+
+func keyOf(f reflect.StructField) string { return f.Tag.Get("key") }
+
+func fieldsOf(s *Settings) []field {
+	v := reflect.ValueOf(s).Elem()
+	out := make([]field, 0, v.NumField())
+	for i := range v.NumField() {
+		f := v.Type().Field(i)
+		out = append(out, field{keyOf(f), f.Tag.Get("default"), v.Field(i)})
+	}
+	return out
+}
+
+func (f field) set(text string) error {
+	switch f.value.Kind() {
+	case reflect.String:
+		f.value.SetString(text)
+	case reflect.Bool:
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("%q is neither true nor false", text)
+		}
+		f.value.SetBool(b)
+	case reflect.Int64:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a whole number", text)
+		}
+		f.value.SetInt(n)
+	case reflect.Float64:
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return fmt.Errorf("%q is not a number", text)
+		}
+		f.value.SetFloat(n)
+	case reflect.Slice:
+		parts := strings.Split(text, ",")
+		for i := range parts {
+			parts[i] = strings.TrimSpace(parts[i])
+		}
+		f.value.Set(reflect.ValueOf(parts))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/circulation/plugin.go
@@ -0,0 +1,27 @@
+package circulation
+
+import (
+	"indigowalk/internal/charter"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "circulation", Rank: 15, Roles: []string{"desk", "archive"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			r := New(k, Config{
+				Self: Member{
+					Addr: foundation.Need[*loan.Branch](k).Addr(), Name: s.NodeName, Role: k.Role, Zone: s.Zone,
+				},
+				Seeds: s.SeedPeers(),
+				Probe: charter.Span(s.ProbeMs),
+			})
+			foundation.Offer(k, r)
+			k.Supervise("circulation", r.Serve)
+			k.OnLeave("circulation", r.Leave)
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/conservator/conservator.go
@@ -0,0 +1,399 @@
+// Package conservator is the health coordinator: it holds, for each database,
+// an up or down state and a local generation, from the faults that this
+// process's own sessions report and from the notices of its peers.
+//
+// The algorithm is the client-side session coordination of Petrauskas and
+// Baronas (2019); docs/design.md says what was kept and what was changed.
+package conservator
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"indigowalk/internal/foundation"
+)
+
+// Notice tells that a database is down as of a local generation.
+type Notice struct {
+	Database   string
+	Generation int64
+}
+
+// Outcome is what a coordinator did with a report or notice.
+type Outcome int
+
+// Outcomes.
+const (
+	Marked  Outcome = iota // the database is now down
+	Stale                  // older generation than the coordinator's
+	Already                // down already
+	ToCheck                // a peer's notice: counts only after an own check
+)
+
+type health struct {
+	up         bool
+	generation int64
+	checking   bool
+	due        foundation.Micros // of the next check while down
+	calm       foundation.Micros // until then peers' notices call for no check
+}
+
+// Coordinator is the state machine by itself: no clock, network or
+// goroutines, so that recordings can be played through it.
+type Coordinator struct {
+	state map[string]*health
+}
+
+// NewCoordinator returns a coordinator that holds every database as up.
+func NewCoordinator() *Coordinator { return &Coordinator{state: map[string]*health{}} }
+
+func (c *Coordinator) of(id string) *health {
+	h := c.state[id]
+	if h == nil {
+		h = &health{up: true}
+		c.state[id] = h
+	}
+	return h
+}
+
+// Up tells whether the database is held as up, and its generation.
+func (c *Coordinator) Up(id string) (bool, int64) {
+	if h := c.state[id]; h != nil {
+		return h.up, h.generation
+	}
+	return true, 0
+}
+
+// Report takes a fault seen by a local session bound under a generation.
+func (c *Coordinator) Report(id string, generation int64) Outcome {
+	h := c.of(id)
+	switch {
+	case generation < h.generation:
+		return Stale
+	case !h.up:
+		return Already
+	}
+	h.up = false
+	return Marked
+}
+
+// PeerNotice takes a peer's notice; it says whether a check is called for.
+func (c *Coordinator) PeerNotice(id string) Outcome {
+	if !c.of(id).up {
+		return Already
+	}
+	return ToCheck
+}
+
+// Checked takes the result of an own check that started under a generation.
+// It reports whether the state changed.
+func (c *Coordinator) Checked(id string, generation int64, ok bool) bool {
+	h := c.of(id)
+	if generation != h.generation || h.up == ok {
+		return false
+	}
+	if h.up = ok; ok {
+		h.generation++
+	}
+	return true
+}
+
+// Down lists the databases held as down.
+func (c *Coordinator) Down() []string {
+	var out []string
+	for id, h := range c.state {
+		if !h.up {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Forget drops a database that is gone.
+func (c *Coordinator) Forget(id string) { delete(c.state, id) }
+
+// Binding is a session's hold on a database. It must not be used before Bind
+// nor after Release.
+type Binding struct {
+	mu         sync.Mutex
+	database   string
+	generation int64
+}
+
+// Bound returns the bound database, or "" once a notice has unbound it.
+func (b *Binding) Bound() (string, int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.database, b.generation
+}
+
+// take applies a notice by the paper's rule for sessions.
+func (b *Binding) take(n Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.Generation < b.generation {
+		return
+	}
+	b.generation = n.Generation
+	if b.database == n.Database {
+		b.database = ""
+	}
+}
+
+// Checker tries whether a database answers.
+type Checker func(ctx context.Context, id string) bool
+
+// Config is what a conservator is built from.
+type Config struct {
+	Interval foundation.Micros // between checks of a database that is down
+	First    foundation.Micros // until the first check after a local report
+	Check    Checker
+	Peers    func() []string
+	Send     func(addr, kind string, body any)
+	Heed     func() bool // whether peers' notices matter to this process now
+}
+
+// NoticeKind is the kind of datagram that carries notices.
+const NoticeKind = "fault"
+
+type notice struct {
+	Database string `json:"d"`
+}
+
+type event struct {
+	kind       string
+	id         string
+	generation int64
+	ok         bool
+}
+
+// Conservator runs a coordinator beside the sessions of one process.
+type Conservator struct {
+	k   *foundation.Kernel
+	cfg Config
+
+	events chan event
+
+	mu       sync.Mutex
+	c        *Coordinator
+	bindings map[string]map[*Binding]struct{}
+	bell     foundation.Bell
+}
+
+// New returns a conservator.
+func New(k *foundation.Kernel, cfg Config) *Conservator {
+	return &Conservator{
+		k: k, cfg: cfg, c: NewCoordinator(),
+		events: make(chan event, 256), bindings: map[string]map[*Binding]struct{}{},
+	}
+}
+
+// State tells whether the database is held as up, and its generation.
+func (s *Conservator) State(id string) (bool, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.c.Up(id)
+}
+
+// Up tells whether the database is held as up.
+func (s *Conservator) Up(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	up, _ := s.c.Up(id)
+	return up
+}
+
+// Down lists the databases held as down, with their generations.
+func (s *Conservator) Down() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]int64{}
+	for _, id := range s.c.Down() {
+		_, out[id] = s.c.Up(id)
+	}
+	return out
+}
+
+// Changed closes at the next change of any database's state.
+func (s *Conservator) Changed() <-chan struct{} { return s.bell.Wait() }
+
+// Bind binds a session to a database that is up.
+func (s *Conservator) Bind(id string) *Binding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, g := s.c.Up(id)
+	b := &Binding{database: id, generation: g}
+	if s.bindings[id] == nil {
+		s.bindings[id] = map[*Binding]struct{}{}
+	}
+	s.bindings[id][b] = struct{}{}
+	return b
+}
+
+// Release ends a binding.
+func (s *Conservator) Release(id string, b *Binding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if delete(s.bindings[id], b); len(s.bindings[id]) == 0 {
+		delete(s.bindings, id)
+	}
+}
+
+// Report hands in a fault, asynchronously. A report that finds the queue full
+// is dropped: whoever meets the same fault next reports again.
+func (s *Conservator) Report(id string, generation int64) {
+	s.post(event{kind: "report", id: id, generation: generation})
+}
+
+func (s *Conservator) post(e event) {
+	select {
+	case s.events <- e:
+	default:
+		s.k.Counters.Add("conservator.dropped", 1)
+	}
+}
+
+// Notified takes a peer's datagram.
+func (s *Conservator) Notified(_ string, body json.RawMessage) {
+	var n notice
+	if json.Unmarshal(body, &n) != nil || n.Database == "" {
+		s.k.Counters.Add("conservator.malformed", 1)
+		return
+	}
+	s.Heard(n.Database)
+}
+
+// Heard takes a peer's notice, however it came.
+func (s *Conservator) Heard(id string) {
+	if s.cfg.Heed() {
+		s.post(event{kind: "notice", id: id})
+	}
+}
+
+// Serve works off reports, notices and checks until ctx ends.
+func (s *Conservator) Serve(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(s.nextCheck().Duration())
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-s.events:
+			s.work(ctx, e)
+		case <-timer.C:
+			s.startChecks(ctx)
+		}
+	}
+}
+
+func (s *Conservator) work(ctx context.Context, e event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := s.c.of(e.id)
+	switch e.kind {
+	case "report":
+		switch s.c.Report(e.id, e.generation) {
+		case Marked:
+			h.due = s.k.Clock.Now() + s.cfg.First
+			s.wentDown(e.id, e.generation)
+			s.tellPeers(ctx, e.id)
+		case Stale:
+			s.k.Counters.Add("conservator.stale_reports", 1)
+		}
+	case "notice":
+		s.k.Counters.Add("conservator.notices", 1)
+		if s.c.PeerNotice(e.id) == ToCheck && s.k.Clock.Now() >= h.calm {
+			s.check(ctx, e.id)
+		}
+	case "checked":
+		h.checking = false
+		h.due = s.k.Clock.Now() + s.cfg.Interval
+		h.calm = s.k.Clock.Now() + s.cfg.Interval/4
+		if !s.c.Checked(e.id, e.generation, e.ok) {
+			return
+		}
+		if e.ok {
+			s.k.Log.Info("database up", "id", e.id, "generation", h.generation)
+			s.bell.Ring()
+		} else {
+			s.wentDown(e.id, e.generation)
+		}
+	}
+}
+
+// wentDown tells the local sessions, under the local generation.
+func (s *Conservator) wentDown(id string, generation int64) {
+	s.k.Counters.Add("conservator.marked_down", 1)
+	s.k.Log.Info("database down", "id", id, "generation", generation)
+	for b := range s.bindings[id] {
+		b.take(Notice{id, generation})
+	}
+	s.bell.Ring()
+}
+
+// tellPeers sends the notice twice: a lost one costs a peer a fault of its
+// own, a doubled one nothing.
+func (s *Conservator) tellPeers(ctx context.Context, id string) {
+	peers := s.cfg.Peers()
+	go func() {
+		for range 2 {
+			for _, p := range peers {
+				s.cfg.Send(p, NoticeKind, notice{id})
+			}
+			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
+				return
+			}
+		}
+	}()
+}
+
+// nextCheck is the time until a check is due.
+func (s *Conservator) nextCheck() foundation.Micros {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, wait := s.k.Clock.Now(), 3600*foundation.Second
+	for _, h := range s.c.state {
+		if !h.up && !h.checking {
+			wait = min(wait, max(h.due-now, 0))
+		}
+	}
+	return wait
+}
+
+func (s *Conservator) startChecks(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.k.Clock.Now()
+	for id, h := range s.c.state {
+		if !h.up && !h.checking && h.due <= now {
+			s.check(ctx, id)
+		}
+	}
+}
+
+func (s *Conservator) check(ctx context.Context, id string) {
+	h := s.c.of(id)
+	if h.checking {
+		return
+	}
+	h.checking = true
+	s.k.Counters.Add("conservator.checks", 1)
+	generation := h.generation
+	go func() {
+		ok := s.cfg.Check(ctx, id)
+		select {
+		case s.events <- event{kind: "checked", id: id, generation: generation, ok: ok}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// Forget drops what is known of a database that is gone.
+func (s *Conservator) Forget(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.Forget(id)
+}
--- /dev/null
+++ b/internal/custodian/custodian.go
@@ -0,0 +1,600 @@
+// Package custodian moves the lead of a service from one database to another:
+// when the primary fails and when it is to be replaced. It works only in the
+// vault's primary, under its lease, and the epoch is its fence.
+package custodian
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/vault"
+)
+
+// Lead says which database leads a service. It is control state, and the
+// durable intent of a move.
+type Lead struct {
+	Service string `json:"svc"`
+	ID      string `json:"id"`
+	Term    int64  `json:"term"`
+	Turn    int64  `json:"turn"` // rises with every move
+	Moving  bool   `json:"moving,omitempty"`
+	To      string `json:"to,omitempty"`
+	Hold    int64  `json:"hold,omitempty"`  // term at which the replicas are paused
+	Floor   string `json:"floor,omitempty"` // while To is set: covers every acknowledged commit
+}
+
+const keyPrefix = "lead/"
+
+// Decode picks the leads out of the control state.
+func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
+	out := map[string]Lead{}
+	for key, raw := range entries {
+		svc, ok := strings.CutPrefix(key, keyPrefix)
+		if !ok {
+			continue
+		}
+		var l Lead
+		if err := json.Unmarshal(raw, &l); err != nil {
+			return nil, fmt.Errorf("custodian: %s: %w", key, err)
+		}
+		out[svc] = l
+	}
+	return out, nil
+}
+
+// Errors of this layer.
+var (
+	errNotYet     = errors.New("custodian: not yet")
+	errNotRunning = errors.New("custodian: the chosen database does not run")
+)
+
+// Config is what a custodian is built from.
+type Config struct {
+	Name        string // duty holder
+	Platform    string
+	ReaderLease foundation.Micros
+	AskWait     foundation.Micros // for one answer of a database
+	Silence     foundation.Micros
+}
+
+// Custodian is the archive's side of failover.
+type Custodian struct {
+	k       *foundation.Kernel
+	cfg     Config
+	v       *vault.Vault
+	acc     *accessions.Accessions
+	health  *conservator.Conservator
+	readers *Readers
+	client  *http.Client
+
+	mu       sync.Mutex
+	busy     map[string]bool              // services being moved by this process
+	demoted  map[string]foundation.Micros // when STEPDOWN was last tried
+	term     int64                        // vault epoch these notes belong to
+	began    foundation.Micros
+	progress foundation.Bell
+}
+
+// New returns a custodian.
+func New(k *foundation.Kernel, cfg Config, v *vault.Vault, acc *accessions.Accessions, health *conservator.Conservator, readers *Readers) *Custodian {
+	return &Custodian{
+		k: k, cfg: cfg, v: v, acc: acc, health: health, readers: readers,
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+					return k.Net.Dial(ctx, addr, foundation.Second)
+				},
+				MaxIdleConns: 1, IdleConnTimeout: 5 * time.Second,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		busy: map[string]bool{}, demoted: map[string]foundation.Micros{},
+	}
+}
+
+// Serve compares what is with what is wanted whenever either may have changed.
+func (c *Custodian) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		vc, hc, ac, pc := c.v.Changed(), c.health.Changed(), c.acc.Changed(), c.progress.Wait()
+		c.reconcile()
+		t := time.NewTimer((500 * foundation.Millisecond).Duration())
+		select {
+		case <-ctx.Done():
+		case <-vc:
+		case <-hc:
+		case <-ac:
+		case <-pc:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// scene is what one look at the control state shows.
+type scene struct {
+	databases map[string]accessions.Database
+	leads     map[string]Lead
+	conf      *catalogue.Configuration
+	soft      map[string]accessions.Soft
+}
+
+func (c *Custodian) look() (*scene, error) {
+	state, err := c.v.Durable()
+	if err != nil {
+		return nil, err
+	}
+	entries := state.Entries
+	s := &scene{soft: c.acc.Soft()}
+	if s.databases, err = accessions.Decode(entries); err != nil {
+		return nil, err
+	}
+	if s.leads, err = Decode(entries); err != nil {
+		return nil, err
+	}
+	if _, s.conf, err = catalogue.Decode(entries[catalogue.Key]); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// replicas lists the databases of a service besides one.
+func (s *scene) replicas(service, besides string) []accessions.Database {
+	var out []accessions.Database
+	for _, d := range s.databases {
+		if d.Service == service && d.ID != besides {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (s *scene) syncReplicas(service string) int {
+	if s.conf != nil {
+		for _, svc := range s.conf.Services {
+			if svc.Name == service {
+				return svc.SyncReplicas
+			}
+		}
+	}
+	return 1
+}
+
+func (c *Custodian) reconcile() {
+	ctx, epoch, err := c.v.Term()
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	if c.term != epoch {
+		c.term, c.began = epoch, c.k.Clock.Now()
+	}
+	c.mu.Unlock()
+	s, err := c.look()
+	if err != nil {
+		if !errors.Is(err, vault.ErrNotPrimary) {
+			c.k.Counters.Add("custodian.unreadable", 1)
+		}
+		return
+	}
+	services := map[string]bool{}
+	for _, d := range s.databases {
+		services[d.Service] = true
+	}
+	for svc := range services {
+		lead, known := s.leads[svc]
+		switch {
+		case !known:
+			c.spawn(svc, func() error { return c.adopt(ctx, s, svc) })
+		case lead.Moving || c.mustMove(s, lead):
+			c.spawn(svc, func() error { return c.move(ctx, svc) })
+		default:
+			c.tidy(ctx, s, lead)
+		}
+	}
+}
+
+// spawn runs one piece of work at a time for each service.
+func (c *Custodian) spawn(svc string, f func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.busy[svc] {
+		return
+	}
+	c.busy[svc] = true
+	go func() {
+		err := f()
+		if err != nil {
+			if !errors.Is(err, errNotYet) {
+				c.k.Counters.Add("custodian.setbacks", 1)
+			}
+			time.Sleep((60 * foundation.Millisecond).Duration())
+		}
+		c.mu.Lock()
+		delete(c.busy, svc)
+		c.mu.Unlock()
+		c.progress.Ring()
+	}()
+}
+
+// adopt notes who leads a service that nobody has moved yet.
+func (c *Custodian) adopt(ctx context.Context, s *scene, svc string) error {
+	var found []string
+	for _, d := range s.replicas(svc, "") {
+		if s.soft[d.ID].Role == "primary" {
+			found = append(found, d.ID)
+		}
+	}
+	if len(found) != 1 {
+		return errNotYet
+	}
+	c.k.Log.Info("lead adopted", "service", svc, "id", found[0])
+	return c.save(ctx, svc, func(l *Lead) error {
+		if l.ID == "" {
+			l.ID = found[0]
+		}
+		return nil
+	})
+}
+
+// mustMove: the lead is down, drains or is gone, and someone could follow.
+func (c *Custodian) mustMove(s *scene, l Lead) bool {
+	d, there := s.databases[l.ID]
+	if there && !d.Draining && c.health.Up(l.ID) {
+		return false
+	}
+	for _, r := range s.replicas(l.Service, l.ID) {
+		if !r.Draining && c.health.Up(r.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Custodian) save(ctx context.Context, svc string, change func(*Lead) error) error {
+	return c.v.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		l := Lead{Service: svc}
+		if raw := entries[keyPrefix+svc]; raw != nil {
+			if err := json.Unmarshal(raw, &l); err != nil {
+				return nil, fmt.Errorf("custodian: %w", err)
+			}
+		}
+		was := l
+		if err := change(&l); err != nil || l == was {
+			return nil, err
+		}
+		raw, err := json.Marshal(l)
+		if err != nil {
+			return nil, fmt.Errorf("custodian: %w", err)
+		}
+		return map[string]json.RawMessage{keyPrefix + svc: raw}, nil
+	})
+}
+
+// move takes the next step of a move; a successor of this process takes it
+// from wherever it stands.
+func (c *Custodian) move(ctx context.Context, svc string) error {
+	s, err := c.look()
+	if err != nil {
+		return err
+	}
+	l := s.leads[svc]
+	if !l.Moving {
+		if !c.mustMove(s, l) {
+			return nil
+		}
+		err := c.save(ctx, svc, func(l *Lead) error {
+			l.Moving, l.To, l.Turn = true, "", l.Turn+1
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		c.k.Counters.Add("custodian.moves", 1)
+		c.k.Log.Info("lead moves", "service", svc, "from", l.ID)
+		if s, err = c.look(); err != nil {
+			return err
+		}
+		l = s.leads[svc]
+	}
+	if l.To == "" {
+		if err := c.choose(ctx, s, &l); err != nil {
+			return err
+		}
+		if !l.Moving {
+			return nil // called off
+		}
+	}
+	return c.promote(ctx, s, l)
+}
+
+// awaitLeft waits until no desk can still read at the old primary.
+func (c *Custodian) awaitLeft(ctx context.Context, l Lead) error {
+	c.mu.Lock()
+	lessees := c.began + c.cfg.ReaderLease // of the vault's primary before this one
+	c.mu.Unlock()
+	for {
+		changed := c.readers.Changed()
+		now := c.k.Clock.Now()
+		ok, wait := c.readers.Left(l.Service, l.Turn, now)
+		if ok && now >= lessees {
+			return nil
+		}
+		t := time.NewTimer(max(wait, lessees-now, foundation.Millisecond).Duration())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// choose pauses the replicas, compares what they hold and makes the choice
+// durable.
+func (c *Custodian) choose(ctx context.Context, s *scene, l *Lead) error {
+	old, there := s.databases[l.ID]
+	alive := there && c.health.Up(l.ID)
+	sit := Situation{Sync: s.syncReplicas(l.Service)}
+	newest, held := l.Term, int64(0)
+	if alive {
+		// What the desks have under way ends before the replicas stop.
+		if err := c.awaitLeft(ctx, *l); err != nil {
+			return err
+		}
+		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
+			sit.Held, newest = &row.received, max(newest, row.term)
+		}
+	}
+	replicas := s.replicas(l.Service, l.ID)
+	sit.Replicas = len(replicas)
+	for _, row := range c.askAll(ctx, replicas, "STAT") {
+		newest, held = max(newest, row.term), max(held, row.held)
+	}
+	hold := max(newest, held) + 1
+	rows := c.askAll(ctx, replicas, "PAUSE "+strconv.FormatInt(hold, 10))
+	for _, d := range replicas {
+		if row, ok := rows[d.ID]; ok && row.held == hold {
+			sit.Copies = append(sit.Copies, Copy{d.ID, row.received, d.Draining})
+		}
+	}
+	to, refusal := Choose(sit)
+	if to == "" {
+		c.k.Counters.Add("custodian.choice_refused", 1)
+		if there && !old.Draining && c.health.Up(l.ID) {
+			return c.callOff(ctx, replicas, l, refusal)
+		}
+		if sit.Held != nil {
+			c.askAll(ctx, replicas, "CONTINUE") // let them catch up with a living primary
+		}
+		return fmt.Errorf("%w: %s", errNotYet, refusal)
+	}
+	err := c.save(ctx, l.Service, func(now *Lead) error {
+		if !now.Moving || now.Turn != l.Turn {
+			return errNotYet
+		}
+		now.To, now.Term, now.Hold, now.Floor = to, newest, hold, rows[to].received.String()
+		*l = *now
+		return nil
+	})
+	if err == nil {
+		c.k.Log.Info("next lead chosen", "service", l.Service, "to", to, "superseding", newest)
+	}
+	return err
+}
+
+// callOff ends a move whose old primary is back before anyone was promoted.
+func (c *Custodian) callOff(ctx context.Context, replicas []accessions.Database, l *Lead, why string) error {
+	c.askAll(ctx, replicas, "CONTINUE")
+	c.k.Log.Info("move called off", "service", l.Service, "why", why)
+	return c.save(ctx, l.Service, func(now *Lead) error {
+		if now.Turn == l.Turn && now.To == "" {
+			now.Moving = false
+			*l = *now
+		}
+		return nil
+	})
+}
+
+// promote has the platform make the chosen database the primary, waits until
+// it leads, and makes that known.
+func (c *Custodian) promote(ctx context.Context, s *scene, l Lead) error {
+	if err := c.awaitLeft(ctx, l); err != nil {
+		return err
+	}
+	to, there := s.databases[l.To]
+	err := errNotRunning
+	if there {
+		err = c.call(ctx, l)
+	}
+	if errors.Is(err, errNotRunning) {
+		return c.save(ctx, l.Service, func(now *Lead) error {
+			if now.Turn == l.Turn && now.To == l.To {
+				now.To, now.Floor = "", ""
+			}
+			return nil
+		})
+	}
+	if err != nil {
+		return err
+	}
+	for end := c.k.Clock.Now() + 3*foundation.Second; ; {
+		changed := c.acc.Changed()
+		if row, err := c.ask(ctx, to, "STAT"); err == nil && row.primary && row.term > l.Term {
+			l.Term = row.term
+			break
+		}
+		if c.k.Clock.Now() > end || ctx.Err() != nil {
+			return errNotYet
+		}
+		t := time.NewTimer((150 * foundation.Millisecond).Duration())
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	old := l.ID
+	err = c.save(ctx, l.Service, func(now *Lead) error {
+		if now.Turn == l.Turn && now.To == l.To {
+			*now = Lead{Service: now.Service, ID: l.To, Term: l.Term, Turn: now.Turn}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	c.k.Log.Info("lead moved", "service", l.Service, "from", old, "to", l.To, "term", l.Term)
+	for _, d := range s.replicas(l.Service, l.To) {
+		go c.ask(ctx, d, c.aftermath(d, old, l.Term))
+	}
+	return nil
+}
+
+func (c *Custodian) aftermath(d accessions.Database, old string, term int64) string {
+	if d.ID == old {
+		return "STEPDOWN " + strconv.FormatInt(term, 10)
+	}
+	return "CONTINUE"
+}
+
+// tidy makes a replica of every database that leads without being the lead.
+func (c *Custodian) tidy(ctx context.Context, s *scene, l Lead) {
+	for _, d := range s.replicas(l.Service, l.ID) {
+		if s.soft[d.ID].Role != "primary" || l.Term == 0 {
+			continue
+		}
+		c.mu.Lock()
+		now := c.k.Clock.Now()
+		due := now-c.demoted[d.ID] > foundation.Second
+		if due {
+			c.demoted[d.ID] = now
+		}
+		c.mu.Unlock()
+		if due {
+			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
+		}
+	}
+}
+
+// call asks the platform, as the holder of the duty and only well within the
+// lease.
+func (c *Custodian) call(ctx context.Context, l Lead) error {
+	epoch, left := c.v.Lease()
+	wait := min(left-100*foundation.Millisecond, foundation.Second)
+	if wait < 100*foundation.Millisecond {
+		return errNotYet
+	}
+	body, err := json.Marshal(map[string]string{"svc": l.Service, "id": l.To})
+	if err != nil {
+		return fmt.Errorf("custodian: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Platform+"/failover", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("custodian: %w", err)
+	}
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("X-Indigowalk-Duty-Holder", c.cfg.Name)
+	q.Header.Set("X-Indigowalk-Fence", strconv.FormatInt(epoch, 10))
+	c.k.Counters.Add("custodian.platform_calls", 1)
+	a, err := c.client.Do(q)
+	if err != nil {
+		return fmt.Errorf("custodian: platform: %w", err)
+	}
+	a.Body.Close()
+	switch {
+	case a.StatusCode/100 == 2:
+		return nil
+	case a.StatusCode == http.StatusConflict:
+		return errNotRunning
+	}
+	return fmt.Errorf("custodian: platform answers %d", a.StatusCode)
+}
+
+type statRow struct {
+	primary  bool
+	received folio.Position
+	term     int64 // newest it knows of
+	held     int64 // at which it is paused; 0 if it is not
+}
+
+// ask has one database carry out STAT, PAUSE, CONTINUE or STEPDOWN.
+func (c *Custodian) ask(ctx context.Context, d accessions.Database, text string) (statRow, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.AskWait.Duration())
+	defer cancel()
+	conn, err := shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.Silence)
+	if err != nil {
+		return statRow{}, err
+	}
+	defer conn.Close()
+	a, err := conn.Ask(text, c.cfg.AskWait)
+	if err != nil {
+		return statRow{}, err
+	}
+	return parseStat(a)
+}
+
+// parseStat reads "ROW role term received held lag busy connections".
+func parseStat(a *folio.Answer) (statRow, error) {
+	if a.Code != "" {
+		return statRow{}, fmt.Errorf("custodian: database answers %s %s", a.Code, a.Text)
+	}
+	line, _, _ := bytes.Cut(a.Rows, []byte("\r\n"))
+	f := strings.Fields(string(line))
+	if len(f) < 5 || f[0] != "ROW" {
+		return statRow{}, fmt.Errorf("custodian: odd STAT row %q", line)
+	}
+	r := statRow{primary: f[1] == "primary"}
+	held, err1 := strconv.ParseInt(f[4], 10, 64)
+	own, err2 := strconv.ParseInt(f[2], 10, 64)
+	pos, ok := folio.ParsePosition(f[3])
+	if err1 != nil || err2 != nil || !ok && f[3] != "-" {
+		return statRow{}, fmt.Errorf("custodian: odd STAT row %q", line)
+	}
+	r.received, r.term, r.held = pos, max(own, pos.Term), held
+	return r, nil
+}
+
+// askAll asks several databases at once and returns the answers there were.
+func (c *Custodian) askAll(ctx context.Context, dbs []accessions.Database, text string) map[string]statRow {
+	type result struct {
+		id  string
+		row statRow
+		err error
+	}
+	ch := make(chan result, len(dbs))
+	for _, d := range dbs {
+		go func() {
+			row, err := c.ask(ctx, d, text)
+			ch <- result{d.ID, row, err}
+		}()
+	}
+	out := map[string]statRow{}
+	for range dbs {
+		if r := <-ch; r.err == nil {
+			out[r.id] = r.row
+		} else {
+			c.k.Counters.Add("custodian.unanswered", 1)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/custodian/plugin.go
@@ -0,0 +1,27 @@
+package custodian
+
+import (
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "custodian", Rank: 60, Roles: []string{"archive"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			readers := NewReaders()
+			foundation.Offer(k, readers)
+			c := New(k, Config{
+				Name: s.NodeName, Platform: s.Platform, ReaderLease: charter.Span(s.ReaderLeaseMs),
+				AskWait: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
+			}, foundation.Need[*vault.Vault](k), foundation.Need[*accessions.Accessions](k),
+				foundation.Need[*conservator.Conservator](k), readers)
+			k.Supervise("custodian", c.Serve)
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/desk/plugin.go
@@ -0,0 +1,63 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"indigowalk/internal/charter"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/findingaid"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/subscription"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "desk", Rank: 80, Roles: []string{"desk"},
+		Build: func(k *foundation.Kernel) error {
+			book := foundation.Need[*charter.Book](k)
+			s := book.Now()
+			if s.ClientAddr == "" {
+				return &charter.Error{Key: "listen.client_addr", Reason: "a desk needs it"}
+			}
+			if s.ReadyAddr == "" {
+				return &charter.Error{Key: "listen.ready_addr", Reason: "a desk needs it"}
+			}
+			d := New(k, Config{
+				ClientAddr: s.ClientAddr, Zone: s.Zone,
+				Grace: func() foundation.Micros { return foundation.Micros(book.Now().GraceS) * foundation.Second },
+			}, foundation.Need[*subscription.Card](k), foundation.Need[*findingaid.Aid](k),
+				foundation.Need[*shelf.Shelf](k), foundation.Need[*conservator.Conservator](k))
+			k.Supervise("desk", d.Serve)
+			k.OnLeave("desk", d.Leave)
+			k.Supervise("ready", func(ctx context.Context) error {
+				return d.serveReady(ctx, s.ReadyAddr)
+			})
+			return nil
+		},
+	})
+}
+
+// serveReady answers the entry's probe.
+func (d *Desk) serveReady(ctx context.Context, addr string) error {
+	ln, err := d.k.Net.Listen(addr)
+	if err != nil {
+		return fmt.Errorf("desk: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("desk: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/desk/session.go
@@ -0,0 +1,302 @@
+package desk
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/shelf"
+)
+
+// Bounds of one session.
+const (
+	maxNames  = 4096
+	loginWait = 3 * foundation.Second
+	// a leaving desk closes a session that asked nothing for this long
+	restBeforeClose = 150 * foundation.Millisecond
+	writeWait       = 5 * foundation.Second
+	holdLogin       = foundation.Second // for the first configuration
+	endWait         = foundation.Second // for a roll-back
+)
+
+// session is one client connection.
+type session struct {
+	d *Desk
+	c net.Conn
+	r *folio.Reader
+
+	database string
+	values   map[string]string
+	names    map[string]shelf.Shape
+	last     folio.Position // of the session's own last commit
+	tx       *transaction
+	out      []byte
+
+	mu     sync.Mutex
+	asked  bool // a statement is being worked on
+	ending bool // close as soon as nothing is asked for a moment
+	rushed bool // end an open transaction too, and wait for nothing
+}
+
+func newSession(d *Desk, c net.Conn) *session {
+	return &session{
+		d: d, c: c, r: folio.NewReader(c), values: map[string]string{}, names: map[string]shelf.Shape{},
+		asked: true, ending: d.leaving.Load(),
+	}
+}
+
+// run serves the session until either side ends it.
+func (s *session) run() {
+	defer s.c.Close()
+	defer func() {
+		if s.tx != nil {
+			s.tx.drop()
+		}
+	}()
+	if !s.login() {
+		return
+	}
+	for {
+		line, err := s.next()
+		if err != nil {
+			s.unreadable(err)
+			return
+		}
+		word, rest := folio.Word(line)
+		var a *folio.Answer
+		switch string(word) {
+		case "QUIT":
+			return
+		case "QUERY":
+			id, text := folio.Word(rest)
+			a = s.query(string(id), string(text))
+		default:
+			a = refusal(folio.Malformed, "unknown message", s.state())
+		}
+		if !s.answer(a) {
+			return
+		}
+	}
+}
+
+// leave closes the session once it rests; it is called when the desk starts
+// to leave.
+func (s *session) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+	if !s.asked && s.tx == nil {
+		s.c.SetReadDeadline(time.Now().Add(restBeforeClose.Duration()))
+	}
+}
+
+// hurry ends an open transaction that waits for its client.
+func (s *session) hurry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending, s.rushed = true, true
+	if !s.asked {
+		s.c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (s *session) login() bool {
+	s.c.SetReadDeadline(time.Now().Add(loginWait.Duration()))
+	line, err := s.r.Line()
+	if err != nil {
+		s.unreadable(err)
+		return false
+	}
+	word, rest := folio.Word(line)
+	name, who := folio.Word(rest)
+	if string(word) != "LOGIN" || len(name) == 0 || len(who) == 0 {
+		s.end(folio.Malformed, "LOGIN database who")
+		return false
+	}
+	s.database = string(name)
+	for end := s.d.k.Clock.Now() + holdLogin; !s.d.card.Ready() && s.d.k.Clock.Now() < end; {
+		t := time.NewTimer((100 * foundation.Millisecond).Duration())
+		select {
+		case <-s.d.card.Changed():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	if r, _, _ := s.d.route(s.database); r == nil {
+		if !s.d.card.Ready() {
+			s.end(folio.Retry, hint(foundation.Second))
+		} else {
+			s.end(folio.NoDB, s.database)
+		}
+		return false
+	}
+	s.out = folio.AppendMessage(s.out[:0], "IDLE", "I", "-")
+	return s.flush()
+}
+
+// end sends an error after which the connection closes.
+func (s *session) end(code, text string) {
+	s.out = folio.AppendMessage(s.out[:0], "ERROR", code, text)
+	s.flush()
+}
+
+func (s *session) unreadable(err error) {
+	switch {
+	case errors.Is(err, folio.ErrOversize):
+		s.d.k.Counters.Add("desk.oversize", 1)
+		s.end(folio.Oversize, "message over 1 MiB")
+		s.drainInput()
+	case errors.Is(err, folio.ErrMalformed):
+		s.d.k.Counters.Add("desk.malformed", 1)
+		s.end(folio.Malformed, "lines end with CR LF")
+		s.drainInput()
+	}
+}
+
+// drainInput reads on for a moment, so that closing does not reset the
+// connection before the error has been read.
+func (s *session) drainInput() {
+	s.c.SetReadDeadline(time.Now().Add((300 * foundation.Millisecond).Duration()))
+	buf := make([]byte, 4096)
+	for {
+		if _, err := s.c.Read(buf); err != nil {
+			return
+		}
+	}
+}
+
+// next waits for a message. An open transaction that rests too long, or for
+// which a leaving desk has no more time, is rolled back meanwhile.
+func (s *session) next() ([]byte, error) {
+	for {
+		rest := foundation.Micros(0)
+		if s.tx != nil && !s.tx.over {
+			if _, _, conf := s.d.route(s.database); conf != nil {
+				rest = foundation.Micros(conf.Limits.TxnIdleMs) * foundation.Millisecond
+			}
+		}
+		if !s.listen(rest) {
+			return nil, net.ErrClosed
+		}
+		line, err := s.r.Line()
+		var ne net.Error
+		if err != nil && errors.As(err, &ne) && ne.Timeout() {
+			if s.mayClose() {
+				return nil, net.ErrClosed
+			}
+			if s.tx != nil && !s.tx.over {
+				s.d.k.Counters.Add("desk.rested_too_long", 1)
+				s.tx.drop()
+			}
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		s.asked = true
+		s.mu.Unlock()
+		return line, nil
+	}
+}
+
+// listen sets how long the next message may take (for ever if rest is 0); it
+// reports false if the session is to end now.
+func (s *session) listen(rest foundation.Micros) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = false
+	if s.rushed && !s.r.Buffered() {
+		return false
+	}
+	if s.ending && s.tx == nil {
+		rest = restBeforeClose
+	}
+	deadline := time.Time{}
+	if rest > 0 {
+		deadline = time.Now().Add(rest.Duration())
+	}
+	s.c.SetReadDeadline(deadline)
+	return true
+}
+
+func (s *session) mayClose() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rushed || s.ending && s.tx == nil
+}
+
+// answer sends the answer to the client.
+func (s *session) answer(a *folio.Answer) bool {
+	s.out = a.Append(s.out[:0])
+	return s.flush()
+}
+
+func (s *session) flush() bool {
+	s.c.SetWriteDeadline(time.Now().Add(writeWait.Duration()))
+	_, err := s.c.Write(s.out)
+	if cap(s.out) > 64<<10 {
+		s.out = nil
+	}
+	return err == nil
+}
+
+// state is the state that the client is in.
+func (s *session) state() byte {
+	switch {
+	case s.tx == nil:
+		return 'I'
+	case s.tx.failed:
+		return 'E'
+	}
+	return 'T'
+}
+
+// query works one statement off.
+func (s *session) query(id, text string) *folio.Answer {
+	s.d.statements.Add(1)
+	q := folio.ParseStatement(id, text)
+	if id == "" || q.Verb == folio.Bad {
+		s.d.k.Counters.Add("desk.malformed", 1)
+		return refusal(folio.Malformed, "unknown text", s.state())
+	}
+	if s.tx != nil {
+		return s.inside(q)
+	}
+	switch q.Verb {
+	case folio.Begin, folio.BeginFetch:
+		t, a := s.begin(q)
+		s.tx = t
+		return a
+	case folio.Commit, folio.Abort:
+		return refusal(folio.Malformed, "no transaction", 'I')
+	case folio.Fetch, folio.Put, folio.Run:
+		return s.single(q)
+	}
+	return s.local(q)
+}
+
+// local answers what concerns the session alone.
+func (s *session) local(q folio.Statement) *folio.Answer {
+	switch q.Verb {
+	case folio.Option:
+		if _, ok := s.values[q.Name]; !ok && len(s.values) >= maxNames {
+			return refusal(folio.Malformed, "too many values", s.state())
+		}
+		s.values[q.Name] = q.Rest
+	case folio.Parse:
+		if len(s.names) >= maxNames {
+			return refusal(folio.Malformed, "too many prepared names", s.state())
+		}
+		s.names[q.Name] = shelf.Shape{Kind: q.Kind, Text: q.Rest}
+	case folio.Close:
+		if _, ok := s.names[q.Name]; !ok {
+			return refusal(folio.NoSuch, q.Name, s.state())
+		}
+		delete(s.names, q.Name)
+	}
+	return &folio.Answer{Seal: "-", State: s.state()}
+}
--- /dev/null
+++ b/internal/desk/transaction.go
@@ -0,0 +1,271 @@
+package desk
+
+import (
+	"errors"
+
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/findingaid"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/shelf"
+)
+
+// transaction is a client's open transaction. It takes a connection only with
+// its first statement, and holds it to the end.
+type transaction struct {
+	s       *session
+	begin   folio.Statement
+	plain   bool
+	conn    *shelf.Conn
+	choice  findingaid.Choice
+	service string
+	b       *conservator.Binding
+	wrote   bool
+	ran     int  // statements answered inside it
+	failed  bool // the database holds it as failed: state E
+	over    bool // it was ended here; the client has not heard yet
+}
+
+// begin opens a transaction for the client; no database hears of it yet.
+func (s *session) begin(q folio.Statement) (*transaction, *folio.Answer) {
+	if r, _, _ := s.d.route(s.database); r == nil {
+		return nil, refusal(folio.NoDB, s.database, 'I')
+	}
+	return &transaction{s: s, begin: q, plain: q.Verb == folio.Begin}, &folio.Answer{Seal: "-", State: 'T'}
+}
+
+// drop ends the transaction without the client: whatever it did is rolled
+// back.
+func (t *transaction) drop() {
+	t.over = true
+	t.letGo(true)
+}
+
+// letGo gives the connection back, after a roll-back if one is due.
+func (t *transaction) letGo(rollBack bool) {
+	if t.conn == nil {
+		return
+	}
+	if rollBack && t.conn.Alive() && t.conn.State() != 'I' {
+		if a, err := t.conn.Ask("ABORT", endWait); err != nil || a.State != 'I' {
+			t.conn.Close()
+		}
+	}
+	d := t.s.d
+	d.health.Release(t.conn.DB.ID, t.b)
+	d.shelf.Return(t.conn)
+	if t.choice.Primary {
+		d.card.Done(t.service)
+	}
+	t.conn = nil
+}
+
+// inside works off a statement in an open transaction.
+func (s *session) inside(q folio.Statement) *folio.Answer {
+	t := s.tx
+	switch {
+	case t.over:
+		s.tx = nil
+		if q.Verb == folio.Abort {
+			return &folio.Answer{Seal: "-", State: 'I'}
+		}
+		return s.rolledBack("the transaction was ended")
+	case q.Verb == folio.Abort:
+		s.tx = nil
+		t.letGo(true)
+		return &folio.Answer{Seal: "-", State: 'I'}
+	case t.failed && q.Verb == folio.Commit:
+		s.tx = nil
+		t.letGo(true)
+		return s.rolledBack("the transaction had failed")
+	case t.failed, q.Verb == folio.Begin, q.Verb == folio.BeginFetch:
+		return refusal(folio.Malformed, "inside a transaction", s.state())
+	case q.Verb == folio.Option, q.Verb == folio.Parse, q.Verb == folio.Close:
+		return s.local(q)
+	}
+	j, a := s.newJob(q)
+	if a != nil {
+		if a.Code == folio.NoDB && t.conn != nil {
+			return s.abandon("the route is gone")
+		}
+		return a
+	}
+	return j.insideTx(t)
+}
+
+func (s *session) rolledBack(why string) *folio.Answer {
+	s.d.k.Counters.Add("desk.rolled_back", 1)
+	return refusal(folio.RolledBack, why, 'I')
+}
+
+// abandon ends the open transaction; nothing of it is kept.
+func (s *session) abandon(why string) *folio.Answer {
+	t := s.tx
+	s.tx = nil
+	t.letGo(true)
+	return s.rolledBack(why)
+}
+
+// insideTx runs a statement of the transaction, starting the transaction at a
+// database if this is its first.
+func (j *job) insideTx(t *transaction) *folio.Answer {
+	for {
+		if t.conn == nil {
+			again, a := j.start(t)
+			if a != nil {
+				return a
+			}
+			if again {
+				continue
+			}
+		}
+		a, again := j.step(t)
+		if !again {
+			return a
+		}
+		j.s.d.retries.Add(1)
+	}
+}
+
+// start borrows a connection and begins the transaction on it.
+func (j *job) start(t *transaction) (again bool, a *folio.Answer) {
+	d := j.s.d
+	conn, choice, err := j.find(t.plain)
+	if err != nil {
+		j.s.tx = nil
+		return false, j.refuse()
+	}
+	t.conn, t.choice, t.service = conn, choice, j.route.Service
+	t.b = d.health.Bind(conn.DB.ID)
+	if choice.Primary {
+		d.card.Begin(t.service)
+	}
+	own := *j
+	own.q = t.begin
+	err = conn.Values(j.s.values, j.left())
+	if err != nil {
+		err = errors.Join(errUnsent, err)
+	} else {
+		a, err = own.run(conn, choice, t.begin.Text, false)
+	}
+	if err == nil && a.Code == "" && a.State == 'T' {
+		return false, nil
+	}
+	if err != nil {
+		j.lost(t, err)
+	} else {
+		switch a.Code {
+		case folio.Lagging:
+			d.aid.Lagging(conn.DB.ID)
+			j.shun(conn.DB.ID)
+		default:
+			j.tries++
+		}
+	}
+	t.letGo(true)
+	if j.tries > j.route.Tries || err == nil && !j.pauseAfter(a.Code) || j.left() <= 0 {
+		j.s.tx = nil
+		return false, j.refuse()
+	}
+	return true, nil
+}
+
+// lost reports a broken connection and closes one without an answer.
+func (j *job) lost(t *transaction, err error) {
+	if errors.Is(err, shelf.ErrBroken) {
+		_, gen := t.b.Bound()
+		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation))
+		j.shun(t.conn.DB.ID)
+	}
+	t.conn.Close()
+	j.tries++
+}
+
+// step runs the statement on the transaction's connection. Nothing of an
+// unfinished transaction is kept once its connection is closed, so every
+// failure but that of COMMIT can be promised.
+func (j *job) step(t *transaction) (a *folio.Answer, again bool) {
+	s := j.s
+	if db, _ := t.b.Bound(); db == "" && t.ran > 0 {
+		t.conn.Close()
+		return s.abandon("the database failed"), false
+	}
+	err := t.conn.Values(s.values, j.left())
+	var text string
+	if err == nil {
+		text, err = j.text(t.conn)
+	}
+	if err != nil {
+		err = errors.Join(errUnsent, err)
+	} else {
+		a, err = j.run(t.conn, t.choice, text, true)
+	}
+	commit := j.q.Verb == folio.Commit
+	if err != nil {
+		unsent := errors.Is(err, errUnsent)
+		j.lost(t, err)
+		if commit && t.wrote && !unsent {
+			t.letGo(false)
+			s.tx = nil
+			s.d.k.Counters.Add("desk.unknown", 1)
+			return refusal(folio.Unknown, "no answer to COMMIT", 'I'), false
+		}
+		t.letGo(false)
+		if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
+			return nil, true
+		}
+		s.tx = nil
+		return s.rolledBack("no answer"), false
+	}
+	if a.Code == "" {
+		t.ran++
+		t.wrote = t.wrote || j.write
+		if a.State != 'T' {
+			s.tx = nil
+			if commit && t.wrote {
+				if pos, ok := folio.ParsePosition(a.Pos); ok && s.last.Less(pos) {
+					s.last = pos
+				}
+			}
+			t.letGo(false)
+		}
+		return a, false
+	}
+	return j.refusedInside(t, a)
+}
+
+// refusedInside deals with an error that the database answered inside the
+// transaction.
+func (j *job) refusedInside(t *transaction, a *folio.Answer) (*folio.Answer, bool) {
+	s := j.s
+	j.tries++
+	more := j.tries <= j.route.Tries && j.left() > 0
+	switch {
+	case a.Code == folio.NoSuch:
+		t.conn.Lost(j.shape)
+		if a.State == 'T' && more {
+			return nil, true
+		}
+	case a.Code == folio.Retry && a.State == 'T':
+		if more && j.pauseAfter(a.Code) {
+			return nil, true
+		}
+	}
+	if t.ran == 0 && promised(a.Code) && more {
+		if a.Code == folio.Lagging {
+			s.d.aid.Lagging(t.conn.DB.ID)
+			j.shun(t.conn.DB.ID)
+		}
+		t.letGo(true)
+		return nil, j.pauseAfter(a.Code) || j.left() > 0
+	}
+	if promised(a.Code) {
+		return s.abandon(a.Code), false
+	}
+	if a.State == 'I' {
+		s.tx = nil
+		t.letGo(false)
+	} else {
+		t.failed = a.State == 'E'
+	}
+	return a, false
+}
--- /dev/null
+++ b/internal/desk/work.go
@@ -0,0 +1,311 @@
+package desk
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/findingaid"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/subscription"
+)
+
+// job is one statement, or the start of a transaction, on its way to a
+// database.
+type job struct {
+	s        *session
+	q        folio.Statement
+	shape    shelf.Shape // of a RUN
+	write    bool
+	received foundation.Micros
+	deadline foundation.Micros
+	giveUp   foundation.Micros // until then a place to run is waited for
+	route    *catalogue.Route
+	tries    int
+	avoid    map[string]bool
+}
+
+// holdShare is the part of its time that a statement may wait for a place to
+// run; past it the client hears RETRY, and when to come back.
+const holdShare = 0.4
+
+func hint(m foundation.Micros) string { return strconv.FormatInt(m.Millis(), 10) }
+
+// promised tells whether an error code promises that nothing is kept.
+func promised(code string) bool {
+	switch code {
+	case folio.Retry, folio.RolledBack, folio.Lagging, folio.ReadOnly, folio.WrongNode, folio.MaxConn, folio.NoSuch:
+		return true
+	}
+	return false
+}
+
+// newJob looks the statement's route up; an answer instead means that there
+// is nothing to run.
+func (s *session) newJob(q folio.Statement) (*job, *folio.Answer) {
+	j := &job{s: s, q: q, received: s.d.k.Clock.Now()}
+	if j.route, _, _ = s.d.route(s.database); j.route == nil {
+		return nil, refusal(folio.NoDB, s.database, s.state())
+	}
+	if a := j.resolve(); a != nil {
+		return nil, a
+	}
+	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
+	j.deadline = j.received + span
+	j.giveUp = j.received + foundation.Micros(holdShare*float64(span))
+	return j, nil
+}
+
+// resolve finds out what the statement is: a RUN is what its name stands for.
+func (j *job) resolve() *folio.Answer {
+	switch j.q.Verb {
+	case folio.Put:
+		j.write = true
+	case folio.Run:
+		shape, ok := j.s.names[j.q.Name]
+		if !ok {
+			return refusal(folio.NoSuch, j.q.Name, j.s.state())
+		}
+		j.shape, j.write = shape, shape.Kind == folio.Put
+	}
+	return nil
+}
+
+func (j *job) now() foundation.Micros  { return j.s.d.k.Clock.Now() }
+func (j *job) left() foundation.Micros { return j.deadline - j.now() }
+
+func (j *job) request(write bool) findingaid.Request {
+	return findingaid.Request{
+		Service: j.route.Service, Type: j.route.Type,
+		Stale:    foundation.Micros(j.route.StaleMs) * foundation.Millisecond,
+		Received: j.received, Last: j.s.last, Write: write, Avoid: j.avoid,
+	}
+}
+
+func (j *job) shun(id string) {
+	if j.avoid == nil {
+		j.avoid = map[string]bool{}
+	}
+	j.avoid[id] = true
+}
+
+// errNoPlace says that no database can run the statement at present.
+var errNoPlace = errors.New("desk: no database can run it now")
+
+// find waits for a database that can run the job and borrows a connection.
+func (j *job) find(write bool) (*shelf.Conn, findingaid.Choice, error) {
+	d := j.s.d
+	for {
+		changed, health := d.card.Changed(), d.health.Changed()
+		c, ok := d.place(j.request(write))
+		if ok {
+			conn, err := d.shelf.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
+			if err == nil {
+				return conn, c, nil
+			}
+			if errors.Is(err, shelf.ErrFull) || errors.Is(err, shelf.ErrDeadline) {
+				return nil, c, errNoPlace
+			}
+			j.shun(c.Database.ID)
+		}
+		wait := min(j.giveUp-j.now(), 200*foundation.Millisecond)
+		if wait <= 0 {
+			return nil, c, errNoPlace
+		}
+		if ok && !c.Primary {
+			continue // another replica, or the primary
+		}
+		clear(j.avoid)
+		t := time.NewTimer(wait.Duration())
+		select {
+		case <-changed:
+		case <-health:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// text is what the database is sent: the client's own, but for the prepared
+// name.
+func (j *job) text(c *shelf.Conn) (string, error) {
+	if j.q.Verb != folio.Run {
+		return j.q.Text, nil
+	}
+	name, err := c.Name(j.shape, j.left())
+	if err != nil {
+		return "", err
+	}
+	return "RUN " + name + " " + j.q.Rest, nil
+}
+
+// errUnsent marks a failure before the statement was sent in full.
+var errUnsent = errors.New("desk: not sent")
+
+// run sends the text on a borrowed connection and waits for the answer. At a
+// primary it is sent only under the read lease, unless it goes on with a
+// transaction that was begun under it.
+func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, text string, leased bool) (*folio.Answer, error) {
+	d := j.s.d
+	if !choice.Primary && !leased && choice.After != (folio.Position{}) {
+		text = "WAITPOS " + choice.After.String() + " " + text
+	}
+	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
+	send := func() error { return conn.Send(msg, 1) }
+	var sent foundation.Micros
+	var err error
+	gated := choice.Primary && !leased
+	if gated {
+		sent, err = d.card.Send(j.route.Service, choice.Database.ID, send)
+	} else {
+		err = send()
+	}
+	if err != nil {
+		return nil, errors.Join(errUnsent, err)
+	}
+	a, err := conn.Receive(j.left())
+	if err != nil {
+		return nil, err
+	}
+	if gated && a.Code == "" {
+		if pos, ok := folio.ParsePosition(a.Pos); ok {
+			d.aid.Observe(j.route.Service, sent, pos)
+		}
+	}
+	return a, nil
+}
+
+// single runs a statement outside a transaction.
+func (s *session) single(q folio.Statement) *folio.Answer {
+	j, a := s.newJob(q)
+	if a != nil {
+		return a
+	}
+	for {
+		conn, choice, err := j.find(j.write)
+		if err != nil {
+			return j.refuse()
+		}
+		a, again := j.attempt(conn, choice)
+		if !again {
+			return a
+		}
+		s.d.retries.Add(1)
+	}
+}
+
+// attempt runs the statement once on conn and gives conn back. It returns the
+// client's answer, or says that another attempt may be made.
+func (j *job) attempt(conn *shelf.Conn, choice findingaid.Choice) (a *folio.Answer, again bool) {
+	d, id := j.s.d, choice.Database.ID
+	b := d.health.Bind(id)
+	defer d.health.Release(id, b)
+	defer d.shelf.Return(conn)
+	if choice.Primary {
+		d.card.Begin(j.route.Service)
+		defer d.card.Done(j.route.Service)
+	}
+	err := conn.Values(j.s.values, j.left())
+	var text string
+	if err == nil {
+		text, err = j.text(conn)
+	}
+	if err != nil {
+		err = errors.Join(errUnsent, err)
+	} else {
+		a, err = j.run(conn, choice, text, false)
+	}
+	if err != nil {
+		return j.failed(conn, b, err)
+	}
+	return j.judge(conn, choice, a)
+}
+
+// failed deals with an attempt that got no answer.
+func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
+	d, id := j.s.d, conn.DB.ID
+	if errors.Is(err, shelf.ErrBroken) {
+		_, gen := b.Bound()
+		d.health.Report(id, min(gen, conn.Generation))
+	}
+	if !errors.Is(err, subscription.ErrNoLease) {
+		conn.Close()
+	}
+	unsent := errors.Is(err, errUnsent)
+	switch {
+	case j.write && !unsent:
+		d.k.Counters.Add("desk.unknown", 1)
+		return refusal(folio.Unknown, "no answer from "+id, 'I'), false
+	case j.left() <= 0:
+		if unsent {
+			return j.refuse(), false
+		}
+		d.k.Counters.Add("desk.expired", 1)
+		return refusal(folio.Expired, "deadline passed", 'I'), false
+	}
+	if !errors.Is(err, subscription.ErrNoLease) {
+		j.shun(id)
+	}
+	return nil, true
+}
+
+// judge decides what becomes of a database's answer outside a transaction.
+func (j *job) judge(conn *shelf.Conn, choice findingaid.Choice, a *folio.Answer) (*folio.Answer, bool) {
+	d, id := j.s.d, choice.Database.ID
+	switch a.Code {
+	case "":
+		if j.write {
+			if pos, ok := folio.ParsePosition(a.Pos); ok && j.s.last.Less(pos) {
+				j.s.last = pos
+			}
+		}
+		return a, false
+	case folio.Lagging:
+		d.aid.Lagging(id)
+		j.shun(id)
+		return nil, j.left() > 0
+	case folio.NoSuch:
+		conn.Lost(j.shape)
+	case folio.Retry:
+		if !choice.Primary {
+			j.shun(id)
+		}
+	}
+	if promised(a.Code) || a.Code == folio.Failed && !j.write {
+		j.tries++
+		if j.tries <= j.route.Tries && j.pauseAfter(a.Code) {
+			return nil, true
+		}
+		if a.Code != folio.Failed {
+			return j.refuse(), false
+		}
+	}
+	return a, false
+}
+
+// pauseAfter waits a little where trying again at once would meet the same
+// answer; it reports whether there is time for another try.
+func (j *job) pauseAfter(code string) bool {
+	var wait foundation.Micros
+	switch code {
+	case folio.ReadOnly:
+		wait = 60 * foundation.Millisecond
+	case folio.Retry:
+		wait = foundation.Micros(10*j.tries) * foundation.Millisecond
+	}
+	if j.left() < 2*wait {
+		return false
+	}
+	time.Sleep(wait.Duration())
+	return true
+}
+
+// refuse gives the statement up, unrun, and says when to come back.
+func (j *job) refuse() *folio.Answer {
+	j.s.d.k.Counters.Add("desk.refused", 1)
+	return refusal(folio.Retry, hint(200*foundation.Millisecond), j.s.state())
+}
--- /dev/null
+++ b/internal/folio/folio.go
@@ -0,0 +1,175 @@
+// Package folio is the codec of the wire that clients and databases speak.
+package folio
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// MaxMessage is the longest message, its end included.
+const MaxMessage = 1 << 20
+
+// Codes of ERROR.
+const (
+	Retry      = "RETRY"
+	RolledBack = "ROLLEDBACK"
+	Lagging    = "LAGGING"
+	ReadOnly   = "RDONLY"
+	WrongNode  = "WRONGNODE"
+	MaxConn    = "MAXCONN"
+	NoSuch     = "NOSUCH"
+	Failed     = "FAILED"
+	Expired    = "EXPIRED"
+	Unknown    = "UNKNOWN"
+	NoDB       = "NODB"
+	Oversize   = "OVERSIZE"
+	Malformed  = "MALFORMED"
+)
+
+// Errors of this layer.
+var (
+	ErrOversize  = errors.New("folio: message too long")
+	ErrMalformed = errors.New("folio: malformed message")
+)
+
+// Position is a place in a database's log.
+type Position struct{ Term, Number int64 }
+
+// ParsePosition reads TERM.NUMBER; "-" and anything else give no position.
+func ParsePosition(s string) (Position, bool) {
+	t, n, ok := strings.Cut(s, ".")
+	if !ok {
+		return Position{}, false
+	}
+	term, err1 := strconv.ParseInt(t, 10, 64)
+	num, err2 := strconv.ParseInt(n, 10, 64)
+	if err1 != nil || err2 != nil || term < 0 || num < 0 {
+		return Position{}, false
+	}
+	return Position{term, num}, true
+}
+
+// Less orders positions by term, then number.
+func (p Position) Less(q Position) bool {
+	return p.Term < q.Term || p.Term == q.Term && p.Number < q.Number
+}
+
+func (p Position) String() string {
+	return strconv.FormatInt(p.Term, 10) + "." + strconv.FormatInt(p.Number, 10)
+}
+
+// Reader takes messages off a connection.
+type Reader struct {
+	b    *bufio.Reader
+	long []byte
+}
+
+// NewReader wraps r.
+func NewReader(r io.Reader) *Reader { return &Reader{b: bufio.NewReaderSize(r, 2048)} }
+
+// Line returns the next message without its end; it is valid until the next
+// call.
+func (r *Reader) Line() ([]byte, error) {
+	line, err := r.b.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		r.long = append(r.long[:0], line...)
+		for errors.Is(err, bufio.ErrBufferFull) {
+			line, err = r.b.ReadSlice('\n')
+			if len(r.long)+len(line) > MaxMessage {
+				return nil, ErrOversize
+			}
+			r.long = append(r.long, line...)
+		}
+		line = r.long
+	}
+	if err != nil {
+		return nil, err
+	}
+	line = line[:len(line)-1]
+	if n := len(line); n == 0 || line[n-1] != '\r' {
+		return nil, ErrMalformed
+	}
+	return line[:len(line)-1], nil
+}
+
+// Buffered reports whether input is waiting.
+func (r *Reader) Buffered() bool { return r.b.Buffered() > 0 }
+
+// Word cuts the first blank-separated field off a message.
+func Word(line []byte) (word, rest []byte) {
+	word, rest, _ = bytes.Cut(line, []byte{' '})
+	return word, rest
+}
+
+// AppendMessage appends the fields as one message.
+func AppendMessage(b []byte, fields ...string) []byte {
+	for i, f := range fields {
+		if i > 0 {
+			b = append(b, ' ')
+		}
+		b = append(b, f...)
+	}
+	return append(b, '\r', '\n')
+}
+
+// Answer is what a database sent for one QUERY or LOGIN.
+type Answer struct {
+	Rows  []byte // ROW messages as they came, ends included
+	Seal  string // text of COMPLETE
+	Code  string // code of ERROR, "" for success
+	Text  string // text of ERROR
+	State byte   // I, T or E
+	Pos   string
+}
+
+// ReadAnswer reads one answer up to its IDLE.
+func ReadAnswer(r *Reader) (*Answer, error) {
+	a := &Answer{}
+	for {
+		line, err := r.Line()
+		if err != nil {
+			return nil, err
+		}
+		word, rest := Word(line)
+		switch string(word) {
+		case "ROW":
+			if len(a.Rows)+len(line) > 2*MaxMessage {
+				return nil, ErrOversize
+			}
+			a.Rows = append(append(a.Rows, line...), '\r', '\n')
+		case "COMPLETE":
+			a.Seal = string(rest)
+		case "ERROR":
+			code, text := Word(rest)
+			a.Code, a.Text = string(code), string(text)
+		case "IDLE":
+			state, pos := Word(rest)
+			if len(state) != 1 {
+				return nil, ErrMalformed
+			}
+			a.State, a.Pos = state[0], string(pos)
+			return a, nil
+		default:
+			return nil, ErrMalformed
+		}
+	}
+}
+
+// Append writes the answer as a client is to see it.
+func (a *Answer) Append(b []byte) []byte {
+	b = append(b, a.Rows...)
+	if a.Code != "" {
+		b = AppendMessage(b, "ERROR", a.Code, a.Text)
+	} else {
+		b = AppendMessage(b, "COMPLETE", a.Seal)
+	}
+	pos := a.Pos
+	if pos == "" {
+		pos = "-"
+	}
+	return AppendMessage(b, "IDLE", string(a.State), pos)
+}
--- /dev/null
+++ b/internal/folio/text.go
@@ -0,0 +1,90 @@
+package folio
+
+import "strings"
+
+// Verb is what a statement's text asks for.
+type Verb int
+
+// Verbs that clients may send.
+const (
+	Bad Verb = iota
+	Begin
+	BeginFetch
+	Commit
+	Abort
+	Fetch
+	Put
+	Option
+	Parse
+	Run
+	Close
+)
+
+// Statement is a client's QUERY, taken apart as far as the pool needs it.
+type Statement struct {
+	ID   string
+	Text string
+	Verb Verb
+	Name string // OPTION, PARSE, RUN, CLOSE
+	Rest string // what follows the name
+	Kind Verb   // PARSE: Fetch or Put
+}
+
+// ParseStatement reads a text; the verb is Bad if it is none that clients may
+// send.
+func ParseStatement(id, text string) Statement {
+	s := Statement{ID: id, Text: text}
+	verb, rest, _ := strings.Cut(text, " ")
+	switch verb {
+	case "BEGIN":
+		switch rest {
+		case "":
+			s.Verb = Begin
+		case "FETCH":
+			s.Verb = BeginFetch
+		}
+	case "COMMIT", "ABORT":
+		if rest == "" {
+			s.Verb = Abort
+			if verb == "COMMIT" {
+				s.Verb = Commit
+			}
+		}
+	case "FETCH":
+		if rest != "" {
+			s.Verb = Fetch
+		}
+	case "PUT":
+		if rest != "" {
+			s.Verb = Put
+		}
+	case "OPTION", "RUN", "CLOSE":
+		s.Name, s.Rest, _ = strings.Cut(rest, " ")
+		if s.Name == "" || (verb != "CLOSE") == (s.Rest == "") {
+			break
+		}
+		s.Verb = map[string]Verb{"OPTION": Option, "RUN": Run, "CLOSE": Close}[verb]
+	case "PARSE":
+		var kind string
+		s.Name, rest, _ = strings.Cut(rest, " ")
+		kind, s.Rest, _ = strings.Cut(rest, " ")
+		if s.Name == "" || s.Rest == "" {
+			break
+		}
+		switch kind {
+		case "FETCH":
+			s.Verb, s.Kind = Parse, Fetch
+		case "PUT":
+			s.Verb, s.Kind = Parse, Put
+		}
+	}
+	return s
+}
+
+// KindName is the word of Fetch or Put.
+func KindName(v Verb) string {
+	if v == Put {
+		return "PUT"
+	}
+	return "FETCH"
+}
--- /dev/null
+++ b/internal/foundation/seams.go
@@ -0,0 +1,105 @@
+package foundation
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Micros is a time or a span in whole microseconds; as a time it counts on a
+// steady clock whose start means nothing.
+type Micros int64
+
+// Spans.
+const (
+	Millisecond Micros = 1000
+	Second      Micros = 1000 * Millisecond
+)
+
+// Duration converts for the standard library's timers.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// Millis rounds down to whole milliseconds.
+func (m Micros) Millis() int64 { return int64(m / Millisecond) }
+
+// Clock is the seam to the steady clock.
+type Clock interface{ Now() Micros }
+
+type steady struct{ start time.Time }
+
+// SteadyClock counts from now on; it starts above zero so that the zero value
+// of a time always lies in the past.
+func SteadyClock() Clock { return steady{time.Now().Add(-time.Hour)} }
+
+func (s steady) Now() Micros { return Micros(time.Since(s.start) / time.Microsecond) }
+
+// Sleep waits for the span, or less if ctx ends; it reports whether the whole
+// span went by.
+func Sleep(ctx context.Context, m Micros) bool {
+	t := time.NewTimer(m.Duration())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Network is the seam to TCP and UDP.
+type Network interface {
+	// Dial opens a connection; a peer that falls silent breaks it after
+	// about the silence span (none if 0).
+	Dial(ctx context.Context, addr string, silence Micros) (net.Conn, error)
+	Listen(addr string) (net.Listener, error)
+	ListenPacket(addr string) (net.PacketConn, error)
+}
+
+// HostNetwork is the operating system's network.
+type HostNetwork struct{}
+
+// Dial implements Network.
+func (HostNetwork) Dial(ctx context.Context, addr string, silence Micros) (net.Conn, error) {
+	d := net.Dialer{KeepAlive: -1}
+	if silence > 0 {
+		d.Control = func(_, _ string, c syscall.RawConn) error {
+			var err error
+			if e := c.Control(func(fd uintptr) { err = breakOnSilence(int(fd), silence) }); e != nil {
+				return e
+			}
+			return err
+		}
+	}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+func breakOnSilence(fd int, silence Micros) error {
+	for _, o := range []struct{ level, name, value int }{
+		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Millis())},
+		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2},
+	} {
+		if err := unix.SetsockoptInt(fd, o.level, o.name, o.value); err != nil {
+			return os.NewSyscallError("setsockopt", err)
+		}
+	}
+	return nil
+}
+
+// Listen implements Network. Accepted connections carry no keep-alive of
+// their own: clients come and go quickly and idle time-outs cover the rest.
+func (HostNetwork) Listen(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{KeepAlive: -1}
+	return lc.Listen(context.Background(), "tcp4", addr)
+}
+
+// ListenPacket implements Network.
+func (HostNetwork) ListenPacket(addr string) (net.PacketConn, error) {
+	return net.ListenPacket("udp4", addr)
+}
--- /dev/null
+++ b/internal/loan/loan.go
@@ -0,0 +1,259 @@
+// Package loan carries calls between indigowalk's own processes: one JSON
+// line asks, one JSON line answers, many calls share a connection.
+package loan
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"indigowalk/internal/foundation"
+)
+
+// maxLine bounds one line: a whole control state with the largest
+// configuration fits several times.
+const maxLine = 4 << 20
+
+// ErrUnreachable says that a call got no answer; whether it was carried out
+// is not known.
+var ErrUnreachable = errors.New("loan: peer unreachable")
+
+// Refused is the peer's answer that it did not carry out the call.
+type Refused struct{ Reason string }
+
+func (r *Refused) Error() string { return "loan: refused: " + r.Reason }
+
+type line struct {
+	ID   uint64          `json:"id"`
+	Op   string          `json:"op,omitempty"`
+	Body json.RawMessage `json:"body,omitempty"`
+	Err  string          `json:"err,omitempty"`
+}
+
+// Handler answers one kind of call.
+type Handler func(ctx context.Context, body json.RawMessage) (any, error)
+
+// Branch takes and makes loans for one process.
+type Branch struct {
+	k    *foundation.Kernel
+	addr string
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	peers    map[string]*peer
+}
+
+// NewBranch returns a branch that will listen at addr.
+func NewBranch(k *foundation.Kernel, addr string) *Branch {
+	return &Branch{k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{}}
+}
+
+// Addr is where other processes reach this one.
+func (b *Branch) Addr() string { return b.addr }
+
+// Handle sets the handler of an operation; all are set before Serve.
+func (b *Branch) Handle(op string, h Handler) { b.handlers[op] = h }
+
+// On registers a handler with a typed request.
+func On[Q any](b *Branch, op string, h func(context.Context, Q) (any, error)) {
+	b.Handle(op, func(ctx context.Context, body json.RawMessage) (any, error) {
+		var q Q
+		if err := json.Unmarshal(body, &q); err != nil {
+			b.k.Counters.Add("loan.malformed", 1)
+			return nil, fmt.Errorf("malformed body: %w", err)
+		}
+		return h(ctx, q)
+	})
+}
+
+// Serve takes calls until ctx ends.
+func (b *Branch) Serve(ctx context.Context) error {
+	ln, err := b.k.Net.Listen(b.addr)
+	if err != nil {
+		return fmt.Errorf("loan: %w", err)
+	}
+	stop := context.AfterFunc(ctx, func() { ln.Close() })
+	defer stop()
+	defer ln.Close()
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("loan: %w", err)
+		}
+		go b.lend(ctx, c)
+	}
+}
+
+func (b *Branch) lend(ctx context.Context, c net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	defer c.Close()
+	var mu sync.Mutex
+	sc := scanner(c)
+	for sc.Scan() {
+		var q line
+		if err := json.Unmarshal(sc.Bytes(), &q); err != nil {
+			b.k.Counters.Add("loan.malformed", 1)
+			return
+		}
+		h := b.handlers[q.Op]
+		if h == nil {
+			b.k.Counters.Add("loan.malformed", 1)
+			return
+		}
+		go func() {
+			a := line{ID: q.ID}
+			if v, err := h(ctx, q.Body); err != nil {
+				a.Err = err.Error()
+			} else if a.Body, err = json.Marshal(v); err != nil {
+				a.Err = err.Error()
+			}
+			raw, err := json.Marshal(a)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if _, err := c.Write(append(raw, '\n')); err != nil {
+				c.Close()
+			}
+		}()
+	}
+}
+
+func scanner(c net.Conn) *bufio.Scanner {
+	sc := bufio.NewScanner(c)
+	sc.Buffer(make([]byte, 0, 2048), maxLine)
+	return sc
+}
+
+type peer struct {
+	mu     sync.Mutex
+	conn   net.Conn
+	nextID uint64
+	calls  map[uint64]chan line
+}
+
+// Call asks the process at addr; answer may be nil. It waits at most for the
+// span.
+func (b *Branch) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	body, err := json.Marshal(ask)
+	if err != nil {
+		return fmt.Errorf("loan: %w", err)
+	}
+	b.mu.Lock()
+	p := b.peers[addr]
+	if p == nil {
+		p = &peer{calls: map[uint64]chan line{}}
+		b.peers[addr] = p
+	}
+	b.mu.Unlock()
+
+	id, ch, err := p.send(ctx, b, addr, op, body)
+	if err != nil {
+		b.k.Counters.Add("loan.unreachable", 1)
+		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+	}
+	select {
+	case a, ok := <-ch:
+		if !ok {
+			b.k.Counters.Add("loan.unreachable", 1)
+			return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, addr)
+		}
+		if a.Err != "" {
+			return &Refused{a.Err}
+		}
+		if answer == nil {
+			return nil
+		}
+		if err := json.Unmarshal(a.Body, answer); err != nil {
+			b.k.Counters.Add("loan.malformed", 1)
+			return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+		}
+		return nil
+	case <-ctx.Done():
+		p.forget(id)
+		b.k.Counters.Add("loan.unreachable", 1)
+		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, ctx.Err())
+	}
+}
+
+func (p *peer) send(ctx context.Context, b *Branch, addr, op string, body json.RawMessage) (uint64, chan line, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		c, err := b.k.Net.Dial(ctx, addr, 1500*foundation.Millisecond)
+		if err != nil {
+			return 0, nil, err
+		}
+		p.conn = c
+		go p.receive(c)
+	}
+	p.nextID++
+	raw, err := json.Marshal(line{ID: p.nextID, Op: op, Body: body})
+	if err != nil {
+		return 0, nil, err
+	}
+	ch := make(chan line, 1)
+	p.calls[p.nextID] = ch
+	if _, err := p.conn.Write(append(raw, '\n')); err != nil {
+		p.drop(p.conn)
+		return 0, nil, err
+	}
+	return p.nextID, ch, nil
+}
+
+func (p *peer) receive(c net.Conn) {
+	sc := scanner(c)
+	for sc.Scan() {
+		var a line
+		if json.Unmarshal(sc.Bytes(), &a) != nil {
+			break
+		}
+		p.mu.Lock()
+		if ch := p.calls[a.ID]; ch != nil {
+			delete(p.calls, a.ID)
+			ch <- a
+		}
+		p.mu.Unlock()
+	}
+	p.mu.Lock()
+	p.drop(c)
+	p.mu.Unlock()
+}
+
+// drop ends a broken connection and every call that waits on it.
+func (p *peer) drop(c net.Conn) {
+	c.Close()
+	if p.conn != c {
+		return
+	}
+	p.conn = nil
+	for id, ch := range p.calls {
+		delete(p.calls, id)
+		close(ch)
+	}
+}
+
+// forget gives up a call; a connection on which a call went unanswered may
+// be dead, so it is replaced at the next one.
+func (p *peer) forget(id uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.calls[id]; ok {
+		delete(p.calls, id)
+		if p.conn != nil && len(p.calls) == 0 {
+			p.drop(p.conn)
+		}
+	}
+}
--- /dev/null
+++ b/internal/loan/plugin.go
@@ -0,0 +1,22 @@
+package loan
+
+import (
+	"indigowalk/internal/charter"
+	"indigowalk/internal/foundation"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "loan", Rank: 10, Roles: []string{"desk", "archive"},
+		Build: func(k *foundation.Kernel) error {
+			port := charter.DeskPort
+			if k.Role == "archive" {
+				port = charter.ArchivePort
+			}
+			b := NewBranch(k, foundation.Need[*charter.Book](k).Now().Port(port))
+			foundation.Offer(k, b)
+			k.Supervise("loan", b.Serve)
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/registrar/registrar.go
@@ -0,0 +1,216 @@
+// Package registrar is the archive's HTTP side: databases send their beats
+// here, the operator the configuration. Whoever is not the vault's primary
+// sends callers there.
+package registrar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+// maxBody bounds what is read of a call where the configuration in force
+// says nothing.
+const maxBody = 1 << 20
+
+// maxBeat bounds a beat.
+const maxBeat = 16 << 10
+
+// callWait bounds the work on one call: callers give up after a second.
+const callWait = 900 * time.Millisecond
+
+// Registrar serves the control address.
+type Registrar struct {
+	k    *foundation.Kernel
+	addr string
+	v    *vault.Vault
+	acc  *accessions.Accessions
+	cat  *catalogue.Catalogue
+}
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "registrar", Rank: 80, Roles: []string{"archive"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			if s.ControlAddr == "" {
+				return &charter.Error{Key: "listen.control_addr", Reason: "an archive needs it"}
+			}
+			r := &Registrar{
+				k: k, addr: s.ControlAddr, v: foundation.Need[*vault.Vault](k),
+				acc: foundation.Need[*accessions.Accessions](k), cat: foundation.Need[*catalogue.Catalogue](k),
+			}
+			k.Supervise("registrar", r.Serve)
+			return nil
+		},
+	})
+}
+
+// Serve answers until ctx ends.
+func (r *Registrar) Serve(ctx context.Context) error {
+	ln, err := r.k.Net.Listen(r.addr)
+	if err != nil {
+		return fmt.Errorf("registrar: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /Servers.Heartbeat/{id}", r.primary(r.heartbeat))
+	mux.HandleFunc("POST /Servers.Deregister/{id}", r.primary(r.deregister))
+	mux.HandleFunc("POST /Conf.Replace", r.primary(r.replace))
+	mux.HandleFunc("GET /Conf.Fetch", r.primary(r.fetch))
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("registrar: %w", err)
+	}
+	return nil
+}
+
+// primary lets the call through on the vault's primary and sends it there
+// from elsewhere.
+func (r *Registrar) primary(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		view, leads := r.v.Primary()
+		if leads {
+			h(w, q)
+			return
+		}
+		to := r.control(view.Primary.Addr)
+		if to == "" || to == r.addr {
+			r.fail(w, http.StatusServiceUnavailable, "no primary is known now")
+			return
+		}
+		r.k.Counters.Add("registrar.redirected", 1)
+		w.Header().Set("Location", "http://"+to+q.URL.RequestURI())
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	}
+}
+
+// control is the control address of the archive at an inner address: the
+// ports are the same on all machines.
+func (r *Registrar) control(inner string) string {
+	host, _, err := net.SplitHostPort(inner)
+	if err != nil {
+		return ""
+	}
+	_, port, err := net.SplitHostPort(r.addr)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, port)
+}
+
+type problem struct {
+	Err    string   `json:"err"`
+	Fields []string `json:"fields,omitempty"`
+}
+
+func (r *Registrar) fail(w http.ResponseWriter, status int, reason string, fields ...string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(problem{reason, fields}); err != nil {
+		r.k.Counters.Add("registrar.unsent", 1)
+	}
+}
+
+// body reads at most limit bytes; it has answered if it returns false.
+func (r *Registrar) body(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, bool) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		r.fail(w, http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
+		return nil, false
+	case err != nil:
+		r.fail(w, http.StatusBadRequest, "body: is not there in full", "body")
+		return nil, false
+	}
+	return raw, true
+}
+
+func (r *Registrar) heartbeat(w http.ResponseWriter, q *http.Request) {
+	raw, ok := r.body(w, q, maxBeat)
+	if !ok {
+		return
+	}
+	var b accessions.Beat
+	if err := json.Unmarshal(raw, &b); err != nil {
+		r.fail(w, http.StatusBadRequest, "beat: "+err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), callWait)
+	defer cancel()
+	err := r.acc.Heartbeat(ctx, q.PathValue("id"), b)
+	switch {
+	case errors.Is(err, accessions.ErrMalformed):
+		r.fail(w, http.StatusBadRequest, "beat: svc and address are needed")
+	case err != nil:
+		r.fail(w, http.StatusServiceUnavailable, err.Error())
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		io.WriteString(w, `{"beat_addr":"`+r.addr+`"}`)
+	}
+}
+
+func (r *Registrar) deregister(w http.ResponseWriter, q *http.Request) {
+	ctx, cancel := context.WithTimeout(q.Context(), callWait)
+	defer cancel()
+	if err := r.acc.Deregister(ctx, q.PathValue("id")); err != nil {
+		r.fail(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+func (r *Registrar) replace(w http.ResponseWriter, q *http.Request) {
+	raw, ok := r.body(w, q, maxBody)
+	if !ok {
+		return
+	}
+	base, err := strconv.ParseInt(strings.TrimSpace(q.Header.Get("X-Indigowalk-Base-Version")), 10, 64)
+	if err != nil || base < 0 {
+		r.fail(w, http.StatusBadRequest, "X-Indigowalk-Base-Version is not a version", "X-Indigowalk-Base-Version")
+		return
+	}
+	ctx, cancel := context.WithTimeout(q.Context(), callWait)
+	defer cancel()
+	err = r.cat.Replace(ctx, base, raw)
+	var invalid *catalogue.Invalid
+	switch {
+	case errors.As(err, &invalid):
+		fields := make([]string, 0, len(invalid.Faults))
+		for _, f := range invalid.Faults {
+			fields = append(fields, f.Error())
+		}
+		r.fail(w, http.StatusBadRequest, "invalid configuration", fields...)
+	case errors.Is(err, catalogue.ErrOtherVersion):
+		r.fail(w, http.StatusPreconditionFailed, err.Error())
+	case err != nil:
+		r.fail(w, http.StatusServiceUnavailable, err.Error())
+	}
+}
+
+func (r *Registrar) fetch(w http.ResponseWriter, _ *http.Request) {
+	body, err := r.cat.Fetch()
+	switch {
+	case err != nil:
+		r.fail(w, http.StatusServiceUnavailable, err.Error())
+	case body == nil:
+		r.fail(w, http.StatusNotFound, "no configuration yet")
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		if _, err := w.Write(body); err != nil {
+			r.k.Counters.Add("registrar.unsent", 1)
+		}
+	}
+}
--- /dev/null
+++ b/internal/shelf/conn.go
@@ -0,0 +1,170 @@
+// Package shelf keeps the server connections: capped, shared between the
+// sessions of a desk, each with what is known of its state.
+package shelf
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+)
+
+// Errors of this layer.
+var (
+	ErrBroken   = errors.New("shelf: server connection broken")
+	ErrDeadline = errors.New("shelf: deadline passed")
+	ErrFull     = errors.New("shelf: no connection free")
+	ErrRejected = errors.New("shelf: database rejects the log-in")
+)
+
+// Conn is one connection to a database.
+type Conn struct {
+	DB         accessions.Database
+	Generation int64 // of the database when the connection was opened
+
+	c       net.Conn
+	answers chan *folio.Answer
+	dead    chan struct{}
+
+	// Owned by whoever has borrowed the connection.
+	values map[string]string
+	names  map[string]string // server-side name by kind and shape
+	state  byte
+	idleAt foundation.Micros
+	home   *pool
+
+	mu      sync.Mutex
+	waiting int // answers outstanding
+	onDead  func(*Conn, bool)
+	closed  bool
+}
+
+// Open connects and logs in, naming the expected id.
+func Open(ctx context.Context, n foundation.Network, db accessions.Database, who string, silence foundation.Micros) (*Conn, error) {
+	c, err := n.Dial(ctx, db.Address, silence)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, who, db.ID)); err != nil {
+		c.Close()
+		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	r := folio.NewReader(c)
+	line, err := r.Line()
+	if err != nil {
+		c.Close()
+		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	word, rest := folio.Word(line)
+	if string(word) != "IDLE" {
+		c.Close()
+		return nil, fmt.Errorf("%w: %s", ErrRejected, rest)
+	}
+	s := &Conn{
+		DB: db, c: c, answers: make(chan *folio.Answer, maxBatch), dead: make(chan struct{}),
+		values: map[string]string{}, names: map[string]string{}, state: 'I',
+	}
+	go s.receive(r)
+	return s, nil
+}
+
+func (s *Conn) receive(r *folio.Reader) {
+	for {
+		a, err := folio.ReadAnswer(r)
+		if err != nil {
+			break
+		}
+		s.mu.Lock()
+		s.waiting--
+		asked := s.waiting >= 0
+		s.mu.Unlock()
+		if !asked {
+			break // an answer to nothing: the stream can't be trusted
+		}
+		s.answers <- a
+	}
+	close(s.dead)
+	s.c.Close()
+	s.mu.Lock()
+	f, byUs := s.onDead, s.closed
+	s.mu.Unlock()
+	if f != nil {
+		f(s, byUs)
+	}
+}
+
+// Alive reports whether the connection has not broken yet.
+func (s *Conn) Alive() bool {
+	select {
+	case <-s.dead:
+		return false
+	default:
+		return true
+	}
+}
+
+// maxBatch bounds the requests under way on one connection.
+const maxBatch = 16
+
+// Send writes a batch of requests, in one piece. An error means that the last
+// of them was not sent in full.
+func (s *Conn) Send(msg []byte, requests int) error {
+	s.mu.Lock()
+	s.waiting += requests
+	s.mu.Unlock()
+	if !s.Alive() {
+		return ErrBroken
+	}
+	if _, err := s.c.Write(msg); err != nil {
+		s.Close()
+		return fmt.Errorf("%w: %v", ErrBroken, err)
+	}
+	return nil
+}
+
+// Receive waits for the next answer, for at most the span.
+func (s *Conn) Receive(wait foundation.Micros) (*folio.Answer, error) {
+	t := time.NewTimer(wait.Duration())
+	defer t.Stop()
+	select {
+	case a := <-s.answers:
+		s.state = a.State
+		return a, nil
+	case <-s.dead:
+		select {
+		case a := <-s.answers: // it came just before the end
+			s.state = a.State
+			return a, nil
+		default:
+			return nil, ErrBroken
+		}
+	case <-t.C:
+		return nil, ErrDeadline
+	}
+}
+
+// Ask sends a statement of the pool's own and waits for its answer.
+func (s *Conn) Ask(text string, wait foundation.Micros) (*folio.Answer, error) {
+	if err := s.Send(folio.AppendMessage(nil, "QUERY", "-", text), 1); err != nil {
+		return nil, err
+	}
+	return s.Receive(wait)
+}
+
+// State is I, T or E as the database last told it.
+func (s *Conn) State() byte { return s.state }
+
+// Close ends the connection; what was uncommitted is rolled back.
+func (s *Conn) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.c.Close()
+}
--- /dev/null
+++ b/internal/shelf/plugin.go
@@ -0,0 +1,67 @@
+package shelf
+
+import (
+	"context"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+// Share tells how many connections a desk may hold to one database of a
+// service.
+type Share func(service string) int
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "shelf", Rank: 50, Roles: []string{"desk"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			sh := New(k, Config{
+				Who: s.NodeName, Silence: charter.Span(s.SilenceMs), OpenWait: 2 * charter.Span(s.CheckWaitMs),
+				IdleFor: 15 * foundation.Second,
+				Share:   func(svc string) int { return foundation.Need[Share](k)(svc) },
+			}, foundation.Need[*conservator.Conservator](k))
+			foundation.Offer(k, sh)
+			foundation.Offer[conservator.Checker](k, sh.Check)
+			k.Supervise("shelf", sh.Serve)
+			return nil
+		},
+	})
+	foundation.Register(foundation.Plugin{
+		Name: "shelf-check", Rank: 50, Roles: []string{"archive"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			v := foundation.Need[*vault.Vault](k)
+			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
+				return probe(ctx, k, v, id, charter.Span(s.SilenceMs))
+			})
+			return nil
+		},
+	})
+}
+
+// probe tries, for an archive, whether a database takes a connection.
+func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, id string, silence foundation.Micros) bool {
+	state, err := v.Durable()
+	if err != nil {
+		return true // not the primary any more: it decides nothing
+	}
+	dbs, err := accessions.Decode(state.Entries)
+	if err != nil {
+		k.Counters.Add("shelf.unreadable", 1)
+		return true
+	}
+	db, ok := dbs[id]
+	if !ok {
+		return true // gone: nothing to decide
+	}
+	c, err := Open(ctx, k.Net, db, "archive", silence)
+	if err != nil {
+		return isFull(err)
+	}
+	c.Close()
+	return true
+}
--- /dev/null
+++ b/internal/subscription/card.go
@@ -0,0 +1,280 @@
+package subscription
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+)
+
+// ErrNoLease says that nothing may be sent to a primary now: there is none, it
+// is being replaced, or this desk's read lease has run out.
+var ErrNoLease = errors.New("subscription: no read lease on a primary")
+
+// leaseMargin is kept between the check of the lease and its end.
+const leaseMargin = 50 * foundation.Millisecond
+
+// leaveWait bounds how long leaving a primary that answers waits for what is
+// under way there.
+const leaveWait = 400 * foundation.Millisecond
+
+// CardConfig is what a card is built from.
+type CardConfig struct {
+	Desk     string
+	Poll     func() foundation.Micros // longest wait of a poll at the archive
+	Archives func() []string
+	Down     func() map[string]int64 // databases that the health coordinator holds as down
+	Applied  func(map[string]accessions.Database)
+	Observed func(service string, sent foundation.Micros, pos folio.Position)
+}
+
+// Card is the desk's side: the newest control state it has, and its lease.
+type Card struct {
+	k    *foundation.Kernel
+	b    *loan.Branch
+	cfg  CardConfig
+	life int64
+
+	mu        sync.RWMutex
+	seq       int64
+	epoch     int64
+	conf      *catalogue.Configuration
+	databases map[string]accessions.Database
+	leads     map[string]custodian.Lead
+	leaseEnd  foundation.Micros
+	inside    map[string]int // statements and transactions at a primary, by service
+	left      map[string]int64
+	learnt    map[string]foundation.Micros // when a move was learnt of
+
+	bell    foundation.Bell
+	outside foundation.Bell
+}
+
+// NewCard returns a card that knows nothing yet.
+func NewCard(k *foundation.Kernel, b *loan.Branch, cfg CardConfig) *Card {
+	return &Card{
+		k: k, b: b, cfg: cfg, life: time.Now().UnixMicro(), inside: map[string]int{},
+		left: map[string]int64{}, learnt: map[string]foundation.Micros{},
+	}
+}
+
+// Config returns the newest configuration, nil before the first.
+func (c *Card) Config() *catalogue.Configuration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.conf
+}
+
+// Databases returns the databases of a service and who leads it.
+func (c *Card) Databases(service string) (dbs []accessions.Database, lead custodian.Lead) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, d := range c.databases {
+		if d.Service == service {
+			dbs = append(dbs, d)
+		}
+	}
+	return dbs, c.leads[service]
+}
+
+// Version returns the epoch, sequence and configuration version in hand, and
+// how long the lease runs.
+func (c *Card) Version() (epoch, seq, rev int64, left foundation.Micros) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.conf != nil {
+		rev = c.conf.Rev
+	}
+	return c.epoch, c.seq, rev, max(0, c.leaseEnd-c.k.Clock.Now())
+}
+
+// Ready tells whether the desk has a configuration and databases.
+func (c *Card) Ready() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.conf != nil && len(c.databases) > 0
+}
+
+// Changed closes at the next change.
+func (c *Card) Changed() <-chan struct{} { return c.bell.Wait() }
+
+// Primary returns the database that may be sent statements as the service's
+// primary, if any may.
+func (c *Card) Primary(service string) (string, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.primary(service)
+}
+
+func (c *Card) primary(service string) (string, error) {
+	l, ok := c.leads[service]
+	if !ok || l.Moving || c.k.Clock.Now()+leaseMargin >= c.leaseEnd {
+		return "", ErrNoLease
+	}
+	return l.ID, nil
+}
+
+// Send sends something to a primary if the lease covers it at that moment:
+// the check and the sending are one step with regard to leaving. What was
+// sent counts as under way until Done.
+func (c *Card) Send(service, id string, send func() error) (sent foundation.Micros, err error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if p, err := c.primary(service); err != nil || p != id {
+		return 0, ErrNoLease
+	}
+	sent = c.k.Clock.Now()
+	return sent, send()
+}
+
+// Begin counts a statement or transaction as under way at the primary.
+func (c *Card) Begin(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inside[service]++
+}
+
+// Done ends what Begin began.
+func (c *Card) Done(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inside[service]--; c.inside[service] == 0 && c.leads[service].Moving {
+		c.outside.Ring()
+	}
+}
+
+// Serve polls until ctx ends.
+func (c *Card) Serve(ctx context.Context) error {
+	addr := ""
+	for turn := 0; ctx.Err() == nil; {
+		if addr == "" {
+			known := c.cfg.Archives()
+			if len(known) == 0 {
+				foundation.Sleep(ctx, 100*foundation.Millisecond)
+				continue
+			}
+			addr = known[turn%len(known)]
+			turn++
+		}
+		next, err := c.poll(ctx, addr)
+		if err != nil || next == "" {
+			c.k.Counters.Add("subscription.poll_failed", 1)
+			foundation.Sleep(ctx, 50*foundation.Millisecond)
+		}
+		addr = next
+	}
+	return nil
+}
+
+// poll returns the archive to ask next, "" if that is not known.
+func (c *Card) poll(ctx context.Context, addr string) (string, error) {
+	down := c.cfg.Down()
+	wait := c.leaving(down)
+	c.mu.RLock()
+	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
+	if c.conf != nil {
+		q.Rev = c.conf.Rev
+	}
+	for id := range down {
+		q.Down = append(q.Down, id)
+	}
+	for svc, turn := range c.left {
+		q.Left[svc] = turn
+	}
+	c.mu.RUnlock()
+	if wait > 0 {
+		// Something to acknowledge soon: do not sit in a long poll.
+		stop, cancel := context.WithTimeout(ctx, wait.Duration())
+		select {
+		case <-stop.Done():
+		case <-c.outside.Wait():
+		}
+		cancel()
+		return c.poll(ctx, addr)
+	}
+	start := c.k.Clock.Now()
+	var a pollAnswer
+	if err := c.b.Call(ctx, addr, pollOp, q, &a, c.cfg.Poll()+300*foundation.Millisecond); err != nil {
+		return "", err
+	}
+	if a.Lease <= 0 {
+		return a.Elsewhere, nil
+	}
+	c.apply(start, a)
+	return addr, nil
+}
+
+// leaving acknowledges moves that nothing stands against, and returns how
+// long to wait for what is still under way.
+func (c *Card) leaving(down map[string]int64) (wait foundation.Micros) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.k.Clock.Now()
+	for svc, l := range c.leads {
+		if !l.Moving || c.left[svc] >= l.Turn {
+			continue
+		}
+		left := c.learnt[svc] + leaveWait - now
+		if _, isDown := down[l.ID]; c.inside[svc] == 0 || left <= 0 || isDown {
+			c.left[svc] = l.Turn
+			continue
+		}
+		wait = max(wait, min(left, 20*foundation.Millisecond))
+	}
+	return wait
+}
+
+func (c *Card) apply(start foundation.Micros, a pollAnswer) {
+	c.mu.Lock()
+	if a.Epoch < c.epoch || a.Seq < c.seq {
+		c.mu.Unlock()
+		c.k.Counters.Add("subscription.old_refused", 1)
+		return
+	}
+	changed := !a.Same
+	if changed {
+		if a.Config != nil {
+			conf, faults := catalogue.Parse(a.Config)
+			if faults != nil || c.conf != nil && conf.Rev < c.conf.Rev {
+				c.mu.Unlock()
+				c.k.Counters.Add("subscription.old_refused", 1)
+				return
+			}
+			c.conf = conf
+		}
+		for svc, l := range a.Leads {
+			if old := c.leads[svc]; l.Moving && (old.Turn != l.Turn || !old.Moving) {
+				c.learnt[svc] = c.k.Clock.Now()
+			}
+		}
+		c.databases, c.leads = a.Databases, a.Leads
+	}
+	c.epoch, c.seq = a.Epoch, a.Seq
+	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
+	databases := c.databases
+	var floors []custodian.Lead
+	for _, l := range c.leads {
+		if l.Moving && l.Floor != "" {
+			floors = append(floors, l)
+		}
+	}
+	c.mu.Unlock()
+	for _, l := range floors {
+		// No commit is acknowledged while a lead moves to a chosen database,
+		// so its position covers all until the poll was sent.
+		if pos, ok := folio.ParsePosition(l.Floor); ok {
+			c.cfg.Observed(l.Service, start, pos)
+		}
+	}
+	if changed {
+		c.cfg.Applied(databases)
+	}
+	c.bell.Ring()
+}
--- /dev/null
+++ b/internal/subscription/office.go
@@ -0,0 +1,132 @@
+// Package subscription brings the control state from the archive to the
+// desks. A desk asks with what it has; the answer comes at the next change, or
+// after a while without one, and carries the desk's read lease.
+package subscription
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+	"indigowalk/internal/vault"
+)
+
+const pollOp = "subscription.poll"
+
+type pollAsk struct {
+	Desk string           `json:"desk"`
+	Life int64            `json:"life"`
+	Seq  int64            `json:"seq"`
+	Rev  int64            `json:"rev"`
+	Left map[string]int64 `json:"left,omitempty"`
+	Down []string         `json:"down,omitempty"` // databases the desk holds as down
+}
+
+type pollAnswer struct {
+	Elsewhere string                         `json:"elsewhere,omitempty"` // the primary, if this archive is not it
+	Epoch     int64                          `json:"epoch,omitempty"`
+	Seq       int64                          `json:"seq,omitempty"`
+	Lease     foundation.Micros              `json:"lease_us,omitempty"`
+	Same      bool                           `json:"same,omitempty"` // nothing changed since the desk's seq
+	Config    json.RawMessage                `json:"config,omitempty"`
+	Databases map[string]accessions.Database `json:"databases,omitempty"`
+	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
+}
+
+// Office is the archive's side.
+type Office struct {
+	k       *foundation.Kernel
+	v       *vault.Vault
+	readers *custodian.Readers
+	lease   foundation.Micros
+	hold    func() foundation.Micros
+	heard   func(id string) // a desk's notice of a fault
+}
+
+// NewOffice answers polls through the branch.
+func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(string)) *Office {
+	o := &Office{k, v, readers, lease, hold, heard}
+	loan.On(b, pollOp, o.onPoll)
+	return o
+}
+
+func (o *Office) onPoll(ctx context.Context, q pollAsk) (any, error) {
+	if q.Desk == "" || q.Life == 0 {
+		o.k.Counters.Add("subscription.malformed", 1)
+		return nil, errors.New("malformed")
+	}
+	if view, leads := o.v.Primary(); !leads {
+		addr := view.Primary.Addr
+		if addr == o.v.Self().Addr {
+			addr = ""
+		}
+		return pollAnswer{Elsewhere: addr}, nil
+	}
+	if !o.readers.Heard(q.Desk, q.Life, q.Left) {
+		o.k.Counters.Add("subscription.old_life", 1)
+		return nil, errors.New("an earlier life of that desk")
+	}
+	for _, id := range q.Down {
+		o.heard(id)
+	}
+	t := time.NewTimer(o.hold().Duration())
+	defer t.Stop()
+	for {
+		changed := o.v.Changed()
+		state, err := o.v.Durable()
+		if err != nil {
+			return pollAnswer{}, nil
+		}
+		over := false
+		if state.Seq == q.Seq {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-changed:
+				continue
+			case <-t.C:
+				over = true
+			}
+		}
+		if state.Seq != q.Seq || over {
+			return o.answer(q, state)
+		}
+	}
+}
+
+func (o *Office) answer(q pollAsk, state vault.State) (any, error) {
+	// The lease is noted before it is granted, and only while this archive's
+	// own lease runs.
+	if !o.readers.Grant(q.Desk, q.Life, o.k.Clock.Now()+o.lease) {
+		return nil, errors.New("an earlier life of that desk")
+	}
+	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
+		return pollAnswer{}, nil
+	}
+	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Same: state.Seq == q.Seq}
+	if a.Same {
+		return a, nil
+	}
+	body, conf, err := catalogue.Decode(state.Entries[catalogue.Key])
+	if err == nil && conf != nil && conf.Rev != q.Rev {
+		a.Config = body
+	}
+	if err == nil {
+		a.Databases, err = accessions.Decode(state.Entries)
+	}
+	if err == nil {
+		a.Leads, err = custodian.Decode(state.Entries)
+	}
+	if err != nil {
+		o.k.Counters.Add("subscription.unreadable", 1)
+		return nil, fmt.Errorf("subscription: %w", err)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/subscription/plugin.go
@@ -0,0 +1,84 @@
+package subscription
+
+import (
+	"slices"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/circulation"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/findingaid"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/vault"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "subscription-office", Rank: 70, Roles: []string{"archive"},
+		Build: func(k *foundation.Kernel) error {
+			book := foundation.Need[*charter.Book](k)
+			health := foundation.Need[*conservator.Conservator](k)
+			NewOffice(k, foundation.Need[*loan.Branch](k), foundation.Need[*vault.Vault](k),
+				foundation.Need[*custodian.Readers](k), charter.Span(book.Now().ReaderLeaseMs), pollSpan(book), health.Heard)
+			return nil
+		},
+	})
+	foundation.Register(foundation.Plugin{
+		Name: "subscription-card", Rank: 70, Roles: []string{"desk"},
+		Build: func(k *foundation.Kernel) error {
+			book := foundation.Need[*charter.Book](k)
+			ring := foundation.Need[*circulation.Ring](k)
+			sh := foundation.Need[*shelf.Shelf](k)
+			c := NewCard(k, foundation.Need[*loan.Branch](k), CardConfig{
+				Desk: book.Now().NodeName,
+				Poll: pollSpan(book),
+				Archives: func() []string {
+					known := ring.Peers("archive")
+					for _, a := range book.Now().SeedPeers() {
+						if !slices.Contains(known, a) {
+							known = append(known, a)
+						}
+					}
+					return known
+				},
+				Down:     foundation.Need[*conservator.Conservator](k).Down,
+				Applied:  func(dbs map[string]accessions.Database) { sh.Stock(dbs) },
+				Observed: foundation.Need[*findingaid.Aid](k).Observe,
+			})
+			foundation.Offer(k, c)
+			foundation.Offer(k, shelf.Share(func(service string) int {
+				return c.share(service, 1+len(ring.Peers("desk")))
+			}))
+			k.Supervise("subscription", c.Serve)
+			return nil
+		},
+	})
+}
+
+func pollSpan(book *charter.Book) func() foundation.Micros {
+	return func() foundation.Micros { return charter.Span(book.Now().PollMs) }
+}
+
+// reserve is the part of max_conns left to checks, to the custodian and to
+// desks that are not known of yet.
+const reserve = 0.1
+
+// unlimited stands in for a max_conns of 0.
+const unlimited = 64
+
+// share splits max_conns of a service's databases over the live desks.
+func (c *Card) share(service string, desks int) int {
+	conf := c.Config()
+	if conf == nil {
+		return 1
+	}
+	for _, s := range conf.Services {
+		if s.Name == service && s.MaxConns > 0 {
+			return max(1, int((1-reserve)*float64(s.MaxConns))/desks)
+		}
+	}
+	return unlimited
+}
--- /dev/null
+++ b/internal/vault/plugin.go
@@ -0,0 +1,34 @@
+package vault
+
+import (
+	"indigowalk/internal/charter"
+	"indigowalk/internal/circulation"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+)
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "vault", Rank: 20, Roles: []string{"archive"},
+		Build: func(k *foundation.Kernel) error {
+			s := foundation.Need[*charter.Book](k).Now()
+			if s.DataDir == "" {
+				return &charter.Error{Key: "data_dir", Reason: "an archive needs a disk"}
+			}
+			ring := foundation.Need[*circulation.Ring](k)
+			v, err := Open(k, foundation.Need[*loan.Branch](k), Config{
+				Name: s.NodeName, Dir: s.DataDir, Seeds: s.SeedPeers(), Bootstrap: s.Bootstrap,
+				Lease:    charter.Span(s.VaultLeaseMs),
+				Archives: func() []string { return ring.Peers("archive") },
+			})
+			if err != nil {
+				return err
+			}
+			foundation.Offer(k, v)
+			k.Supervise("vault", v.Serve)
+			k.OnLeave("vault", v.Leave)
+			k.OnEnd(v.Close)
+			return nil
+		},
+	})
+}
