A database that returns under a new id replaces the one it had

Cause: a crashed database comes back at its address with its log but a new id, so the old id stayed listed as a replica that never answers, and a later move of the lead waited for it for ever (mix, kilnbook: two services without a primary from 22 s on). Ruled out: silence of the living replicas, they answered STAT and PAUSE at once; the refusals named only the dead id. Now the new id succeeds the old at the same address and service; a lead that returns before anyone was promoted gets the lead back; databases that ended are removed only once every replica holds all that the lead does.

--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -24,6 +24,12 @@
 	Zone     string `json:"zone"`
 	Slots    int    `json:"slots"`
 	Draining bool   `json:"draining,omitempty"`
+	// Was is the id that a database had before it crashed and returned, at the
+	// same address and with its log.
+	Was string `json:"was,omitempty"`
+	// Gone says that it will not be back. The custodian removes it once the
+	// others hold all that it may have held.
+	Gone bool `json:"gone,omitempty"`
 }
 
 // Beat is what a database sends.
@@ -111,36 +117,88 @@
 	if old.Role != b.Role {
 		a.bell.Ring()
 	}
-	want := Database{id, b.Service, b.Address, b.Zone, b.Slots, b.Status == "draining"}
+	want := Database{
+		ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots,
+		Draining: b.Status == "draining",
+	}
 	have, err := a.v.Read(keyPrefix + id)
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
-	raw, err := json.Marshal(want)
+	if have != nil {
+		var old Database
+		if err := json.Unmarshal(have, &old); err != nil {
+			return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		}
+		if want.Was = old.Was; want == old {
+			return nil
+		}
+	}
+	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		return settle(entries, want)
+	}, "database known", "id", id, "zone", b.Zone, "status", b.Status, "role", b.Role)
+}
+
+// settle enters a database, and deals with any other at its address: of the
+// same service it is the same one before a crash, of another it is gone.
+func settle(entries map[string]json.RawMessage, d Database) (map[string]json.RawMessage, error) {
+	out := map[string]json.RawMessage{}
+	known, err := Decode(entries)
 	if err != nil {
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		return nil, err
 	}
-	if string(have) == string(raw) {
-		return nil
+	for id, old := range known {
+		if old.Address == d.Address && old.Was == d.ID && !old.Gone {
+			return nil, nil // a delayed beat of the life before
+		}
+		switch {
+		case id == d.ID || old.Address != d.Address || old.Gone:
+		case old.Service == d.Service:
+			d.Was = id
+			out[keyPrefix+id] = nil
+		default:
+			old.Gone = true
+			if out[keyPrefix+id], err = json.Marshal(old); err != nil {
+				return nil, err
+			}
+		}
 	}
-	return a.change(ctx, id, raw, "database known", "id", id, "zone", b.Zone, "status", b.Status, "role", b.Role)
+	out[keyPrefix+d.ID], err = json.Marshal(d)
+	return out, err
 }
 
-// Deregister removes a database that ends.
+// Deregister notes that a database has ended in order.
 func (a *Accessions) Deregister(ctx context.Context, id string) error {
 	if have, err := a.v.Read(keyPrefix + id); err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	} else if have == nil {
 		return nil
 	}
-	return a.change(ctx, id, nil, "database gone", "id", id)
+	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		known, err := Decode(entries)
+		if err != nil {
+			return nil, err
+		}
+		d, ok := known[id]
+		if !ok || d.Gone {
+			return nil, nil
+		}
+		d.Gone = true
+		raw, err := json.Marshal(d)
+		return map[string]json.RawMessage{keyPrefix + id: raw}, err
+	}, "database gone", "id", id)
 }
 
-func (a *Accessions) change(ctx context.Context, id string, raw json.RawMessage, msg string, attrs ...any) error {
-	err := a.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		return map[string]json.RawMessage{keyPrefix + id: raw}, nil
-	})
-	if err != nil {
+// Remove forgets a database that is gone and held nothing that the others do
+// not.
+func (a *Accessions) Remove(ctx context.Context, id string) error {
+	return a.change(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		return map[string]json.RawMessage{keyPrefix + id: nil}, nil
+	}, "database removed", "id", id)
+}
+
+func (a *Accessions) change(ctx context.Context, f func(map[string]json.RawMessage) (map[string]json.RawMessage, error), msg string, attrs ...any) error {
+	if err := a.v.Update(ctx, f); err != nil {
 		a.k.Counters.Add("accessions.unavailable", 1)
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -34,12 +34,16 @@
 	Turn    int64  `json:"turn"` // rises with every move
 	Moving  bool   `json:"moving,omitempty"`
 	To      string `json:"to,omitempty"`
-	Hold    int64  `json:"hold,omitempty"`  // term at which the replicas are paused
-	Floor   string `json:"floor,omitempty"` // while To is set: covers every acknowledged commit
+	Called  bool   `json:"called,omitempty"` // the platform may have been called in this turn
+	Hold    int64  `json:"hold,omitempty"`   // term at which the replicas are paused
+	Floor   string `json:"floor,omitempty"`  // while To is set: covers every acknowledged commit
 }
 
 const keyPrefix = "lead/"
 
+// retryPause is between two tries at the same step.
+const retryPause = 100 * foundation.Millisecond
+
 // Decode picks the leads out of the control state.
 func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
 	out := map[string]Lead{}
@@ -84,7 +88,8 @@
 
 	mu       sync.Mutex
 	busy     map[string]bool              // services being moved by this process
-	demoted  map[string]foundation.Micros // when STEPDOWN was last tried
+	tried    map[string]foundation.Micros // when what is paced was last tried
+	said     map[string]string            // why a service's move waits
 	term     int64                        // vault epoch these notes belong to
 	began    foundation.Micros
 	progress foundation.Bell
@@ -103,7 +108,7 @@
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
-		busy: map[string]bool{}, demoted: map[string]foundation.Micros{},
+		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, said: map[string]string{},
 	}
 }
 
@@ -198,7 +203,9 @@
 	}
 	for svc := range services {
 		lead, known := s.leads[svc]
-		switch {
+		switch back := s.returned(lead); {
+		case known && back != "" && !lead.Called:
+			c.spawn(svc, func() error { return c.resume(ctx, s, lead, back) })
 		case !known:
 			c.spawn(svc, func() error { return c.adopt(ctx, s, svc) })
 		case lead.Moving || c.mustMove(s, lead):
@@ -223,7 +230,7 @@
 			if !errors.Is(err, errNotYet) {
 				c.k.Counters.Add("custodian.setbacks", 1)
 			}
-			time.Sleep((60 * foundation.Millisecond).Duration())
+			time.Sleep(retryPause.Duration())
 		}
 		c.mu.Lock()
 		delete(c.busy, svc)
@@ -252,14 +259,43 @@
 	})
 }
 
+// returned finds the lead that crashed and is back, as the primary that it
+// was: with its log, and nobody promoted meanwhile.
+func (s *scene) returned(l Lead) string {
+	for _, d := range s.databases {
+		if d.Was != "" && d.Was == l.ID && d.Service == l.Service && s.soft[d.ID].Role == "primary" {
+			return d.ID
+		}
+	}
+	return ""
+}
+
+// resume gives the lead back to a database that returned under a new id.
+func (c *Custodian) resume(ctx context.Context, s *scene, l Lead, id string) error {
+	err := c.save(ctx, l.Service, func(now *Lead) error {
+		if now.Turn == l.Turn && now.ID == l.ID && !now.Called {
+			*now = Lead{Service: now.Service, ID: id, Term: now.Term, Turn: now.Turn}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	c.k.Log.Info("lead returned", "service", l.Service, "was", l.ID, "id", id)
+	if l.Moving {
+		c.askAll(ctx, s.replicas(l.Service, id), "CONTINUE")
+	}
+	return nil
+}
+
 // mustMove: the lead is down, drains or is gone, and someone could follow.
 func (c *Custodian) mustMove(s *scene, l Lead) bool {
 	d, there := s.databases[l.ID]
-	if there && !d.Draining && c.health.Up(l.ID) {
+	if there && !d.Draining && !d.Gone && c.health.Up(l.ID) {
 		return false
 	}
 	for _, r := range s.replicas(l.Service, l.ID) {
-		if !r.Draining && c.health.Up(r.ID) {
+		if !r.Draining && !r.Gone && c.health.Up(r.ID) {
 			return true
 		}
 	}
@@ -299,7 +335,7 @@
 			return nil
 		}
 		err := c.save(ctx, svc, func(l *Lead) error {
-			l.Moving, l.To, l.Turn = true, "", l.Turn+1
+			l.Moving, l.To, l.Called, l.Turn = true, "", false, l.Turn+1
 			return nil
 		})
 		if err != nil {
@@ -351,7 +387,7 @@
 // durable.
 func (c *Custodian) choose(ctx context.Context, s *scene, l *Lead) error {
 	old, there := s.databases[l.ID]
-	alive := there && c.health.Up(l.ID)
+	alive := there && !old.Gone && c.health.Up(l.ID)
 	sit := Situation{Sync: s.syncReplicas(l.Service)}
 	newest, held := l.Term, int64(0)
 	if alive {
@@ -378,7 +414,8 @@
 	to, refusal := Choose(sit)
 	if to == "" {
 		c.k.Counters.Add("custodian.choice_refused", 1)
-		if there && !old.Draining && c.health.Up(l.ID) {
+		c.sayOnce(l, refusal, "replicas", len(replicas), "answered", len(rows), "paused", len(sit.Copies), "hold", hold)
+		if there && !old.Draining && !l.Called && c.health.Up(l.ID) {
 			return c.callOff(ctx, replicas, l, refusal)
 		}
 		if sit.Held != nil {
@@ -390,7 +427,7 @@
 		if !now.Moving || now.Turn != l.Turn {
 			return errNotYet
 		}
-		now.To, now.Term, now.Hold, now.Floor = to, newest, hold, rows[to].received.String()
+		now.To, now.Called, now.Term, now.Hold, now.Floor = to, true, newest, hold, rows[to].received.String()
 		*l = *now
 		return nil
 	})
@@ -400,12 +437,24 @@
 	return err
 }
 
+// sayOnce logs why a move waits, once for each reason.
+func (c *Custodian) sayOnce(l *Lead, reason string, attrs ...any) {
+	key := fmt.Sprint(l.Service, l.Turn, reason)
+	c.mu.Lock()
+	said := c.said[l.Service] == key
+	c.said[l.Service] = key
+	c.mu.Unlock()
+	if !said {
+		c.k.Log.Info("move waits", append([]any{"service", l.Service, "why", reason}, attrs...)...)
+	}
+}
+
 // callOff ends a move whose old primary is back before anyone was promoted.
 func (c *Custodian) callOff(ctx context.Context, replicas []accessions.Database, l *Lead, why string) error {
 	c.askAll(ctx, replicas, "CONTINUE")
 	c.k.Log.Info("move called off", "service", l.Service, "why", why)
 	return c.save(ctx, l.Service, func(now *Lead) error {
-		if now.Turn == l.Turn && now.To == "" {
+		if now.Turn == l.Turn && !now.Called {
 			now.Moving = false
 			*l = *now
 		}
@@ -475,23 +524,65 @@
 	return "CONTINUE"
 }
 
-// tidy makes a replica of every database that leads without being the lead.
+// tidy makes a replica of every database that leads without being the lead,
+// and forgets those that are gone.
 func (c *Custodian) tidy(ctx context.Context, s *scene, l Lead) {
+	gone := false
 	for _, d := range s.replicas(l.Service, l.ID) {
-		if s.soft[d.ID].Role != "primary" || l.Term == 0 {
-			continue
+		gone = gone || d.Gone
+		if s.soft[d.ID].Role == "primary" && l.Term != 0 && !d.Gone && c.due("demote "+d.ID) {
+			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
 		}
-		c.mu.Lock()
-		now := c.k.Clock.Now()
-		due := now-c.demoted[d.ID] > foundation.Second
-		if due {
-			c.demoted[d.ID] = now
+	}
+	if gone && c.due("retire "+l.Service) {
+		c.spawn(l.Service, func() error { return c.retire(ctx, s, l) })
+	}
+}
+
+// due paces what is repeated until it has worked.
+func (c *Custodian) due(what string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.k.Clock.Now()
+	if now-c.tried[what] < foundation.Second && c.tried[what] != 0 {
+		return false
+	}
+	c.tried[what] = now
+	return true
+}
+
+// retire removes the databases that are gone once every other replica has
+// received all that the lead holds: then none of them can have held an
+// acknowledged commit that the others lack.
+func (c *Custodian) retire(ctx context.Context, s *scene, l Lead) error {
+	lead, there := s.databases[l.ID]
+	if !there {
+		return errNotYet
+	}
+	row, err := c.ask(ctx, lead, "STAT")
+	if err != nil || !row.primary {
+		return errNotYet
+	}
+	var gone, rest []accessions.Database
+	for _, d := range s.replicas(l.Service, l.ID) {
+		if d.Gone {
+			gone = append(gone, d)
+		} else {
+			rest = append(rest, d)
 		}
-		c.mu.Unlock()
-		if due {
-			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
+	}
+	rows := c.askAll(ctx, rest, "STAT")
+	for _, d := range rest {
+		if r, ok := rows[d.ID]; !ok || r.received.Less(row.received) {
+			return errNotYet
+		}
+	}
+	for _, d := range gone {
+		if err := c.acc.Remove(ctx, d.ID); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // call asks the platform, as the holder of the duty and only well within the
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"indigowalk/internal/accessions"
@@ -120,6 +121,7 @@
 	}
 	if err == nil {
 		a.Databases, err = accessions.Decode(state.Entries)
+		maps.DeleteFunc(a.Databases, func(_ string, d accessions.Database) bool { return d.Gone })
 	}
 	if err == nil {
 		a.Leads, err = custodian.Decode(state.Entries)
