Whole-cluster rehearsals on a simulated network, clock and databases

Fourteen scenarios: dark and returning primaries, deaf replicas, releases, lost disks, restarts in turn, power lost everywhere, racing operators, cut desks and chaos from a seed. They check that no acknowledged commit or configuration is lost, no read is stale, no write twice, no promise broken, one lease at a time. Found on the way: calls to a peer waited behind another call's dial past their own time; dialling and writes of the control state now wait at a gate that ends with the caller's time.

--- a/internal/foundation/notify.go
+++ b/internal/foundation/notify.go
@@ -1,6 +1,9 @@
 package foundation
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // Bell wakes everyone who waits for a change.
 type Bell struct {
@@ -27,3 +30,23 @@
 		b.ch = nil
 	}
 }
+
+// Gate lets one through at a time. Unlike a mutex it may be held across calls
+// to other processes, and waiting for it ends with a context.
+type Gate chan struct{}
+
+// NewGate returns an open gate.
+func NewGate() Gate { return make(Gate, 1) }
+
+// Enter waits for the gate.
+func (g Gate) Enter(ctx context.Context) error {
+	select {
+	case g <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Leave opens the gate for the next.
+func (g Gate) Leave() { <-g }
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -18,6 +18,9 @@
 // configuration fits several times.
 const maxLine = 4 << 20
 
+// silence is how long a peer may leave what was sent unacknowledged.
+const silence = 1500 * foundation.Millisecond
+
 // ErrUnreachable says that a call got no answer; whether it was carried out
 // is not known.
 var ErrUnreachable = errors.New("loan: peer unreachable")
@@ -79,6 +82,7 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	defer ln.Close()
+	defer b.hangUp()
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -91,6 +95,19 @@
 	}
 }
 
+// hangUp closes the connections to all peers.
+func (b *Branch) hangUp() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.peers {
+		p.mu.Lock()
+		if p.conn != nil {
+			p.drop(p.conn)
+		}
+		p.mu.Unlock()
+	}
+}
+
 func (b *Branch) lend(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -136,6 +153,8 @@
 }
 
 type peer struct {
+	dialing foundation.Gate
+
 	mu     sync.Mutex
 	conn   net.Conn
 	nextID uint64
@@ -154,7 +173,7 @@
 	b.mu.Lock()
 	p := b.peers[addr]
 	if p == nil {
-		p = &peer{calls: map[uint64]chan line{}}
+		p = &peer{dialing: foundation.NewGate(), calls: map[uint64]chan line{}}
 		b.peers[addr] = p
 	}
 	b.mu.Unlock()
@@ -188,16 +207,37 @@
 	}
 }
 
+// connect makes sure that there is a connection; one call dials for all.
+func (p *peer) connect(ctx context.Context, b *Branch, addr string) error {
+	if err := p.dialing.Enter(ctx); err != nil {
+		return err
+	}
+	defer p.dialing.Leave()
+	p.mu.Lock()
+	there := p.conn != nil
+	p.mu.Unlock()
+	if there {
+		return nil
+	}
+	c, err := b.k.Net.Dial(ctx, addr, silence)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.conn = c
+	p.mu.Unlock()
+	go p.receive(c)
+	return nil
+}
+
 func (p *peer) send(ctx context.Context, b *Branch, addr, op string, body json.RawMessage) (uint64, chan line, error) {
+	if err := p.connect(ctx, b, addr); err != nil {
+		return 0, nil, err
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
-		c, err := b.k.Net.Dial(ctx, addr, 1500*foundation.Millisecond)
-		if err != nil {
-			return 0, nil, err
-		}
-		p.conn = c
-		go p.receive(c)
+		return 0, nil, net.ErrClosed
 	}
 	p.nextID++
 	raw, err := json.Marshal(line{ID: p.nextID, Op: op, Body: body})
--- /dev/null
+++ b/internal/rehearsal/cluster_test.go
@@ -0,0 +1,428 @@
+package rehearsal
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+// play runs a scenario on a booted and configured cluster of four zones with
+// one service.
+func play(t *testing.T, f func(w *World, g *Group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 4)
+		defer w.Close()
+		g := w.Group("ledger")
+		w.Boot()
+		w.Configure()
+		f(w, g)
+	})
+}
+
+// under runs f under load and returns the load.
+func under(w *World, g *Group, f func()) *Load {
+	l := w.NewLoad(g, 7)
+	time.Sleep(3 * time.Second)
+	f()
+	time.Sleep(5 * time.Second)
+	l.Stop()
+	return l
+}
+
+// served fails unless the load got much done and writes never stopped longer
+// than the limit.
+func served(t TB, l *Load, limit time.Duration) {
+	t.Helper()
+	if l.Served < 300 || l.Slowest > limit {
+		t.Errorf("served %d writes (%d refused, %d unsure), the longest gap %v", l.Served, l.Refused, l.Unsure, l.Slowest)
+	}
+}
+
+func TestQuietDay(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {})
+		served(t, l, 500*time.Millisecond)
+		if l.Refused+l.Unsure > 0 {
+			t.Errorf("%d refused, %d unsure", l.Refused, l.Unsure)
+		}
+	})
+}
+
+func TestDarkPrimary(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		old := g.Lead()
+		l := under(w, g, func() {
+			old.Crash(true)
+			time.Sleep(5 * time.Second)
+			old.Return("ledger-1b")
+		})
+		served(t, l, 3*time.Second)
+		if lead := g.Lead(); lead == old || lead == nil {
+			t.Error("nobody took over")
+		}
+	})
+}
+
+func TestDeafReplicaIsNotPromoted(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.DB(1).Deaf(true)
+			time.Sleep(2 * time.Second)
+			g.Lead().Crash(false)
+		})
+		served(t, l, 3*time.Second)
+		if g.Lead() != g.DB(2) {
+			t.Error("the replica that had received everything does not lead")
+		}
+	})
+}
+
+// One replica alone may lack what the other holds: no promotion until the
+// other is back, or the primary is.
+func TestNoPromotionFromOneReplica(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.DB(1).Deaf(true)
+			time.Sleep(time.Second)
+			g.DB(2).Crash(false)
+			g.Lead().Crash(false)
+			time.Sleep(4 * time.Second)
+			if g.Lead() != nil {
+				t.Error("a replica was promoted that lacks commits")
+			}
+			g.DB(2).Return("ledger-3b")
+			w.Until("a lead", 5*time.Second, func() bool { return g.Lead() != nil })
+		})
+		served(t, l, 9*time.Second)
+	})
+}
+
+// A database that returns under a new id must not be waited for under its old
+// one.
+func TestReturnedIdDoesNotBlockNextMove(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			first := g.Lead()
+			first.Crash(true)
+			time.Sleep(4 * time.Second)
+			first.Return("ledger-1b")
+			time.Sleep(3 * time.Second)
+			second := g.Lead()
+			second.Crash(true)
+			w.Until("the next lead", 4*time.Second, func() bool { l := g.Lead(); return l != nil && l != second })
+		})
+		served(t, l, 3*time.Second)
+	})
+}
+
+func TestPrimaryReturnsBeforeAnyoneCanFollow(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.DB(2).Crash(true)
+			lead := g.Lead()
+			lead.Crash(false)
+			time.Sleep(3 * time.Second)
+			lead.Return("ledger-1b")
+		})
+		served(t, l, 6*time.Second)
+	})
+}
+
+func TestReleaseOfPrimary(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		old := g.Lead()
+		l := under(w, g, func() {
+			g.Add("ledger-4", "10.4.64.9", "z4", "replica").Deaf(false)
+			time.Sleep(2 * time.Second)
+			old.Drain()
+			time.Sleep(4 * time.Second)
+		})
+		served(t, l, 1200*time.Millisecond)
+		if g.Lead() == old {
+			t.Error("the draining database still leads")
+		}
+		if l.Unsure > 0 {
+			t.Errorf("%d unsure answers in a planned move", l.Unsure)
+		}
+	})
+}
+
+func TestVaultPrimaryLostWithItsDisk(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			z := vaultPrimary(w)
+			w.Process("archive", z).Kill()
+			w.Until("another archive leads", 4*time.Second, func() bool { return vaultPrimary(w) != 0 })
+			w.Until("a change is taken", 4*time.Second, func() bool { return w.Replace(1+z%4, 1, w.Configuration(3)) == 200 })
+			p := &Process{w: w, dir: w.dir + "/archive-" + strconv.Itoa(z)}
+			p.Wipe()
+			w.Start("archive", z, false)
+			time.Sleep(4 * time.Second)
+		})
+		served(t, l, 2500*time.Millisecond)
+		if rev := w.Fetch(); rev != 3 {
+			t.Errorf("read back version %d, want 3", rev)
+		}
+	})
+}
+
+// vaultPrimary returns the zone of the archive that leads, after checking that
+// there is at most one per epoch.
+func vaultPrimary(w *World) int {
+	found := 0
+	for z := 1; z <= w.Zones; z++ {
+		if p := w.Process("archive", z); p != nil {
+			if _, left := foundation.Need[*vault.Vault](p.Kernel).Lease(); left > 0 {
+				if found != 0 {
+					w.T.Errorf("archives %d and %d both hold a lease", found, z)
+				}
+				found = z
+			}
+		}
+	}
+	return found
+}
+
+func TestArchivesRestartOneAfterAnother(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		rev := int64(1)
+		l := under(w, g, func() {
+			for z := 1; z <= 4; z++ {
+				w.Process("archive", z).Term()
+				w.Until("a lead in order", 1500*time.Millisecond, func() bool { return vaultPrimary(w) != 0 })
+				w.Start("archive", z, false)
+				w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(z, rev, w.Configuration(rev+2)) == 200 })
+				rev += 2
+				time.Sleep(time.Second)
+			}
+		})
+		served(t, l, 2*time.Second)
+		if got := w.Fetch(); got != rev {
+			t.Errorf("read back version %d, want %d", got, rev)
+		}
+	})
+}
+
+func TestPowerLostEverywhereAfterAnAcknowledgement(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		if code := w.Replace(2, 1, w.Configuration(9)); code != 200 {
+			t.Fatalf("answered %d", code)
+		}
+		for z := 1; z <= 4; z++ {
+			w.Process("archive", z).Kill()
+		}
+		for z := 1; z <= 4; z++ {
+			w.Start("archive", z, false)
+		}
+		w.Until("the version is read back", 8*time.Second, func() bool { return w.Fetch() == 9 })
+	})
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		a, b := w.Configuration(5), w.Configuration(6)
+		codes := make(chan int, 2)
+		go func() { codes <- w.Replace(1, 1, a) }()
+		go func() { codes <- w.Replace(3, 1, b) }()
+		x, y := <-codes, <-codes
+		if x+y != 200+412 {
+			t.Errorf("answered %d and %d, want one 200 and one 412", x, y)
+		}
+		winner := a
+		if w.Fetch() == 6 {
+			winner = b
+		}
+		if code := w.Replace(4, 1, winner); code != 200 {
+			t.Errorf("sent again unchanged: %d", code)
+		}
+		if code := w.Replace(2, 6, []byte(`{"rev":9,"routes":[{"name":"x"`)); code != 400 {
+			t.Errorf("cut short: %d", code)
+		}
+	})
+}
+
+// A desk that can't reach the archives must stop serving as at a primary when
+// its lease ends, and must not hold a promotion up for longer.
+func TestDeskCutFromArchives(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		s, _ := w.Login(4, "p.ledger")
+		for z := 1; z <= 3; z++ {
+			w.Net.Cut(ip(4), ip(z), true)
+		}
+		w.Process("archive", 4).Kill()
+		time.Sleep(3 * time.Second)
+		if a, _ := s.Query("FETCH t1"); a.Code != folio.Retry {
+			t.Errorf("a read at the primary without a lease: %q", a.Code)
+		}
+		s.Close()
+		lead := g.Lead()
+		lead.Crash(false)
+		z, _ := w.Login(1, "p.ledger")
+		w.Until("the other desks are served", 6*time.Second, func() bool {
+			a, _ := z.Query("PUT t1 1")
+			return a.Code == ""
+		})
+		z.Close()
+	})
+}
+
+func TestDeskLeavesInOrder(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		idle, _ := w.Login(1, "p.ledger")
+		open, _ := w.Login(1, "p.ledger")
+		open.Query("BEGIN")
+		open.Query("PUT x 1")
+		done := make(chan struct{})
+		start := time.Now()
+		go func() { w.Process("desk", 1).Term(); close(done) }()
+		time.Sleep(100 * time.Millisecond)
+		if code, _ := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(1)+":8785", "/readyz", nil, nil); code != 503 {
+			t.Errorf("ready while leaving: %d", code)
+		}
+		if a := idle.Answer(); a.Code != "cut" {
+			t.Errorf("the idle session got %v", a)
+		}
+		if a, _ := open.Query("COMMIT"); a.Code != "" {
+			t.Errorf("a transaction within half the grace: %s", a.Code)
+		}
+		<-done
+		if took := time.Since(start); took > 6*time.Second {
+			t.Errorf("took %v", took)
+		}
+	})
+}
+
+// TestChaos mixes lossy links, cuts and crashes from a seed; CHAOS_SEED plays
+// one again.
+func TestChaos(t *testing.T) {
+	seeds := []uint64{3, 11, 42}
+	if s, err := strconv.ParseUint(os.Getenv("CHAOS_SEED"), 10, 64); err == nil {
+		seeds = []uint64{s}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			play(t, func(w *World, g *Group) {
+				r := w.Net.rng
+				w.Net.Lossy(0.03, 0.05)
+				l := under(w, g, func() {
+					for round := range 6 {
+						for range seed {
+							r.Uint64()
+						}
+						switch z := 1 + r.IntN(4); r.IntN(4) {
+						case 0:
+							if p := w.Process("archive", z); p != nil {
+								p.Kill()
+								time.Sleep(1500 * time.Millisecond)
+								w.Start("archive", z, false)
+							}
+						case 1:
+							if d := g.Lead(); d != nil {
+								d.Crash(r.IntN(2) == 0)
+								time.Sleep(3 * time.Second)
+								d.Return(fmt.Sprint(d.addr, "-", round))
+							}
+						case 2:
+							w.Net.Cut(ip(z), ip(1+z%4), true)
+							time.Sleep(2 * time.Second)
+							w.Net.Cut(ip(z), ip(1+z%4), false)
+						case 3:
+							p := w.Process("desk", z)
+							p.Kill()
+							time.Sleep(time.Second)
+							w.Start("desk", z, false)
+						}
+						vaultPrimary(w)
+						time.Sleep(4 * time.Second)
+					}
+				})
+				served(t, l, 10*time.Second)
+			})
+		})
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		for _, c := range []struct{ text, code, state string }{
+			{"WAITPOS 1.1 FETCH x", folio.Malformed, "I"},
+			{"STAT", folio.Malformed, "I"},
+			{"FETCH", folio.Malformed, "I"},
+			{"RUN nobody x", folio.NoSuch, "I"},
+			{"CLOSE nobody", folio.NoSuch, "I"},
+			{"COMMIT", folio.Malformed, "I"},
+			{"PARSE a DROP x", folio.Malformed, "I"},
+			{"PUT x 1", "", "I"},
+		} {
+			s, _ := w.Login(1, "p.ledger")
+			if a, _ := s.Query(c.text); a.Code != c.code || s.State != c.state {
+				t.Errorf("%q: %q in state %s", c.text, a.Code, s.State)
+			}
+			s.Close()
+		}
+		if _, code := w.Login(1, "nowhere"); code != folio.NoDB {
+			t.Errorf("an unknown database: %q", code)
+		}
+		for _, c := range []struct{ sent, code string }{
+			{"QUERY 1 PUT x " + strings.Repeat("y", 1<<20) + "\r\n", folio.Oversize},
+			{"QUERY 1 FETCH x\n", folio.Malformed},
+		} {
+			s, _ := w.Login(1, "p.ledger")
+			s.c.Write([]byte(c.sent))
+			if line, err := s.r.Line(); err != nil || !strings.HasPrefix(string(line), "ERROR "+c.code) {
+				t.Errorf("%.20q: %s %v", c.sent, line, err)
+			}
+			s.Close()
+		}
+	})
+}
+
+// Names and values that clash between clients, split and pipelined input, and
+// transactions that rest too long.
+func TestSessions(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		a, _ := w.Login(1, "p.ledger")
+		b, _ := w.Login(1, "p.ledger")
+		a.Query("OPTION colour red")
+		b.Query("OPTION colour blue")
+		a.Query("PARSE s PUT q")
+		b.Query("PARSE s FETCH q")
+		for i := range 20 {
+			if x, _ := a.Query(fmt.Sprintf("RUN s thing %d", i)); x.Code != "" {
+				t.Fatalf("RUN of a PUT: %s", x.Code)
+			}
+			if x, _ := b.Query("RUN s thing"); Row(x) != strconv.Itoa(i) || !strings.Contains(string(x.Rows), "1:blue") {
+				t.Fatalf("RUN of a FETCH: %s %s", x.Code, x.Rows)
+			}
+		}
+		a.c.Write([]byte("QUERY 1 PUT k 1\r\nQUERY 2 FET"))
+		first := a.Answer()
+		a.c.Write([]byte("CH k\r\n"))
+		if second := a.Answer(); first.Code != "" || Row(second) != "1" {
+			t.Errorf("pipelined and split: %v %v", first, second)
+		}
+		a.Query("BEGIN")
+		a.Query("PUT k 2")
+		if x, _ := b.Query("FETCH k"); Row(x) != "1" {
+			t.Errorf("an open transaction shows: %s", x.Rows)
+		}
+		time.Sleep(4 * time.Second)
+		if x, _ := a.Query("COMMIT"); x.Code != folio.RolledBack || a.State != "I" {
+			t.Errorf("after a long rest: %s in state %s", x.Code, a.State)
+		}
+		if x, _ := b.Query("FETCH k"); Row(x) != "1" {
+			t.Errorf("a rolled-back transaction shows: %s", x.Rows)
+		}
+		a.Close()
+		b.Close()
+	})
+}
--- /dev/null
+++ b/internal/rehearsal/net.go
@@ -0,0 +1,457 @@
+// Package rehearsal is a simulated world for tests: hosts on one network with
+// delay, loss, duplication and cuts, databases and a platform that follow
+// their published protocol, and whole clusters of indigowalk's own processes,
+// all inside one test process on the test's clock.
+package rehearsal
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"indigowalk/internal/foundation"
+)
+
+// Net is the network between hosts, by IP address.
+type Net struct {
+	mu        sync.Mutex
+	rng       *rand.Rand
+	delay     time.Duration
+	loss      float64 // of packets between different hosts
+	dup       float64 // of datagrams
+	dark      map[string]bool
+	cuts      map[[2]string]bool
+	listeners map[string]*listener
+	packets   map[string]*packetConn
+	conns     map[*conn]bool
+	port      int
+}
+
+// NewNet returns a network with half a millisecond of delay.
+func NewNet(seed uint64) *Net {
+	return &Net{
+		rng: rand.New(rand.NewPCG(seed, 1)), delay: 500 * time.Microsecond,
+		dark: map[string]bool{}, cuts: map[[2]string]bool{},
+		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, port: 40000,
+	}
+}
+
+// Lossy sets the share of packets lost and of datagrams doubled.
+func (n *Net) Lossy(loss, dup float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loss, n.dup = loss, dup
+}
+
+// Dark makes a host silent, or heard again.
+func (n *Net) Dark(ip string, dark bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[ip] = dark
+}
+
+// Cut keeps two hosts from each other, or joins them again.
+func (n *Net) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}], n.cuts[[2]string{b, a}] = cut, cut
+}
+
+// Heal ends every cut and all loss.
+func (n *Net) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+	clear(n.dark)
+	n.loss, n.dup = 0, 0
+}
+
+// Reset ends all sockets of a host's process at the given ports (all if none
+// are given), as its death would.
+func (n *Net) Reset(ip string, ports ...string) {
+	mine := func(addr string) bool {
+		host, port, _ := net.SplitHostPort(addr)
+		if host != ip {
+			return false
+		}
+		for _, p := range ports {
+			if p == port {
+				return true
+			}
+		}
+		return len(ports) == 0
+	}
+	n.mu.Lock()
+	var ends []io.Closer
+	for a, l := range n.listeners {
+		if mine(a) {
+			ends = append(ends, l)
+		}
+	}
+	for a, p := range n.packets {
+		if mine(a) {
+			ends = append(ends, p)
+		}
+	}
+	for c := range n.conns {
+		if mine(c.local) {
+			ends = append(ends, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, e := range ends {
+		e.Close()
+	}
+}
+
+func (n *Net) open(a, b string) bool {
+	ha, _, _ := net.SplitHostPort(a)
+	hb, _, _ := net.SplitHostPort(b)
+	return !n.dark[ha] && !n.dark[hb] && !n.cuts[[2]string{ha, hb}]
+}
+
+// Host is one host's side of the network.
+type Host struct {
+	n  *Net
+	IP string
+}
+
+// Host returns the network as the host sees it.
+func (n *Net) Host(ip string) *Host { return &Host{n, ip} }
+
+type listener struct {
+	n      *Net
+	addr   string
+	queue  chan *conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Listen implements foundation.Network.
+func (h *Host) Listen(addr string) (net.Listener, error) {
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	if h.n.listeners[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{n: h.n, addr: addr, queue: make(chan *conn, 1024), closed: make(chan struct{})}
+	h.n.listeners[addr] = l
+	return l, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.n.mu.Lock()
+		defer l.n.mu.Unlock()
+		if l.n.listeners[l.addr] == l {
+			delete(l.n.listeners, l.addr)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.addr) }
+
+type address string
+
+func (address) Network() string  { return "tcp" }
+func (a address) String() string { return string(a) }
+
+// Dial implements foundation.Network.
+func (h *Host) Dial(ctx context.Context, addr string, silence foundation.Micros) (net.Conn, error) {
+	n := h.n
+	fail := func(err error) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Addr: address(addr), Err: err}
+	}
+	for {
+		n.mu.Lock()
+		n.port++
+		local := net.JoinHostPort(h.IP, itoa(n.port))
+		open, l, lost := n.open(local, addr), n.listeners[addr], n.rng.Float64() < n.loss
+		n.mu.Unlock()
+		switch {
+		case open && l == nil:
+			return fail(syscall.ECONNREFUSED)
+		case open && !lost:
+			a := &conn{n: n, local: local, remote: addr, silence: silence.Duration()}
+			b := &conn{n: n, local: addr, remote: local}
+			a.wake, b.wake = sync.NewCond(&a.mu), sync.NewCond(&b.mu)
+			a.peer, b.peer = b, a
+			n.mu.Lock()
+			n.conns[a], n.conns[b] = true, true
+			n.mu.Unlock()
+			time.Sleep(2 * n.delay)
+			select {
+			case l.queue <- b:
+				return a, nil
+			case <-l.closed:
+				return fail(syscall.ECONNREFUSED)
+			}
+		}
+		t := time.NewTimer(time.Second)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return fail(ctx.Err())
+		case <-t.C:
+		}
+	}
+}
+
+func itoa(n int) string {
+	var b [8]byte
+	i := len(b)
+	for ; n > 0; n /= 10 {
+		i--
+		b[i] = byte('0' + n%10)
+	}
+	return string(b[i:])
+}
+
+// conn is one end of a connection.
+type conn struct {
+	n             *Net
+	local, remote string
+	peer          *conn
+	silence       time.Duration
+
+	mu       sync.Mutex
+	wake     *sync.Cond
+	in       []byte
+	eof      bool
+	err      error // the connection broke
+	closed   bool
+	deadline time.Time
+	timer    *time.Timer
+	next     time.Time // when the next piece sent may arrive at the earliest
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		switch {
+		case c.closed:
+			return 0, net.ErrClosed
+		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
+			return 0, os.ErrDeadlineExceeded
+		case len(c.in) > 0:
+			k := copy(b, c.in)
+			c.in = c.in[k:]
+			return k, nil
+		case c.err != nil:
+			return 0, c.err
+		case c.eof:
+			return 0, io.EOF
+		}
+		c.wake.Wait()
+	}
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	c.send(append([]byte(nil), b...), false)
+	return len(b), nil
+}
+
+// send has a piece, or the end, arrive in order; a lost one is sent again.
+func (c *conn) send(b []byte, eof bool) {
+	c.n.mu.Lock()
+	at := time.Now().Add(c.n.delay)
+	for c.local != c.remote && c.n.rng.Float64() < c.n.loss {
+		at = at.Add(200 * time.Millisecond)
+	}
+	c.n.mu.Unlock()
+	if !at.After(c.next) {
+		at = c.next.Add(1)
+	}
+	c.next = at
+	time.AfterFunc(time.Until(at), func() { c.arrive(b, eof, time.Now()) })
+}
+
+func (c *conn) arrive(b []byte, eof bool, sent time.Time) {
+	c.n.mu.Lock()
+	open := c.n.open(c.local, c.remote)
+	c.n.mu.Unlock()
+	if !open {
+		if c.silence > 0 && time.Since(sent) >= c.silence {
+			c.breakWith(syscall.ETIMEDOUT)
+			return
+		}
+		c.mu.Lock()
+		gone := c.err != nil || c.closed && c.silence == 0 && time.Since(sent) > 10*time.Second
+		c.mu.Unlock()
+		if !gone {
+			time.AfterFunc(50*time.Millisecond, func() { c.arrive(b, eof, sent) })
+		}
+		return
+	}
+	p := c.peer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		if !eof {
+			time.AfterFunc(c.n.delay, func() { c.breakWith(syscall.ECONNRESET) })
+		}
+		return
+	}
+	p.in = append(p.in, b...)
+	p.eof = p.eof || eof
+	p.wake.Broadcast()
+}
+
+func (c *conn) breakWith(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err == nil {
+		c.err = err
+	}
+	c.wake.Broadcast()
+}
+
+func (c *conn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.closed = true
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.send(nil, true)
+	c.wake.Broadcast()
+	c.n.mu.Lock()
+	delete(c.n.conns, c)
+	c.n.mu.Unlock()
+	return nil
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if !t.IsZero() && !c.closed {
+		c.timer = time.AfterFunc(max(0, time.Until(t)), func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.wake.Broadcast()
+		})
+	}
+	c.wake.Broadcast()
+	return nil
+}
+
+func (c *conn) SetDeadline(t time.Time) error    { return c.SetReadDeadline(t) }
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *conn) LocalAddr() net.Addr              { return address(c.local) }
+func (c *conn) RemoteAddr() net.Addr             { return address(c.remote) }
+
+// packetConn is a datagram socket.
+type packetConn struct {
+	n      *Net
+	addr   string
+	queue  chan datagram
+	closed chan struct{}
+	once   sync.Once
+}
+
+type datagram struct {
+	from string
+	b    []byte
+}
+
+// ListenPacket implements foundation.Network.
+func (h *Host) ListenPacket(addr string) (net.PacketConn, error) {
+	h.n.mu.Lock()
+	defer h.n.mu.Unlock()
+	if h.n.packets[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Err: syscall.EADDRINUSE}
+	}
+	p := &packetConn{n: h.n, addr: addr, queue: make(chan datagram, 256), closed: make(chan struct{})}
+	h.n.packets[addr] = p
+	return p, nil
+}
+
+func (p *packetConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case d := <-p.queue:
+		return copy(b, d.b), address(d.from), nil
+	case <-p.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+func (p *packetConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	n := p.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	copies := 1
+	if n.rng.Float64() < n.dup {
+		copies = 2
+	}
+	for range copies {
+		if n.rng.Float64() < n.loss {
+			continue
+		}
+		d := datagram{p.addr, append([]byte(nil), b...)}
+		late := n.delay + time.Duration(n.rng.Int64N(int64(n.delay)+1)) // so that order is lost
+		time.AfterFunc(late, func() { n.deliver(p.addr, to.String(), d) })
+	}
+	return len(b), nil
+}
+
+func (n *Net) deliver(from, to string, d datagram) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if q := n.packets[to]; q != nil && n.open(from, to) {
+		select {
+		case q.queue <- d:
+		default:
+		}
+	}
+}
+
+func (p *packetConn) Close() error {
+	p.once.Do(func() {
+		close(p.closed)
+		p.n.mu.Lock()
+		defer p.n.mu.Unlock()
+		if p.n.packets[p.addr] == p {
+			delete(p.n.packets, p.addr)
+		}
+	})
+	return nil
+}
+
+func (p *packetConn) LocalAddr() net.Addr              { return address(p.addr) }
+func (p *packetConn) SetDeadline(time.Time) error      { return errors.ErrUnsupported }
+func (p *packetConn) SetReadDeadline(time.Time) error  { return errors.ErrUnsupported }
+func (p *packetConn) SetWriteDeadline(time.Time) error { return errors.ErrUnsupported }
--- /dev/null
+++ b/internal/rehearsal/world.go
@@ -0,0 +1,381 @@
+package rehearsal
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"indigowalk/internal/charter"
+	"indigowalk/internal/foundation"
+
+	// The parts that a cluster is made of register themselves.
+	_ "indigowalk/internal/accessions"
+	_ "indigowalk/internal/catalogue"
+	_ "indigowalk/internal/circulation"
+	_ "indigowalk/internal/conservator"
+	_ "indigowalk/internal/custodian"
+	_ "indigowalk/internal/desk"
+	_ "indigowalk/internal/findingaid"
+	_ "indigowalk/internal/loan"
+	_ "indigowalk/internal/registrar"
+	_ "indigowalk/internal/shelf"
+	_ "indigowalk/internal/subscription"
+	_ "indigowalk/internal/vault"
+)
+
+// TB is what the world needs of a test.
+type TB interface {
+	Helper()
+	Fatalf(format string, args ...any)
+	Errorf(format string, args ...any)
+	TempDir() string
+	Logf(format string, args ...any)
+}
+
+// World is a deployment in one process.
+type World struct {
+	T        TB
+	Net      *Net
+	Zones    int
+	Groups   map[string]*Group
+	dir      string
+	procs    map[string]*Process
+	platform *platform
+	Poll     int // tune.poll_ms
+}
+
+// Process is one daemon.
+type Process struct {
+	w      *World
+	Name   string
+	Role   string
+	IP     string
+	Kernel *foundation.Kernel
+	cancel context.CancelFunc
+	done   chan struct{}
+	dir    string
+}
+
+// platformIP is where the platform stands.
+const platformIP = "10.200.0.1"
+
+// NewWorld returns a world with a disk machine in each zone, where an archive
+// and a desk run, and a platform.
+func NewWorld(t TB, seed uint64, zones int) *World {
+	w := &World{
+		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, dir: t.TempDir(),
+		procs: map[string]*Process{}, Poll: 600,
+	}
+	w.platform = &platform{w: w, fences: map[string]int64{}}
+	w.platform.serve()
+	return w
+}
+
+func ip(zone int) string { return fmt.Sprintf("10.%d.0.1", zone) }
+
+// ControlAddrs lists the archives' control addresses.
+func (w *World) ControlAddrs() []string {
+	var out []string
+	for z := 1; z <= w.Zones; z++ {
+		out = append(out, ip(z)+":8782")
+	}
+	return out
+}
+
+// Boot starts every archive and desk for the first time.
+func (w *World) Boot() {
+	for z := 1; z <= w.Zones; z++ {
+		w.Start("archive", z, true)
+		w.Start("desk", z, true)
+	}
+}
+
+// Start starts a process of a zone's machine.
+func (w *World) Start(role string, zone int, bootstrap bool) *Process {
+	name := fmt.Sprintf("%s-%d", role, zone)
+	p := &Process{w: w, Name: name, Role: role, IP: ip(zone), done: make(chan struct{}), dir: filepath.Join(w.dir, name)}
+	seeds := strings.Join(w.ControlAddrs()[:min(3, w.Zones)], ",")
+	text := fmt.Sprintf(`node_name=%[1]s
+ip=%[2]s
+zone=z%[3]d
+listen.client_addr=%[2]s:8784
+listen.ready_addr=%[2]s:8785
+listen.control_addr=%[2]s:8782
+port_range=7440,7455
+seeds=%[4]s
+bootstrap=%[5]t
+data_dir=%[6]s
+platform.address=%[7]s:8783
+tune.poll_ms=%[8]d
+`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll)
+	s, err := charter.Parse([]byte(text))
+	if err != nil {
+		w.T.Fatalf("settings: %v", err)
+	}
+	k := foundation.NewKernel(role, w.Net.Host(p.IP), slog.New(slog.NewTextHandler(logTo{w, name}, nil)))
+	foundation.Offer(k, charter.NewBook("", s))
+	if err := k.Assemble(); err != nil {
+		w.T.Fatalf("%s: %v", name, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	p.Kernel, p.cancel = k, cancel
+	go func() {
+		defer close(p.done)
+		if err := k.Run(ctx); err != nil {
+			w.T.Errorf("%s: %v", name, err)
+		}
+	}()
+	w.procs[name] = p
+	return p
+}
+
+type logTo struct {
+	w    *World
+	name string
+}
+
+func (l logTo) Write(b []byte) (int, error) {
+	if os.Getenv("REHEARSAL_LOG") != "" {
+		l.w.T.Logf("%s %s", l.name, bytes.TrimSpace(b))
+	}
+	return len(b), nil
+}
+
+// Process returns a running process by role and zone.
+func (w *World) Process(role string, zone int) *Process {
+	return w.procs[fmt.Sprintf("%s-%d", role, zone)]
+}
+
+// Kill ends the process without notice.
+func (p *Process) Kill() {
+	ports := []string{"7441", "8784", "8785"}
+	if p.Role == "archive" {
+		ports = []string{"7440", "8782"}
+	}
+	p.cancel()
+	p.w.Net.Reset(p.IP, ports...)
+	<-p.done
+	delete(p.w.procs, p.Name)
+}
+
+// Term ends the process in order.
+func (p *Process) Term() {
+	ctx, done := context.WithTimeout(context.Background(), 6*time.Second)
+	defer done()
+	p.Kernel.Leave(ctx)
+	p.Kill()
+}
+
+// Wipe empties the process's disk.
+func (p *Process) Wipe() {
+	if err := os.RemoveAll(p.dir); err != nil {
+		p.w.T.Fatalf("wipe: %v", err)
+	}
+}
+
+// Close ends everything, and lets what lingers run out.
+func (w *World) Close() {
+	w.Net.Heal()
+	for _, g := range w.Groups {
+		for _, d := range g.dbs {
+			if d.alive {
+				d.Crash(false)
+			}
+		}
+	}
+	for _, p := range w.procs {
+		p.Kill()
+	}
+	w.Net.Reset(platformIP)
+	time.Sleep(2 * time.Minute)
+	for _, g := range w.Groups {
+		for _, b := range g.Broken {
+			w.T.Errorf("%s: %s", g.Service, b)
+		}
+	}
+	for _, b := range w.platform.broken {
+		w.T.Errorf("platform: %s", b)
+	}
+}
+
+// Group adds a service with a primary and two replicas.
+func (w *World) Group(service string) *Group {
+	g := &Group{w: w, Service: service, term: 1, acked: map[string]entry{}, Promote: 300 * time.Millisecond}
+	w.Groups[service] = g
+	for z, role := range []string{"primary", "replica", "replica"} {
+		g.Add(fmt.Sprintf("%s-%d", service, z+1), fmt.Sprintf("10.%d.64.%d", z+1, len(w.Groups)), fmt.Sprintf("z%d", z+1), role)
+	}
+	return g
+}
+
+// DB returns the group's databases in the order in which they were added.
+func (g *Group) DB(i int) *Database { return g.dbs[i] }
+
+// Lead returns the database that leads the newest term and runs.
+func (g *Group) Lead() *Database {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, d := range g.dbs {
+		if d.role == "primary" && d.term == g.term && d.alive {
+			return d
+		}
+	}
+	return nil
+}
+
+// Configuration is a configuration with one route of each type for each
+// service: p.SERVICE, b.SERVICE and n.SERVICE.
+func (w *World) Configuration(rev int64) []byte {
+	var routes, services []map[string]any
+	for name := range w.Groups {
+		services = append(services, map[string]any{"name": name, "max_conns": 90, "sync_replicas": 1})
+		for _, t := range []string{"primary", "bounded", "nearest"} {
+			routes = append(routes, map[string]any{
+				"name": t + name, "host": t[:1] + "." + name, "path_prefix": "/", "type": t, "svc": name,
+				"deadline_ms": 2000, "target_ms": 250, "prio": 1, "tries": 2, "stale_ms": 1500,
+			})
+		}
+	}
+	raw, _ := json.Marshal(map[string]any{
+		"rev": rev, "routes": routes, "services": services, "limits": map[string]any{"txn_idle_ms": 3000},
+	})
+	return raw
+}
+
+// Call makes an HTTP call from a host, following 307 twice.
+func (w *World) Call(from *Host, method, addr, path string, header map[string]string, body []byte) (int, []byte) {
+	tr := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, a string) (net.Conn, error) {
+		return from.Dial(ctx, a, 0)
+	}}
+	client := &http.Client{Transport: tr, Timeout: time.Second, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > 2 {
+			return http.ErrUseLastResponse
+		}
+		return nil
+	}}
+	q, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	for k, v := range header {
+		q.Header.Set(k, v)
+	}
+	a, err := client.Do(q)
+	if err != nil {
+		return 0, nil
+	}
+	defer a.Body.Close()
+	raw, err := io.ReadAll(a.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return a.StatusCode, raw
+}
+
+// Replace sends a configuration once, to one archive.
+func (w *World) Replace(zone int, base int64, body []byte) int {
+	code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(zone)+":8782", "/Conf.Replace",
+		map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(base, 10)}, body)
+	return code
+}
+
+// Fetch reads the configuration's version back; 0 if nobody answers.
+func (w *World) Fetch() int64 {
+	for _, a := range w.ControlAddrs() {
+		code, raw := w.Call(w.Net.Host("10.250.0.1"), "GET", a, "/Conf.Fetch", nil, nil)
+		var c struct {
+			Rev int64 `json:"rev"`
+		}
+		if code == 200 && json.Unmarshal(raw, &c) == nil {
+			return c.Rev
+		}
+	}
+	return 0
+}
+
+// Configure sends the first configuration until it is taken and waits until
+// every desk is ready.
+func (w *World) Configure() {
+	w.T.Helper()
+	body := w.Configuration(1)
+	w.Until("a configuration is taken", 10*time.Second, func() bool { return w.Replace(1, 0, body) == 200 })
+	w.Until("every desk is ready", 10*time.Second, func() bool {
+		for z := 1; z <= w.Zones; z++ {
+			if code, _ := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(z)+":8785", "/readyz", nil, nil); code != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(2 * time.Second) // for leads and first leases
+}
+
+// Until waits for a condition.
+func (w *World) Until(what string, limit time.Duration, ok func() bool) time.Duration {
+	w.T.Helper()
+	start := time.Now()
+	for !ok() {
+		if time.Since(start) > limit {
+			w.T.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// platform stands in for the platform and checks the fence.
+type platform struct {
+	w      *World
+	mu     sync.Mutex
+	fences map[string]int64 // by holder
+	last   int64
+	holder string
+	broken []string
+	calls  int
+}
+
+func (p *platform) serve() {
+	ln, err := p.w.Net.Host(platformIP).Listen(platformIP + ":8783")
+	if err != nil {
+		panic(err)
+	}
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		var body struct{ Svc, ID string }
+		if json.NewDecoder(q.Body).Decode(&body) != nil || q.URL.Path != "/failover" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		p.check(q.Header.Get("X-Indigowalk-Duty-Holder"), q.Header.Get("X-Indigowalk-Fence"))
+		g := p.w.Groups[body.Svc]
+		if g == nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(g.promote(body.ID))
+	}))
+}
+
+func (p *platform) check(holder, fence string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	n, err := strconv.ParseInt(fence, 10, 64)
+	switch {
+	case err != nil || holder == "":
+		p.broken = append(p.broken, "a duty call without holder or fence")
+	case n < p.last, holder != p.holder && p.holder != "" && n == p.last:
+		p.broken = append(p.broken, fmt.Sprintf("fence %d of %s after %d of %s", n, holder, p.last, p.holder))
+	}
+	p.last, p.holder = n, holder
+}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -97,7 +97,7 @@
 	misses   int
 	tried    int64 // highest epoch stood for or heard of
 
-	writing sync.Mutex // one write or change of view at a time
+	writing foundation.Gate // one write or change of view at a time
 	changed foundation.Bell
 	wake    chan struct{}
 }
@@ -111,7 +111,7 @@
 	v := &Vault{
 		k: k, branch: b, cfg: cfg, lease: cfg.Lease, store: st,
 		self: Member{cfg.Name, b.Addr(), st.Disk},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), writing: foundation.NewGate(),
 	}
 	var known electorsRecord
 	if _, err := st.Load("electors", &known); err != nil {
@@ -234,8 +234,10 @@
 // lease still runs. An error other than change's own leaves open whether the
 // change lasts.
 func (v *Vault) Update(ctx context.Context, change func(map[string]json.RawMessage) (map[string]json.RawMessage, error)) error {
-	v.writing.Lock()
-	defer v.writing.Unlock()
+	if err := v.writing.Enter(ctx); err != nil {
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	defer v.writing.Leave()
 	v.mu.Lock()
 	if !v.leads(v.k.Clock.Now()) {
 		v.mu.Unlock()
@@ -435,8 +437,10 @@
 
 // stand tries to become primary of a new epoch, or to replace the backup.
 func (v *Vault) stand(ctx context.Context) {
-	v.writing.Lock()
-	defer v.writing.Unlock()
+	if v.writing.Enter(ctx) != nil {
+		return
+	}
+	defer v.writing.Leave()
 	if err := v.tryStand(ctx); err != nil {
 		v.k.Counters.Add("vault.stood_in_vain", 1)
 		v.mu.Lock()
@@ -687,8 +691,10 @@
 		}
 		return
 	}
-	v.writing.Lock()
-	defer v.writing.Unlock()
+	if v.writing.Enter(ctx) != nil {
+		return
+	}
+	defer v.writing.Leave()
 	v.resign("leaving")
 	poll(ctx, v, "vault.release", epochAsk{view.Epoch}, func(struct{}) bool { return true })
 	v.branch.Call(ctx, view.Backup.Addr, "vault.succeed", epochAsk{view.Epoch}, nil, callWait)
