Unit tests of coordinator, store, elector, choice, codec and settings; foreign stores refused

Found: buntdb takes a file it can't read at all for an empty one. A store that does not begin with its disk's identity is now reported as damaged.

--- /dev/null
+++ b/internal/charter/charter_test.go
@@ -0,0 +1,73 @@
+package charter
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `node_name=edge-1
+ip=10.1.0.8
+zone=z1
+zones.z1=r
+listen.control_addr=10.1.0.8:8782
+port_range=7440,7455
+seeds=10.1.0.8:8782,10.2.0.6:8782
+bootstrap=true
+limits.cpu_quota=0.656
+bounds.grace_s=6
+something.new=1
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.SeedPeers(); len(got) != 2 || got[1] != "10.2.0.6:7440" || s.Port(DeskPort) != "10.1.0.8:7441" || s.ApplyMs != 3000 {
+		t.Errorf("%v %s %d", got, s.Port(DeskPort), s.ApplyMs)
+	}
+	for _, c := range []struct{ old, new, key string }{
+		{"node_name=edge-1\n", "", "node_name"},
+		{"ip=10.1.0.8", "ip=ten", "ip"},
+		{"bootstrap=true", "bootstrap=perhaps", "bootstrap"},
+		{"bounds.grace_s=6", "bounds.grace_s=0", "bounds.grace_s"},
+		{"port_range=7440,7455", "port_range=7440", "port_range"},
+		{"seeds=10.1.0.8:8782", "seeds=10.1.0.8", "seeds[0]"},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), "settings: "+c.key+":") {
+			t.Errorf("%q: %v", c.new, err)
+		}
+	}
+}
+
+func TestBadReloadKeepsTheOldValues(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(good)
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := NewBook(path, s)
+	write(strings.Replace(good, "grace_s=6", "grace_s=x", 1))
+	if b.Reload() == nil || b.Now().GraceS != 6 {
+		t.Errorf("a bad file was taken: %d", b.Now().GraceS)
+	}
+	changed := b.Changed()
+	write(strings.Replace(good, "grace_s=6", "grace_s=9", 1))
+	if err := b.Reload(); err != nil || b.Now().GraceS != 9 {
+		t.Errorf("%v %d", err, b.Now().GraceS)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("nobody was told")
+	}
+}
--- /dev/null
+++ b/internal/conservator/conservator_test.go
@@ -0,0 +1,136 @@
+package conservator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/foundation"
+)
+
+func TestDelayedReportOfAnOlderGenerationIsIgnored(t *testing.T) {
+	c := NewCoordinator()
+	if got := c.Report("a", 0); got != Marked {
+		t.Fatalf("first report: %v", got)
+	}
+	if got := c.Report("a", 0); got != Already {
+		t.Errorf("doubled report: %v", got)
+	}
+	if !c.Checked("a", 0, true) {
+		t.Fatal("a check that succeeds changes nothing")
+	}
+	if up, gen := c.Up("a"); !up || gen != 1 {
+		t.Fatalf("after recovery: up %v generation %d", up, gen)
+	}
+	if got := c.Report("a", 0); got != Stale {
+		t.Errorf("a report from before the recovery: %v", got)
+	}
+	if up, _ := c.Up("a"); !up {
+		t.Error("the late report took a running database down")
+	}
+	if got := c.Report("a", 1); got != Marked {
+		t.Errorf("a fault of the present generation: %v", got)
+	}
+	if c.Checked("a", 0, true) {
+		t.Error("a check that began under an older generation counted")
+	}
+}
+
+func TestSessionTakesNoticesByGeneration(t *testing.T) {
+	b := &Binding{database: "a", generation: 3}
+	b.take(Notice{"a", 2})
+	if db, _ := b.Bound(); db != "a" {
+		t.Error("an older notice unbound the session")
+	}
+	b.take(Notice{"b", 4})
+	if db, gen := b.Bound(); db != "a" || gen != 4 {
+		t.Errorf("a newer notice of another database: bound to %q at %d", db, gen)
+	}
+	b.take(Notice{"a", 3})
+	if db, _ := b.Bound(); db != "a" {
+		t.Error("a reordered notice unbound the session")
+	}
+	b.take(Notice{"a", 4})
+	if db, _ := b.Bound(); db != "" {
+		t.Error("the notice did not unbind the session")
+	}
+}
+
+// desk returns a running conservator whose checks answer as running says.
+func desk(t *testing.T, running *atomic.Bool, checks *atomic.Int64, sent func(kind string)) *Conservator {
+	k := foundation.NewKernel("desk", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := New(k, Config{
+		Interval: foundation.Second, First: 100 * foundation.Millisecond,
+		Check: func(context.Context, string) bool { checks.Add(1); return running.Load() },
+		Peers: func() []string { return []string{"p1", "p2"} },
+		Send:  func(_, kind string, _ any) { sent(kind) },
+		Heed:  func() bool { return true },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go c.Serve(ctx)
+	return c
+}
+
+func TestPeerNoticeCountsOnlyAfterOwnCheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Bool
+		var checks, sent atomic.Int64
+		running.Store(true)
+		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		body, _ := json.Marshal(notice{"a"})
+		for range 3 { // doubled on the way
+			c.Notified("p1", body)
+		}
+		synctest.Wait()
+		if !c.Up("a") || checks.Load() != 1 {
+			t.Fatalf("up %v after %d checks of a running database", c.Up("a"), checks.Load())
+		}
+		running.Store(false)
+		time.Sleep(time.Second)
+		b := c.Bind("a")
+		c.Notified("p1", body)
+		synctest.Wait()
+		if db, _ := b.Bound(); c.Up("a") || db != "" {
+			t.Error("the check failed, yet the database is up or the session bound")
+		}
+		if sent.Load() != 0 {
+			t.Error("a peer's notice was passed on to peers")
+		}
+		c.Notified("p1", []byte("{"))
+		running.Store(true)
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		if up, gen := c.State("a"); !up || gen != 1 {
+			t.Errorf("after recovery: up %v generation %d", up, gen)
+		}
+	})
+}
+
+func TestOwnFaultMarksAtOnceAndTellsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Bool
+		var checks, sent atomic.Int64
+		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		b := c.Bind("a")
+		c.Report("a", 0)
+		synctest.Wait()
+		if db, _ := b.Bound(); c.Up("a") || db != "" || checks.Load() != 0 {
+			t.Error("the report waited for a check, or the session stayed bound")
+		}
+		time.Sleep(200 * time.Millisecond)
+		if sent.Load() != 4 { // twice to each of two peers
+			t.Errorf("%d datagrams to peers", sent.Load())
+		}
+		before := checks.Load()
+		time.Sleep(5 * time.Second)
+		if n := checks.Load() - before; n < 4 || n > 6 {
+			t.Errorf("%d checks in 5 s of being down", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/findingaid/findingaid_test.go
@@ -0,0 +1,57 @@
+package findingaid
+
+import (
+	"testing"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+)
+
+type fixed struct{ now foundation.Micros }
+
+func (f *fixed) Now() foundation.Micros { return f.now }
+
+func TestPick(t *testing.T) {
+	const ms = foundation.Millisecond
+	clock := &fixed{100 * foundation.Second}
+	a := New(clock)
+	pos := func(n int64) folio.Position { return folio.Position{Term: 1, Number: n} }
+	a.Observe("svc", clock.now-2000*ms, pos(5))
+	a.Observe("svc", clock.now-1000*ms, pos(8))
+	a.Observe("svc", clock.now-500*ms, pos(9))
+	down := map[string]bool{}
+	busy := map[string]int{}
+	s := Scene{
+		Databases: []accessions.Database{
+			{ID: "p", Zone: "z1", Slots: 7}, {ID: "near", Zone: "z1", Slots: 7}, {ID: "far", Zone: "z2", Slots: 7},
+		},
+		Lead: custodian.Lead{ID: "p"}, Leased: true, Zone: "z1",
+		Up: func(id string) bool { return !down[id] }, Busy: func(id string) int { return busy[id] },
+	}
+	q := Request{Service: "svc", Type: "bounded", Stale: 1500 * ms, Received: clock.now}
+	expect := func(what, id string, after folio.Position) {
+		t.Helper()
+		if c, ok := a.Pick(q, s); !ok && id != "" || c.Database.ID != id || c.After != after {
+			t.Errorf("%s: %q after %v (%v)", what, c.Database.ID, c.After, ok)
+		}
+	}
+	expect("the oldest that is young enough, in the zone", "near", pos(8))
+	busy["near"] = 3
+	expect("the less busy", "far", pos(8))
+	q.Type, q.Last = "nearest", pos(12)
+	expect("the session's own commit", "far", pos(12))
+	a.Lagging("far")
+	expect("the other replica", "near", pos(12))
+	down["near"] = true
+	expect("the primary", "p", folio.Position{})
+	s.Leased = false
+	expect("nobody", "", folio.Position{})
+	down["near"], s.Leased = false, true
+	q.Received += 1100 * ms
+	expect("no observation is young enough", "p", folio.Position{})
+	q.Received -= 1100 * ms
+	q.Type = "primary"
+	expect("a primary route", "p", folio.Position{})
+}
--- /dev/null
+++ b/internal/folio/folio_test.go
@@ -0,0 +1,65 @@
+package folio
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func TestReader(t *testing.T) {
+	long := strings.Repeat("x", 5000)
+	in := "QUERY 1 FETCH a\r\n" + long + "\r\n"
+	r := NewReader(iotest.OneByteReader(strings.NewReader(in)))
+	for _, want := range []string{"QUERY 1 FETCH a", long} {
+		if got, err := r.Line(); err != nil || string(got) != want {
+			t.Errorf("%.20q %v", got, err)
+		}
+	}
+	if _, err := NewReader(strings.NewReader(strings.Repeat("x", MaxMessage) + "\r\n")).Line(); !errors.Is(err, ErrOversize) {
+		t.Errorf("too long: %v", err)
+	}
+	if _, err := NewReader(strings.NewReader("QUIT\n")).Line(); !errors.Is(err, ErrMalformed) {
+		t.Errorf("no CR: %v", err)
+	}
+}
+
+func TestReadAnswer(t *testing.T) {
+	whole := "ROW a b\r\nCOMPLETE 7.1\r\nIDLE T 3.12\r\n"
+	a, err := ReadAnswer(NewReader(strings.NewReader(whole)))
+	if err != nil || a.Seal != "7.1" || a.State != 'T' || string(a.Append(nil)) != whole {
+		t.Errorf("%+v %v", a, err)
+	}
+	for _, cut := range []string{"ROW a\r\nCOMPLETE 7\r\n", "NOISE\r\n", "IDLE\r\n"} {
+		if a, err := ReadAnswer(NewReader(strings.NewReader(cut))); err == nil {
+			t.Errorf("%q gave %+v", cut, a)
+		}
+	}
+}
+
+func FuzzParseStatement(f *testing.F) {
+	for _, s := range []string{"BEGIN", "BEGIN FETCH", "PUT a b c", "PARSE s PUT q", "RUN s a", "OPTION a b", "WAITPOS 1.1 FETCH a"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s := ParseStatement("1", text)
+		if s.Text != text {
+			t.Errorf("%q became %q", text, s.Text)
+		}
+		if s.Verb != Bad && (strings.HasPrefix(text, "WAITPOS") || strings.HasPrefix(text, "STAT")) {
+			t.Errorf("%q is for the system alone", text)
+		}
+	})
+}
+
+func TestPosition(t *testing.T) {
+	for _, bad := range []string{"-", "", "3", "a.1", "-1.2"} {
+		if p, ok := ParsePosition(bad); ok {
+			t.Errorf("%q gave %v", bad, p)
+		}
+	}
+	p, ok := ParsePosition("3.1207")
+	if !ok || p.String() != "3.1207" || !p.Less(Position{4, 1}) || p.Less(Position{3, 1207}) {
+		t.Errorf("%v %v", p, ok)
+	}
+}
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -4,6 +4,7 @@
 package vault
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/json"
 	"errors"
@@ -50,7 +51,13 @@
 		return nil, fmt.Errorf("vault: %w", err)
 	}
 	s := &Store{path: filepath.Join(dir, storeFile)}
-	var err error
+	raw, err := os.ReadFile(s.path)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("vault: %w", err)
+	}
+	if !ours(raw) {
+		return nil, fmt.Errorf("%w: %s is not a store of an archive", ErrDamaged, s.path)
+	}
 	if s.db, err = buntdb.Open(s.path); errors.Is(err, buntdb.ErrInvalid) {
 		if s.torn, err = cutTornTail(s.path); err != nil {
 			return nil, err
@@ -83,6 +90,15 @@
 	return s, nil
 }
 
+// firstRecord is how every store begins: with the identity of its disk.
+const firstRecord = "*3\r\n$3\r\nset\r\n$4\r\ndisk\r\n"
+
+// ours tells whether a file is a store, or the torn beginning of one that
+// held nothing yet. What buntdb can't read it would take for empty.
+func ours(raw []byte) bool {
+	return bytes.HasPrefix(raw, []byte(firstRecord)) || strings.HasPrefix(firstRecord, string(raw))
+}
+
 func (s *Store) shrink() error {
 	fi, err := os.Stat(s.path)
 	if err != nil || fi.Size() < shrinkAbove {
