--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -36,6 +36,7 @@
 	up         bool
 	generation int64
 	checking   bool
+	own        bool              // the check is for a fault of a session here
 	due        foundation.Micros // of the next check while down
 	calm       foundation.Micros // until then peers' notices call for no check
 }
@@ -242,9 +243,16 @@
 }
 
 // Report hands in a fault, asynchronously. A report that finds the queue full
-// is dropped: whoever meets the same fault next reports again.
-func (s *Conservator) Report(id string, generation int64) {
-	s.post(event{kind: "report", id: id, generation: generation})
+// is dropped: whoever meets the same fault next reports again. Sure faults
+// (silence, refusal) count at once. One broken connection alone may be that
+// connection's own trouble: such a fault counts after an own check, which a
+// database that crashed fails at once.
+func (s *Conservator) Report(id string, generation int64, sure bool) {
+	kind := "report"
+	if !sure {
+		kind = "doubt"
+	}
+	s.post(event{kind: kind, id: id, generation: generation})
 }
 
 func (s *Conservator) post(e event) {
@@ -303,6 +311,11 @@
 		case Stale:
 			s.k.Counters.Add("conservator.stale_reports", 1)
 		}
+	case "doubt":
+		if up, gen := s.c.Up(e.id); up && e.generation >= gen {
+			h.own = true
+			s.check(ctx, e.id)
+		}
 	case "notice":
 		s.k.Counters.Add("conservator.notices", 1)
 		if s.c.PeerNotice(e.id) == ToCheck && s.k.Clock.Now() >= h.calm {
@@ -312,14 +325,19 @@
 		h.checking = false
 		h.due = s.k.Clock.Now() + s.cfg.Interval
 		h.calm = s.k.Clock.Now() + s.cfg.Interval/4
+		own := h.own
+		h.own = false
 		if !s.c.Checked(e.id, e.generation, e.ok) {
 			return
 		}
 		if e.ok {
 			s.k.Log.Info("database up", "id", e.id, "generation", h.generation)
 			s.bell.Ring()
-		} else {
-			s.wentDown(e.id, e.generation)
+			return
+		}
+		s.wentDown(e.id, e.generation)
+		if own {
+			s.tellPeers(ctx, e.id)
 		}
 	}
 }
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -118,7 +118,7 @@
 		var checks, sent atomic.Int64
 		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
 		b := c.Bind("a")
-		c.Report("a", 0)
+		c.Report("a", 0, true)
 		synctest.Wait()
 		if db, _ := b.Bound(); c.Up("a") || db != "" || checks.Load() != 0 {
 			t.Error("the report waited for a check, or the session stayed bound")
@@ -134,3 +134,23 @@
 		}
 	})
 }
+
+func TestOneBrokenConnectionCountsAfterACheck(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Bool
+		var checks, sent atomic.Int64
+		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		running.Store(true)
+		c.Report("a", 0, false)
+		synctest.Wait()
+		if !c.Up("a") || checks.Load() != 1 {
+			t.Fatalf("up %v after %d checks", c.Up("a"), checks.Load())
+		}
+		running.Store(false)
+		c.Report("a", 0, false)
+		time.Sleep(100 * time.Millisecond)
+		if c.Up("a") || sent.Load() != 4 {
+			t.Errorf("up %v, %d datagrams: a fault of an own session is told", c.Up("a"), sent.Load())
+		}
+	})
+}
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -632,7 +632,7 @@
 func (c *Custodian) ask(ctx context.Context, d accessions.Database, text string) (statRow, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.AskWait.Duration())
 	defer cancel()
-	conn, err := shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.Silence)
+	conn, err := shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.AskWait, c.cfg.Silence)
 	if err != nil {
 		return statRow{}, err
 	}
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -171,9 +171,9 @@
 
 // lost reports a broken connection and closes one without an answer.
 func (j *job) lost(t *transaction, err error) {
-	if errors.Is(err, shelf.ErrBroken) {
+	if silent := errors.Is(err, shelf.ErrSilent); silent || errors.Is(err, shelf.ErrBroken) {
 		_, gen := t.b.Bound()
-		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation))
+		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation), silent)
 		j.shun(t.conn.DB.ID)
 	}
 	t.conn.Close()
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -228,9 +228,9 @@
 // failed deals with an attempt that got no answer.
 func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
 	d, id := j.s.d, conn.DB.ID
-	if errors.Is(err, shelf.ErrBroken) {
+	if silent := errors.Is(err, shelf.ErrSilent); silent || errors.Is(err, shelf.ErrBroken) {
 		_, gen := b.Bound()
-		d.health.Report(id, min(gen, conn.Generation))
+		d.health.Report(id, min(gen, conn.Generation), silent)
 	}
 	if !errors.Is(err, subscription.ErrNoLease) {
 		conn.Close()
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"indigowalk/internal/accessions"
@@ -18,6 +20,8 @@
 // Errors of this layer.
 var (
 	ErrBroken   = errors.New("shelf: server connection broken")
+	ErrSilent   = errors.New("shelf: database silent or refusing connections")
+	ErrSlow     = errors.New("shelf: database connected but slow to log in")
 	ErrDeadline = errors.New("shelf: deadline passed")
 	ErrFull     = errors.New("shelf: no connection free")
 	ErrRejected = errors.New("shelf: database rejects the log-in")
@@ -31,6 +35,7 @@
 	c       net.Conn
 	answers chan *folio.Answer
 	dead    chan struct{}
+	silent  bool // set before dead is closed: the far end stopped answering
 
 	// Owned by whoever has borrowed the connection.
 	values map[string]string
@@ -45,11 +50,16 @@
 	closed  bool
 }
 
-// Open connects and logs in, naming the expected id.
-func Open(ctx context.Context, n foundation.Network, db accessions.Database, who string, silence foundation.Micros) (*Conn, error) {
-	c, err := n.Dial(ctx, db.Address, silence)
+// Open connects and logs in, naming the expected id. A database to which no
+// connection can be made within the span is silent; one that takes the
+// connection and does not answer the log-in while ctx lasts is slow, which is
+// no fault.
+func Open(ctx context.Context, n foundation.Network, db accessions.Database, who string, connect, silence foundation.Micros) (*Conn, error) {
+	dial, cancel := context.WithTimeout(ctx, connect.Duration())
+	defer cancel()
+	c, err := n.Dial(dial, db.Address, silence)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		return nil, fmt.Errorf("%w: %v", ErrSilent, err)
 	}
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
 	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, who, db.ID)); err != nil {
@@ -60,6 +70,12 @@
 	line, err := r.Line()
 	if err != nil {
 		c.Close()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, ErrSlow
+		case errors.Is(err, syscall.ETIMEDOUT):
+			return nil, fmt.Errorf("%w: %v", ErrSilent, err)
+		}
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
 	word, rest := folio.Word(line)
@@ -79,6 +95,7 @@
 	for {
 		a, err := folio.ReadAnswer(r)
 		if err != nil {
+			s.silent = errors.Is(err, syscall.ETIMEDOUT)
 			break
 		}
 		s.mu.Lock()
@@ -100,6 +117,14 @@
 	}
 }
 
+// fault tells how a dead connection ended.
+func (s *Conn) fault() error {
+	if s.silent {
+		return ErrSilent
+	}
+	return ErrBroken
+}
+
 // Alive reports whether the connection has not broken yet.
 func (s *Conn) Alive() bool {
 	select {
@@ -120,7 +145,7 @@
 	s.waiting += requests
 	s.mu.Unlock()
 	if !s.Alive() {
-		return ErrBroken
+		return s.fault()
 	}
 	if _, err := s.c.Write(msg); err != nil {
 		s.Close()
@@ -143,7 +168,7 @@
 			s.state = a.State
 			return a, nil
 		default:
-			return nil, ErrBroken
+			return nil, s.fault()
 		}
 	case <-t.C:
 		return nil, ErrDeadline
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"indigowalk/internal/accessions"
 	"indigowalk/internal/charter"
@@ -20,7 +21,7 @@
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			sh := New(k, Config{
-				Who: s.NodeName, Silence: charter.Span(s.SilenceMs), OpenWait: 2 * charter.Span(s.CheckWaitMs),
+				Who: s.NodeName, Silence: charter.Span(s.SilenceMs), Connect: charter.Span(s.CheckWaitMs), OpenWait: 2 * foundation.Second,
 				IdleFor: 15 * foundation.Second,
 				Share:   func(svc string) int { return foundation.Need[Share](k)(svc) },
 			}, foundation.Need[*conservator.Conservator](k))
@@ -36,7 +37,7 @@
 			s := foundation.Need[*charter.Book](k).Now()
 			v := foundation.Need[*vault.Vault](k)
 			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
-				return probe(ctx, k, v, id, charter.Span(s.SilenceMs))
+				return probe(ctx, k, v, id, charter.Span(s.CheckWaitMs), charter.Span(s.SilenceMs))
 			})
 			return nil
 		},
@@ -44,7 +45,7 @@
 }
 
 // probe tries, for an archive, whether a database takes a connection.
-func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, id string, silence foundation.Micros) bool {
+func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, id string, connect, silence foundation.Micros) bool {
 	state, err := v.Durable()
 	if err != nil {
 		return true // not the primary any more: it decides nothing
@@ -58,9 +59,9 @@
 	if !ok {
 		return true // gone: nothing to decide
 	}
-	c, err := Open(ctx, k.Net, db, "archive", silence)
+	c, err := Open(ctx, k.Net, db, "archive", connect, silence)
 	if err != nil {
-		return isFull(err)
+		return isFull(err) || errors.Is(err, ErrSlow)
 	}
 	c.Close()
 	return true
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -19,7 +19,8 @@
 type Config struct {
 	Who      string // name given at log-in
 	Silence  foundation.Micros
-	OpenWait foundation.Micros // for a new connection
+	Connect  foundation.Micros // for the connection itself
+	OpenWait foundation.Micros // for the log-in too
 	IdleFor  foundation.Micros // after which a spare connection is closed
 	Share    func(service string) int
 }
@@ -227,7 +228,7 @@
 	db := p.db
 	s.mu.Unlock()
 	_, gen := s.health.State(db.ID)
-	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Silence)
+	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Connect, s.cfg.Silence)
 	s.k.Counters.Add("shelf.opened", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,8 +254,13 @@
 		p.fail(ErrRejected)
 		return
 	}
+	if errors.Is(err, ErrSlow) {
+		s.k.Counters.Add("shelf.slow_logins", 1)
+		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
+		return
+	}
 	s.k.Counters.Add("shelf.open_failed", 1)
-	s.health.Report(id, gen)
+	s.health.Report(id, gen, errors.Is(err, ErrSilent))
 	p.fail(ErrBroken)
 }
 
@@ -305,7 +311,7 @@
 	s.mu.Unlock()
 	if !byUs && known {
 		s.k.Counters.Add("shelf.broken", 1)
-		s.health.Report(c.DB.ID, c.Generation)
+		s.health.Report(c.DB.ID, c.Generation, c.silent)
 	}
 }
 
@@ -320,9 +326,9 @@
 	db := p.db
 	s.mu.Unlock()
 	up, gen := s.health.State(id)
-	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Silence)
+	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Connect, s.cfg.Silence)
 	if err != nil {
-		return isFull(err)
+		return isFull(err) || errors.Is(err, ErrSlow)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
