Reads go by the pace that each database shows

Cause: reads were spread by this desk's own open requests alone, which sees little of a database that is slow for all ten desks.

--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -156,7 +156,7 @@
 	}
 	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
 	send := func() error { return conn.Send(msg, 1) }
-	var sent foundation.Micros
+	sent := j.now()
 	var err error
 	gated := choice.Primary && !leased
 	if gated {
@@ -171,6 +171,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.Code == "" && !j.write && (j.q.Verb == folio.Fetch || j.q.Verb == folio.Run) {
+		d.aid.Took(j.route.Name, choice.Database.ID, j.now()-sent)
+	}
 	if gated && a.Code == "" {
 		if pos, ok := folio.ParsePosition(a.Pos); ok {
 			d.aid.Observe(j.route.Service, sent, pos)
--- a/internal/findingaid/findingaid.go
+++ b/internal/findingaid/findingaid.go
@@ -7,6 +7,7 @@
 package findingaid
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 
@@ -65,6 +66,27 @@
 
 type laggard struct{ until, span foundation.Micros }
 
+// How answers' times weigh: each database's pace is its answers' time over
+// what is usual on their route, of late; a pace not heard of for a while fades
+// to the usual, so that a slow database is tried again.
+const (
+	paceWeight  = 0.15
+	usualWeight = 0.02
+	fades       = 1500 * foundation.Millisecond
+)
+
+type pace struct {
+	ratio float64
+	at    foundation.Micros
+}
+
+func (p pace) now(now foundation.Micros) float64 {
+	if p.at == 0 {
+		return 1
+	}
+	return 1 + (p.ratio-1)*math.Exp(-float64(now-p.at)/float64(fades))
+}
+
 // Aid remembers observations of the primaries, and who lags.
 type Aid struct {
 	clock foundation.Clock
@@ -72,11 +94,16 @@
 	mu   sync.Mutex
 	seen map[string][]observation
 	lag  map[string]laggard
+	pace map[string]pace    // by database
+	used map[string]float64 // usual time by route, in microseconds
 }
 
 // New returns an aid without observations.
 func New(clock foundation.Clock) *Aid {
-	return &Aid{clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{}}
+	return &Aid{
+		clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{},
+		pace: map[string]pace{}, used: map[string]float64{},
+	}
 }
 
 // Observe notes a position that covers all commits acknowledged before sent.
@@ -129,6 +156,27 @@
 	return a.clock.Now() < a.lag[id].until
 }
 
+// Took notes how long a read of the route took at a database.
+func (a *Aid) Took(route, id string, span foundation.Micros) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	usual, known := a.used[route]
+	if !known {
+		usual = float64(span)
+	}
+	usual += usualWeight * (float64(span) - usual)
+	a.used[route] = usual
+	now := a.clock.Now()
+	r := a.pace[id].now(now)
+	a.pace[id] = pace{r + paceWeight*(float64(span)/max(usual, 1)-r), now}
+}
+
+func (a *Aid) paceOf(id string) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pace[id].now(a.clock.Now())
+}
+
 // Pick returns a choice, or false if there is none at present.
 func (a *Aid) Pick(q Request, s Scene) (Choice, bool) {
 	if q.Type != catalogue.Primary && !q.Write {
@@ -160,10 +208,11 @@
 		if d.ID == s.Lead.ID || d.Draining || q.Avoid[d.ID] || !s.Up(d.ID) || a.lags(d.ID) {
 			continue
 		}
-		// Busy slots count first; another zone is like half a slot more.
-		c := (float64(s.Busy(d.ID)) + 0.2*rand.Float64()) / float64(max(1, d.Slots))
+		// The wait to expect: this desk's own share of the busy slots, at the
+		// database's pace. Another zone is like half a statement more.
+		c := a.paceOf(d.ID) * (1 + float64(s.Busy(d.ID)) + 0.2*rand.Float64())
 		if d.Zone != s.Zone {
-			c += 0.5 / float64(max(1, d.Slots))
+			c += 0.5
 		}
 		if best < 0 || c < cost {
 			best, cost = i, c
--- a/internal/findingaid/findingaid_test.go
+++ b/internal/findingaid/findingaid_test.go
@@ -40,6 +40,12 @@
 	expect("the oldest that is young enough, in the zone", "near", pos(8))
 	busy["near"] = 3
 	expect("the less busy", "far", pos(8))
+	busy["near"] = 0
+	for range 20 {
+		a.Took("route", "far", 10*ms)
+		a.Took("route", "near", 50*ms)
+	}
+	expect("the quicker, though in another zone", "far", pos(8))
 	q.Type, q.Last = "nearest", pos(12)
 	expect("the session's own commit", "far", pos(12))
 	a.Lagging("far")
