--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -121,8 +121,12 @@
 	mu         sync.Mutex
 	database   string
 	generation int64
+	unbound    chan struct{}
 }
 
+// Unbound closes when a notice has unbound the session.
+func (b *Binding) Unbound() <-chan struct{} { return b.unbound }
+
 // Bound returns the bound database, or "" once a notice has unbound it.
 func (b *Binding) Bound() (string, int64) {
 	b.mu.Lock()
@@ -140,6 +144,7 @@
 	b.generation = n.Generation
 	if b.database == n.Database {
 		b.database = ""
+		close(b.unbound)
 	}
 }
 
@@ -225,7 +230,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, g := s.c.Up(id)
-	b := &Binding{database: id, generation: g}
+	b := &Binding{database: id, generation: g, unbound: make(chan struct{})}
 	if s.bindings[id] == nil {
 		s.bindings[id] = map[*Binding]struct{}{}
 	}
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -42,7 +42,7 @@
 }
 
 func TestSessionTakesNoticesByGeneration(t *testing.T) {
-	b := &Binding{database: "a", generation: 3}
+	b := &Binding{database: "a", generation: 3, unbound: make(chan struct{})}
 	b.take(Notice{"a", 2})
 	if db, _ := b.Bound(); db != "a" {
 		t.Error("an older notice unbound the session")
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -24,6 +24,7 @@
 	ClientAddr string
 	Zone       string
 	Grace      func() foundation.Micros
+	Quiet      foundation.Micros // an answer that takes longer casts doubt on its database
 }
 
 // Desk takes sessions and runs their statements.
--- a/internal/desk/plugin.go
+++ b/internal/desk/plugin.go
@@ -28,7 +28,7 @@
 				return &charter.Error{Key: "listen.ready_addr", Reason: "a desk needs it"}
 			}
 			d := New(k, Config{
-				ClientAddr: s.ClientAddr, Zone: s.Zone,
+				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: charter.Span(s.QuietMs),
 				Grace: func() foundation.Micros { return foundation.Micros(book.Now().GraceS) * foundation.Second },
 			}, foundation.Need[*subscription.Card](k), foundation.Need[*findingaid.Aid](k),
 				foundation.Need[*shelf.Shelf](k), foundation.Need[*conservator.Conservator](k))
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = own.run(conn, choice, t.begin.Text, false)
+		a, err = own.run(conn, choice, t.b, t.begin.Text, false)
 	}
 	if err == nil && a.Code == "" && a.State == 'T' {
 		return false, nil
@@ -197,7 +197,7 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = j.run(t.conn, t.choice, text, true)
+		a, err = j.run(t.conn, t.choice, t.b, text, true)
 	}
 	commit := j.q.Verb == folio.Commit
 	if err != nil {
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -149,7 +149,7 @@
 // run sends the text on a borrowed connection and waits for the answer. At a
 // primary it is sent only under the read lease, unless it goes on with a
 // transaction that was begun under it.
-func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, text string, leased bool) (*folio.Answer, error) {
+func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, b *conservator.Binding, text string, leased bool) (*folio.Answer, error) {
 	d := j.s.d
 	if !choice.Primary && !leased && choice.After != (folio.Position{}) {
 		text = "WAITPOS " + choice.After.String() + " " + text
@@ -167,7 +167,16 @@
 	if err != nil {
 		return nil, errors.Join(errUnsent, err)
 	}
-	a, err := conn.Receive(j.left())
+	watch := shelf.Watch{Quiet: d.cfg.Quiet, Doubt: func() {
+		_, gen := b.Bound()
+		d.health.Report(choice.Database.ID, min(gen, conn.Generation), false)
+	}}
+	if !j.write && j.q.Verb != folio.Commit {
+		// A read goes elsewhere as soon as the database is held as down; what
+		// a write did is only known by waiting.
+		watch.Unbound = b.Unbound()
+	}
+	a, err := conn.Receive(j.left(), watch)
 	if err != nil {
 		return nil, err
 	}
@@ -220,7 +229,7 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = j.run(conn, choice, text, false)
+		a, err = j.run(conn, choice, b, text, false)
 	}
 	if err != nil {
 		return j.failed(conn, b, err)
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -22,6 +22,7 @@
 	ErrBroken   = errors.New("shelf: server connection broken")
 	ErrSilent   = errors.New("shelf: database silent or refusing connections")
 	ErrSlow     = errors.New("shelf: database connected but slow to log in")
+	ErrUnbound  = errors.New("shelf: the database is held as down")
 	ErrDeadline = errors.New("shelf: deadline passed")
 	ErrFull     = errors.New("shelf: no connection free")
 	ErrRejected = errors.New("shelf: database rejects the log-in")
@@ -55,9 +56,7 @@
 // connection and does not answer the log-in while ctx lasts is slow, which is
 // no fault.
 func Open(ctx context.Context, n foundation.Network, db accessions.Database, who string, connect, silence foundation.Micros) (*Conn, error) {
-	dial, cancel := context.WithTimeout(ctx, connect.Duration())
-	defer cancel()
-	c, err := n.Dial(dial, db.Address, silence)
+	c, err := dialTwice(ctx, n, db.Address, connect, silence)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrSilent, err)
 	}
@@ -87,11 +86,11 @@
 		DB: db, c: c, answers: make(chan *folio.Answer, maxBatch), dead: make(chan struct{}),
 		values: map[string]string{}, names: map[string]string{}, state: 'I',
 	}
-	go s.receive(r)
+	go s.listen(r)
 	return s, nil
 }
 
-func (s *Conn) receive(r *folio.Reader) {
+func (s *Conn) listen(r *folio.Reader) {
 	for {
 		a, err := folio.ReadAnswer(r)
 		if err != nil {
@@ -117,6 +116,44 @@
 	}
 }
 
+// dialTwice tries a second time when the first has had no answer for a while:
+// one lost packet is no silence.
+func dialTwice(ctx context.Context, n foundation.Network, addr string, connect, silence foundation.Micros) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connect.Duration())
+	type result struct {
+		c   net.Conn
+		err error
+	}
+	results := make(chan result, 2)
+	dial := func() {
+		c, err := n.Dial(ctx, addr, silence)
+		results <- result{c, err}
+	}
+	go dial()
+	tries := 1
+	t := time.NewTimer((connect / 4).Duration())
+	defer t.Stop()
+	var r result
+	select {
+	case r = <-results:
+	case <-t.C:
+		tries++
+		go dial()
+		r = <-results
+	}
+	if tries == 2 {
+		go func() { // the other one is not needed
+			defer cancel()
+			if o := <-results; o.c != nil {
+				o.c.Close()
+			}
+		}()
+	} else {
+		cancel()
+	}
+	return r.c, r.err
+}
+
 // fault tells how a dead connection ended.
 func (s *Conn) fault() error {
 	if s.silent {
@@ -154,14 +191,41 @@
 	return nil
 }
 
+// Watch is what the wait for an answer looks out for.
+type Watch struct {
+	Quiet   foundation.Micros // after so long without an answer Doubt is called, once
+	Doubt   func()
+	Unbound <-chan struct{} // the wait ends with ErrUnbound when it closes
+}
+
 // Receive waits for the next answer, for at most the span.
-func (s *Conn) Receive(wait foundation.Micros) (*folio.Answer, error) {
+func (s *Conn) Receive(wait foundation.Micros, w Watch) (*folio.Answer, error) {
+	select {
+	case a := <-s.answers:
+		s.state = a.State
+		return a, nil
+	default:
+	}
+	if w.Doubt != nil && w.Quiet < wait {
+		a, err := s.receive(w.Quiet, w.Unbound)
+		if !errors.Is(err, ErrDeadline) {
+			return a, err
+		}
+		w.Doubt()
+		wait -= w.Quiet
+	}
+	return s.receive(wait, w.Unbound)
+}
+
+func (s *Conn) receive(wait foundation.Micros, unbound <-chan struct{}) (*folio.Answer, error) {
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
 	select {
 	case a := <-s.answers:
 		s.state = a.State
 		return a, nil
+	case <-unbound:
+		return nil, ErrUnbound
 	case <-s.dead:
 		select {
 		case a := <-s.answers: // it came just before the end
@@ -180,7 +244,7 @@
 	if err := s.Send(folio.AppendMessage(nil, "QUERY", "-", text), 1); err != nil {
 		return nil, err
 	}
-	return s.Receive(wait)
+	return s.Receive(wait, Watch{})
 }
 
 // State is I, T or E as the database last told it.
