--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -9,8 +9,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,6 +46,9 @@
 // retryPause is between two tries at the same step.
 const retryPause = 100 * foundation.Millisecond
 
+// busyPause is before a database that has no slot free is asked again.
+const busyPause = 15 * foundation.Millisecond
+
 // Decode picks the leads out of the control state.
 func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
 	out := map[string]Lead{}
@@ -72,6 +77,7 @@
 	Name        string // duty holder
 	Platform    string
 	ReaderLease foundation.Micros
+	Connect     foundation.Micros // for a connection to a database
 	AskWait     foundation.Micros // for one answer of a database
 	Silence     foundation.Micros
 }
@@ -401,11 +407,13 @@
 	}
 	replicas := s.replicas(l.Service, l.ID)
 	sit.Replicas = len(replicas)
-	for _, row := range c.askAll(ctx, replicas, "STAT") {
+	conns := c.openAll(ctx, replicas)
+	defer closeAll(conns)
+	for _, row := range c.sayAll(conns, "STAT") {
 		newest, held = max(newest, row.term), max(held, row.held)
 	}
 	hold := max(newest, held) + 1
-	rows := c.askAll(ctx, replicas, "PAUSE "+strconv.FormatInt(hold, 10))
+	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
 	for _, d := range replicas {
 		if row, ok := rows[d.ID]; ok && row.held == hold {
 			sit.Copies = append(sit.Copies, Copy{d.ID, row.received, d.Draining})
@@ -419,7 +427,7 @@
 			return c.callOff(ctx, replicas, l, refusal)
 		}
 		if sit.Held != nil {
-			c.askAll(ctx, replicas, "CONTINUE") // let them catch up with a living primary
+			c.sayAll(conns, "CONTINUE") // let them catch up with a living primary
 		}
 		return fmt.Errorf("%w: %s", errNotYet, refusal)
 	}
@@ -484,21 +492,8 @@
 	if err != nil {
 		return err
 	}
-	for end := c.k.Clock.Now() + 3*foundation.Second; ; {
-		changed := c.acc.Changed()
-		if row, err := c.ask(ctx, to, "STAT"); err == nil && row.primary && row.term > l.Term {
-			l.Term = row.term
-			break
-		}
-		if c.k.Clock.Now() > end || ctx.Err() != nil {
-			return errNotYet
-		}
-		t := time.NewTimer((150 * foundation.Millisecond).Duration())
-		select {
-		case <-changed:
-		case <-t.C:
-		}
-		t.Stop()
+	if l.Term, err = c.awaitPromotion(ctx, to, l.Term); err != nil {
+		return err
 	}
 	old := l.ID
 	err = c.save(ctx, l.Service, func(now *Lead) error {
@@ -517,6 +512,35 @@
 	return nil
 }
 
+// awaitPromotion waits until the database leads a newer term. Its own beat,
+// which a change of role sends at once, is the sign to ask.
+func (c *Custodian) awaitPromotion(ctx context.Context, to accessions.Database, over int64) (int64, error) {
+	conn, err := c.open(ctx, to)
+	if err != nil {
+		return 0, err
+	}
+	defer conn.Close()
+	end := c.k.Clock.Now() + 3*foundation.Second
+	for c.k.Clock.Now() < end && ctx.Err() == nil {
+		changed := c.acc.Changed()
+		row, err := c.say(conn, "STAT")
+		if err == nil && row.primary && row.term > over {
+			return row.term, nil
+		}
+		if err != nil {
+			return 0, err
+		}
+		t := time.NewTimer((200 * foundation.Millisecond).Duration())
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return 0, errNotYet
+}
+
+// aftermath is what a database is told once another leads.
 func (c *Custodian) aftermath(d accessions.Database, old string, term int64) string {
 	if d.ID == old {
 		return "STEPDOWN " + strconv.FormatInt(term, 10)
@@ -630,18 +654,31 @@
 
 // ask has one database carry out STAT, PAUSE, CONTINUE or STEPDOWN.
 func (c *Custodian) ask(ctx context.Context, d accessions.Database, text string) (statRow, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.AskWait.Duration())
-	defer cancel()
-	conn, err := shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.AskWait, c.cfg.Silence)
+	conn, err := c.open(ctx, d)
 	if err != nil {
 		return statRow{}, err
 	}
 	defer conn.Close()
-	a, err := conn.Ask(text, c.cfg.AskWait)
-	if err != nil {
-		return statRow{}, err
+	return c.say(conn, text)
+}
+
+func (c *Custodian) open(ctx context.Context, d accessions.Database) (*shelf.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.AskWait.Duration())
+	defer cancel()
+	return shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.Connect, c.cfg.Silence)
+}
+
+func (c *Custodian) say(conn *shelf.Conn, text string) (statRow, error) {
+	for end := c.k.Clock.Now() + c.cfg.AskWait; ; {
+		a, err := conn.Ask(text, end-c.k.Clock.Now())
+		if err != nil {
+			return statRow{}, err
+		}
+		if a.Code != folio.Retry || c.k.Clock.Now()+busyPause > end {
+			return parseStat(a)
+		}
+		time.Sleep(busyPause.Duration()) // all its slots are taken
 	}
-	return parseStat(a)
 }
 
 // parseStat reads "ROW role term received held lag busy connections".
@@ -667,25 +704,45 @@
 
 // askAll asks several databases at once and returns the answers there were.
 func (c *Custodian) askAll(ctx context.Context, dbs []accessions.Database, text string) map[string]statRow {
-	type result struct {
-		id  string
-		row statRow
-		err error
-	}
-	ch := make(chan result, len(dbs))
-	for _, d := range dbs {
-		go func() {
-			row, err := c.ask(ctx, d, text)
-			ch <- result{d.ID, row, err}
-		}()
-	}
-	out := map[string]statRow{}
-	for range dbs {
-		if r := <-ch; r.err == nil {
-			out[r.id] = r.row
-		} else {
-			c.k.Counters.Add("custodian.unanswered", 1)
-		}
+	conns := c.openAll(ctx, dbs)
+	defer closeAll(conns)
+	return c.sayAll(conns, text)
+}
+
+func (c *Custodian) openAll(ctx context.Context, dbs []accessions.Database) map[string]*shelf.Conn {
+	return gather(c, dbs, func(d accessions.Database) string { return d.ID },
+		func(d accessions.Database) (*shelf.Conn, error) { return c.open(ctx, d) })
+}
+
+func closeAll(conns map[string]*shelf.Conn) {
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
+func (c *Custodian) sayAll(conns map[string]*shelf.Conn, text string) map[string]statRow {
+	return gather(c, slices.Collect(maps.Values(conns)), func(conn *shelf.Conn) string { return conn.DB.ID },
+		func(conn *shelf.Conn) (statRow, error) { return c.say(conn, text) })
+}
+
+// gather does something with all at once and keeps the results of those that
+// did not fail.
+func gather[T, R any](c *Custodian, all []T, key func(T) string, do func(T) (R, error)) map[string]R {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := map[string]R{}
+	for _, t := range all {
+		wg.Go(func() {
+			r, err := do(t)
+			if err != nil {
+				c.k.Counters.Add("custodian.unanswered", 1)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[key(t)] = r
+		})
 	}
+	wg.Wait()
 	return out
 }
