--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -175,6 +175,23 @@
 	})
 }
 
+// The desks' read leases outlast the silence of the archive that grants them.
+func TestDesksOutlastADarkVaultPrimary(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		if z == 1 {
+			g.DB(0).Drain() // so that the lead is not lost with the machine's zone
+			time.Sleep(3 * time.Second)
+		}
+		l := under(w, g, func() {
+			w.Net.Dark(ip(z), true)
+			time.Sleep(5 * time.Second)
+			w.Net.Dark(ip(z), false)
+		})
+		served(t, l, 600*time.Millisecond)
+	})
+}
+
 // vaultPrimary returns the zone of the archive that leads, after checking that
 // there is at most one per epoch.
 func vaultPrimary(w *World) int {
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -152,7 +152,7 @@
 
 // Serve polls until ctx ends.
 func (c *Card) Serve(ctx context.Context) error {
-	addr := ""
+	addr, failed := "", ""
 	for turn := 0; ctx.Err() == nil; {
 		if addr == "" {
 			known := c.cfg.Archives()
@@ -164,8 +164,16 @@
 			turn++
 		}
 		next, err := c.poll(ctx, addr)
-		if err != nil || next == "" {
+		switch {
+		case err != nil:
 			c.k.Counters.Add("subscription.poll_failed", 1)
+			failed = addr
+		case next == addr:
+			failed = ""
+		case next == failed:
+			next = "" // others may not have noticed yet
+		}
+		if next == "" {
 			foundation.Sleep(ctx, 50*foundation.Millisecond)
 		}
 		addr = next
@@ -182,6 +190,7 @@
 	if c.conf != nil {
 		q.Rev = c.conf.Rev
 	}
+	q.Now = c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
 		q.Down = append(q.Down, id)
 	}
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -28,6 +28,7 @@
 	Rev  int64            `json:"rev"`
 	Left map[string]int64 `json:"left,omitempty"`
 	Down []string         `json:"down,omitempty"` // databases the desk holds as down
+	Now  bool             `json:"now,omitempty"`  // the desk's lease can't wait for the next change
 }
 
 type pollAnswer struct {
@@ -63,9 +64,9 @@
 		o.k.Counters.Add("subscription.malformed", 1)
 		return nil, errors.New("malformed")
 	}
-	if view, leads := o.v.Primary(); !leads {
-		addr := view.Primary.Addr
-		if addr == o.v.Self().Addr {
+	if _, leads := o.v.Primary(); !leads && !o.awaitPrimary(ctx) {
+		addr, known := o.v.Known()
+		if !known || addr == o.v.Self().Addr {
 			addr = ""
 		}
 		return pollAnswer{Elsewhere: addr}, nil
@@ -86,7 +87,9 @@
 			return pollAnswer{}, nil
 		}
 		over := false
-		if state.Seq == q.Seq {
+		if state.Seq == q.Seq && q.Now {
+			over = true
+		} else if state.Seq == q.Seq {
 			select {
 			case <-ctx.Done():
 				return nil, ctx.Err()
@@ -102,6 +105,29 @@
 	}
 }
 
+// awaitPrimary waits, where no primary is known, until there is one; it
+// reports whether it is this archive.
+func (o *Office) awaitPrimary(ctx context.Context) bool {
+	t := time.NewTimer(o.hold().Duration())
+	defer t.Stop()
+	for {
+		changed := o.v.Changed()
+		if _, leads := o.v.Primary(); leads {
+			return true
+		}
+		if _, known := o.v.Known(); known {
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		case <-t.C:
+			return false
+		}
+	}
+}
+
 func (o *Office) answer(q pollAsk, state vault.State) (any, error) {
 	// The lease is noted before it is granted, and only while this archive's
 	// own lease runs.
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -180,6 +180,14 @@
 	return v.seen, v.leads(v.k.Clock.Now())
 }
 
+// Known returns the primary's inner address, if one has been heard of within
+// its lease.
+func (v *Vault) Known() (string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.seen.Primary.Addr, v.seen.Epoch > 0 && v.k.Clock.Now() < v.seenTill
+}
+
 func (v *Vault) leads(now foundation.Micros) bool { return v.active && now < v.leaseEnd }
 
 // Lease returns how long the lease runs yet; nothing may be answered or done
@@ -531,16 +539,15 @@
 		}
 	}
 	alive := v.cfg.Archives()
-	for _, m := range []Member{last.Backup, last.Primary} {
-		if m.Addr != shunned && slices.Contains(alive, m.Addr) {
-			add(m.Addr)
-		}
+	if last.Primary.same(v.self) && last.Backup.Addr != shunned && slices.Contains(alive, last.Backup.Addr) {
+		add(last.Backup.Addr)
 	}
 	for _, addr := range slices.Concat(alive, v.electorAddrs()) {
-		if addr != shunned {
+		if addr != shunned && addr != last.Primary.Addr {
 			add(addr)
 		}
 	}
+	add(last.Primary.Addr) // whose lease ran out: it hardly answers
 	add(shunned)
 	for _, addr := range order {
 		var a copyAnswer
