Desks are registered, so a new vault primary knows whose leases to wait for

A desk is now entered in the control state before its first lease, and a successor waits for those desks' acknowledgements, or for their leases.

--- a/internal/custodian/choose_test.go
+++ b/internal/custodian/choose_test.go
@@ -50,6 +50,12 @@
 	if r.Heard("d1", 9, map[string]int64{"svc": 5}) || r.Grant("d1", 9, now+99) {
 		t.Error("an earlier life of a desk was heard")
 	}
+	r.Term(2, map[string]int64{"d1": 10, "d3": 4}, now+50)
+	r.Term(2, nil, 0) // the same term again changes nothing
+	if ok, wait := r.Left("svc", 1, now); ok || wait != 50 {
+		t.Errorf("in a new term: left %v, wait %d", ok, wait)
+	}
+	r.Heard("d3", 4, map[string]int64{"svc": 1})
 	if r.Heard("d1", 11, nil); !func() bool { ok, _ := r.Left("svc", 1, now); return ok }() {
 		t.Error("a new life holds the lease of the one before")
 	}
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -96,8 +96,6 @@
 	busy     map[string]bool              // services being moved by this process
 	tried    map[string]foundation.Micros // when what is paced was last tried
 	said     map[string]string            // why a service's move waits
-	term     int64                        // vault epoch these notes belong to
-	began    foundation.Micros
 	progress foundation.Bell
 }
 
@@ -143,6 +141,7 @@
 	leads     map[string]Lead
 	conf      *catalogue.Configuration
 	soft      map[string]accessions.Soft
+	desks     map[string]int64
 }
 
 func (c *Custodian) look() (*scene, error) {
@@ -158,6 +157,9 @@
 	if s.leads, err = Decode(entries); err != nil {
 		return nil, err
 	}
+	if s.desks, err = Registered(entries); err != nil {
+		return nil, err
+	}
 	if _, s.conf, err = catalogue.Decode(entries[catalogue.Key]); err != nil {
 		return nil, err
 	}
@@ -191,11 +193,6 @@
 	if err != nil {
 		return
 	}
-	c.mu.Lock()
-	if c.term != epoch {
-		c.term, c.began = epoch, c.k.Clock.Now()
-	}
-	c.mu.Unlock()
 	s, err := c.look()
 	if err != nil {
 		if !errors.Is(err, vault.ErrNotPrimary) {
@@ -203,6 +200,7 @@
 		}
 		return
 	}
+	c.readers.Term(epoch, s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
 	services := map[string]bool{}
 	for _, d := range s.databases {
 		services[d.Service] = true
@@ -367,17 +365,13 @@
 
 // awaitLeft waits until no desk can still read at the old primary.
 func (c *Custodian) awaitLeft(ctx context.Context, l Lead) error {
-	c.mu.Lock()
-	lessees := c.began + c.cfg.ReaderLease // of the vault's primary before this one
-	c.mu.Unlock()
 	for {
 		changed := c.readers.Changed()
-		now := c.k.Clock.Now()
-		ok, wait := c.readers.Left(l.Service, l.Turn, now)
-		if ok && now >= lessees {
+		ok, wait := c.readers.Left(l.Service, l.Turn, c.k.Clock.Now())
+		if ok {
 			return nil
 		}
-		t := time.NewTimer(max(wait, lessees-now, foundation.Millisecond).Duration())
+		t := time.NewTimer(wait.Duration())
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -1,6 +1,9 @@
 package custodian
 
 import (
+	"encoding/json"
+	"fmt"
+	"strings"
 	"sync"
 
 	"indigowalk/internal/foundation"
@@ -16,6 +19,7 @@
 // read lease and have not acknowledged leaving.
 type Readers struct {
 	mu    sync.Mutex
+	epoch int64
 	desks map[string]*reader
 	bell  foundation.Bell
 }
@@ -69,12 +73,46 @@
 	return wait == 0, wait
 }
 
-// Reset forgets all desks, at the start of a term.
-func (r *Readers) Reset() {
+// Term starts a term of the vault's primary, once: any desk that was ever
+// registered may hold a lease of the primary before, until then.
+func (r *Readers) Term(epoch int64, registered map[string]int64, until foundation.Micros) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.desks = map[string]*reader{}
+	if r.epoch == epoch {
+		return
+	}
+	r.epoch, r.desks = epoch, map[string]*reader{}
+	for desk, life := range registered {
+		r.desks[desk] = &reader{life: life, until: until}
+	}
 }
 
 // Changed closes when a desk acknowledges something.
 func (r *Readers) Changed() <-chan struct{} { return r.bell.Wait() }
+
+// deskPrefix starts the entries of the control state that register desks: a
+// desk is entered there before it is granted its first lease, so that whoever
+// takes over knows whom to wait for.
+const deskPrefix = "desk/"
+
+// Registered picks the desks, with their lives, out of the control state.
+func Registered(entries map[string]json.RawMessage) (map[string]int64, error) {
+	out := map[string]int64{}
+	for key, raw := range entries {
+		desk, ok := strings.CutPrefix(key, deskPrefix)
+		if !ok {
+			continue
+		}
+		var life int64
+		if err := json.Unmarshal(raw, &life); err != nil {
+			return nil, fmt.Errorf("custodian: %s: %w", key, err)
+		}
+		out[desk] = life
+	}
+	return out, nil
+}
+
+// Register returns the change of the control state that enters a desk's life.
+func Register(desk string, life int64) map[string]json.RawMessage {
+	return map[string]json.RawMessage{deskPrefix + desk: json.RawMessage(fmt.Sprint(life))}
+}
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -71,6 +71,9 @@
 		}
 		return pollAnswer{Elsewhere: addr}, nil
 	}
+	if err := o.register(ctx, q); err != nil {
+		return nil, err
+	}
 	if !o.readers.Heard(q.Desk, q.Life, q.Left) {
 		o.k.Counters.Add("subscription.old_life", 1)
 		return nil, errors.New("an earlier life of that desk")
@@ -105,6 +108,26 @@
 	}
 }
 
+// register enters the desk's life in the control state before it is granted a
+// lease, and starts the term if this is its first poll.
+func (o *Office) register(ctx context.Context, q pollAsk) error {
+	state, err := o.v.Durable()
+	if err != nil {
+		return err
+	}
+	desks, err := custodian.Registered(state.Entries)
+	if err != nil {
+		return err
+	}
+	o.readers.Term(state.Epoch, desks, o.k.Clock.Now()+o.lease)
+	if desks[q.Desk] >= q.Life {
+		return nil
+	}
+	return o.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		return custodian.Register(q.Desk, q.Life), nil
+	})
+}
+
 // awaitPrimary waits, where no primary is known, until there is one; it
 // reports whether it is this archive.
 func (o *Office) awaitPrimary(ctx context.Context) bool {
