--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -42,6 +42,8 @@
 	sessions map[*session]struct{}
 	ended    foundation.Bell
 
+	second allowance
+
 	statements, retries *atomic.Int64
 }
 
--- a/internal/desk/session.go
+++ b/internal/desk/session.go
@@ -258,6 +258,7 @@
 // query works one statement off.
 func (s *session) query(id, text string) *folio.Answer {
 	s.d.statements.Add(1)
+	s.d.second.earn()
 	q := folio.ParseStatement(id, text)
 	if id == "" || q.Verb == folio.Bad {
 		s.d.k.Counters.Add("desk.malformed", 1)
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -194,12 +194,24 @@
 	if err == nil {
 		text, err = j.text(t.conn)
 	}
+	commit := j.q.Verb == folio.Commit
+	// The first statement may start the transaction anew: the one left behind
+	// is rolled back when its connection closes.
+	j.twice = t.ran == 0 && !commit && j.tries == 0
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
 		a, err = j.run(t.conn, t.choice, t.b, text, true)
 	}
-	commit := j.q.Verb == folio.Commit
+	if errors.Is(err, shelf.ErrQuiet) {
+		left := *t
+		t.conn = nil
+		j.leaveBehind(left.conn, left.choice, func() {
+			left.conn.Close()
+			left.letGo(false)
+		})
+		return nil, true
+	}
 	if err != nil {
 		unsent := errors.Is(err, errUnsent)
 		j.lost(t, err)
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"sync"
 	"time"
 
 	"indigowalk/internal/catalogue"
@@ -27,6 +28,7 @@
 	route    *catalogue.Route
 	tries    int
 	avoid    map[string]bool
+	twice    bool // may be sent a second time while the first is unanswered
 }
 
 // holdShare is the part of its time that a statement may wait for a place to
@@ -35,6 +37,40 @@
 
 func hint(m foundation.Micros) string { return strconv.FormatInt(m.Millis(), 10) }
 
+// quietTimes is how many times the usual an answer may take before it is
+// taken for lost, or its database for silent.
+const quietTimes = 4
+
+// allowance bounds how many statements are sent a second time: a share of all,
+// so that a database that is slow under load is not loaded with more.
+type allowance struct {
+	mu   sync.Mutex
+	left float64
+}
+
+const (
+	secondShare = 0.1
+	secondMost  = 10
+)
+
+// earn counts a statement.
+func (a *allowance) earn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.left = min(a.left+secondShare, secondMost)
+}
+
+// take uses one up, if there is one.
+func (a *allowance) take() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.left < 1 {
+		return false
+	}
+	a.left--
+	return true
+}
+
 // promised tells whether an error code promises that nothing is kept.
 func promised(code string) bool {
 	switch code {
@@ -167,9 +203,10 @@
 	if err != nil {
 		return nil, errors.Join(errUnsent, err)
 	}
-	watch := shelf.Watch{Quiet: d.cfg.Quiet, Doubt: func() {
+	watch := shelf.Watch{Quiet: max(d.cfg.Quiet, quietTimes*d.aid.Usual(j.route.Name)), Doubt: func() bool {
 		_, gen := b.Bound()
 		d.health.Report(choice.Database.ID, min(gen, conn.Generation), false)
+		return !j.twice || !d.second.take()
 	}}
 	if !j.write && j.q.Verb != folio.Commit {
 		// A read goes elsewhere as soon as the database is held as down; what
@@ -215,12 +252,19 @@
 func (j *job) attempt(conn *shelf.Conn, choice findingaid.Choice) (a *folio.Answer, again bool) {
 	d, id := j.s.d, choice.Database.ID
 	b := d.health.Bind(id)
-	defer d.health.Release(id, b)
-	defer d.shelf.Return(conn)
 	if choice.Primary {
 		d.card.Begin(j.route.Service)
-		defer d.card.Done(j.route.Service)
 	}
+	release := func() {
+		d.shelf.Return(conn)
+		d.health.Release(id, b)
+		if choice.Primary {
+			d.card.Done(j.route.Service)
+		}
+	}
+	// A lost answer does not end a read: it is sent once more, elsewhere if it
+	// can be, and the first is left to run out.
+	j.twice = !j.write && j.tries == 0
 	err := conn.Values(j.s.values, j.left())
 	var text string
 	if err == nil {
@@ -231,12 +275,33 @@
 	} else {
 		a, err = j.run(conn, choice, b, text, false)
 	}
+	if errors.Is(err, shelf.ErrQuiet) {
+		j.leaveBehind(conn, choice, release)
+		return nil, true
+	}
+	defer release()
 	if err != nil {
 		return j.failed(conn, b, err)
 	}
 	return j.judge(conn, choice, a)
 }
 
+// leaveBehind waits aside for an answer that is taken for lost.
+func (j *job) leaveBehind(conn *shelf.Conn, choice findingaid.Choice, release func()) {
+	j.s.d.k.Counters.Add("desk.sent_twice", 1)
+	j.tries++
+	if !choice.Primary {
+		j.shun(choice.Database.ID)
+	}
+	wait := j.left()
+	go func() {
+		if _, err := conn.Receive(wait, shelf.Watch{}); err != nil {
+			conn.Close()
+		}
+		release()
+	}()
+}
+
 // failed deals with an attempt that got no answer.
 func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
 	d, id := j.s.d, conn.DB.ID
--- a/internal/findingaid/findingaid.go
+++ b/internal/findingaid/findingaid.go
@@ -171,6 +171,13 @@
 	a.pace[id] = pace{r + paceWeight*(float64(span)/max(usual, 1)-r), now}
 }
 
+// Usual is how long a read of the route usually takes, 0 if none was seen.
+func (a *Aid) Usual(route string) foundation.Micros {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return foundation.Micros(a.used[route])
+}
+
 func (a *Aid) paceOf(id string) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -22,6 +22,7 @@
 	ErrBroken   = errors.New("shelf: server connection broken")
 	ErrSilent   = errors.New("shelf: database silent or refusing connections")
 	ErrSlow     = errors.New("shelf: database connected but slow to log in")
+	ErrQuiet    = errors.New("shelf: no answer yet")
 	ErrUnbound  = errors.New("shelf: the database is held as down")
 	ErrDeadline = errors.New("shelf: deadline passed")
 	ErrFull     = errors.New("shelf: no connection free")
@@ -194,8 +195,8 @@
 // Watch is what the wait for an answer looks out for.
 type Watch struct {
 	Quiet   foundation.Micros // after so long without an answer Doubt is called, once
-	Doubt   func()
-	Unbound <-chan struct{} // the wait ends with ErrUnbound when it closes
+	Doubt   func() bool       // whether to go on waiting; if not, ErrQuiet
+	Unbound <-chan struct{}   // the wait ends with ErrUnbound when it closes
 }
 
 // Receive waits for the next answer, for at most the span.
@@ -211,7 +212,9 @@
 		if !errors.Is(err, ErrDeadline) {
 			return a, err
 		}
-		w.Doubt()
+		if !w.Doubt() {
+			return nil, ErrQuiet
+		}
 		wait -= w.Quiet
 	}
 	return s.receive(wait, w.Unbound)
