The toolbox: check, plan, replay and status

On the daemons' own packages: settings, deploy files, configurations and stores are checked in one pass; plans are made from what status shows; recordings of health and choice decisions are played again through the same code. Recording is off by default.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -26,6 +26,7 @@
 	_ "indigowalk/internal/registrar"
 	_ "indigowalk/internal/shelf"
 	_ "indigowalk/internal/subscription"
+	_ "indigowalk/internal/toolbox"
 	_ "indigowalk/internal/vault"
 )
 
@@ -40,9 +41,14 @@
 
   indigowalk desk       carry clients' sessions
   indigowalk archive    keep the control state: databases and configuration
+  indigowalk check      look for faults in settings, deploy files,
+                        configurations and stores
+  indigowalk plan       what a change, a drain, a release or a loss would do
+  indigowalk replay     play a recording of decisions again
+  indigowalk status     ask processes for their view
   indigowalk help       this text
 
-The daemons read the settings file named by the variable ` + charter.EnvVar + `.
+Each tool says more with --help. The daemons read the settings file named by the variable ` + charter.EnvVar + `.
 Exit codes: 0 clean, 1 a fault, 2 wrong use.
 `
 
@@ -60,6 +66,8 @@
 			return exitUsage
 		}
 		return serve(args[0], errs)
+	case "check", "plan", "replay", "status":
+		return tool(args[0], args[1:], out, errs)
 	case "help", "-h", "--help":
 		fmt.Fprint(out, usage)
 		return exitClean
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -51,6 +51,8 @@
 	AckMs      int64 `key:"bounds.ack_ms" default:"5000" validate:"gt=0"`
 	UnfreezeMs int64 `key:"bounds.unfreeze_ms" default:"300" validate:"gt=0"`
 
+	TolerateHosts int64 `key:"tolerate.hosts" validate:"gte=0"`
+
 	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
 
 	VaultLeaseMs  int64 `key:"tune.vault_lease_ms" default:"1200" validate:"gte=100"`
--- a/internal/charter/plugin.go
+++ b/internal/charter/plugin.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 
 	"indigowalk/internal/foundation"
@@ -14,6 +15,17 @@
 		Name: "charter", Rank: 0, Roles: []string{"desk", "archive"},
 		Build: func(k *foundation.Kernel) error {
 			b := foundation.Need[*Book](k)
+			if s := b.Now(); s.RecordKB > 0 {
+				dir := s.DataDir
+				if dir == "" {
+					dir = os.TempDir()
+				}
+				r, err := foundation.NewRecorder(k, filepath.Join(dir, k.Role+".recording"), s.NodeName, s.RecordKB<<10)
+				if err != nil {
+					return err
+				}
+				k.Recorder = r
+			}
 			if b.path != "" {
 				k.Supervise("charter", func(ctx context.Context) error { return b.watch(ctx, k) })
 			}
--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -161,6 +161,9 @@
 	Heed     func() bool // whether peers' notices matter to this process now
 }
 
+// EventKind is the kind of record of an event.
+const EventKind = "health"
+
 // NoticeKind is the kind of datagram that carries notices.
 const NoticeKind = "fault"
 
@@ -168,11 +171,24 @@
 	Database string `json:"d"`
 }
 
-type event struct {
-	kind       string
-	id         string
-	generation int64
-	ok         bool
+// Event is an input of the coordinator: a "report" or "doubt" of a session, a
+// peer's "notice", or the result of an own check ("checked").
+type Event struct {
+	Kind       string `json:"kind"`
+	Database   string `json:"db"`
+	Generation int64  `json:"gen"`
+	OK         bool   `json:"ok,omitempty"`
+}
+
+// Apply feeds the coordinator an event; it reports whether a state changed.
+func (c *Coordinator) Apply(e Event) (changed bool) {
+	switch e.Kind {
+	case "report":
+		return c.Report(e.Database, e.Generation) == Marked
+	case "checked":
+		return c.Checked(e.Database, e.Generation, e.OK)
+	}
+	return false
 }
 
 // Conservator runs a coordinator beside the sessions of one process.
@@ -180,7 +196,7 @@
 	k   *foundation.Kernel
 	cfg Config
 
-	events chan event
+	events chan Event
 
 	mu       sync.Mutex
 	c        *Coordinator
@@ -192,7 +208,7 @@
 func New(k *foundation.Kernel, cfg Config) *Conservator {
 	return &Conservator{
 		k: k, cfg: cfg, c: NewCoordinator(),
-		events: make(chan event, 256), bindings: map[string]map[*Binding]struct{}{},
+		events: make(chan Event, 256), bindings: map[string]map[*Binding]struct{}{},
 	}
 }
 
@@ -257,10 +273,10 @@
 	if !sure {
 		kind = "doubt"
 	}
-	s.post(event{kind: kind, id: id, generation: generation})
+	s.post(Event{Kind: kind, Database: id, Generation: generation})
 }
 
-func (s *Conservator) post(e event) {
+func (s *Conservator) post(e Event) {
 	select {
 	case s.events <- e:
 	default:
@@ -281,7 +297,7 @@
 // Heard takes a peer's notice, however it came.
 func (s *Conservator) Heard(id string) {
 	if s.cfg.Heed() {
-		s.post(event{kind: "notice", id: id})
+		s.post(Event{Kind: "notice", Database: id})
 	}
 }
 
@@ -302,29 +318,29 @@
 	}
 }
 
-func (s *Conservator) work(ctx context.Context, e event) {
+func (s *Conservator) work(ctx context.Context, e Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	h := s.c.of(e.id)
-	switch e.kind {
+	s.k.Recorder.Add(EventKind, e)
+	h := s.c.of(e.Database)
+	switch e.Kind {
 	case "report":
-		switch s.c.Report(e.id, e.generation) {
-		case Marked:
+		if s.c.Apply(e) {
 			h.due = s.k.Clock.Now() + s.cfg.First
-			s.wentDown(e.id, e.generation)
-			s.tellPeers(ctx, e.id)
-		case Stale:
+			s.wentDown(e.Database, e.Generation)
+			s.tellPeers(ctx, e.Database)
+		} else if e.Generation < h.generation {
 			s.k.Counters.Add("conservator.stale_reports", 1)
 		}
 	case "doubt":
-		if up, gen := s.c.Up(e.id); up && e.generation >= gen {
+		if up, gen := s.c.Up(e.Database); up && e.Generation >= gen {
 			h.own = true
-			s.check(ctx, e.id)
+			s.check(ctx, e.Database)
 		}
 	case "notice":
 		s.k.Counters.Add("conservator.notices", 1)
-		if s.c.PeerNotice(e.id) == ToCheck && s.k.Clock.Now() >= h.calm {
-			s.check(ctx, e.id)
+		if s.c.PeerNotice(e.Database) == ToCheck && s.k.Clock.Now() >= h.calm {
+			s.check(ctx, e.Database)
 		}
 	case "checked":
 		h.checking = false
@@ -332,17 +348,17 @@
 		h.calm = s.k.Clock.Now() + s.cfg.Interval/4
 		own := h.own
 		h.own = false
-		if !s.c.Checked(e.id, e.generation, e.ok) {
+		if !s.c.Apply(e) {
 			return
 		}
-		if e.ok {
-			s.k.Log.Info("database up", "id", e.id, "generation", h.generation)
+		if e.OK {
+			s.k.Log.Info("database up", "id", e.Database, "generation", h.generation)
 			s.bell.Ring()
 			return
 		}
-		s.wentDown(e.id, e.generation)
+		s.wentDown(e.Database, e.Generation)
 		if own {
-			s.tellPeers(ctx, e.id)
+			s.tellPeers(ctx, e.Database)
 		}
 	}
 }
@@ -408,7 +424,7 @@
 	go func() {
 		ok := s.cfg.Check(ctx, id)
 		select {
-		case s.events <- event{kind: "checked", id: id, generation: generation, ok: ok}:
+		case s.events <- Event{Kind: "checked", Database: id, Generation: generation, OK: ok}:
 		case <-ctx.Done():
 		}
 	}()
--- a/internal/custodian/choose.go
+++ b/internal/custodian/choose.go
@@ -9,19 +9,30 @@
 
 // Copy is what a replica answered once it was paused.
 type Copy struct {
-	ID       string
-	Received folio.Position
-	Draining bool
+	ID       string         `json:"id"`
+	Received folio.Position `json:"received"`
+	Draining bool           `json:"draining,omitempty"`
 }
 
 // Situation is all that the choice of the next primary depends on.
 type Situation struct {
-	Replicas int // databases of the service besides the old primary
-	Sync     int // sync_replicas
-	Copies   []Copy
+	Replicas int    `json:"replicas"` // databases of the service besides the old primary
+	Sync     int    `json:"sync"`     // sync_replicas
+	Copies   []Copy `json:"copies"`
 	// Held is the old primary's own position, asked after every desk had left
 	// it; nil if it did not answer.
-	Held *folio.Position
+	Held *folio.Position `json:"held,omitempty"`
+}
+
+// ChoiceKind is the kind of record of a choice.
+const ChoiceKind = "choice"
+
+// Choice is the record of one.
+type Choice struct {
+	Service   string    `json:"svc"`
+	Epoch     int64     `json:"epoch"`
+	Situation Situation `json:"situation"`
+	To        string    `json:"to"`
 }
 
 // Choose picks the replica to promote, or says why none may be yet.
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -414,6 +414,8 @@
 		}
 	}
 	to, refusal := Choose(sit)
+	epoch, _ := c.v.Lease()
+	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to})
 	if to == "" {
 		c.k.Counters.Add("custodian.choice_refused", 1)
 		c.sayOnce(l, refusal, "replicas", len(replicas), "answered", len(rows), "paused", len(sit.Copies), "hold", hold)
--- a/internal/foundation/kernel.go
+++ b/internal/foundation/kernel.go
@@ -35,6 +35,7 @@
 	Net      Network
 	Counters *Counters
 	Log      *slog.Logger
+	Recorder *Recorder // nil unless the settings ask for one
 
 	tree    *suture.Supervisor
 	offered map[reflect.Type]any
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -82,7 +82,7 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	defer ln.Close()
-	defer b.hangUp()
+	defer b.HangUp()
 	for {
 		c, err := ln.Accept()
 		if err != nil {
@@ -95,8 +95,8 @@
 	}
 }
 
-// hangUp closes the connections to all peers.
-func (b *Branch) hangUp() {
+// HangUp closes the connections to all peers.
+func (b *Branch) HangUp() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/toolbox"
 	"indigowalk/internal/vault"
 )
 
@@ -443,3 +445,37 @@
 		b.Close()
 	})
 }
+
+// The tools ask a running system: status sees all of it, plans name who
+// follows, and what is missing is said.
+func TestStatusAndPlan(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		host := w.Net.Host("10.250.0.9")
+		sys := toolbox.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
+		if len(sys.Reports) != 8 || len(sys.Missing) != 0 || sys.Primary() == nil {
+			t.Fatalf("%d reports, %v missing", len(sys.Reports), sys.Missing)
+		}
+		var text strings.Builder
+		sys.Print(&text)
+		if !strings.Contains(text.String(), "database ledger-1 of ledger in z1: primary, lead") {
+			t.Errorf("status says:\n%s", text.String())
+		}
+		p, err := sys.Make("release", "ledger-1", nil)
+		if err != nil || len(p.Warnings) != 0 || !strings.Contains(p.Effects[0], "[ledger-2 ledger-3]") || p.Headroom["ledger"] != 14 || p.Conns["ledger"] != 20 {
+			t.Errorf("release: %+v %v", p, err)
+		}
+		p, err = sys.Make("lose", fmt.Sprintf("archive-%d", z), nil)
+		if err != nil || !strings.Contains(strings.Join(p.Effects, "\n"), "takes over") || !strings.HasSuffix(p.Restart[7], fmt.Sprintf("archive-%d", z)) {
+			t.Errorf("loss: %+v %v", p, err)
+		}
+		if _, err := sys.Make("drain", "nothing", nil); err == nil {
+			t.Error("a drain of an unknown database was planned")
+		}
+		w.Process("desk", 2).Kill()
+		sys = toolbox.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
+		if len(sys.Reports) != 7 || len(sys.Missing) != 1 {
+			t.Errorf("with a desk gone: %d reports, %v missing", len(sys.Reports), sys.Missing)
+		}
+	})
+}
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -76,9 +76,17 @@
 		return 1
 	}
 	for _, s := range conf.Services {
-		if s.Name == service && s.MaxConns > 0 {
-			return max(1, int((1-reserve)*float64(s.MaxConns))/desks)
+		if s.Name == service {
+			return Split(s.MaxConns, desks)
 		}
 	}
 	return unlimited
 }
+
+// Split is one desk's share of a database's connections.
+func Split(maxConns, desks int) int {
+	if maxConns == 0 {
+		return unlimited
+	}
+	return max(1, int((1-reserve)*float64(maxConns))/max(1, desks))
+}
--- /dev/null
+++ b/internal/toolbox/check.go
@@ -0,0 +1,182 @@
+package toolbox
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+	"github.com/go-playground/validator/v10"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/vault"
+)
+
+// Fault is something wrong, with its place.
+type Fault struct {
+	Place  string `json:"place"`
+	Reason string `json:"reason"`
+}
+
+func (f Fault) String() string { return f.Place + ": " + f.Reason }
+
+func read(path string) ([]byte, []Fault) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, []Fault{{path, err.Error()}}
+	}
+	return raw, nil
+}
+
+// CheckSettings checks a settings file.
+func CheckSettings(path string) []Fault {
+	raw, faults := read(path)
+	if faults != nil {
+		return faults
+	}
+	_, err := charter.Parse(raw)
+	var all interface{ Unwrap() []error }
+	var one *charter.Error
+	switch {
+	case errors.As(err, &all):
+		for _, e := range all.Unwrap() {
+			if errors.As(e, &one) {
+				faults = append(faults, Fault{one.Key, one.Reason})
+			}
+		}
+	case errors.As(err, &one):
+		faults = append(faults, Fault{one.Key, one.Reason})
+	}
+	return faults
+}
+
+type deployFile struct {
+	Build string                `toml:"build" validate:"required"`
+	Roles map[string]deployRole `toml:"roles" validate:"required,dive"`
+}
+
+type deployRole struct {
+	Run    string   `toml:"run" validate:"required"`
+	On     string   `toml:"on" validate:"required"`
+	Share  float64  `toml:"share" validate:"gte=0,lte=1"`
+	Count  int      `toml:"count" validate:"gte=0"`
+	Apart  bool     `toml:"apart"`
+	Serves []string `toml:"serves" validate:"dive,oneof=edge ctl"`
+}
+
+// CheckDeploy checks a deploy file.
+func CheckDeploy(path string) []Fault {
+	raw, faults := read(path)
+	if faults != nil {
+		return faults
+	}
+	var d deployFile
+	meta, err := toml.Decode(string(raw), &d)
+	if err != nil {
+		return []Fault{{path, err.Error()}}
+	}
+	for _, key := range meta.Undecoded() {
+		faults = append(faults, Fault{key.String(), "is not known"})
+	}
+	var bad validator.ValidationErrors
+	if err := validator.New(validator.WithRequiredStructEnabled()).Struct(d); errors.As(err, &bad) {
+		for _, f := range bad {
+			_, place, _ := strings.Cut(f.Namespace(), ".")
+			faults = append(faults, Fault{strings.ToLower(place), "fails " + f.Tag()})
+		}
+	}
+	serving := map[string]string{}
+	for name, r := range d.Roles {
+		if (r.Share > 0) == (r.Count > 0) {
+			faults = append(faults, Fault{"roles." + name, "needs either share or count"})
+		}
+		for _, s := range r.Serves {
+			if other := serving[r.On+" "+s]; other != "" {
+				faults = append(faults, Fault{"roles." + name + ".serves", s + " is served by " + other + " on the same class"})
+			}
+			serving[r.On+" "+s] = name
+		}
+	}
+	return faults
+}
+
+// CheckConfig checks a configuration, as a change on top of another if base is
+// not "".
+func CheckConfig(path, base string) []Fault {
+	raw, faults := read(path)
+	if faults != nil {
+		return faults
+	}
+	conf, found := catalogue.Parse(raw)
+	for _, f := range found {
+		faults = append(faults, Fault{f.Field, f.Reason})
+	}
+	if base == "" {
+		return faults
+	}
+	raw, missing := read(base)
+	if missing != nil {
+		return append(faults, missing...)
+	}
+	old, found := catalogue.Parse(raw)
+	for _, f := range found {
+		faults = append(faults, Fault{"base: " + f.Field, f.Reason})
+	}
+	if conf != nil && old != nil && conf.Rev <= old.Rev {
+		faults = append(faults, Fault{"rev", fmt.Sprintf("%d is not higher than the %d it builds on", conf.Rev, old.Rev)})
+	}
+	return faults
+}
+
+// CheckStore checks the store of a stopped archive. It works on a copy.
+func CheckStore(dir string) []Fault {
+	if _, err := os.Stat(filepath.Join(dir, vault.StoreFile)); err != nil {
+		return []Fault{{dir, "no store of an archive: " + err.Error()}}
+	}
+	raw, faults := read(filepath.Join(dir, vault.StoreFile))
+	if faults != nil {
+		return faults
+	}
+	tmp, err := os.MkdirTemp("", "indigowalk-check")
+	if err != nil {
+		return []Fault{{dir, err.Error()}}
+	}
+	defer os.RemoveAll(tmp)
+	if err := os.WriteFile(filepath.Join(tmp, vault.StoreFile), raw, 0o600); err != nil {
+		return []Fault{{dir, err.Error()}}
+	}
+	s, err := vault.OpenStore(tmp)
+	if err != nil {
+		return []Fault{{dir, err.Error()}}
+	}
+	defer s.Close()
+	if s.Fresh {
+		return []Fault{{dir, "the store holds nothing"}}
+	}
+	var state vault.State
+	if _, err := s.Load("state", &state); err != nil {
+		faults = append(faults, Fault{"state", err.Error()})
+	}
+	for _, key := range []string{"register", "electors"} {
+		var any json.RawMessage
+		if _, err := s.Load(key, &any); err != nil {
+			faults = append(faults, Fault{key, err.Error()})
+		}
+	}
+	if _, _, err := catalogue.Decode(state.Entries[catalogue.Key]); err != nil {
+		faults = append(faults, Fault{"state: " + catalogue.Key, err.Error()})
+	}
+	if _, err := accessions.Decode(state.Entries); err != nil {
+		faults = append(faults, Fault{"state: databases", err.Error()})
+	}
+	if _, err := custodian.Decode(state.Entries); err != nil {
+		faults = append(faults, Fault{"state: leads", err.Error()})
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/toolbox/plan.go
@@ -0,0 +1,232 @@
+package toolbox
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/subscription"
+)
+
+// Plan is what a step would do; it changes nothing.
+type Plan struct {
+	Step     string         `json:"step"`
+	Effects  []string       `json:"effects"`
+	Warnings []string       `json:"warnings,omitempty"`
+	Conns    map[string]int `json:"connections"` // per desk and database, by service
+	Headroom map[string]int `json:"headroom"`    // slots of a service's other databases
+	Restart  []string       `json:"restart"`     // in which order to restart the processes
+}
+
+// ReadSystem reads what status --all --json wrote.
+func ReadSystem(raw []byte) (*System, error) {
+	s := &System{}
+	if err := json.Unmarshal(raw, s); err != nil {
+		return nil, fmt.Errorf("not the output of status --json: %w", err)
+	}
+	if len(s.Reports) == 0 {
+		return nil, fmt.Errorf("no reports in it")
+	}
+	return s, nil
+}
+
+// Make plans a step: "config" with a parsed configuration, "drain" or
+// "release" of a database, "lose" of a node, or "restart" of all.
+func (s *System) Make(step, what string, conf *catalogue.Configuration) (*Plan, error) {
+	p := s.Primary()
+	if p == nil {
+		return nil, fmt.Errorf("the view holds no archive with a lease: ask all members")
+	}
+	plan := &Plan{Step: strings.TrimSpace(step + " " + what), Conns: map[string]int{}, Headroom: map[string]int{}}
+	desks := len(s.nodes("desk"))
+	var lost string
+	switch step {
+	case "config":
+		plan.configure(p, conf)
+	case "drain", "release":
+		d, ok := p.Databases[what]
+		if !ok {
+			return nil, fmt.Errorf("no database %q", what)
+		}
+		lost = what
+		plan.release(p, d)
+	case "lose":
+		found := false
+		for _, r := range s.Reports {
+			if r.Node == what {
+				found = true
+				if r.Role == "desk" {
+					desks--
+				}
+				plan.lose(s, p, r)
+			}
+		}
+		if !found {
+			return nil, fmt.Errorf("no node %q", what)
+		}
+	case "restart":
+	default:
+		return nil, fmt.Errorf("unknown step %q", step)
+	}
+	if conf == nil {
+		conf = p.Config
+	}
+	plan.count(p, conf, desks, lost)
+	plan.Restart = s.restartOrder(p)
+	if len(s.Missing) > 0 {
+		plan.Warnings = append(plan.Warnings, fmt.Sprintf("%d members gave no report; the plan leaves them out", len(s.Missing)))
+	}
+	return plan, nil
+}
+
+func (s *System) nodes(role string) (out []*Report) {
+	for _, r := range s.Reports {
+		if r.Role == role {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (p *Plan) effect(format string, args ...any) {
+	p.Effects = append(p.Effects, fmt.Sprintf(format, args...))
+}
+
+func (p *Plan) warn(format string, args ...any) {
+	p.Warnings = append(p.Warnings, fmt.Sprintf(format, args...))
+}
+
+func (p *Plan) configure(r *Report, conf *catalogue.Configuration) {
+	old := map[string]catalogue.Route{}
+	if r.Config != nil {
+		if conf.Rev <= r.Config.Rev {
+			p.warn("version %d would be refused: %d is in force", conf.Rev, r.Config.Rev)
+		}
+		for _, o := range r.Config.Routes {
+			old[o.Host+o.Prefix] = o
+		}
+	}
+	for _, n := range conf.Routes {
+		switch o, ok := old[n.Host+n.Prefix]; {
+		case !ok:
+			p.effect("route %s is added, to %s as %s", n.Host, n.Service, n.Type)
+		case o != n:
+			p.effect("route %s changes", n.Host)
+		}
+		delete(old, n.Host+n.Prefix)
+	}
+	for _, o := range old {
+		p.effect("route %s is removed", o.Host)
+	}
+	slices.Sort(p.Effects)
+}
+
+func (p *Plan) release(r *Report, d accessions.Database) {
+	if r.Leads[d.Service].ID != d.ID {
+		p.effect("%s is a replica of %s: its reads go to the others", d.ID, d.Service)
+		return
+	}
+	var next, silent []string
+	for id, o := range r.Databases {
+		if o.Service != d.Service || id == d.ID || o.Gone {
+			continue
+		}
+		if _, down := r.Down[id]; down {
+			silent = append(silent, id)
+		} else if !o.Draining {
+			next = append(next, id)
+		}
+	}
+	slices.Sort(next)
+	p.effect("the lead of %s moves to the furthest of %v", d.Service, next)
+	if len(next) == 0 {
+		p.warn("nobody can follow %s", d.ID)
+	}
+	if len(silent) > 0 {
+		p.warn("%v are down: should %s fail before it has handed over, the move waits for them", silent, d.ID)
+	}
+}
+
+func (p *Plan) lose(s *System, prim, r *Report) {
+	p.effect("%s %s is lost", r.Role, r.Node)
+	if r.Role != "archive" {
+		return
+	}
+	switch r.Addr {
+	case prim.View.Primary.Addr:
+		p.effect("%s, the backup, takes over after the lease", prim.View.Backup.Name)
+	case prim.View.Backup.Addr:
+		p.effect("the primary takes another backup")
+	}
+	left := 0
+	for _, e := range prim.Electors {
+		for _, a := range s.nodes("archive") {
+			if a.Addr == e && a.Addr != r.Addr {
+				left++
+			}
+		}
+	}
+	switch need := len(prim.Electors)/2 + 1; {
+	case left < need:
+		p.warn("only %d of %d electors remain: no lease could be granted", left, len(prim.Electors))
+	case int64(left-need) < prim.Tolerates:
+		p.effect("%d of %d electors remain; %d more may be lost, of the %d to be tolerated", left, len(prim.Electors), left-need, prim.Tolerates)
+	}
+	if len(s.nodes("archive")) <= 2 {
+		p.warn("without a backup nothing can be acknowledged")
+	}
+}
+
+func (p *Plan) count(r *Report, conf *catalogue.Configuration, desks int, lost string) {
+	if conf == nil {
+		return
+	}
+	for _, svc := range conf.Services {
+		p.Conns[svc.Name] = subscription.Split(svc.MaxConns, desks)
+		for id, d := range r.Databases {
+			if d.Service == svc.Name && id != lost && !d.Gone && !d.Draining {
+				p.Headroom[svc.Name] += d.Slots
+			}
+		}
+	}
+}
+
+// restartOrder: desks zone by zone, then archives, the primary last of all
+// and its backup before it.
+func (s *System) restartOrder(p *Report) (out []string) {
+	for _, d := range s.nodes("desk") {
+		out = append(out, "desk "+d.Node)
+	}
+	var last []string
+	for _, a := range s.nodes("archive") {
+		switch a.Addr {
+		case p.View.Primary.Addr:
+			last = append(last, "archive "+a.Node)
+		case p.View.Backup.Addr:
+			last = append([]string{"archive " + a.Node}, last...)
+		default:
+			out = append(out, "archive "+a.Node)
+		}
+	}
+	return append(out, last...)
+}
+
+// Print writes the plan for people.
+func (p *Plan) Print(w io.Writer) {
+	fmt.Fprintln(w, "step:", p.Step)
+	for _, e := range p.Effects {
+		fmt.Fprintln(w, "  effect:", e)
+	}
+	for _, e := range p.Warnings {
+		fmt.Fprintln(w, "  warning:", e)
+	}
+	for _, svc := range slices.Sorted(maps.Keys(p.Conns)) {
+		fmt.Fprintf(w, "  %s: %d connections per desk and database, %d slots\n", svc, p.Conns[svc], p.Headroom[svc])
+	}
+	fmt.Fprintln(w, "  restart one after another:", strings.Join(p.Restart, ", "))
+}
--- /dev/null
+++ b/internal/toolbox/replay.go
@@ -0,0 +1,134 @@
+package toolbox
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/foundation"
+)
+
+// Replayed is what a recording showed.
+type Replayed struct {
+	Records int    `json:"records"`
+	CutOff  bool   `json:"cut_off,omitempty"` // the last record is not whole
+	Broken  int    `json:"broken,omitempty"`  // record at which a rule was first broken
+	Rule    string `json:"rule,omitempty"`
+}
+
+// Replay plays a recording through the decisions' own code, writes the changes
+// of state to w and checks what must hold at each record.
+func Replay(raw []byte, w io.Writer) (*Replayed, error) {
+	lines := bytes.SplitAfter(raw, []byte("\n"))
+	var head foundation.RecordingHead
+	if json.Unmarshal(lines[0], &head) != nil || head.Recording == 0 {
+		return nil, fmt.Errorf("not a recording")
+	}
+	if head.Recording > foundation.RecordingFormat {
+		return nil, fmt.Errorf("a recording of format %d; this program reads up to %d", head.Recording, foundation.RecordingFormat)
+	}
+	p := &player{w: w, c: conservator.NewCoordinator()}
+	out := &Replayed{}
+	for _, line := range lines[1:] {
+		if len(line) == 0 {
+			continue
+		}
+		var r foundation.Record
+		if line[len(line)-1] != '\n' {
+			out.CutOff = true
+			break
+		}
+		if err := json.Unmarshal(line, &r); err != nil {
+			return nil, fmt.Errorf("record %d: %w", out.Records+1, err)
+		}
+		out.Records++
+		rule, err := p.play(r)
+		if err != nil {
+			return nil, fmt.Errorf("record %d: %w", out.Records, err)
+		}
+		if rule != "" && out.Broken == 0 {
+			out.Broken, out.Rule = out.Records, rule
+		}
+	}
+	return out, nil
+}
+
+type player struct {
+	w     io.Writer
+	c     *conservator.Coordinator
+	at    foundation.Micros
+	epoch int64
+}
+
+// play returns the rule that the record breaks, if it does.
+func (p *player) play(r foundation.Record) (rule string, err error) {
+	if r.At < p.at {
+		return "time goes back", nil
+	}
+	p.at = r.At
+	switch r.Kind {
+	case conservator.EventKind:
+		var e conservator.Event
+		if err := json.Unmarshal(r.Body, &e); err != nil {
+			return "", err
+		}
+		return p.health(e), nil
+	case custodian.ChoiceKind:
+		var c custodian.Choice
+		if err := json.Unmarshal(r.Body, &c); err != nil {
+			return "", err
+		}
+		return p.choice(c), nil
+	}
+	return "", fmt.Errorf("unknown kind %q", r.Kind)
+}
+
+func (p *player) health(e conservator.Event) string {
+	up, gen := p.c.Up(e.Database)
+	if e.Generation > gen {
+		return fmt.Sprintf("an event of %s under generation %d, before there is one after %d", e.Database, e.Generation, gen)
+	}
+	changed := p.c.Apply(e)
+	nowUp, now := p.c.Up(e.Database)
+	if changed {
+		fmt.Fprintf(p.w, "%d us: %s %s, generation %d, after %s\n", p.at, e.Database, map[bool]string{true: "up", false: "down"}[nowUp], now, e.Kind)
+	}
+	switch {
+	case e.Generation < gen && changed:
+		return "an event of an older generation counted"
+	case now < gen, now > gen+1, now > gen && !nowUp:
+		return "a generation does not rise by one with each recovery"
+	case up && !nowUp && e.Kind != "report" && (e.Kind != "checked" || e.OK):
+		return "a database went down without a fault or a failed check"
+	}
+	return ""
+}
+
+func (p *player) choice(c custodian.Choice) string {
+	to, why := custodian.Choose(c.Situation)
+	fmt.Fprintf(p.w, "%d us: lead of %s: %s\n", p.at, c.Service, cmpOr(to, "waits, "+why))
+	if c.Epoch < p.epoch {
+		return fmt.Sprintf("a choice in epoch %d after epoch %d", c.Epoch, p.epoch)
+	}
+	p.epoch = c.Epoch
+	if c.To == "" {
+		return ""
+	}
+	for _, copy := range c.Situation.Copies {
+		if copy.ID == c.To {
+			for _, o := range c.Situation.Copies {
+				if copy.Received.Less(o.Received) {
+					return fmt.Sprintf("%s was chosen, though %s had received more", c.To, o.ID)
+				}
+			}
+			if to == "" {
+				return fmt.Sprintf("%s was chosen, though %s", c.To, why)
+			}
+			return ""
+		}
+	}
+	return fmt.Sprintf("%s was chosen and did not answer", c.To)
+}
--- /dev/null
+++ b/internal/toolbox/report.go
@@ -0,0 +1,95 @@
+// Package toolbox holds the tools round the daemons: check, plan, replay and
+// status, on the daemons' own packages.
+package toolbox
+
+import (
+	"context"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/charter"
+	"indigowalk/internal/circulation"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/subscription"
+	"indigowalk/internal/vault"
+)
+
+const statusOp = "status"
+
+// Report is one process's view.
+type Report struct {
+	Node      string                         `json:"node"`
+	Role      string                         `json:"role"`
+	Addr      string                         `json:"addr"`
+	Zone      string                         `json:"zone"`
+	Tolerates int64                          `json:"tolerates"` // machines with a disk that may be lost at once
+	Members   []circulation.Member           `json:"members"`
+	Epoch     int64                          `json:"epoch"`
+	Rev       int64                          `json:"rev"`
+	LeaseUs   foundation.Micros              `json:"lease_us"` // vault's lease, or a desk's read lease
+	View      *vault.View                    `json:"view,omitempty"`
+	Electors  []string                       `json:"electors,omitempty"`
+	Config    *catalogue.Configuration       `json:"config,omitempty"`
+	Databases map[string]accessions.Database `json:"databases,omitempty"`
+	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
+	Roles     map[string]string              `json:"roles,omitempty"` // as the databases see themselves
+	Down      map[string]int64               `json:"down,omitempty"`  // with the generation
+	Conns     map[string][2]int              `json:"conns,omitempty"` // open and idle, by database
+	Counters  map[string]int64               `json:"counters"`
+}
+
+func init() {
+	foundation.Register(foundation.Plugin{
+		Name: "status", Rank: 90, Roles: []string{"desk", "archive"},
+		Build: func(k *foundation.Kernel) error {
+			b := foundation.Need[*loan.Branch](k)
+			loan.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
+			return nil
+		},
+	})
+}
+
+func report(k *foundation.Kernel, b *loan.Branch) (*Report, error) {
+	s := foundation.Need[*charter.Book](k).Now()
+	r := &Report{
+		Node: s.NodeName, Role: k.Role, Addr: b.Addr(), Zone: s.Zone, Tolerates: s.TolerateHosts,
+		Members: foundation.Need[*circulation.Ring](k).Members(),
+		Down:    foundation.Need[*conservator.Conservator](k).Down(), Counters: k.Counters.Snapshot(),
+	}
+	if k.Role == "desk" {
+		r.Epoch, _, r.Rev, r.LeaseUs = foundation.Need[*subscription.Card](k).Version()
+		r.Conns = foundation.Need[*shelf.Shelf](k).Counts()
+		return r, nil
+	}
+	v := foundation.Need[*vault.Vault](k)
+	view, _ := v.Primary()
+	r.View, r.Epoch, r.Electors = &view, view.Epoch, v.Electors()
+	if _, r.LeaseUs = v.Lease(); r.LeaseUs == 0 {
+		return r, nil
+	}
+	state, err := v.Durable()
+	if err != nil {
+		return r, nil // it has just ceased to be the primary
+	}
+	if _, r.Config, err = catalogue.Decode(state.Entries[catalogue.Key]); err != nil {
+		return nil, err
+	}
+	if r.Config != nil {
+		r.Rev = r.Config.Rev
+	}
+	if r.Databases, err = accessions.Decode(state.Entries); err != nil {
+		return nil, err
+	}
+	if r.Leads, err = custodian.Decode(state.Entries); err != nil {
+		return nil, err
+	}
+	r.Roles = map[string]string{}
+	for id, soft := range foundation.Need[*accessions.Accessions](k).Soft() {
+		r.Roles[id] = soft.Role
+	}
+	return r, nil
+}
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -23,8 +23,8 @@
 // written as such. It is reported and never read as an empty store.
 var ErrDamaged = errors.New("vault: store damaged")
 
-// storeFile is the name of the store in the data folder.
-const storeFile = "vault.db"
+// StoreFile is the name of the store in the data folder.
+const StoreFile = "vault.db"
 
 // maxTorn is the longest tail that a power loss can have torn: one record of
 // the whole control state. More than that missing is damage.
@@ -50,7 +50,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("vault: %w", err)
 	}
-	s := &Store{path: filepath.Join(dir, storeFile)}
+	s := &Store{path: filepath.Join(dir, StoreFile)}
 	raw, err := os.ReadFile(s.path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("vault: %w", err)
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -169,6 +169,9 @@
 	return v.electors
 }
 
+// Electors returns the inner addresses of the electors.
+func (v *Vault) Electors() []string { return v.electorAddrs() }
+
 // Self is this archive as a member.
 func (v *Vault) Self() Member { return v.self }
 
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -27,7 +27,7 @@
 		t.Fatal(err)
 	}
 	s.Close()
-	path := filepath.Join(dir, storeFile)
+	path := filepath.Join(dir, StoreFile)
 	whole, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	s.Close()
-	path := filepath.Join(dir, storeFile)
+	path := filepath.Join(dir, StoreFile)
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
