A draining replica is paused and left out before it ends

It is now paused as soon as it drains, and left out of the next move once all others hold what the lead does. Ruled out: dropping it when it deregisters, which could lose a commit.

--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -30,6 +30,9 @@
 	// Gone says that it will not be back. The custodian removes it once the
 	// others hold all that it may have held.
 	Gone bool `json:"gone,omitempty"`
+	// Out is the turn of a move of the lead in which a draining replica need
+	// not be heard: it was paused before, and the others hold all that it may.
+	Out int64 `json:"out,omitempty"`
 }
 
 // Beat is what a database sends.
@@ -130,7 +133,7 @@
 		if err := json.Unmarshal(have, &old); err != nil {
 			return fmt.Errorf("%w: %v", ErrUnavailable, err)
 		}
-		if want.Was = old.Was; want == old {
+		if want.Was, want.Out = old.Was, old.Out; want == old {
 			return nil
 		}
 	}
@@ -174,19 +177,29 @@
 	} else if have == nil {
 		return nil
 	}
+	return a.edit(ctx, id, func(d *Database) { d.Gone = true }, "database gone")
+}
+
+// LeaveOut notes that a draining replica need not be heard in that turn.
+func (a *Accessions) LeaveOut(ctx context.Context, id string, turn int64) error {
+	return a.edit(ctx, id, func(d *Database) { d.Out = turn }, "draining database left out")
+}
+
+// edit changes the entry of a database, if there is one.
+func (a *Accessions) edit(ctx context.Context, id string, f func(*Database), msg string) error {
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		known, err := Decode(entries)
 		if err != nil {
 			return nil, err
 		}
 		d, ok := known[id]
-		if !ok || d.Gone {
+		if !ok {
 			return nil, nil
 		}
-		d.Gone = true
+		f(&d)
 		raw, err := json.Marshal(d)
 		return map[string]json.RawMessage{keyPrefix + id: raw}, err
-	}, "database gone", "id", id)
+	}, msg, "id", id)
 }
 
 // Remove forgets a database that is gone and held nothing that the others do
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -399,7 +399,9 @@
 			sit.Held, newest = &row.received, max(newest, row.term)
 		}
 	}
-	replicas := s.replicas(l.Service, l.ID)
+	replicas := slices.DeleteFunc(s.replicas(l.Service, l.ID), func(d accessions.Database) bool {
+		return d.Out == l.Turn
+	})
 	sit.Replicas = len(replicas)
 	conns := c.openAll(ctx, replicas)
 	defer closeAll(conns)
@@ -547,14 +549,14 @@
 // tidy makes a replica of every database that leads without being the lead,
 // and forgets those that are gone.
 func (c *Custodian) tidy(ctx context.Context, s *scene, l Lead) {
-	gone := false
+	ending := false
 	for _, d := range s.replicas(l.Service, l.ID) {
-		gone = gone || d.Gone
+		ending = ending || d.Gone || d.Draining && d.Out != l.Turn+1
 		if s.soft[d.ID].Role == "primary" && l.Term != 0 && !d.Gone && c.due("demote "+d.ID) {
 			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
 		}
 	}
-	if gone && c.due("retire "+l.Service) {
+	if ending && c.due("retire "+l.Service) {
 		c.spawn(l.Service, func() error { return c.retire(ctx, s, l) })
 	}
 }
@@ -571,34 +573,60 @@
 	return true
 }
 
-// retire removes the databases that are gone once every other replica has
-// received all that the lead holds: then none of them can have held an
-// acknowledged commit that the others lack.
+// retire sees to it that a replica that ends is not needed: one that drains is
+// paused, so that no commit is acknowledged for its sake alone, and once every
+// other replica has received all that the lead holds it is left out of the
+// next move, or removed if it is gone.
 func (c *Custodian) retire(ctx context.Context, s *scene, l Lead) error {
 	lead, there := s.databases[l.ID]
 	if !there {
 		return errNotYet
 	}
-	row, err := c.ask(ctx, lead, "STAT")
-	if err != nil || !row.primary {
-		return errNotYet
-	}
-	var gone, rest []accessions.Database
+	var ending, rest []accessions.Database
 	for _, d := range s.replicas(l.Service, l.ID) {
-		if d.Gone {
-			gone = append(gone, d)
+		if d.Gone || d.Draining {
+			ending = append(ending, d)
 		} else {
 			rest = append(rest, d)
 		}
 	}
-	rows := c.askAll(ctx, rest, "STAT")
+	if len(rest) == 0 {
+		return errNotYet // somebody must go on receiving
+	}
+	newest := l.Term
+	rows := c.askAll(ctx, append(slices.Clone(rest), ending...), "STAT")
+	for _, r := range rows {
+		newest = max(newest, r.term, r.held)
+	}
+	ended := map[string]bool{}
+	for _, d := range ending {
+		if d.Gone {
+			ended[d.ID] = true
+		} else if row, err := c.ask(ctx, d, "PAUSE "+strconv.FormatInt(newest+1, 10)); err == nil && row.held == newest+1 {
+			ended[d.ID] = true
+		}
+	}
+	row, err := c.ask(ctx, lead, "STAT")
+	if err != nil || !row.primary {
+		return errNotYet
+	}
+	rows = c.askAll(ctx, rest, "STAT")
 	for _, d := range rest {
 		if r, ok := rows[d.ID]; !ok || r.received.Less(row.received) {
 			return errNotYet
 		}
 	}
-	for _, d := range gone {
-		if err := c.acc.Remove(ctx, d.ID); err != nil {
+	for _, d := range ending {
+		var err error
+		switch {
+		case !ended[d.ID]:
+			continue
+		case d.Gone:
+			err = c.acc.Remove(ctx, d.ID)
+		default:
+			err = c.acc.LeaveOut(ctx, d.ID, l.Turn+1)
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -158,6 +158,24 @@
 	})
 }
 
+// A replica that drains and ends must not be waited for when the lead fails
+// just then.
+func TestLeadFailsWhileOneReplicaEnds(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.Add("ledger-4", "10.4.64.9", "z4", "replica").Deaf(false)
+			time.Sleep(2 * time.Second)
+			g.DB(2).Drain()
+			time.Sleep(3 * time.Second)
+			lead := g.Lead()
+			lead.Crash(true)
+			g.DB(2).Crash(false)
+			w.Until("the next lead", 4*time.Second, func() bool { l := g.Lead(); return l != nil && l != lead })
+		})
+		served(t, l, 3*time.Second)
+	})
+}
+
 func TestVaultPrimaryLostWithItsDisk(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		l := under(w, g, func() {
