Try: statements wait at the desk by urgency, two databases' slots in all under way

A limit of two per desk holds statements up behind one lost or slow answer while the database has slots free.

--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -23,6 +23,7 @@
 	OpenWait foundation.Micros // for the log-in too
 	IdleFor  foundation.Micros // after which a spare connection is closed
 	Share    func(service string) int
+	Desks    func() int // live desks, this one included
 }
 
 // Shelf holds this desk's server connections to all databases.
@@ -43,6 +44,7 @@
 	opening int
 	waiting []*waiter
 	fullTil foundation.Micros // the database refused more connections
+	gate    Turnstile
 }
 
 type waiter struct {
@@ -101,14 +103,30 @@
 	p.waiting = nil
 }
 
-// Busy returns how many connections to the database are borrowed or awaited.
+// Busy returns how many statements are under way at the database, or wait to
+// be.
 func (s *Shelf) Busy(id string) int {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p := s.pools[id]; p != nil {
-		return p.open - len(p.idle) + len(p.waiting)
+	p := s.pools[id]
+	s.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	return p.gate.Load()
+}
+
+// leastInside is how many statements a desk may always have under way.
+const leastInside = 2
+
+// Enter waits until the connection may run a statement, and returns what is to
+// be called when it has. The desks together may have twice a database's slots
+// under way.
+func (s *Shelf) Enter(c *Conn, prio int, usual, wait foundation.Micros) (leave func(), err error) {
+	limit := max(leastInside, (2*c.DB.Slots+s.cfg.Desks()-1)/s.cfg.Desks())
+	if err := c.home.gate.Pass(limit, prio, usual, wait); err != nil {
+		return nil, err
 	}
-	return 0
+	return sync.OnceFunc(c.home.gate.Leave), nil
 }
 
 // Counts returns the open and idle connections by database.
