--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -150,11 +150,6 @@
 	if err == nil && a.Code == "" && a.State == 'T' {
 		return false, nil
 	}
-	if errors.Is(err, errNoPlace) {
-		t.letGo(true)
-		j.s.tx = nil
-		return false, j.refuse()
-	}
 	if err != nil {
 		j.lost(t, err)
 	} else {
@@ -181,9 +176,7 @@
 		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation), silent)
 		j.shun(t.conn.DB.ID)
 	}
-	if !errors.Is(err, errNoPlace) {
-		t.conn.Close()
-	}
+	t.conn.Close()
 	j.tries++
 }
 
@@ -228,7 +221,7 @@
 			s.d.k.Counters.Add("desk.unknown", 1)
 			return refusal(folio.Unknown, "no answer to COMMIT", 'I'), false
 		}
-		t.letGo(errors.Is(err, errNoPlace))
+		t.letGo(false)
 		if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
 			return nil, true
 		}
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -41,12 +41,6 @@
 // taken for lost, or its database for silent.
 const quietTimes = 4
 
-// lostTimes is how many more quiets a statement counts as under way.
-const lostTimes = 3
-
-// underWay is more urgent than any route's prio.
-const underWay = -1
-
 // allowance bounds how many statements are sent a second time: a share of all,
 // so that a database that is slow under load is not loaded with more.
 type allowance struct {
@@ -196,18 +190,10 @@
 	if !choice.Primary && !leased && choice.After != (folio.Position{}) {
 		text = "WAITPOS " + choice.After.String() + " " + text
 	}
-	prio, hold := j.route.Prio, min(j.giveUp, j.deadline)-j.now()
-	if leased {
-		prio, hold = underWay, j.left() // what is begun is to end
-	}
-	leave, err := d.shelf.Enter(conn, prio, d.aid.Usual(j.route.Name), hold)
-	if err != nil {
-		return nil, errors.Join(errUnsent, errNoPlace)
-	}
-	defer leave()
 	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
 	send := func() error { return conn.Send(msg, 1) }
 	sent := j.now()
+	var err error
 	gated := choice.Primary && !leased
 	if gated {
 		sent, err = d.card.Send(j.route.Service, choice.Database.ID, send)
@@ -220,7 +206,6 @@
 	watch := shelf.Watch{Quiet: max(d.cfg.Quiet, quietTimes*d.aid.Usual(j.route.Name)), Doubt: func() bool {
 		_, gen := b.Bound()
 		d.health.Report(choice.Database.ID, min(gen, conn.Generation), false)
-		time.AfterFunc((lostTimes * d.cfg.Quiet).Duration(), leave)
 		return !j.twice || !d.second.take()
 	}}
 	if !j.write && j.q.Verb != folio.Commit {
@@ -324,9 +309,6 @@
 		_, gen := b.Bound()
 		d.health.Report(id, min(gen, conn.Generation), silent)
 	}
-	if errors.Is(err, errNoPlace) {
-		return j.refuse(), false
-	}
 	if !errors.Is(err, subscription.ErrNoLease) {
 		conn.Close()
 	}
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -6,7 +6,6 @@
 
 	"indigowalk/internal/accessions"
 	"indigowalk/internal/charter"
-	"indigowalk/internal/circulation"
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/vault"
@@ -21,12 +20,10 @@
 		Name: "shelf", Rank: 50, Roles: []string{"desk"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
-			ring := foundation.Need[*circulation.Ring](k)
 			sh := New(k, Config{
 				Who: s.NodeName, Silence: charter.Span(s.SilenceMs), Connect: charter.Span(s.CheckWaitMs), OpenWait: 2 * foundation.Second,
 				IdleFor: 15 * foundation.Second,
 				Share:   func(svc string) int { return foundation.Need[Share](k)(svc) },
-				Desks:   func() int { return 1 + len(ring.Peers("desk")) },
 			}, foundation.Need[*conservator.Conservator](k))
 			foundation.Offer(k, sh)
 			foundation.Offer[conservator.Checker](k, sh.Check)
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -23,7 +23,6 @@
 	OpenWait foundation.Micros // for the log-in too
 	IdleFor  foundation.Micros // after which a spare connection is closed
 	Share    func(service string) int
-	Desks    func() int // live desks, this one included
 }
 
 // Shelf holds this desk's server connections to all databases.
@@ -44,7 +43,6 @@
 	opening int
 	waiting []*waiter
 	fullTil foundation.Micros // the database refused more connections
-	gate    Turnstile
 }
 
 type waiter struct {
@@ -103,30 +101,14 @@
 	p.waiting = nil
 }
 
-// Busy returns how many statements are under way at the database, or wait to
-// be.
+// Busy returns how many connections to the database are borrowed or awaited.
 func (s *Shelf) Busy(id string) int {
 	s.mu.Lock()
-	p := s.pools[id]
-	s.mu.Unlock()
-	if p == nil {
-		return 0
-	}
-	return p.gate.Load()
-}
-
-// leastInside is how many statements a desk may always have under way.
-const leastInside = 2
-
-// Enter waits until the connection may run a statement, and returns what is to
-// be called when it has. The desks together may have twice a database's slots
-// under way.
-func (s *Shelf) Enter(c *Conn, prio int, usual, wait foundation.Micros) (leave func(), err error) {
-	limit := max(leastInside, (2*c.DB.Slots+s.cfg.Desks()-1)/s.cfg.Desks())
-	if err := c.home.gate.Pass(limit, prio, usual, wait); err != nil {
-		return nil, err
+	defer s.mu.Unlock()
+	if p := s.pools[id]; p != nil {
+		return p.open - len(p.idle) + len(p.waiting)
 	}
-	return sync.OnceFunc(c.home.gate.Leave), nil
+	return 0
 }
 
 // Counts returns the open and idle connections by database.
