--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -80,6 +80,7 @@
 	Connect     foundation.Micros // for a connection to a database
 	AskWait     foundation.Micros // for one answer of a database
 	Silence     foundation.Micros
+	BeatWait    foundation.Micros // for the beat of a promoted database, before it is asked
 }
 
 // Custodian is the archive's side of failover.
@@ -405,16 +406,27 @@
 	sit.Replicas = len(replicas)
 	conns := c.openAll(ctx, replicas)
 	defer closeAll(conns)
-	for _, row := range c.sayAll(conns, "STAT") {
-		newest, held = max(newest, row.term), max(held, row.held)
-	}
-	hold := max(newest, held) + 1
+	// PAUSE takes no slot and answers what STAT does; the positions told at
+	// log-in name the terms. STAT, for which an overloaded replica has no
+	// slot, is asked only if one is paused at a higher term already.
+	hold := max(newest, l.Hold, loginTerm(conns)) + 1
 	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
+	if len(rows) < len(conns) {
+		for _, row := range c.sayAll(conns, "STAT") {
+			newest, held = max(newest, row.term), max(held, row.held)
+		}
+		hold = max(hold, newest, held) + 1
+		rows = c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
+	}
+	for _, row := range rows {
+		newest = max(newest, row.term)
+	}
 	for _, d := range replicas {
 		if row, ok := rows[d.ID]; ok && row.held == hold {
 			sit.Copies = append(sit.Copies, Copy{d.ID, row.received, d.Draining})
 		}
 	}
+	l.Hold = hold
 	to, refusal := Choose(sit)
 	epoch, _ := c.v.Lease()
 	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to})
@@ -443,6 +455,16 @@
 	return err
 }
 
+// loginTerm is the newest term that the databases told at the log-in.
+func loginTerm(conns map[string]*shelf.Conn) (term int64) {
+	for _, conn := range conns {
+		if pos, ok := folio.ParsePosition(conn.Login); ok {
+			term = max(term, pos.Term)
+		}
+	}
+	return term
+}
+
 // sayOnce logs why a move waits, once for each reason.
 func (c *Custodian) sayOnce(l *Lead, reason string, attrs ...any) {
 	key := fmt.Sprint(l.Service, l.Turn, reason)
@@ -476,6 +498,7 @@
 	}
 	to, there := s.databases[l.To]
 	err := errNotRunning
+	was := c.acc.Soft()[l.To]
 	if there {
 		err = c.call(ctx, l)
 	}
@@ -490,7 +513,7 @@
 	if err != nil {
 		return err
 	}
-	if l.Term, err = c.awaitPromotion(ctx, to, l.Term); err != nil {
+	if l.Term, err = c.awaitPromotion(ctx, to, was, l.Term); err != nil {
 		return err
 	}
 	old := l.ID
@@ -511,29 +534,26 @@
 }
 
 // awaitPromotion waits until the database leads a newer term. Its own beat,
-// which a change of role sends at once, is the sign to ask.
-func (c *Custodian) awaitPromotion(ctx context.Context, to accessions.Database, over int64) (int64, error) {
-	conn, err := c.open(ctx, to)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
+// which a change of role sends at once, tells; if none comes it is asked.
+func (c *Custodian) awaitPromotion(ctx context.Context, to accessions.Database, was accessions.Soft, over int64) (int64, error) {
 	end := c.k.Clock.Now() + 3*foundation.Second
 	for c.k.Clock.Now() < end && ctx.Err() == nil {
 		changed := c.acc.Changed()
-		row, err := c.say(conn, "STAT")
-		if err == nil && row.primary && row.term > over {
-			return row.term, nil
-		}
-		if err != nil {
-			return 0, err
+		if now := c.acc.Soft()[to.ID]; now.Role == "primary" && was.Role == "replica" {
+			return over + 1, nil
 		}
-		t := time.NewTimer((200 * foundation.Millisecond).Duration())
+		t := time.NewTimer(c.cfg.BeatWait.Duration())
 		select {
 		case <-changed:
+			t.Stop()
+			continue
 		case <-t.C:
 		}
-		t.Stop()
+		if row, err := c.ask(ctx, to, "STAT"); err != nil {
+			return 0, err
+		} else if row.primary && row.term > over {
+			return row.term, nil
+		}
 	}
 	return 0, errNotYet
 }
--- a/internal/custodian/plugin.go
+++ b/internal/custodian/plugin.go
@@ -17,7 +17,7 @@
 			foundation.Offer(k, readers)
 			c := New(k, Config{
 				Name: s.NodeName, Platform: s.Platform, ReaderLease: charter.Span(s.ReaderLeaseMs),
-				Connect: charter.Span(s.CheckWaitMs), AskWait: foundation.Second, Silence: charter.Span(s.SilenceMs),
+				Connect: charter.Span(s.CheckWaitMs), AskWait: foundation.Second, BeatWait: 700 * foundation.Millisecond, Silence: charter.Span(s.SilenceMs),
 			}, foundation.Need[*vault.Vault](k), foundation.Need[*accessions.Accessions](k),
 				foundation.Need[*conservator.Conservator](k), readers)
 			k.Supervise("custodian", c.Serve)
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -32,7 +32,8 @@
 // Conn is one connection to a database.
 type Conn struct {
 	DB         accessions.Database
-	Generation int64 // of the database when the connection was opened
+	Generation int64  // of the database when the connection was opened
+	Login      string // position that the database told at the log-in
 
 	c       net.Conn
 	answers chan *folio.Answer
@@ -83,8 +84,9 @@
 		c.Close()
 		return nil, fmt.Errorf("%w: %s", ErrRejected, rest)
 	}
+	_, pos := folio.Word(rest)
 	s := &Conn{
-		DB: db, c: c, answers: make(chan *folio.Answer, maxBatch), dead: make(chan struct{}),
+		DB: db, Login: string(pos), c: c, answers: make(chan *folio.Answer, maxBatch), dead: make(chan struct{}),
 		values: map[string]string{}, names: map[string]string{}, state: 'I',
 	}
 	go s.listen(r)
