--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -43,7 +43,6 @@
 	ended    foundation.Bell
 
 	second allowance
-	strain *strain
 
 	statements, retries *atomic.Int64
 }
@@ -52,7 +51,7 @@
 func New(k *foundation.Kernel, cfg Config, card *subscription.Card, aid *findingaid.Aid, sh *shelf.Shelf, health *conservator.Conservator) *Desk {
 	return &Desk{
 		k: k, cfg: cfg, card: card, aid: aid, shelf: sh, health: health,
-		sessions: map[*session]struct{}{}, strain: newStrain(k.Clock),
+		sessions:   map[*session]struct{}{},
 		statements: k.Counters.Of("desk.statements"),
 		retries:    k.Counters.Of("desk.retries"),
 	}
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -138,10 +138,6 @@
 	for {
 		changed, health := d.card.Changed(), d.health.Changed()
 		c, ok := d.place(j.request(write))
-		if ok && j.sheds(c.Database.ID) {
-			d.k.Counters.Add("desk.shed", 1)
-			return nil, c, errNoPlace
-		}
 		if ok {
 			conn, err := d.shelf.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
 			if err == nil {
@@ -221,7 +217,6 @@
 	if err != nil {
 		return nil, err
 	}
-	j.felt(choice.Database.ID, j.now()-sent, a.Code == folio.Retry)
 	if a.Code == "" && !j.write && (j.q.Verb == folio.Fetch || j.q.Verb == folio.Run) {
 		d.aid.Took(j.route.Name, choice.Database.ID, j.now()-sent)
 	}
--- a/internal/findingaid/findingaid.go
+++ b/internal/findingaid/findingaid.go
@@ -70,18 +70,11 @@
 // what is usual on their route, of late; a pace not heard of for a while fades
 // to the usual, so that a slow database is tried again.
 const (
-	paceWeight = 0.15
-	usualStep  = 0.002
-	fades      = 1500 * foundation.Millisecond
+	paceWeight  = 0.15
+	usualWeight = 0.02
+	fades       = 1500 * foundation.Millisecond
 )
 
-// usual is a slow estimate of the median time of a route's reads: a few
-// seconds of trouble do not make the trouble usual.
-type usual struct {
-	seen int
-	span float64 // microseconds
-}
-
 type pace struct {
 	ratio float64
 	at    foundation.Micros
@@ -101,15 +94,15 @@
 	mu   sync.Mutex
 	seen map[string][]observation
 	lag  map[string]laggard
-	pace map[string]pace  // by database
-	used map[string]usual // by route
+	pace map[string]pace    // by database
+	used map[string]float64 // usual time by route, in microseconds
 }
 
 // New returns an aid without observations.
 func New(clock foundation.Clock) *Aid {
 	return &Aid{
 		clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{},
-		pace: map[string]pace{}, used: map[string]usual{},
+		pace: map[string]pace{}, used: map[string]float64{},
 	}
 }
 
@@ -167,19 +160,12 @@
 func (a *Aid) Took(route, id string, span foundation.Micros) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	u := a.used[route]
-	u.seen++
-	step := max(usualStep, 1/float64(u.seen))
-	switch {
-	case u.seen == 1:
-		u.span = float64(span)
-	case float64(span) > u.span:
-		u.span *= 1 + step
-	default:
-		u.span /= 1 + step
+	usual, known := a.used[route]
+	if !known {
+		usual = float64(span)
 	}
-	a.used[route] = u
-	usual := u.span
+	usual += usualWeight * (float64(span) - usual)
+	a.used[route] = usual
 	now := a.clock.Now()
 	r := a.pace[id].now(now)
 	a.pace[id] = pace{r + paceWeight*(float64(span)/max(usual, 1)-r), now}
@@ -189,7 +175,7 @@
 func (a *Aid) Usual(route string) foundation.Micros {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return foundation.Micros(a.used[route].span)
+	return foundation.Micros(a.used[route])
 }
 
 func (a *Aid) paceOf(id string) float64 {
