--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -157,6 +157,7 @@
 	First    foundation.Micros // until the first check after a local report
 	Check    Checker
 	Peers    func() []string
+	Archives func() []string // of the peers, those that may move a lead
 	Send     func(addr, kind string, body any)
 	Heed     func() bool // whether peers' notices matter to this process now
 }
@@ -267,7 +268,8 @@
 // is dropped: whoever meets the same fault next reports again. Sure faults
 // (silence, refusal) count at once. One broken connection alone may be that
 // connection's own trouble: such a fault counts after an own check, which a
-// database that crashed fails at once.
+// database that crashed fails at once. Archives hear of a doubt right away: their
+// own check then runs beside this one.
 func (s *Conservator) Report(id string, generation int64, sure bool) {
 	kind := "report"
 	if !sure {
@@ -336,6 +338,9 @@
 		if up, gen := s.c.Up(e.Database); up && e.Generation >= gen {
 			h.own = true
 			s.check(ctx, e.Database)
+			for _, a := range s.cfg.Archives() {
+				s.cfg.Send(a, NoticeKind, notice{e.Database})
+			}
 		}
 	case "notice":
 		s.k.Counters.Add("conservator.notices", 1)
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -66,10 +66,11 @@
 	k := foundation.NewKernel("desk", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	c := New(k, Config{
 		Interval: foundation.Second, First: 100 * foundation.Millisecond,
-		Check: func(context.Context, string) bool { checks.Add(1); return running.Load() },
-		Peers: func() []string { return []string{"p1", "p2"} },
-		Send:  func(_, kind string, _ any) { sent(kind) },
-		Heed:  func() bool { return true },
+		Check:    func(context.Context, string) bool { checks.Add(1); return running.Load() },
+		Peers:    func() []string { return []string{"p1", "p2"} },
+		Archives: func() []string { return nil },
+		Send:     func(_, kind string, _ any) { sent(kind) },
+		Heed:     func() bool { return true },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -34,9 +34,10 @@
 					defer cancel()
 					return foundation.Need[Checker](k)(ctx, id)
 				},
-				Peers: func() []string { return slices.Concat(ring.Peers("desk"), ring.Peers("archive")) },
-				Send:  ring.Send,
-				Heed:  heed,
+				Peers:    func() []string { return slices.Concat(ring.Peers("desk"), ring.Peers("archive")) },
+				Archives: func() []string { return ring.Peers("archive") },
+				Send:     ring.Send,
+				Heed:     heed,
 			})
 			ring.Handle(NoticeKind, c.Notified)
 			foundation.Offer(k, c)
