--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -35,6 +35,7 @@
 	Term    int64  `json:"term"`
 	Turn    int64  `json:"turn"` // rises with every move
 	Moving  bool   `json:"moving,omitempty"`
+	Failed  bool   `json:"failed,omitempty"` // moving, and the old lead does not answer
 	To      string `json:"to,omitempty"`
 	Called  bool   `json:"called,omitempty"` // the platform may have been called in this turn
 	Hold    int64  `json:"hold,omitempty"`   // term at which the replicas are paused
@@ -339,8 +340,10 @@
 		if !c.mustMove(s, l) {
 			return nil
 		}
+		old, there := s.databases[l.ID]
+		failed := !there || old.Gone || !c.health.Up(l.ID)
 		err := c.save(ctx, svc, func(l *Lead) error {
-			l.Moving, l.To, l.Called, l.Turn = true, "", false, l.Turn+1
+			l.Moving, l.Failed, l.To, l.Called, l.Turn = true, failed, "", false, l.Turn+1
 			return nil
 		})
 		if err != nil {
@@ -483,7 +486,7 @@
 	c.k.Log.Info("move called off", "service", l.Service, "why", why)
 	return c.save(ctx, l.Service, func(now *Lead) error {
 		if now.Turn == l.Turn && !now.Called {
-			now.Moving = false
+			now.Moving, now.Failed = false, false
 			*l = *now
 		}
 		return nil
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -231,7 +231,7 @@
 			continue
 		}
 		left := c.learnt[svc] + leaveWait - now
-		if _, isDown := down[l.ID]; c.inside[svc] == 0 || left <= 0 || isDown {
+		if _, isDown := down[l.ID]; c.inside[svc] == 0 || left <= 0 || isDown || l.Failed {
 			c.left[svc] = l.Turn
 			continue
 		}
