--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"strings"
 	"sync"
 
 	"indigowalk/internal/foundation"
@@ -85,17 +84,9 @@
 
 // Decode picks the databases out of the control state.
 func Decode(entries map[string]json.RawMessage) (map[string]Database, error) {
-	out := map[string]Database{}
-	for key, raw := range entries {
-		id, ok := strings.CutPrefix(key, keyPrefix)
-		if !ok {
-			continue
-		}
-		var d Database
-		if err := json.Unmarshal(raw, &d); err != nil {
-			return nil, fmt.Errorf("accessions: %s: %w", key, err)
-		}
-		out[id] = d
+	out, err := vault.Pick[Database](entries, keyPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("accessions: %w", err)
 	}
 	return out, nil
 }
--- a/internal/circulation/plugin.go
+++ b/internal/circulation/plugin.go
@@ -20,7 +20,7 @@
 			})
 			foundation.Offer(k, r)
 			k.Supervise("circulation", r.Serve)
-			k.OnLeave("circulation", r.Leave)
+			k.OnLeave(r.Leave)
 			return nil
 		},
 	})
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -52,17 +52,9 @@
 
 // Decode picks the leads out of the control state.
 func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
-	out := map[string]Lead{}
-	for key, raw := range entries {
-		svc, ok := strings.CutPrefix(key, keyPrefix)
-		if !ok {
-			continue
-		}
-		var l Lead
-		if err := json.Unmarshal(raw, &l); err != nil {
-			return nil, fmt.Errorf("custodian: %s: %w", key, err)
-		}
-		out[svc] = l
+	out, err := vault.Pick[Lead](entries, keyPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("custodian: %w", err)
 	}
 	return out, nil
 }
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -3,10 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strings"
 	"sync"
 
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
 )
 
 type reader struct {
@@ -97,17 +97,9 @@
 
 // Registered picks the desks, with their lives, out of the control state.
 func Registered(entries map[string]json.RawMessage) (map[string]int64, error) {
-	out := map[string]int64{}
-	for key, raw := range entries {
-		desk, ok := strings.CutPrefix(key, deskPrefix)
-		if !ok {
-			continue
-		}
-		var life int64
-		if err := json.Unmarshal(raw, &life); err != nil {
-			return nil, fmt.Errorf("custodian: %s: %w", key, err)
-		}
-		out[desk] = life
+	out, err := vault.Pick[int64](entries, deskPrefix)
+	if err != nil {
+		return nil, fmt.Errorf("custodian: %w", err)
 	}
 	return out, nil
 }
--- a/internal/desk/plugin.go
+++ b/internal/desk/plugin.go
@@ -33,7 +33,7 @@
 			}, foundation.Need[*subscription.Card](k), foundation.Need[*findingaid.Aid](k),
 				foundation.Need[*shelf.Shelf](k), foundation.Need[*conservator.Conservator](k))
 			k.Supervise("desk", d.Serve)
-			k.OnLeave("desk", d.Leave)
+			k.OnLeave(d.Leave)
 			k.Supervise("ready", func(ctx context.Context) error {
 				return d.serveReady(ctx, s.ReadyAddr)
 			})
--- a/internal/foundation/kernel.go
+++ b/internal/foundation/kernel.go
@@ -39,15 +39,10 @@
 
 	tree    *suture.Supervisor
 	offered map[reflect.Type]any
-	leaving []leaver
+	leaving []func(context.Context)
 	ends    []func() error
 }
 
-type leaver struct {
-	name string
-	f    func(context.Context)
-}
-
 // NewKernel returns a kernel for one process of the role.
 func NewKernel(role string, net Network, log *slog.Logger) *Kernel {
 	k := &Kernel{
@@ -82,9 +77,7 @@
 }
 
 // OnLeave registers a step of the orderly end; the steps run side by side.
-func (k *Kernel) OnLeave(name string, f func(context.Context)) {
-	k.leaving = append(k.leaving, leaver{name, f})
-}
+func (k *Kernel) OnLeave(f func(context.Context)) { k.leaving = append(k.leaving, f) }
 
 // Assemble builds the plug-ins of the kernel's role.
 func (k *Kernel) Assemble() error {
@@ -120,9 +113,9 @@
 // ctx is over.
 func (k *Kernel) Leave(ctx context.Context) {
 	done := make(chan struct{}, len(k.leaving))
-	for _, l := range k.leaving {
+	for _, f := range k.leaving {
 		go func() {
-			l.f(ctx)
+			f(ctx)
 			done <- struct{}{}
 		}()
 	}
--- a/internal/rehearsal/database.go
+++ b/internal/rehearsal/database.go
@@ -46,7 +46,6 @@
 	term     int64
 	held     int64
 	log      []entry // received
-	applied  int
 	deaf     bool
 	alive    bool
 	draining bool
@@ -334,7 +333,6 @@
 type dbSession struct {
 	d      *Database
 	state  byte
-	plain  bool
 	values map[string]string
 	names  map[string]string
 	writes []entry
--- a/internal/vault/elector.go
+++ b/internal/vault/elector.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 
 	"indigowalk/internal/foundation"
 )
@@ -163,5 +162,3 @@
 		foundation.Sleep(ctx, 500*foundation.Millisecond)
 	}
 }
-
-func (v *Vault) isElector() bool { return slices.Contains(v.electorAddrs(), v.self.Addr) }
--- a/internal/vault/plugin.go
+++ b/internal/vault/plugin.go
@@ -26,7 +26,7 @@
 			}
 			foundation.Offer(k, v)
 			k.Supervise("vault", v.Serve)
-			k.OnLeave("vault", v.Leave)
+			k.OnLeave(v.Leave)
 			k.OnEnd(v.Close)
 			return nil
 		},
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -8,6 +8,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,6 +46,24 @@
 	return n
 }
 
+// Pick decodes the entries whose keys begin with the prefix, by the rest of
+// their keys.
+func Pick[T any](entries map[string]json.RawMessage, prefix string) (map[string]T, error) {
+	out := map[string]T{}
+	for key, raw := range entries {
+		rest, ok := strings.CutPrefix(key, prefix)
+		if !ok {
+			continue
+		}
+		var v T
+		if err := json.Unmarshal(raw, &v); err != nil {
+			return nil, fmt.Errorf("vault: entry %s: %w", key, err)
+		}
+		out[rest] = v
+	}
+	return out, nil
+}
+
 type writeAsk struct {
 	Epoch   int64                      `json:"epoch"`
 	Seq     int64                      `json:"seq"`
