--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -42,7 +42,8 @@
 	sessions map[*session]struct{}
 	ended    foundation.Bell
 
-	second allowance
+	second  allowance
+	outages outages
 
 	statements, retries *atomic.Int64
 }
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -138,7 +138,10 @@
 	for {
 		changed, health := d.card.Changed(), d.health.Changed()
 		c, ok := d.place(j.request(write))
+		until := j.giveUp
+		what := outage{j.route.Service, write || j.route.Type == catalogue.Primary}
 		if ok {
+			d.outages.over(what)
 			conn, err := d.shelf.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
 			if err == nil {
 				return conn, c, nil
@@ -148,7 +151,10 @@
 			}
 			j.shun(c.Database.ID)
 		}
-		wait := min(j.giveUp-j.now(), 200*foundation.Millisecond)
+		if !ok {
+			until = min(until, d.outages.holdUntil(what, j.now(), j.received))
+		}
+		wait := min(until-j.now(), 200*foundation.Millisecond)
 		if wait <= 0 {
 			return nil, c, errNoPlace
 		}
