Rehearsals of a refusing platform and of faulty peers

Found: an archive whose lease runs took a copy of the state of a higher epoch from anyone. It is refused: nobody can have won an epoch meanwhile.

--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"strconv"
 	"strings"
@@ -12,6 +14,7 @@
 
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
 	"indigowalk/internal/toolbox"
 	"indigowalk/internal/vault"
 )
@@ -212,6 +215,79 @@
 	})
 }
 
+// A platform that is over its rate, down, silent, or says that the database
+// does not run, holds a move up and does not break it.
+func TestPlatformRefuses(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		old := g.Lead()
+		l := under(w, g, func() {
+			w.Refuse(429, 503, 0, 409)
+			old.Crash(false)
+			w.Until("the next lead", 8*time.Second, func() bool { l := g.Lead(); return l != nil && l != old })
+		})
+		served(t, l, 6*time.Second)
+		if n := w.Calls(); n < 5 || n > 8 {
+			t.Errorf("%d calls to the platform", n)
+		}
+	})
+}
+
+// What a faulty peer sends is counted and dropped.
+func TestFaultyPeer(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		k := w.Process("archive", z).Kernel
+		host := w.Net.Host("10.250.0.9")
+		for _, text := range []string{"{\n", `{"id":1,"op":"nothing"}` + "\n"} {
+			c, err := host.Dial(context.Background(), ip(z)+":7440", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Write([]byte(text))
+			if n, err := c.Read(make([]byte, 1)); err == nil {
+				t.Errorf("%q was answered with %d bytes", text, n)
+			}
+			c.Close()
+		}
+		u, err := host.ListenPacket("10.250.0.9:7440")
+		if err != nil {
+			t.Fatal(err)
+		}
+		u.WriteTo([]byte("noise"), address(ip(z)+":7440"))
+		u.WriteTo([]byte(`{"k":"fault","f":"10.250.0.9:7440","b":7}`), address(ip(z)+":7440"))
+		u.Close()
+
+		b := loan.NewBranch(foundation.NewKernel("peer", host, slog.New(slog.DiscardHandler)), "10.250.0.9:7440")
+		defer b.HangUp()
+		stranger := vault.Member{Name: "stranger", Addr: "10.250.0.9:7440", Disk: "foreign"}
+		for op, ask := range map[string]any{
+			"vault.write":       map[string]any{"epoch": 0, "seq": 1, "changes": map[string]any{"configuration": nil}},
+			"vault.copy":        map[string]any{"epoch": 99, "seq": 9},
+			"subscription.poll": map[string]any{"desk": "", "life": 0},
+		} {
+			var refused *loan.Refused
+			if err := b.Call(context.Background(), ip(z)+":7440", op, ask, nil, foundation.Second); !errors.As(err, &refused) {
+				t.Errorf("%s: %v", op, err)
+			}
+		}
+		var renewed struct{ Granted bool }
+		old := vault.View{Epoch: 0, Primary: stranger, Backup: stranger}
+		if err := b.Call(context.Background(), ip(z)+":7440", "vault.renew", map[string]any{"view": old}, &renewed, foundation.Second); err != nil || renewed.Granted {
+			t.Errorf("a stranger's lease: %v %v", renewed, err)
+		}
+		time.Sleep(time.Second)
+		n := k.Counters.Snapshot()
+		for _, c := range []string{"loan.malformed", "circulation.malformed", "conservator.malformed", "subscription.malformed", "vault.old_epoch_refused"} {
+			if n[c] == 0 {
+				t.Errorf("%s is not counted", c)
+			}
+		}
+		if vaultPrimary(w) != z || w.Fetch() != 1 {
+			t.Error("a stranger changed the control state")
+		}
+	})
+}
+
 // vaultPrimary returns the zone of the archive that leads, after checking that
 // there is at most one per epoch.
 func vaultPrimary(w *World) int {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -343,6 +343,33 @@
 	holder string
 	broken []string
 	calls  int
+	forced []int // answers given before any call is carried out
+}
+
+// Refuse has the platform answer the next calls with these codes; 0 leaves a
+// call unanswered.
+func (w *World) Refuse(codes ...int) {
+	w.platform.mu.Lock()
+	defer w.platform.mu.Unlock()
+	w.platform.forced = codes
+}
+
+// Calls is how often the platform was called.
+func (w *World) Calls() int {
+	w.platform.mu.Lock()
+	defer w.platform.mu.Unlock()
+	return w.platform.calls
+}
+
+func (p *platform) refusal() (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.forced) == 0 {
+		return 0, false
+	}
+	code := p.forced[0]
+	p.forced = p.forced[1:]
+	return code, true
 }
 
 func (p *platform) serve() {
@@ -357,6 +384,14 @@
 			return
 		}
 		p.check(q.Header.Get("X-Indigowalk-Duty-Holder"), q.Header.Get("X-Indigowalk-Fence"))
+		if code, ok := p.refusal(); ok {
+			if code == 0 {
+				<-q.Context().Done()
+				return
+			}
+			w.WriteHeader(code)
+			return
+		}
 		g := p.w.Groups[body.Svc]
 		if g == nil {
 			w.WriteHeader(http.StatusBadRequest)
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -659,7 +659,7 @@
 	if v.leaving {
 		return nil, errors.New("leaving")
 	}
-	if s.Epoch <= v.state.Epoch && v.state.Epoch > 0 {
+	if s.Epoch <= v.state.Epoch && v.state.Epoch > 0 || v.leads(v.k.Clock.Now()) {
 		v.k.Counters.Add("vault.old_epoch_refused", 1)
 		return nil, errors.New("old epoch")
 	}
