--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -61,7 +61,7 @@
 	ProbeMs       int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
 	CheckMs       int64 `key:"tune.check_ms" default:"1000" validate:"gte=20"`
 	CheckWaitMs   int64 `key:"tune.check_wait_ms" default:"150" validate:"gte=10"`
-	QuietMs       int64 `key:"tune.quiet_ms" default:"80" validate:"gte=10"`
+	QuietMs       int64 `key:"tune.quiet_ms" default:"100" validate:"gte=10"`
 	SilenceMs     int64 `key:"tune.silence_ms" default:"700" validate:"gte=50"`
 	RecordKB      int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
 }
