--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"indigowalk/internal/conservator"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/loan"
@@ -215,6 +216,65 @@
 	})
 }
 
+func TestSlowReplicaIsNotDown(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.DB(1).Slow(1500 * time.Millisecond)
+			time.Sleep(6 * time.Second)
+			for z := 1; z <= 4; z++ {
+				if h := foundation.Need[*conservator.Conservator](w.Process("desk", z).Kernel); !h.Up(g.DB(1).ID) {
+					t.Errorf("desk %d holds the slow replica as down", z)
+				}
+			}
+			g.DB(1).Slow(0)
+		})
+		served(t, l, 2*time.Second)
+	})
+}
+
+// A lost answer keeps its connection open: a read is sent once more, a write
+// stays unknown and is not.
+func TestLostAnswers(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		s, _ := w.Login(2, "p.ledger")
+		defer s.Close()
+		for range 20 {
+			s.Query("FETCH k")
+		}
+		g.Lead().Lose(1)
+		start := time.Now()
+		if a, _ := s.Query("FETCH k"); a.Code != "" || time.Since(start) > 300*time.Millisecond {
+			t.Errorf("a read whose answer was lost: %q after %v", a.Code, time.Since(start))
+		}
+		g.Lead().Lose(1)
+		if a, _ := s.Query("PUT k 1"); a.Code != folio.Unknown {
+			t.Errorf("a write whose answer was lost: %q", a.Code)
+		}
+		if a, _ := s.Query("FETCH k"); Row(a) != "1" {
+			t.Errorf("the write that ran shows as %s", a.Rows)
+		}
+	})
+}
+
+// A release right after the archives changed hands must not wait for leases
+// that desks have acknowledged leaving.
+func TestReleaseAfterHandOver(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		old := g.Lead()
+		l := under(w, g, func() {
+			z := vaultPrimary(w)
+			go func() {
+				time.Sleep(300 * time.Millisecond)
+				old.Drain()
+			}()
+			w.Process("archive", z).Term()
+			w.Start("archive", z, false)
+			w.Until("the next lead", 3*time.Second, func() bool { l := g.Lead(); return l != nil && l != old })
+		})
+		served(t, l, 1500*time.Millisecond)
+	})
+}
+
 // A platform that is over its rate, down, silent, or says that the database
 // does not run, holds a move up and does not break it.
 func TestPlatformRefuses(t *testing.T) {
--- a/internal/rehearsal/database.go
+++ b/internal/rehearsal/database.go
@@ -53,6 +53,39 @@
 	beatAddr string
 	stop     chan struct{}
 	ran      map[string]bool
+	slow     time.Duration // more time for every log-in and statement
+	lose     int           // answers to be lost, their connections kept
+}
+
+// Slow gives the database more work to do on everything.
+func (d *Database) Slow(more time.Duration) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.slow = more
+}
+
+// Lose has the next answers to reads and writes lost.
+func (d *Database) Lose(n int) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.lose = n
+}
+
+func (d *Database) work(t time.Duration) {
+	d.g.mu.Lock()
+	t += d.slow
+	d.g.mu.Unlock()
+	time.Sleep(t)
+}
+
+func (d *Database) loses(text []byte) bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.lose == 0 || !bytes.HasPrefix(text, []byte("FETCH")) && !bytes.HasPrefix(text, []byte("PUT")) {
+		return false
+	}
+	d.lose--
+	return true
 }
 
 func (g *Group) broke(format string, args ...any) {
@@ -300,12 +333,14 @@
 	if !alive {
 		return
 	}
-	time.Sleep(2 * time.Millisecond)
+	d.work(2 * time.Millisecond)
 	s := &dbSession{d: d, state: 'I', values: map[string]string{}, names: map[string]string{}}
 	out := folio.AppendMessage(nil, "IDLE", "I", d.position())
 	for {
-		if _, err := c.Write(out); err != nil {
-			return
+		if len(out) > 0 {
+			if _, err := c.Write(out); err != nil {
+				return
+			}
 		}
 		if line, err = r.Line(); err != nil {
 			return
@@ -320,7 +355,9 @@
 			return
 		}
 		a.State, a.Pos = s.state, d.position()
-		out = a.Append(nil)
+		if out = a.Append(nil); d.loses(text) {
+			out = nil
+		}
 	}
 }
 
@@ -393,7 +430,7 @@
 		g.broke("UNASKED: %q without a client's id", text)
 		g.mu.Unlock()
 	}
-	time.Sleep(3 * time.Millisecond)
+	d.work(3 * time.Millisecond)
 	switch verb {
 	case "FETCH":
 		return s.fetch(rest)
