Desks close surplus connections when other desks come

Cause: after lost desks returned, the others kept the connections that their larger share had allowed, and databases reset those over their cap (kilnbook mix: 67 resets; none after).

--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -289,7 +289,8 @@
 	c.mu.Lock()
 	clean := c.waiting == 0 && !c.closed
 	c.mu.Unlock()
-	if s.pools[c.DB.ID] != p || c.state != 'I' || !clean || !c.Alive() || p.db.Address != c.DB.Address {
+	surplus := p.open > max(1, s.cfg.Share(p.db.Service)) // other desks have come
+	if surplus || s.pools[c.DB.ID] != p || c.state != 'I' || !clean || !c.Alive() || p.db.Address != c.DB.Address {
 		c.Close()
 		p.open--
 		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
@@ -387,7 +388,8 @@
 func (s *Shelf) closeSpare() {
 	now := s.k.Clock.Now()
 	for _, p := range s.pools {
-		for len(p.idle) > 1 && now-p.idle[0].idleAt > s.cfg.IdleFor {
+		share := max(1, s.cfg.Share(p.db.Service))
+		for len(p.idle) > 1 && now-p.idle[0].idleAt > s.cfg.IdleFor || len(p.idle) > 0 && p.open > share {
 			p.idle[0].Close()
 			p.idle = p.idle[1:]
 			p.open--
