--- a/cmd/indigowalk/main_test.go
+++ b/cmd/indigowalk/main_test.go
@@ -32,6 +32,11 @@
 {"t":4,"k":"choice","v":{"svc":"s","epoch":3,"situation":{"replicas":2,"sync":1,"copies":[{"id":"x","received":{"Term":1,"Number":4}},{"id":"y","received":{"Term":1,"Number":9}}]},"to":"y"}}
 `
 
+const votes = `{"indigowalk_recording":1,"node":"n","role":"archive"}
+{"t":1,"k":"vote","v":{"kind":"promise","epoch":4,"from":"a","granted":true}}
+{"t":2,"k":"vote","v":{"kind":"accept","epoch":4,"from":"a","granted":true}}
+`
+
 func TestTools(t *testing.T) {
 	settings := "node_name=n\nip=10.1.0.8\nzone=z\nport_range=7440,7455\nseeds=10.1.0.8:8782\n"
 	config := `{"rev":3,"routes":[{"name":"r","host":"h","type":"primary","deadline_ms":9,"svc":"s"}],"services":[{"name":"s"}]}`
@@ -70,6 +75,8 @@
 		{"replay shows changes", []string{"replay", file(t, "a", recording)}, exitClean, "2 us: a up, generation 1, after checked"},
 		{"replay cut off", []string{"replay", file(t, "a", recording[:len(recording)-9])}, exitClean, "3 records, the last one cut off"},
 		{"replay of a broken rule", []string{"replay", file(t, "a", chosenWrong)}, exitFault, "broken at record 4: x was chosen, though y had received more"},
+		{"replay of votes", []string{"replay", file(t, "a", votes)}, exitClean, "2 us: epoch 4 of a, accept granted"},
+		{"replay of a vote for an old epoch", []string{"replay", file(t, "a", votes+`{"t":3,"k":"vote","v":{"kind":"promise","epoch":4,"from":"b","granted":true}}`+"\n")}, exitFault, "broken at record 3: epoch 4 was promised after epoch 4"},
 		{"replay of a foreign file", []string{"replay", file(t, "a", "hello\n")}, exitFault, "not a recording"},
 		{"replay of a newer one", []string{"replay", file(t, "a", `{"indigowalk_recording":9}`+"\n")}, exitFault, "reads up to 1"},
 		{"status of nobody", []string{"status", "127.0.0.1:1"}, exitFault, "no answer from 127.0.0.1:1"},
--- a/internal/toolbox/replay.go
+++ b/internal/toolbox/replay.go
@@ -9,6 +9,7 @@
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
 )
 
 // Replayed is what a recording showed.
@@ -61,6 +62,9 @@
 	c     *conservator.Coordinator
 	at    foundation.Micros
 	epoch int64
+
+	promised, accepted int64 // by this elector
+	to                 string
 }
 
 // play returns the rule that the record breaks, if it does.
@@ -76,6 +80,12 @@
 			return "", err
 		}
 		return p.health(e), nil
+	case vault.VoteKind:
+		var v vault.Vote
+		if err := json.Unmarshal(r.Body, &v); err != nil {
+			return "", err
+		}
+		return p.vote(v), nil
 	case custodian.ChoiceKind:
 		var c custodian.Choice
 		if err := json.Unmarshal(r.Body, &c); err != nil {
@@ -107,6 +117,25 @@
 	return ""
 }
 
+func (p *player) vote(v vault.Vote) string {
+	if !v.Granted {
+		return ""
+	}
+	fmt.Fprintf(p.w, "%d us: epoch %d of %s, %s granted\n", p.at, v.Epoch, v.From, v.Kind)
+	switch {
+	case v.Kind == "promise" && v.Epoch <= p.promised:
+		return fmt.Sprintf("epoch %d was promised after epoch %d", v.Epoch, p.promised)
+	case v.Kind == "accept" && (v.Epoch < p.promised || v.Epoch <= p.accepted):
+		return fmt.Sprintf("epoch %d was accepted after %d was promised and %d accepted", v.Epoch, p.promised, p.accepted)
+	case v.Kind == "accept" && v.Epoch == p.promised && p.to != "" && v.From != p.to:
+		return fmt.Sprintf("epoch %d was promised to %s and accepted of %s", v.Epoch, p.to, v.From)
+	}
+	if p.promised, p.to = v.Epoch, v.From; v.Kind == "accept" {
+		p.accepted = v.Epoch
+	}
+	return ""
+}
+
 func (p *player) choice(c custodian.Choice) string {
 	to, why := custodian.Choose(c.Situation)
 	fmt.Fprintf(p.w, "%d us: lead of %s: %s\n", p.at, c.Service, cmpOr(to, "waits, "+why))
--- a/internal/vault/elector.go
+++ b/internal/vault/elector.go
@@ -54,6 +54,17 @@
 	Promised int64 `json:"promised"`
 }
 
+// VoteKind is the kind of record of an elector's answer.
+const VoteKind = "vote"
+
+// Vote is the record of one: a "promise" or an "accept" of an epoch.
+type Vote struct {
+	Kind    string `json:"kind"`
+	Epoch   int64  `json:"epoch"`
+	From    string `json:"from"`
+	Granted bool   `json:"granted"`
+}
+
 // elector is the witness's side: it decides nothing about the state, it only
 // keeps two candidates from winning the same epoch.
 type elector struct {
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -594,7 +594,9 @@
 func (v *Vault) onPromise(_ context.Context, q promiseAsk) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.elector.promise(v.k.Clock.Now(), q)
+	a, err := v.elector.promise(v.k.Clock.Now(), q)
+	v.k.Recorder.Add(VoteKind, Vote{"promise", q.Epoch, q.From.Name, a.Granted})
+	return a, err
 }
 
 func (v *Vault) onAccept(_ context.Context, view View) (any, error) {
@@ -602,6 +604,7 @@
 	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
 	a, err := v.elector.accept(now, view)
+	v.k.Recorder.Add(VoteKind, Vote{"accept", view.Epoch, view.Primary.Name, a.Granted})
 	if a.Granted {
 		v.hear(now, view)
 	}
