A newcomer hears of all members page by page; lives outlast clocks; leavings last

Also: a draining that was acknowledged is never undone by a delayed beat, nor acknowledged before it is durable; a process whose clock stepped back learns its newest life from its peers; an answer of the primary leaves only if the lease still runs; the primary forms another view as soon as a renewal shows that it should (it was never reached while renewals were due).

Rehearsals: disks lost after an acknowledgement (four cores), a core replaced at other addresses, operators on both sides of a cut, a leaving that must last, every process killed at once.

--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -91,26 +91,14 @@
 	return out, nil
 }
 
-// Heartbeat takes a beat; it returns once everything in it that is control
-// state is durable.
+// Heartbeat takes a beat; it returns nil only once everything in it that is
+// control state is durable. A database that drains never goes back under that
+// id: whatever says otherwise is a delayed beat.
 func (a *Accessions) Heartbeat(ctx context.Context, id string, b Beat) error {
 	if id == "" || b.Service == "" || b.Address == "" {
 		a.k.Counters.Add("accessions.malformed", 1)
 		return ErrMalformed
 	}
-	now := a.k.Clock.Now()
-	a.mu.Lock()
-	old, known := a.soft[id]
-	if known && b.Seq <= old.Seq && now-old.Heard < lateBeat {
-		a.mu.Unlock()
-		a.k.Counters.Add("accessions.late_beats", 1)
-		return nil
-	}
-	a.soft[id] = Soft{b.Role, b.Seq, now}
-	a.mu.Unlock()
-	if old.Role != b.Role {
-		a.bell.Ring()
-	}
 	want := Database{
 		ID: id, Service: b.Service, Address: b.Address, Zone: b.Zone, Slots: b.Slots,
 		Draining: b.Status == "draining",
@@ -119,20 +107,51 @@
 	if err != nil {
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
+	var old Database
 	if have != nil {
-		var old Database
 		if err := json.Unmarshal(have, &old); err != nil {
 			return fmt.Errorf("%w: %v", ErrUnavailable, err)
 		}
-		if want.Was, want.Out = old.Was, old.Out; want == old {
-			return nil
-		}
+	}
+	late := !a.note(id, b)
+	if late {
+		a.k.Counters.Add("accessions.late_beats", 1)
+	}
+	switch {
+	case have == nil && late:
+		return fmt.Errorf("%w: a delayed beat of a database that is not known", ErrUnavailable)
+	case have != nil && (old.covers(want) || late && (old.Draining || !want.Draining)):
+		return nil
 	}
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		return settle(entries, want)
 	}, "database known", "id", id, "zone", b.Zone, "status", b.Status, "role", b.Role)
 }
 
+// covers tells whether a beat that wants w says nothing new.
+func (d Database) covers(w Database) bool {
+	w.Was, w.Out, w.Gone, w.Draining = d.Was, d.Out, d.Gone, d.Draining || w.Draining
+	return w == d
+}
+
+// note remembers what a beat says besides the control state; it reports false
+// for a beat that is older than one before.
+func (a *Accessions) note(id string, b Beat) bool {
+	now := a.k.Clock.Now()
+	a.mu.Lock()
+	old, known := a.soft[id]
+	if known && b.Seq <= old.Seq && now-old.Heard < lateBeat {
+		a.mu.Unlock()
+		return false
+	}
+	a.soft[id] = Soft{b.Role, b.Seq, now}
+	a.mu.Unlock()
+	if old.Role != b.Role {
+		a.bell.Ring()
+	}
+	return true
+}
+
 // settle enters a database, and deals with any other at its address: of the
 // same service it is the same one before a crash, of another it is gone.
 func settle(entries map[string]json.RawMessage, d Database) (map[string]json.RawMessage, error) {
@@ -141,6 +160,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if old, ok := known[d.ID]; ok {
+		d.Was, d.Out, d.Gone, d.Draining = old.Was, old.Out, old.Gone, d.Draining || old.Draining
+	}
 	for id, old := range known {
 		if old.Address == d.Address && old.Was == d.ID && !old.Gone {
 			return nil, nil // a delayed beat of the life before
--- a/internal/circulation/circulation.go
+++ b/internal/circulation/circulation.go
@@ -54,6 +54,7 @@
 	join    = "join"
 
 	maxNews     = 8
+	pageSize    = 24 // members in one answer to a newcomer
 	maxDatagram = 8192
 	referees    = 3
 )
@@ -79,6 +80,7 @@
 	mu       sync.Mutex
 	conn     net.PacketConn
 	self     Member
+	left     bool // this life has said that it ends
 	members  map[string]*entry
 	turn     []string
 	nextSeq  uint64
@@ -219,13 +221,20 @@
 
 func (r *Ring) take(ctx context.Context, p packet) {
 	for _, m := range p.News {
-		r.learn(m)
+		if newer, ok := r.learn(m); ok && m.Addr == p.From {
+			// Its clock may have stepped back between two lives: it learns the
+			// newest that is known, and objects with the next.
+			r.send(p.From, packet{Kind: ack, News: []Member{newer}})
+		}
 	}
 	switch p.Kind {
 	case ping:
 		r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: r.aboutSelf()})
 	case join:
-		r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: r.Members()})
+		// Page by page: one datagram does not hold many members.
+		for page := range slices.Chunk(r.Members(), pageSize) {
+			r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: page})
+		}
 	case ack:
 		r.mu.Lock()
 		if ch := r.waiting[p.Seq]; ch != nil {
@@ -255,28 +264,32 @@
 	return append([]Member{r.self}, r.gossip()...)
 }
 
-// learn merges one piece of news.
-func (r *Ring) learn(m Member) {
+// learn merges one piece of news; if more is known of that member already, it
+// returns what.
+func (r *Ring) learn(m Member) (newer Member, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m.Addr == r.self.Addr {
-		if m.Status != Alive && m.Life >= r.self.Life {
+		if r.left {
+			return Member{}, false // it says so itself
+		}
+		if m.Life > r.self.Life || m.Status != Alive && m.Life == r.self.Life {
 			r.self.Life = m.Life + 1 // object
 			r.k.Counters.Add("circulation.objections", 1)
 		}
-		return
+		return Member{}, false
 	}
 	e := r.members[m.Addr]
 	if e == nil {
 		if m.Status == Dead {
-			return
+			return Member{}, false
 		}
 		r.members[m.Addr] = &entry{Member: m, since: r.k.Clock.Now()}
 		r.bell.Ring()
-		return
+		return Member{}, false
 	}
 	if m.Life < e.Life || m.Life == e.Life && m.Status <= e.Status {
-		return
+		return e.Member, m.Life < e.Life || m.Status < e.Status
 	}
 	changed := (e.Status == Dead) != (m.Status == Dead) || e.Role != m.Role
 	if e.Status != m.Status {
@@ -286,6 +299,7 @@
 	if changed {
 		r.bell.Ring()
 	}
+	return Member{}, false
 }
 
 // ask sends p and waits for the ack.
@@ -420,6 +434,7 @@
 // Leave tells a few others that this process ends.
 func (r *Ring) Leave(context.Context) {
 	r.mu.Lock()
+	r.left = true
 	gone := r.self
 	gone.Status = Dead
 	r.mu.Unlock()
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,11 +4,13 @@
 package registrar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -84,7 +86,16 @@
 	return func(w http.ResponseWriter, q *http.Request) {
 		view, leads := r.v.Primary()
 		if leads {
-			h(w, q)
+			// The answer leaves only if the lease still runs then: a process
+			// that was frozen meanwhile must not speak for its epoch.
+			held := &heldAnswer{status: http.StatusOK, header: http.Header{}}
+			h(held, q)
+			if epoch, left := r.v.Lease(); left <= 0 || epoch < view.Epoch {
+				r.k.Counters.Add("registrar.lease_ended", 1)
+				r.fail(w, http.StatusServiceUnavailable, "the lease ran out meanwhile")
+				return
+			}
+			held.send(w, r.k)
 			return
 		}
 		to := r.control(view.Primary.Addr)
@@ -98,6 +109,25 @@
 	}
 }
 
+// heldAnswer is an answer that is not on its way yet.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   bytes.Buffer
+}
+
+func (a *heldAnswer) Header() http.Header           { return a.header }
+func (a *heldAnswer) WriteHeader(status int)        { a.status = status }
+func (a *heldAnswer) Write(raw []byte) (int, error) { return a.body.Write(raw) }
+
+func (a *heldAnswer) send(w http.ResponseWriter, k *foundation.Kernel) {
+	maps.Copy(w.Header(), a.header)
+	w.WriteHeader(a.status)
+	if _, err := w.Write(a.body.Bytes()); err != nil {
+		k.Counters.Add("registrar.unsent", 1)
+	}
+}
+
 // control is the control address of the archive at an inner address: the
 // ports are the same on all machines.
 func (r *Registrar) control(inner string) string {
--- /dev/null
+++ b/internal/rehearsal/control_test.go
@@ -0,0 +1,180 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+// core runs a scenario on a configured cluster of that many zones whose core
+// bears that many losses at once.
+func core(t *testing.T, zones, losses int, f func(w *World, g *Group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, zones)
+		w.Losses = losses
+		defer w.Close()
+		g := w.Group("ledger")
+		w.Boot()
+		w.Configure()
+		f(w, g)
+	})
+}
+
+func (p *Process) vault() *vault.Vault { return foundation.Need[*vault.Vault](p.Kernel) }
+
+// Right after an acknowledgement as many archives as may be lost lose their
+// disks, the others their power.
+func TestDisksLostAfterAnAcknowledgement(t *testing.T) {
+	for _, c := range []struct{ zones, losses int }{{3, 1}, {4, 1}, {4, 2}, {5, 2}} {
+		core(t, c.zones, c.losses, func(w *World, g *Group) {
+			z := vaultPrimary(w)
+			w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(1, 1, w.Configuration(7)) == 200 })
+			for i := range c.zones {
+				p := w.Process("archive", i+1)
+				p.Kill()
+				if lost := (i + 1 - z + c.zones) % c.zones; lost < c.losses {
+					p.Wipe() // the primary's first of all
+				}
+			}
+			for i := range c.zones {
+				w.Start("archive", i+1, false)
+			}
+			took := w.Until("the change is read back", 10*time.Second, func() bool { return w.Fetch() == 7 })
+			w.Until("another change is taken", 5*time.Second, func() bool { return w.Replace(1, 7, w.Configuration(8)) == 200 })
+			if took > 6*time.Second {
+				t.Errorf("%d of %d lost: %v until the state was back", c.losses, c.zones, took)
+			}
+		})
+	}
+}
+
+// Every machine of the first core is replaced, one after another, by an empty
+// one at another address; seeds that are gone are passed over.
+func TestCoreReplacedAtOtherAddresses(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			rev := int64(1)
+			for z := 1; z <= 4; z++ {
+				w.Process("archive", z).Kill()
+				time.Sleep(time.Second)
+				w.Seeds = []string{ip(z) + ":8782", ip(z+1) + ":8782", ip(z+2) + ":8782"}
+				w.Zones = z + 4
+				w.Start("archive", z+4, false)
+				time.Sleep(6 * time.Second)
+				w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(z+4, rev, w.Configuration(rev+1)) == 200 })
+				rev++
+			}
+			if p := w.Process("archive", vaultPrimary(w)).vault(); len(p.Electors()) != 3 {
+				t.Errorf("electors %v", p.Electors())
+			}
+			for z := 1; z <= 4; z++ { // desks look for the archives that there are now
+				w.Process("desk", z).Kill()
+				w.Start("desk", z, false)
+			}
+			time.Sleep(3 * time.Second)
+		})
+		served(t, l, 2500*time.Millisecond)
+		if got := w.Fetch(); got != 5 {
+			t.Errorf("read back version %d, want 5", got)
+		}
+	})
+}
+
+// The core is cut in two, with an operator on each side: of two changes on the
+// same version one wins at most, and what was acknowledged lasts.
+func TestOperatorsOnBothSidesOfACut(t *testing.T) {
+	for near := 1; near <= 4; near++ {
+		core(t, 4, 1, func(w *World, g *Group) {
+			p := vaultPrimary(w)
+			mine := map[int]bool{p: true, 1 + (p-1+near)%4: true} // the primary's side
+			for a := 1; a <= 4; a++ {
+				for b := a + 1; b <= 4; b++ {
+					w.Net.Cut(ip(a), ip(b), mine[a] != mine[b])
+				}
+			}
+			won := map[int64]bool{}
+			for range 60 {
+				for z := 1; z <= 4; z++ {
+					rev := int64(5)
+					if mine[z] {
+						rev = 6
+					}
+					if w.Replace(z, 1, w.Configuration(rev)) == 200 {
+						won[rev] = true
+					}
+				}
+				vaultPrimary(w)
+				time.Sleep(50 * time.Millisecond)
+			}
+			if len(won) > 1 {
+				t.Fatal("two changes on top of the same version were acknowledged")
+			}
+			w.Net.Heal()
+			w.Until("a primary", 5*time.Second, func() bool { return vaultPrimary(w) != 0 && w.Fetch() != 0 })
+			got := w.Fetch()
+			for rev := range won {
+				if got != rev {
+					t.Errorf("version %d was acknowledged, and %d is read back", rev, got)
+				}
+			}
+		})
+	}
+}
+
+// A leaving that was acknowledged lasts: the process that took it comes back
+// at once with nothing in memory, and a delayed beat says the opposite.
+func TestLeavingIsNotForgotten(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		d := g.DB(1)
+		beat := func(status string, seq int) int {
+			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(vaultPrimary(w))+":8782", "/Servers.Heartbeat/"+d.ID, nil,
+				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":%q,"target_role":"replica","call_seq":%d}`, d.addr, status, seq))
+			return code
+		}
+		if code := beat("draining", 1000); code != 200 {
+			t.Fatalf("answered %d", code)
+		}
+		w.Process("archive", z).Kill()
+		w.Start("archive", z, false)
+		w.Until("a primary", 3*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		w.Until("the delayed beat is answered", time.Second, func() bool { return beat("up", 999) == 200 })
+		raw, err := w.Process("archive", vaultPrimary(w)).vault().Read("database/" + d.ID)
+		if err != nil || !strings.Contains(string(raw), `"draining":true`) {
+			t.Errorf("after the return: %s %v", raw, err)
+		}
+	})
+}
+
+// All processes are killed at once and return: the control state serves again
+// at once, since the lease that might run is the returning primary's own.
+func TestEveryProcessKilledAtOnce(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		for z := 1; z <= 4; z++ {
+			w.Process("archive", z).Kill()
+			w.Process("desk", z).Kill()
+		}
+		for z := 1; z <= 4; z++ {
+			w.Start("archive", z, false)
+			w.Start("desk", z, false)
+		}
+		took := w.Until("a write is served", 5*time.Second, func() bool {
+			s, _ := w.Login(2, "p.ledger")
+			if s == nil {
+				return false
+			}
+			defer s.Close()
+			a, _ := s.Query("PUT k 1")
+			return a != nil && a.Code == ""
+		})
+		if took > 900*time.Millisecond {
+			t.Errorf("after %v", took)
+		}
+	})
+}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -52,7 +52,9 @@
 	dir      string
 	procs    map[string]*Process
 	platform *platform
-	Poll     int // tune.poll_ms
+	Poll     int      // tune.poll_ms
+	Losses   int      // tolerate.hosts
+	Seeds    []string // of processes started from now on; the first zones' if nil
 }
 
 // Process is one daemon.
@@ -75,7 +77,7 @@
 func NewWorld(t TB, seed uint64, zones int) *World {
 	w := &World{
 		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, dir: t.TempDir(),
-		procs: map[string]*Process{}, Poll: 600,
+		procs: map[string]*Process{}, Poll: 600, Losses: 1,
 	}
 	w.platform = &platform{w: w, fences: map[string]int64{}}
 	w.platform.serve()
@@ -106,6 +108,9 @@
 	name := fmt.Sprintf("%s-%d", role, zone)
 	p := &Process{w: w, Name: name, Role: role, IP: ip(zone), done: make(chan struct{}), dir: filepath.Join(w.dir, name)}
 	seeds := strings.Join(w.ControlAddrs()[:min(3, w.Zones)], ",")
+	if w.Seeds != nil {
+		seeds = strings.Join(w.Seeds, ",")
+	}
 	text := fmt.Sprintf(`node_name=%[1]s
 ip=%[2]s
 zone=z%[3]d
@@ -118,7 +123,8 @@
 data_dir=%[6]s
 platform.address=%[7]s:8783
 tune.poll_ms=%[8]d
-`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll)
+tolerate.hosts=%[9]d
+`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses)
 	s, err := charter.Parse([]byte(text))
 	if err != nil {
 		w.T.Fatalf("settings: %v", err)
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -187,7 +187,7 @@
 	if err := v.tryStand(ctx); err != nil {
 		v.k.Counters.Add("vault.stood_in_vain", 1)
 		v.mu.Lock()
-		v.standAt = v.k.Clock.Now() + v.lease/12 + rand.N(v.lease/6)
+		v.standAt = v.k.Clock.Now() + v.lease/24 + rand.N(v.lease/12)
 		v.mu.Unlock()
 	}
 }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -587,17 +587,20 @@
 	renew := active && now >= v.renewAt
 	idle := !active && !v.leaving && now >= v.seenTill && now >= v.standAt
 	may := v.mayStand()
-	another := active && now >= v.standAt && v.wantsAnother(now)
+	another := leads && now >= v.standAt && v.wantsAnother(now)
 	tell := idle && !may && v.seen.Epoch > 0 && now >= v.toldAt
 	if tell {
 		v.toldAt = now + v.lease
 	}
 	v.mu.Unlock()
-	switch {
-	case active && !leads:
+	if active && !leads {
 		v.resign("lease ran out")
-	case renew:
+		return
+	}
+	if renew {
 		v.renew(ctx)
+	}
+	switch {
 	case another, idle && may:
 		v.stand(ctx)
 	case tell:
