--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 
 	"indigowalk/internal/foundation"
@@ -57,6 +58,12 @@
 // keyPrefix starts the entries of the control state that hold databases.
 const keyPrefix = "database/"
 
+// Key is the entry that holds a database.
+func Key(id string) string { return keyPrefix + id }
+
+// Holds tells whether an entry holds a database.
+func Holds(key string) bool { return strings.HasPrefix(key, keyPrefix) }
+
 // lateBeat is how long after a beat one with a lower number is taken for a
 // delayed one; later than that the database has started its count again.
 const lateBeat = 3 * foundation.Second
--- a/internal/custodian/choose_test.go
+++ b/internal/custodian/choose_test.go
@@ -47,8 +47,8 @@
 	if ok, _ := r.Left("svc", 1, now+5); !ok {
 		t.Error("d1's lease has run out")
 	}
-	if r.Heard("d1", 9, map[string]int64{"svc": 5}) || r.Grant("d1", 9, now+99) {
-		t.Error("an earlier life of a desk was heard")
+	if newest, ok := r.Heard("d1", 9, map[string]int64{"svc": 5}); ok || newest != 10 || r.Grant("d1", 9, now+99) {
+		t.Error("an earlier life of a desk was heard, or not told of the newest")
 	}
 	r.Term(2, map[string]int64{"d1": 10, "d3": 4}, now+50)
 	r.Term(2, nil, 0) // the same term again changes nothing
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -44,6 +44,12 @@
 
 const keyPrefix = "lead/"
 
+// Key is the entry that holds a service's lead.
+func Key(service string) string { return keyPrefix + service }
+
+// Holds tells whether an entry holds a lead.
+func Holds(key string) bool { return strings.HasPrefix(key, keyPrefix) }
+
 // retryPause is between two tries at the same step.
 const retryPause = 100 * foundation.Millisecond
 
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 
 	"indigowalk/internal/foundation"
@@ -28,22 +29,26 @@
 func NewReaders() *Readers { return &Readers{desks: map[string]*reader{}} }
 
 // Heard notes what a desk acknowledged: left holds, by service, the turn at
-// which it has left the old primary. An earlier life of the desk is refused.
-func (r *Readers) Heard(desk string, life int64, left map[string]int64) bool {
+// which it has left the old primary. An earlier life of the desk is refused,
+// and the newest returned.
+func (r *Readers) Heard(desk string, life int64, left map[string]int64) (newest int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.desks[desk]
 	if d != nil && life < d.life {
-		return false
+		return d.life, false
 	}
-	if d == nil || life > d.life {
+	fresh := d == nil || life > d.life
+	if fresh {
 		// A new life holds no lease of the one before.
 		d = &reader{life: life}
 		r.desks[desk] = d
 	}
-	d.left = left
-	r.bell.Ring()
-	return true
+	if fresh || !maps.Equal(d.left, left) {
+		d.left = left
+		r.bell.Ring()
+	}
+	return life, true
 }
 
 // Grant notes that the desk's lease runs until then. It must be called before
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +51,7 @@
 	epoch     int64
 	conf      *catalogue.Configuration
 	databases map[string]accessions.Database
+	byService map[string][]accessions.Database
 	leads     map[string]custodian.Lead
 	leaseEnd  foundation.Micros
 	inside    map[string]int // statements and transactions at a primary, by service
@@ -72,16 +77,12 @@
 	return c.conf
 }
 
-// Databases returns the databases of a service and who leads it.
-func (c *Card) Databases(service string) (dbs []accessions.Database, lead custodian.Lead) {
+// Databases returns the databases of a service, which are not to be changed,
+// and who leads it.
+func (c *Card) Databases(service string) ([]accessions.Database, custodian.Lead) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	for _, d := range c.databases {
-		if d.Service == service {
-			dbs = append(dbs, d)
-		}
-	}
-	return dbs, c.leads[service]
+	return c.byService[service], c.leads[service]
 }
 
 // Version returns the epoch, sequence and configuration version in hand, and
@@ -195,7 +196,9 @@
 		q.Down = append(q.Down, id)
 	}
 	for svc, turn := range c.left {
-		q.Left[svc] = turn
+		if c.leads[svc].Moving {
+			q.Left[svc] = turn
+		}
 	}
 	c.mu.RUnlock()
 	if wait > 0 {
@@ -213,10 +216,20 @@
 	if err := c.b.Call(ctx, addr, pollOp, q, &a, c.cfg.Poll()+300*foundation.Millisecond); err != nil {
 		return "", err
 	}
+	if a.Newest >= q.Life {
+		// The clock that lives are counted by has stepped back meanwhile.
+		c.mu.Lock()
+		c.life = a.Newest + 1
+		c.mu.Unlock()
+		return addr, nil
+	}
 	if a.Lease <= 0 {
 		return a.Elsewhere, nil
 	}
-	c.apply(start, a)
+	if err := c.apply(start, a); err != nil {
+		c.k.Counters.Add("subscription.unreadable", 1)
+		return "", err
+	}
 	return addr, nil
 }
 
@@ -240,30 +253,31 @@
 	return wait
 }
 
-func (c *Card) apply(start foundation.Micros, a pollAnswer) {
+// apply takes an answer in.
+func (c *Card) apply(start foundation.Micros, a pollAnswer) error {
+	var n news
+	if a.News != nil {
+		if err := json.Unmarshal(a.News, &n); err != nil {
+			return fmt.Errorf("subscription: %w", err)
+		}
+	}
 	c.mu.Lock()
 	if a.Epoch < c.epoch || a.Seq < c.seq {
 		c.mu.Unlock()
 		c.k.Counters.Add("subscription.old_refused", 1)
-		return
+		return nil
 	}
-	changed := !a.Same
-	if changed {
-		if a.Config != nil {
-			conf, faults := catalogue.Parse(a.Config)
-			if faults != nil || c.conf != nil && conf.Rev < c.conf.Rev {
-				c.mu.Unlock()
-				c.k.Counters.Add("subscription.old_refused", 1)
-				return
-			}
-			c.conf = conf
+	if n.Config != nil {
+		conf, faults := catalogue.Parse(n.Config)
+		if faults != nil || c.conf != nil && conf.Rev < c.conf.Rev {
+			c.mu.Unlock()
+			c.k.Counters.Add("subscription.old_refused", 1)
+			return nil
 		}
-		for svc, l := range a.Leads {
-			if old := c.leads[svc]; l.Moving && (old.Turn != l.Turn || !old.Moving) {
-				c.learnt[svc] = c.k.Clock.Now()
-			}
-		}
-		c.databases, c.leads = a.Databases, a.Leads
+		c.conf = conf
+	}
+	if a.News != nil {
+		c.merge(n)
 	}
 	c.epoch, c.seq = a.Epoch, a.Seq
 	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
@@ -282,8 +296,33 @@
 			c.cfg.Observed(l.Service, start, pos)
 		}
 	}
-	if changed {
+	if a.News != nil {
 		c.cfg.Applied(databases)
 	}
 	c.bell.Ring()
+	return nil
+}
+
+// merge puts news into the maps, which others may hold, by making new ones.
+func (c *Card) merge(n news) {
+	leads, databases := map[string]custodian.Lead{}, map[string]accessions.Database{}
+	if !n.Whole {
+		maps.Copy(leads, c.leads)
+		maps.Copy(databases, c.databases)
+	}
+	for svc, l := range n.Leads {
+		if old := c.leads[svc]; l.Moving && (old.Turn != l.Turn || !old.Moving) {
+			c.learnt[svc] = c.k.Clock.Now()
+		}
+		leads[svc] = l
+	}
+	maps.Copy(databases, n.Databases)
+	for _, id := range n.Gone {
+		delete(databases, id)
+	}
+	c.leads, c.databases, c.byService = leads, databases, map[string][]accessions.Database{}
+	for _, id := range slices.Sorted(maps.Keys(databases)) {
+		d := databases[id]
+		c.byService[d.Service] = append(c.byService[d.Service], d)
+	}
 }
--- /dev/null
+++ b/internal/subscription/edition.go
@@ -0,0 +1,152 @@
+package subscription
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/vault"
+)
+
+// news is what a desk lacks of the control state.
+type news struct {
+	Whole     bool                           `json:"whole,omitempty"` // all there is, not only what changed
+	Config    json.RawMessage                `json:"config,omitempty"`
+	Databases map[string]accessions.Database `json:"databases,omitempty"`
+	Gone      []string                       `json:"gone,omitempty"` // databases that are no more
+	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
+}
+
+// edition is the control state as desks are told of it. It is decoded once
+// for each change, and remembers since when each entry is as it is.
+type edition struct {
+	mu        sync.Mutex
+	seq       int64 // of the state that it was made from
+	first     int64 // changes after this seq are known one by one
+	newest    int64 // seq of the newest change that desks are told of
+	entries   map[string]json.RawMessage
+	at        map[string]int64 // seq at which an entry last changed, or went
+	body      json.RawMessage
+	rev       int64
+	databases map[string]accessions.Database
+	leads     map[string]custodian.Lead
+	told      map[int64]json.RawMessage // news by the seq that a desk has
+}
+
+// concerns tells whether desks are told of an entry.
+func concerns(key string) bool {
+	return key == catalogue.Key || accessions.Holds(key) || custodian.Holds(key)
+}
+
+// since returns what a desk that has the state of seq, and the configuration
+// of rev, lacks; nil if that is nothing. Urgent news are not to wait.
+func (e *edition) since(state vault.State, seq, rev int64) (raw json.RawMessage, urgent bool, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.turn(state); err != nil {
+		return nil, false, err
+	}
+	if seq >= e.newest {
+		return nil, false, nil
+	}
+	n := news{Whole: seq < e.first}
+	for svc := range e.leads {
+		urgent = urgent || e.at[custodian.Key(svc)] > seq
+	}
+	if raw, ok := e.told[seq]; ok && !n.Whole {
+		return raw, urgent, nil
+	}
+	switch {
+	case n.Whole:
+		n.Databases, n.Leads = e.databases, e.leads
+	default:
+		n.Databases, n.Leads = map[string]accessions.Database{}, map[string]custodian.Lead{}
+		for key, at := range e.at {
+			if at > seq {
+				e.add(&n, key)
+			}
+		}
+	}
+	if e.rev != rev && (n.Whole || e.at[catalogue.Key] > seq) {
+		n.Config = e.body
+	}
+	if raw, err = json.Marshal(n); err != nil {
+		return nil, false, fmt.Errorf("subscription: %w", err)
+	}
+	if !n.Whole {
+		e.told[seq] = raw
+	}
+	return raw, urgent || n.Whole, nil
+}
+
+// add puts one entry among the news.
+func (e *edition) add(n *news, key string) {
+	if id, ok := strings.CutPrefix(key, accessions.Key("")); ok {
+		if d, there := e.databases[id]; there {
+			n.Databases[id] = d
+		} else {
+			n.Gone = append(n.Gone, id)
+		}
+	}
+	if svc, ok := strings.CutPrefix(key, custodian.Key("")); ok {
+		if l, there := e.leads[svc]; there {
+			n.Leads[svc] = l
+		}
+	}
+}
+
+// turn takes a newer state in.
+func (e *edition) turn(state vault.State) error {
+	if e.entries != nil && state.Seq == e.seq {
+		return nil
+	}
+	next := map[string]json.RawMessage{}
+	for key, raw := range state.Entries {
+		if concerns(key) {
+			next[key] = raw
+		}
+	}
+	databases, err := accessions.Decode(next)
+	if err != nil {
+		return err
+	}
+	for id, d := range databases {
+		if d.Gone {
+			delete(databases, id)
+		}
+	}
+	leads, err := custodian.Decode(next)
+	if err != nil {
+		return err
+	}
+	if e.entries == nil || state.Seq < e.seq {
+		// What came before is not known: whoever has less is told all.
+		e.first, e.newest, e.at, e.entries = state.Seq, state.Seq, map[string]int64{}, next
+	}
+	if !bytes.Equal(e.entries[catalogue.Key], next[catalogue.Key]) || e.body == nil {
+		body, conf, err := catalogue.Decode(next[catalogue.Key])
+		if err != nil {
+			return err
+		}
+		if conf != nil {
+			e.body, e.rev = body, conf.Rev
+		}
+	}
+	for key, raw := range next {
+		if !bytes.Equal(e.entries[key], raw) {
+			e.at[key], e.newest = state.Seq, state.Seq
+		}
+	}
+	for key := range e.entries {
+		if _, still := next[key]; !still {
+			e.at[key], e.newest = state.Seq, state.Seq
+		}
+	}
+	e.seq, e.entries, e.databases, e.leads, e.told = state.Seq, next, databases, leads, map[int64]json.RawMessage{}
+	return nil
+}
--- /dev/null
+++ b/internal/subscription/edition_test.go
@@ -0,0 +1,72 @@
+package subscription
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"testing"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/custodian"
+	"indigowalk/internal/vault"
+)
+
+// A desk is told what changed since what it has, and everything only if what
+// came before is not known any more.
+func TestNewsSinceASequence(t *testing.T) {
+	var e edition
+	state := vault.State{Epoch: 3, Seq: 10, Entries: map[string]json.RawMessage{}}
+	put := func(key, raw string) {
+		state.Seq++
+		state.Entries = maps.Clone(state.Entries)
+		if state.Entries[key] = json.RawMessage(raw); raw == "" {
+			delete(state.Entries, key)
+		}
+	}
+	since := func(seq int64) (n news, size int, urgent bool) {
+		t.Helper()
+		raw, urgent, err := e.since(state, seq, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if raw != nil {
+			if err := json.Unmarshal(raw, &n); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return n, len(raw), urgent
+	}
+	for i := range 90 {
+		id := fmt.Sprint("i-", i)
+		put(accessions.Key(id), fmt.Sprintf(`{"id":%q,"svc":"s%d","address":"10.1.64.%d:8000","zone":"z","slots":7}`, id, i/3, i))
+	}
+	whole, all, urgent := since(5)
+	if !whole.Whole || len(whole.Databases) != 90 || !urgent {
+		t.Fatalf("whole %v with %d databases, urgent %v", whole.Whole, len(whole.Databases), urgent)
+	}
+	at := state.Seq
+	if _, size, _ := since(at); size != 0 {
+		t.Errorf("%d bytes of news for a desk that has all", size)
+	}
+	put("desk/d1", "17")
+	if _, size, _ := since(at); size != 0 {
+		t.Errorf("%d bytes of news because another desk was registered", size)
+	}
+	put(accessions.Key("i-3"), `{"id":"i-3","svc":"s1","draining":true}`)
+	put(accessions.Key("i-4"), "")
+	n, size, urgent := since(at)
+	if n.Whole || len(n.Databases) != 1 || !n.Databases["i-3"].Draining || len(n.Gone) != 1 || urgent {
+		t.Errorf("changes of two databases: %+v, urgent %v", n, urgent)
+	}
+	if size > all/20 {
+		t.Errorf("%d bytes for two changes, of %d for everything", size, all)
+	}
+	put(custodian.Key("s1"), `{"svc":"s1","id":"i-5","moving":true,"turn":1}`)
+	if n, _, urgent := since(state.Seq - 1); !urgent || !n.Leads["s1"].Moving || len(n.Databases) != 0 {
+		t.Errorf("a move of a lead: %+v, urgent %v", n, urgent)
+	}
+	// The first change after a pause as primary is not taken for none.
+	if n, _, _ := since(at); len(n.Leads) != 1 || len(n.Databases) != 1 {
+		t.Errorf("all changes since: %+v", n)
+	}
+}
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -7,12 +7,8 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"maps"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/loan"
@@ -32,14 +28,12 @@
 }
 
 type pollAnswer struct {
-	Elsewhere string                         `json:"elsewhere,omitempty"` // the primary, if this archive is not it
-	Epoch     int64                          `json:"epoch,omitempty"`
-	Seq       int64                          `json:"seq,omitempty"`
-	Lease     foundation.Micros              `json:"lease_us,omitempty"`
-	Same      bool                           `json:"same,omitempty"` // nothing changed since the desk's seq
-	Config    json.RawMessage                `json:"config,omitempty"`
-	Databases map[string]accessions.Database `json:"databases,omitempty"`
-	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
+	Elsewhere string            `json:"elsewhere,omitempty"` // the primary, if this archive is not it
+	Newest    int64             `json:"newest,omitempty"`    // a later life of the desk, if this one is refused
+	Epoch     int64             `json:"epoch,omitempty"`
+	Seq       int64             `json:"seq,omitempty"`
+	Lease     foundation.Micros `json:"lease_us,omitempty"`
+	News      json.RawMessage   `json:"news,omitempty"` // of type news; none if nothing changed since the desk's seq
 }
 
 // Office is the archive's side.
@@ -50,11 +44,12 @@
 	lease   foundation.Micros
 	hold    func() foundation.Micros
 	heard   func(id string) // a desk's notice of a fault
+	edition edition
 }
 
 // NewOffice answers polls through the branch.
 func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(string)) *Office {
-	o := &Office{k, v, readers, lease, hold, heard}
+	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
 	loan.On(b, pollOp, o.onPoll)
 	return o
 }
@@ -74,9 +69,9 @@
 	if err := o.register(ctx, q); err != nil {
 		return nil, err
 	}
-	if !o.readers.Heard(q.Desk, q.Life, q.Left) {
+	if newest, ok := o.readers.Heard(q.Desk, q.Life, q.Left); !ok {
 		o.k.Counters.Add("subscription.old_life", 1)
-		return nil, errors.New("an earlier life of that desk")
+		return pollAnswer{Newest: newest}, nil
 	}
 	for _, id := range q.Down {
 		o.heard(id)
@@ -89,25 +84,33 @@
 		if err != nil {
 			return pollAnswer{}, nil
 		}
-		over := false
-		if state.Seq == q.Seq && q.Now {
-			over = true
-		} else if state.Seq == q.Seq {
+		news, urgent, err := o.edition.since(state, q.Seq, q.Rev)
+		if err != nil {
+			o.k.Counters.Add("subscription.unreadable", 1)
+			return nil, err
+		}
+		if news == nil && !q.Now {
 			select {
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			case <-changed:
 				continue
 			case <-t.C:
-				over = true
 			}
 		}
-		if state.Seq != q.Seq || over {
-			return o.answer(q, state)
+		if news != nil && !urgent && !q.Now {
+			// Changes that come close together go out together.
+			q.Now = true
+			foundation.Sleep(ctx, gather)
+			continue
 		}
+		return o.answer(q, state, news)
 	}
 }
 
+// gather is how long a change that can wait is held back for others.
+const gather = 50 * foundation.Millisecond
+
 // register enters the desk's life in the control state before it is granted a
 // lease, and starts the term if this is its first poll.
 func (o *Office) register(ctx context.Context, q pollAsk) error {
@@ -151,7 +154,7 @@
 	}
 }
 
-func (o *Office) answer(q pollAsk, state vault.State) (any, error) {
+func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage) (any, error) {
 	// The lease is noted before it is granted, and only while this archive's
 	// own lease runs.
 	if !o.readers.Grant(q.Desk, q.Life, o.k.Clock.Now()+o.lease) {
@@ -160,24 +163,5 @@
 	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
 		return pollAnswer{}, nil
 	}
-	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Same: state.Seq == q.Seq}
-	if a.Same {
-		return a, nil
-	}
-	body, conf, err := catalogue.Decode(state.Entries[catalogue.Key])
-	if err == nil && conf != nil && conf.Rev != q.Rev {
-		a.Config = body
-	}
-	if err == nil {
-		a.Databases, err = accessions.Decode(state.Entries)
-		maps.DeleteFunc(a.Databases, func(_ string, d accessions.Database) bool { return d.Gone })
-	}
-	if err == nil {
-		a.Leads, err = custodian.Decode(state.Entries)
-	}
-	if err != nil {
-		o.k.Counters.Add("subscription.unreadable", 1)
-		return nil, fmt.Errorf("subscription: %w", err)
-	}
-	return a, nil
+	return pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, News: news}, nil
 }
