Desks follow the configuration step by step, not whole

Now the office tells a desk the routes that changed since its sequence, grouped by all that is alike: 1900 routes in an eighth of their size, a change of one route in under 400 bytes. The state is decoded once for each change, in the office and in the custodian, and a registration of a desk concerns no other desk.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -133,24 +133,6 @@
 	return c, nil
 }
 
-// Find returns the route and the service of a database name.
-func (c *Configuration) Find(host string) (*Route, *Service) {
-	if c == nil {
-		return nil, nil
-	}
-	for i := range c.Routes {
-		if c.Routes[i].Host != host {
-			continue
-		}
-		for j := range c.Services {
-			if c.Services[j].Name == c.Routes[i].Service {
-				return &c.Routes[i], &c.Services[j]
-			}
-		}
-	}
-	return nil, nil
-}
-
 // Key is the entry of the control state that holds the configuration.
 const Key = "configuration"
 
@@ -195,9 +177,9 @@
 	if err := json.Unmarshal(entry, &s); err != nil {
 		return nil, nil, fmt.Errorf("catalogue: %w", err)
 	}
-	c, faults := Parse(s.Body)
-	if faults != nil {
-		return nil, nil, &Invalid{faults}
+	c = &Configuration{} // it was checked when it was taken
+	if err := json.Unmarshal(s.Body, c); err != nil {
+		return nil, nil, fmt.Errorf("catalogue: %w", err)
 	}
 	return s.Body, c, nil
 }
@@ -260,6 +242,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
-	body, _, err := Decode(entry)
-	return body, err
+	if entry == nil {
+		return nil, nil
+	}
+	var s stored
+	if err := json.Unmarshal(entry, &s); err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	return s.Body, nil
 }
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -1,6 +1,9 @@
 package catalogue
 
 import (
+	"encoding/json"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -15,10 +18,13 @@
 	if faults != nil || c.Rev != 7 {
 		t.Fatalf("%+v %v", c, faults)
 	}
-	if r, s := c.Find("h2"); r == nil || r.Name != "b" || s.Name != "s" {
+	var h History
+	h.Turn(c, 1)
+	x := (*Index)(nil).Next(h.Since(0, true), true)
+	if r, s := x.Find("h2"); r == nil || r.StaleMs != 1500 || s.Name != "s" {
 		t.Errorf("h2: %+v %+v", r, s)
 	}
-	if r, _ := c.Find("h3"); r != nil {
+	if r, _ := x.Find("h3"); r != nil {
 		t.Errorf("h3: %+v", r)
 	}
 	for _, c := range []struct{ old, new, field string }{
@@ -37,3 +43,59 @@
 		}
 	}
 }
+
+// A desk that follows step by step finds what one finds that was told all,
+// and a step of a large configuration is small.
+func TestStepsLeadToTheWhole(t *testing.T) {
+	conf := &Configuration{Rev: 1, Services: []Service{{Name: "s", MaxConns: 96}}}
+	for i := range 1900 {
+		conf.Routes = append(conf.Routes, Route{
+			Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("host%05d", i), Prefix: "/", Type: Bounded,
+			DeadlineMs: 4000, TargetMs: 600, Prio: 2, Service: "s", Tries: 2, StaleMs: 1500,
+		})
+	}
+	var h History
+	h.Turn(conf, 10)
+	size := func(v any) int {
+		raw, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(raw)
+	}
+	whole := h.Since(0, true)
+	if size(whole) > size(conf)/8 {
+		t.Errorf("everything is told in %d bytes, of %d", size(whole), size(conf))
+	}
+	x := (*Index)(nil).Next(whole, true)
+	change := func(seq int64, f func(c *Configuration)) *Step {
+		next := *conf
+		next.Rev, next.Routes, next.Services = seq, slices.Clone(conf.Routes), slices.Clone(conf.Services)
+		f(&next)
+		conf = &next
+		h.Turn(conf, seq)
+		return h.Since(seq-1, false)
+	}
+	for _, step := range []*Step{
+		change(11, func(c *Configuration) { c.Routes[7].DeadlineMs = 3000 }),
+		change(12, func(c *Configuration) { c.Routes = c.Routes[:1899]; c.Routes[3].Prefix = "/sub" }),
+		change(13, func(c *Configuration) { c.Services[0].MaxConns = 50; c.Limits.TxnIdleMs = 9 }),
+	} {
+		if size(step) > 400 {
+			t.Errorf("a small change is told in %d bytes", size(step))
+		}
+		x = x.Next(step, false)
+	}
+	y := (*Index)(nil).Next(h.Since(0, true), true)
+	for i := range 1900 {
+		host := fmt.Sprintf("host%05d", i)
+		a, s := x.Find(host)
+		b, _ := y.Find(host)
+		if (a == nil) != (b == nil) || a != nil && (*a != *b || s.MaxConns != 50) {
+			t.Fatalf("%s: %+v step by step, %+v at once", host, a, b)
+		}
+	}
+	if r, _ := x.Find("host00007"); r.DeadlineMs != 3000 || x.Limits.TxnIdleMs != 9 || x.Rev != 13 {
+		t.Errorf("%+v, limits %+v, version %d", r, x.Limits, x.Rev)
+	}
+}
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -92,11 +92,14 @@
 	readers *Readers
 	client  *http.Client
 
-	mu       sync.Mutex
-	busy     map[string]bool              // services being moved by this process
-	tried    map[string]foundation.Micros // when what is paced was last tried
-	said     map[string]string            // why a service's move waits
-	progress foundation.Bell
+	mu                 sync.Mutex
+	busy               map[string]bool              // services being moved by this process
+	tried              map[string]foundation.Micros // when what is paced was last tried
+	said               map[string]string            // why a service's move waits
+	seen               *scene                       // the control state of seenEpoch and seenSeq
+	seenEpoch, seenSeq int64
+	confRaw            json.RawMessage // that the scene's configuration was read from
+	progress           foundation.Bell
 }
 
 // New returns a custodian.
@@ -144,26 +147,36 @@
 	desks     map[string]int64
 }
 
+// look decodes the control state, once for each change of it.
 func (c *Custodian) look() (*scene, error) {
 	state, err := c.v.Durable()
 	if err != nil {
 		return nil, err
 	}
-	entries := state.Entries
-	s := &scene{soft: c.acc.Soft()}
-	if s.databases, err = accessions.Decode(entries); err != nil {
-		return nil, err
-	}
-	if s.leads, err = Decode(entries); err != nil {
-		return nil, err
-	}
-	if s.desks, err = Registered(entries); err != nil {
-		return nil, err
-	}
-	if _, s.conf, err = catalogue.Decode(entries[catalogue.Key]); err != nil {
-		return nil, err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seen == nil || c.seenSeq != state.Seq || c.seenEpoch != state.Epoch {
+		s := &scene{}
+		entries := state.Entries
+		if s.databases, err = accessions.Decode(entries); err != nil {
+			return nil, err
+		}
+		if s.leads, err = Decode(entries); err != nil {
+			return nil, err
+		}
+		if s.desks, err = Registered(entries); err != nil {
+			return nil, err
+		}
+		if c.seen != nil && bytes.Equal(c.confRaw, entries[catalogue.Key]) {
+			s.conf = c.seen.conf
+		} else if _, s.conf, err = catalogue.Decode(entries[catalogue.Key]); err != nil {
+			return nil, err
+		}
+		c.seen, c.seenSeq, c.seenEpoch, c.confRaw = s, state.Seq, state.Epoch, entries[catalogue.Key]
 	}
-	return s, nil
+	s := *c.seen
+	s.soft = c.acc.Soft()
+	return &s, nil
 }
 
 // replicas lists the databases of a service besides one.
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// InTerm tells whether the term of that epoch has started.
+func (r *Readers) InTerm(epoch int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch == epoch
+}
+
 // Changed closes when a desk acknowledges something.
 func (r *Readers) Changed() <-chan struct{} { return r.bell.Wait() }
 
@@ -113,3 +120,9 @@
 func Register(desk string, life int64) map[string]json.RawMessage {
 	return map[string]json.RawMessage{deskPrefix + desk: json.RawMessage(fmt.Sprint(life))}
 }
+
+// IsRegistered tells whether that life of the desk, or a later one, is entered.
+func IsRegistered(entries map[string]json.RawMessage, desk string, life int64) bool {
+	var known int64
+	return json.Unmarshal(entries[deskPrefix+desk], &known) == nil && known >= life
+}
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -141,7 +141,7 @@
 }
 
 // route finds the route and service of a database name.
-func (d *Desk) route(name string) (*catalogue.Route, *catalogue.Service, *catalogue.Configuration) {
+func (d *Desk) route(name string) (*catalogue.Route, *catalogue.Service, *catalogue.Index) {
 	conf := d.card.Config()
 	r, svc := conf.Find(name)
 	return r, svc, conf
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -209,7 +209,7 @@
 	if err != nil {
 		return nil, errors.Join(errUnsent, err)
 	}
-	watch := shelf.Watch{Quiet: max(d.cfg.Quiet, quietTimes*d.aid.Usual(j.route.Name)), Doubt: func() bool {
+	watch := shelf.Watch{Quiet: max(d.cfg.Quiet, quietTimes*d.aid.Usual(j.route.Host)), Doubt: func() bool {
 		_, gen := b.Bound()
 		d.health.Report(choice.Database.ID, min(gen, conn.Generation), false)
 		return !j.twice || !d.second.take()
@@ -224,7 +224,7 @@
 		return nil, err
 	}
 	if a.Code == "" && !j.write && (j.q.Verb == folio.Fetch || j.q.Verb == folio.Run) {
-		d.aid.Took(j.route.Name, choice.Database.ID, j.now()-sent)
+		d.aid.Took(j.route.Host, choice.Database.ID, j.now()-sent)
 	}
 	if gated && a.Code == "" {
 		if pos, ok := folio.ParsePosition(a.Pos); ok {
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 
 	"indigowalk/internal/accessions"
@@ -46,19 +47,15 @@
 
 // probe tries, for an archive, whether a database takes a connection.
 func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, id string, connect, silence foundation.Micros) bool {
-	state, err := v.Durable()
-	if err != nil {
-		return true // not the primary any more: it decides nothing
+	raw, err := v.Read(accessions.Key(id))
+	if err != nil || raw == nil {
+		return true // not the primary any more, or gone: nothing to decide
 	}
-	dbs, err := accessions.Decode(state.Entries)
-	if err != nil {
+	var db accessions.Database
+	if err := json.Unmarshal(raw, &db); err != nil {
 		k.Counters.Add("shelf.unreadable", 1)
 		return true
 	}
-	db, ok := dbs[id]
-	if !ok {
-		return true // gone: nothing to decide
-	}
 	c, err := Open(ctx, k.Net, db, "archive", connect, silence)
 	if err != nil {
 		return isFull(err) || errors.Is(err, ErrSlow)
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -49,7 +49,7 @@
 	mu        sync.RWMutex
 	seq       int64
 	epoch     int64
-	conf      *catalogue.Configuration
+	conf      *catalogue.Index
 	databases map[string]accessions.Database
 	byService map[string][]accessions.Database
 	leads     map[string]custodian.Lead
@@ -71,7 +71,7 @@
 }
 
 // Config returns the newest configuration, nil before the first.
-func (c *Card) Config() *catalogue.Configuration {
+func (c *Card) Config() *catalogue.Index {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.conf
@@ -188,9 +188,6 @@
 	wait := c.leaving(down)
 	c.mu.RLock()
 	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
-	if c.conf != nil {
-		q.Rev = c.conf.Rev
-	}
 	q.Now = c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
 		q.Down = append(q.Down, id)
@@ -268,13 +265,12 @@
 		return nil
 	}
 	if n.Config != nil {
-		conf, faults := catalogue.Parse(n.Config)
-		if faults != nil || c.conf != nil && conf.Rev < c.conf.Rev {
+		if c.conf != nil && n.Config.Rev < c.conf.Rev {
 			c.mu.Unlock()
 			c.k.Counters.Add("subscription.old_refused", 1)
 			return nil
 		}
-		c.conf = conf
+		c.conf = c.conf.Next(n.Config, n.Whole)
 	}
 	if a.News != nil {
 		c.merge(n)
--- a/internal/subscription/edition.go
+++ b/internal/subscription/edition.go
@@ -16,7 +16,7 @@
 // news is what a desk lacks of the control state.
 type news struct {
 	Whole     bool                           `json:"whole,omitempty"` // all there is, not only what changed
-	Config    json.RawMessage                `json:"config,omitempty"`
+	Config    *catalogue.Step                `json:"config,omitempty"`
 	Databases map[string]accessions.Database `json:"databases,omitempty"`
 	Gone      []string                       `json:"gone,omitempty"` // databases that are no more
 	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
@@ -31,7 +31,7 @@
 	newest    int64 // seq of the newest change that desks are told of
 	entries   map[string]json.RawMessage
 	at        map[string]int64 // seq at which an entry last changed, or went
-	body      json.RawMessage
+	conf      catalogue.History
 	rev       int64
 	databases map[string]accessions.Database
 	leads     map[string]custodian.Lead
@@ -43,9 +43,9 @@
 	return key == catalogue.Key || accessions.Holds(key) || custodian.Holds(key)
 }
 
-// since returns what a desk that has the state of seq, and the configuration
-// of rev, lacks; nil if that is nothing. Urgent news are not to wait.
-func (e *edition) since(state vault.State, seq, rev int64) (raw json.RawMessage, urgent bool, err error) {
+// since returns what a desk that has the state of seq lacks; nil if that is
+// nothing. Urgent news are not to wait.
+func (e *edition) since(state vault.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.turn(state); err != nil {
@@ -72,8 +72,8 @@
 			}
 		}
 	}
-	if e.rev != rev && (n.Whole || e.at[catalogue.Key] > seq) {
-		n.Config = e.body
+	if e.rev > 0 && (n.Whole || e.at[catalogue.Key] > seq) {
+		n.Config = e.conf.Since(seq, n.Whole)
 	}
 	if raw, err = json.Marshal(n); err != nil {
 		return nil, false, fmt.Errorf("subscription: %w", err)
@@ -127,14 +127,16 @@
 	if e.entries == nil || state.Seq < e.seq {
 		// What came before is not known: whoever has less is told all.
 		e.first, e.newest, e.at, e.entries = state.Seq, state.Seq, map[string]int64{}, next
+		e.conf, e.rev = catalogue.History{}, 0
 	}
-	if !bytes.Equal(e.entries[catalogue.Key], next[catalogue.Key]) || e.body == nil {
-		body, conf, err := catalogue.Decode(next[catalogue.Key])
+	if !bytes.Equal(e.entries[catalogue.Key], next[catalogue.Key]) || e.rev == 0 {
+		_, conf, err := catalogue.Decode(next[catalogue.Key])
 		if err != nil {
 			return err
 		}
 		if conf != nil {
-			e.body, e.rev = body, conf.Rev
+			e.conf.Turn(conf, state.Seq)
+			e.rev = conf.Rev
 		}
 	}
 	for key, raw := range next {
--- a/internal/subscription/edition_test.go
+++ b/internal/subscription/edition_test.go
@@ -25,7 +25,7 @@
 	}
 	since := func(seq int64) (n news, size int, urgent bool) {
 		t.Helper()
-		raw, urgent, err := e.since(state, seq, 0)
+		raw, urgent, err := e.since(state, seq)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -21,7 +21,6 @@
 	Desk string           `json:"desk"`
 	Life int64            `json:"life"`
 	Seq  int64            `json:"seq"`
-	Rev  int64            `json:"rev"`
 	Left map[string]int64 `json:"left,omitempty"`
 	Down []string         `json:"down,omitempty"` // databases the desk holds as down
 	Now  bool             `json:"now,omitempty"`  // the desk's lease can't wait for the next change
@@ -84,7 +83,7 @@
 		if err != nil {
 			return pollAnswer{}, nil
 		}
-		news, urgent, err := o.edition.since(state, q.Seq, q.Rev)
+		news, urgent, err := o.edition.since(state, q.Seq)
 		if err != nil {
 			o.k.Counters.Add("subscription.unreadable", 1)
 			return nil, err
@@ -118,12 +117,14 @@
 	if err != nil {
 		return err
 	}
-	desks, err := custodian.Registered(state.Entries)
-	if err != nil {
-		return err
+	if !o.readers.InTerm(state.Epoch) {
+		desks, err := custodian.Registered(state.Entries)
+		if err != nil {
+			return err
+		}
+		o.readers.Term(state.Epoch, desks, o.k.Clock.Now()+o.lease)
 	}
-	o.readers.Term(state.Epoch, desks, o.k.Clock.Now()+o.lease)
-	if desks[q.Desk] >= q.Life {
+	if custodian.IsRegistered(state.Entries, q.Desk, q.Life) {
 		return nil
 	}
 	return o.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -75,10 +75,8 @@
 	if conf == nil {
 		return 1
 	}
-	for _, s := range conf.Services {
-		if s.Name == service {
-			return Split(s.MaxConns, desks)
-		}
+	if s := conf.Service(service); s != nil {
+		return Split(s.MaxConns, desks)
 	}
 	return unlimited
 }
