After a loss of power or disks the control state serves as soon as a majority is there

Now promises are asked for again and again within a round, the same candidate is promised the same epoch twice, a lease counts only if it stands against a majority, and an archive that finds its own old disk in the newest view gives that view's lease up.

--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/loan"
 )
 
 type copyAnswer struct {
@@ -192,14 +193,59 @@
 	}
 }
 
+// How long promises are waited for: electors that have just started, or are
+// about to, are asked again and again.
+const (
+	promiseTry  = 150 * foundation.Millisecond
+	promiseWait = 450 * foundation.Millisecond
+)
+
 // promises asks for the promises of the sets' electors, and returns the disk
 // of each that gave one and the highest view that any has accepted.
 func (v *Vault) promises(ctx context.Context, epoch int64, sets [][]string) (disks map[string]string, highest View, won bool) {
-	granted := func(got map[string]promiseAnswer) func(string) bool {
-		return func(addr string) bool { return got[addr].Granted }
+	type reply struct {
+		addr   string
+		answer *promiseAnswer
+	}
+	ctx, cancel := context.WithTimeout(ctx, promiseWait.Duration())
+	defer cancel()
+	voters := union(sets...)
+	v.mu.Lock()
+	q := promiseAsk{epoch, v.self, v.voided}
+	v.mu.Unlock()
+	ch := make(chan reply, len(voters))
+	for _, addr := range voters {
+		go func() {
+			for {
+				a := &promiseAnswer{}
+				err := v.branch.Call(ctx, addr, "vault.promise", q, a, promiseTry)
+				if err == nil {
+					ch <- reply{addr, a}
+					return
+				}
+				if errors.As(err, new(*loan.Refused)) || !foundation.Sleep(ctx, 20*foundation.Millisecond) {
+					ch <- reply{addr, nil}
+					return
+				}
+			}
+		}()
+	}
+	got := map[string]promiseAnswer{}
+	possible := func(addr string) bool { // may still be granted in this round
+		a, ok := got[addr]
+		return !ok || a.Granted
+	}
+	granted := func(addr string) bool { return got[addr].Granted }
+	for range voters {
+		r := <-ch
+		if r.answer == nil {
+			r.answer = &promiseAnswer{}
+		}
+		got[r.addr] = *r.answer
+		if majorities(sets, granted) || !majorities(sets, possible) {
+			break
+		}
 	}
-	got := ask(ctx, v, union(sets...), "vault.promise", func(string) any { return promiseAsk{epoch, v.self} },
-		func(got map[string]promiseAnswer) bool { return majorities(sets, granted(got)) })
 	disks = map[string]string{}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -212,11 +258,29 @@
 			highest = a.Accepted
 		}
 		v.tried = max(v.tried, a.Promised)
-		if a.Wait > 0 && !v.active {
-			v.seenTill = max(v.seenTill, v.k.Clock.Now()+a.Wait)
+	}
+	won = majorities(sets, granted)
+	if wait := leaseOf(sets, got); !won && !v.active && wait > 0 {
+		v.seenTill = max(v.seenTill, v.k.Clock.Now()+wait)
+	}
+	return disks, highest, won
+}
+
+// leaseOf is how long leases stand against a majority; one that a few stale
+// electors still guard does not.
+func leaseOf(sets [][]string, got map[string]promiseAnswer) foundation.Micros {
+	waits := []foundation.Micros{0}
+	for _, a := range got {
+		waits = append(waits, a.Wait)
+	}
+	slices.Sort(waits)
+	for _, wait := range waits {
+		free := func(addr string) bool { return got[addr].Wait <= wait }
+		if majorities(sets, free) {
+			return wait
 		}
 	}
-	return disks, highest, majorities(sets, granted(got))
+	return 0
 }
 
 func (v *Vault) tryStand(ctx context.Context) error {
@@ -544,6 +608,18 @@
 	return struct{}{}, nil
 }
 
+// onVoid: the primary's address is served by another life.
+func (v *Vault) onVoid(_ context.Context, q epochAsk) (any, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if q.Epoch != v.seen.Epoch || !v.seen.Has(v.self) || v.active {
+		return nil, errOldEpoch
+	}
+	v.voided, v.seenTill, v.standAt = q.Epoch, 0, 0
+	v.poke()
+	return struct{}{}, nil
+}
+
 func (v *Vault) onLeaving(_ context.Context, m Member) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/vault/elector.go
+++ b/internal/vault/elector.go
@@ -97,6 +97,9 @@
 type promiseAsk struct {
 	Epoch int64  `json:"epoch"`
 	From  Member `json:"from"`
+	// Void is the epoch of a view whose primary's own address is served by
+	// another life, with an empty disk: the lease of that view is no one's.
+	Void int64 `json:"void,omitempty"`
 }
 
 type promiseAnswer struct {
@@ -142,6 +145,7 @@
 // holds in memory; a vote counts once the register has been saved.
 type elector struct {
 	reg       register
+	to        Member            // whom this life promised the epoch to
 	lease     foundation.Micros // span of a lease
 	until     foundation.Micros // end of the lease of the accepted view
 	abstains  bool              // empty disk: knows nothing yet
@@ -156,14 +160,15 @@
 	if e.abstains {
 		return a, errAbstains
 	}
-	if until := max(e.until, e.quietTill); now < until && !q.From.same(e.reg.Accepted.Primary) {
+	free := q.From.same(e.reg.Accepted.Primary) || q.Void > 0 && q.Void == e.reg.Accepted.Epoch
+	if until := max(e.until, e.quietTill); now < until && !free {
 		a.Wait = until - now
 		return a, nil
 	}
-	if q.Epoch <= e.reg.Promised {
+	if q.Epoch < e.reg.Promised || q.Epoch == e.reg.Promised && !q.From.same(e.to) {
 		return a, nil
 	}
-	e.reg.Promised = q.Epoch
+	e.reg.Promised, e.to = q.Epoch, q.From
 	a.Granted, a.Promised = true, q.Epoch
 	return a, nil
 }
@@ -210,6 +215,7 @@
 // lease that it may have granted. Then it reads so many intact registers that
 // no vote can be missed, of the newest set of electors that any of them knows.
 func (v *Vault) recoverElector(ctx context.Context) {
+	go v.giveUpLease(ctx)
 	foundation.Sleep(ctx, v.lease)
 	said := false
 	for ; ctx.Err() == nil; foundation.Sleep(ctx, 300*foundation.Millisecond) {
@@ -234,6 +240,30 @@
 	}
 }
 
+// giveUpLease tells the backups of the newest view, if its primary was this
+// archive with the disk that it lost, that nobody holds that lease any more.
+func (v *Vault) giveUpLease(ctx context.Context) {
+	for end := v.k.Clock.Now() + v.lease; v.k.Clock.Now() < end && ctx.Err() == nil; foundation.Sleep(ctx, 50*foundation.Millisecond) {
+		from := slices.DeleteFunc(union(v.cfg.Archives(), v.cfg.Seeds()), func(addr string) bool { return addr == v.self.Addr })
+		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
+		var newest View
+		for _, a := range answers {
+			if a.Register.Accepted.Epoch > newest.Epoch {
+				newest = a.Register.Accepted
+			}
+		}
+		if newest.Primary.Addr != v.self.Addr || newest.Primary.same(v.self) {
+			continue
+		}
+		for _, b := range newest.Backups {
+			if v.branch.Call(ctx, b.Addr, "vault.void", epochAsk{newest.Epoch}, nil, callWait) == nil {
+				v.k.Log.Info("lease of the life before given up", "epoch", newest.Epoch)
+				return
+			}
+		}
+	}
+}
+
 func (v *Vault) readRegisters(ctx context.Context) (register, error) {
 	v.mu.Lock()
 	view := v.seen
--- a/internal/vault/plugin.go
+++ b/internal/vault/plugin.go
@@ -25,6 +25,7 @@
 				Catchup:  foundation.Micros(s.CatchupS) * foundation.Second,
 				Losses:   int(s.TolerateHosts),
 				Archives: func() []string { return ring.Peers("archive") },
+				Changed:  ring.Changed,
 			})
 			if err != nil {
 				return err
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -83,10 +83,11 @@
 	Seeds     func() []string // inner addresses of the seeds' archives
 	Bootstrap bool
 	Lease     foundation.Micros
-	Away      foundation.Micros // an elector that is away for longer is exchanged
-	Catchup   foundation.Micros // how long to wait for the archives that Losses asks for
-	Losses    int               // archives that may be lost at once, with their disks
-	Archives  func() []string   // inner addresses of archives that seem alive
+	Away      foundation.Micros      // an elector that is away for longer is exchanged
+	Catchup   foundation.Micros      // how long to wait for the archives that Losses asks for
+	Losses    int                    // archives that may be lost at once, with their disks
+	Archives  func() []string        // inner addresses of archives that seem alive
+	Changed   func() <-chan struct{} // closes when those change
 }
 
 // Vault is one archive's part in keeping the control state.
@@ -116,6 +117,7 @@
 	leaving  bool
 	standAt  foundation.Micros
 	toldAt   foundation.Micros
+	voided   int64 // epoch of a view whose primary lost its disk, and with it the lease
 	tried    int64 // highest epoch stood for or heard of
 	queue    []*update
 	small    bool // it was said that the core is smaller than Losses asks
@@ -179,6 +181,7 @@
 	loan.On(b, "vault.succeed", v.onSucceed)
 	loan.On(b, "vault.leaving", v.onLeaving)
 	loan.On(b, "vault.tell", v.onTell)
+	loan.On(b, "vault.void", v.onVoid)
 	return v, nil
 }
 
@@ -552,6 +555,7 @@
 		go v.recoverElector(ctx)
 	}
 	for {
+		changed := v.cfg.Changed()
 		v.step(ctx)
 		t := time.NewTimer(v.pause().Duration())
 		select {
@@ -559,6 +563,8 @@
 			t.Stop()
 			v.resign("stopped")
 			return nil
+		case <-changed:
+			v.standSoon()
 		case <-v.wake:
 		case <-t.C:
 		}
@@ -566,6 +572,15 @@
 	}
 }
 
+// standSoon: somebody came or went, so what failed a moment ago may succeed.
+func (v *Vault) standSoon() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.active {
+		v.standAt = min(v.standAt, v.k.Clock.Now()+20*foundation.Millisecond)
+	}
+}
+
 // pause is how long nothing is due.
 func (v *Vault) pause() foundation.Micros {
 	v.mu.Lock()
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -189,7 +189,7 @@
 	now := 10 * foundation.Second
 	promise := func(epoch int64, m Member) bool {
 		t.Helper()
-		p, err := e.promise(now, promiseAsk{epoch, m})
+		p, err := e.promise(now, promiseAsk{epoch, m, 0})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -236,10 +236,19 @@
 	}
 	// After a restart a lease may still run that was granted before.
 	again := &elector{reg: e.reg, lease: lease, quietTill: now + lease}
-	if p, _ := again.promise(now, promiseAsk{9, a}); p.Granted || p.Wait != lease {
+	if p, _ := again.promise(now, promiseAsk{9, a, 0}); p.Granted || p.Wait != lease {
 		t.Error("a restarted elector promised before a lease could have run out")
 	}
-	if p, _ := again.promise(now, promiseAsk{9, b}); !p.Granted {
+	if p, _ := again.promise(now, promiseAsk{8, a, 1}); p.Granted {
+		t.Error("the word that another view's lease is void was taken")
+	}
+	if p, _ := again.promise(now, promiseAsk{8, a, 2}); !p.Granted {
+		t.Error("not promised though the lease is void")
+	}
+	if p, _ := again.promise(now, promiseAsk{8, a, 2}); !p.Granted {
+		t.Error("asked again by the same candidate, the promise was not repeated")
+	}
+	if p, _ := again.promise(now, promiseAsk{9, b, 0}); !p.Granted {
 		t.Error("the holder of that lease, started again itself, was refused")
 	}
 	if v2.Has(Member{"a", "a:1", "another disk"}) {
