Connections are made a few at a time, and faults that come together are told together

Now a process makes 16 connections at a time, and the time for one counts from its turn; notices of 5 ms share a datagram; a notice of a database that is held as down or being checked causes nothing; archives hear of a doubt once per check.

Ruled out: the links (under a fifth full then), the databases' slots.

--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -169,9 +170,16 @@
 const NoticeKind = "fault"
 
 type notice struct {
-	Database string `json:"d"`
+	Databases []string `json:"d"`
 }
 
+// Notices that are due together share a datagram: they are gathered for a
+// moment, and told in parts of a bounded size.
+const (
+	gather     = 5 * foundation.Millisecond
+	maxNotices = 64
+)
+
 // Event is an input of the coordinator: a "report" or "doubt" of a session, a
 // peer's "notice", or the result of an own check ("checked").
 type Event struct {
@@ -202,6 +210,8 @@
 	mu       sync.Mutex
 	c        *Coordinator
 	bindings map[string]map[*Binding]struct{}
+	faults   outbox // for all peers
+	doubts   outbox // for the archives
 	bell     foundation.Bell
 }
 
@@ -289,18 +299,30 @@
 // Notified takes a peer's datagram.
 func (s *Conservator) Notified(_ string, body json.RawMessage) {
 	var n notice
-	if json.Unmarshal(body, &n) != nil || n.Database == "" {
+	if json.Unmarshal(body, &n) != nil || len(n.Databases) == 0 || slices.Contains(n.Databases, "") {
 		s.k.Counters.Add("conservator.malformed", 1)
 		return
 	}
-	s.Heard(n.Database)
+	for _, id := range n.Databases {
+		s.Heard(id)
+	}
 }
 
-// Heard takes a peer's notice, however it came.
+// Heard takes a peer's notice, however it came. One that tells nothing new is
+// only counted.
 func (s *Conservator) Heard(id string) {
-	if s.cfg.Heed() {
-		s.post(Event{Kind: "notice", Database: id})
+	if !s.cfg.Heed() {
+		return
 	}
+	s.mu.Lock()
+	h := s.c.of(id)
+	idle := !h.up || h.checking || s.k.Clock.Now() < h.calm
+	s.mu.Unlock()
+	if idle {
+		s.k.Counters.Add("conservator.notices", 1)
+		return
+	}
+	s.post(Event{Kind: "notice", Database: id})
 }
 
 // Serve works off reports, notices and checks until ctx ends.
@@ -330,17 +352,17 @@
 		if s.c.Apply(e) {
 			h.due = s.k.Clock.Now() + s.cfg.First
 			s.wentDown(e.Database, e.Generation)
-			s.tellPeers(ctx, e.Database)
+			s.faults.add(s, ctx, e.Database, s.cfg.Peers, 2)
 		} else if e.Generation < h.generation {
 			s.k.Counters.Add("conservator.stale_reports", 1)
 		}
 	case "doubt":
 		if up, gen := s.c.Up(e.Database); up && e.Generation >= gen {
+			if !h.own {
+				s.doubts.add(s, ctx, e.Database, s.cfg.Archives, 1)
+			}
 			h.own = true
 			s.check(ctx, e.Database)
-			for _, a := range s.cfg.Archives() {
-				s.cfg.Send(a, NoticeKind, notice{e.Database})
-			}
 		}
 	case "notice":
 		s.k.Counters.Add("conservator.notices", 1)
@@ -363,7 +385,7 @@
 		}
 		s.wentDown(e.Database, e.Generation)
 		if own {
-			s.tellPeers(ctx, e.Database)
+			s.faults.add(s, ctx, e.Database, s.cfg.Peers, 2)
 		}
 	}
 }
@@ -378,14 +400,27 @@
 	s.bell.Ring()
 }
 
-// tellPeers sends the notice twice: a lost one costs a peer a fault of its
-// own, a doubled one nothing.
-func (s *Conservator) tellPeers(ctx context.Context, id string) {
-	peers := s.cfg.Peers()
+// outbox gathers notices. Its fields are guarded by the conservator's mutex.
+type outbox struct{ ids []string }
+
+// add puts a notice among those that leave next. They are sent so many times:
+// a lost one costs a peer a fault of its own, a doubled one nothing.
+func (o *outbox) add(s *Conservator, ctx context.Context, id string, to func() []string, times int) {
+	o.ids = append(o.ids, id)
+	if len(o.ids) > 1 {
+		return
+	}
 	go func() {
-		for range 2 {
-			for _, p := range peers {
-				s.cfg.Send(p, NoticeKind, notice{id})
+		foundation.Sleep(ctx, gather)
+		s.mu.Lock()
+		ids := o.ids
+		o.ids = nil
+		s.mu.Unlock()
+		for range times {
+			for _, addr := range to() {
+				for part := range slices.Chunk(ids, maxNotices) {
+					s.cfg.Send(addr, NoticeKind, notice{part})
+				}
 			}
 			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
 				return
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -84,7 +85,7 @@
 		var checks, sent atomic.Int64
 		running.Store(true)
 		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
-		body, _ := json.Marshal(notice{"a"})
+		body, _ := json.Marshal(notice{[]string{"a"}})
 		for range 3 { // doubled on the way
 			c.Notified("p1", body)
 		}
@@ -155,3 +156,29 @@
 		}
 	})
 }
+
+// Faults of many databases that come together are told together, and a notice
+// that tells nothing new causes no check.
+func TestManyFaultsShareDatagrams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Bool
+		var checks, sent atomic.Int64
+		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		var ids []string
+		for i := range 90 {
+			ids = append(ids, fmt.Sprint("db-", i))
+			c.Report(ids[i], 0, true)
+		}
+		time.Sleep(80 * time.Millisecond)
+		if n := sent.Load(); n != 8 { // two parts, twice, to each of two peers
+			t.Errorf("%d datagrams for %d faults", n, len(ids))
+		}
+		before := checks.Load()
+		body, _ := json.Marshal(notice{ids})
+		c.Notified("p1", body)
+		synctest.Wait()
+		if n := checks.Load() - before; n != 0 {
+			t.Errorf("%d checks of databases that are held as down already", n)
+		}
+	})
+}
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -29,11 +29,7 @@
 			c := New(k, Config{
 				Interval: charter.Span(s.CheckMs),
 				First:    charter.Span(s.CheckMs) / 10,
-				Check: func(ctx context.Context, id string) bool {
-					ctx, cancel := context.WithTimeout(ctx, charter.Span(s.CheckWaitMs).Duration())
-					defer cancel()
-					return foundation.Need[Checker](k)(ctx, id)
-				},
+				Check:    func(ctx context.Context, id string) bool { return foundation.Need[Checker](k)(ctx, id) },
 				Peers:    func() []string { return slices.Concat(ring.Peers("desk"), ring.Peers("archive")) },
 				Archives: func() []string { return ring.Peers("archive") },
 				Send:     ring.Send,
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -76,9 +76,8 @@
 	Name        string // duty holder
 	Platform    string
 	ReaderLease foundation.Micros
-	Connect     foundation.Micros // for a connection to a database
+	Dialer      shelf.Dialer
 	AskWait     foundation.Micros // for one answer of a database
-	Silence     foundation.Micros
 	BeatWait    foundation.Micros // for the beat of a promoted database, before it is asked
 }
 
@@ -721,9 +720,7 @@
 }
 
 func (c *Custodian) open(ctx context.Context, d accessions.Database) (*shelf.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.AskWait.Duration())
-	defer cancel()
-	return shelf.Open(ctx, c.k.Net, d, "custodian", c.cfg.Connect, c.cfg.Silence)
+	return c.cfg.Dialer.Open(ctx, d, c.cfg.AskWait)
 }
 
 func (c *Custodian) say(conn *shelf.Conn, text string) (statRow, error) {
--- a/internal/custodian/plugin.go
+++ b/internal/custodian/plugin.go
@@ -5,6 +5,7 @@
 	"indigowalk/internal/charter"
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/shelf"
 	"indigowalk/internal/vault"
 )
 
@@ -17,7 +18,8 @@
 			foundation.Offer(k, readers)
 			c := New(k, Config{
 				Name: s.NodeName, Platform: s.Platform, ReaderLease: charter.Span(s.ReaderLeaseMs),
-				Connect: charter.Span(s.CheckWaitMs), AskWait: foundation.Second, BeatWait: 700 * foundation.Millisecond, Silence: charter.Span(s.SilenceMs),
+				Dialer:  shelf.Dialer{Net: k.Net, Who: "custodian", Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs)},
+				AskWait: foundation.Second, BeatWait: 700 * foundation.Millisecond,
 			}, foundation.Need[*vault.Vault](k), foundation.Need[*accessions.Accessions](k),
 				foundation.Need[*conservator.Conservator](k), readers)
 			k.Supervise("custodian", c.Serve)
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -53,17 +53,48 @@
 	closed  bool
 }
 
+// Dialer opens connections to databases.
+type Dialer struct {
+	Net     foundation.Network
+	Who     string            // name given at log-in
+	Connect foundation.Micros // for the connection itself
+	Silence foundation.Micros
+	// Pace, if there is one, bounds the connections that are being made: of
+	// many at once, on a small machine, none would be made in time, and every
+	// database would seem silent.
+	Pace chan struct{}
+}
+
+// dial makes the connection, once the pace allows it.
+func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if d.Pace != nil {
+		select {
+		case d.Pace <- struct{}{}:
+			defer func() { <-d.Pace }()
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	c, err := dialTwice(ctx, d.Net, addr, d.Connect, d.Silence)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrSilent, err)
+	}
+	return c, nil
+}
+
 // Open connects and logs in, naming the expected id. A database to which no
 // connection can be made within the span is silent; one that takes the
-// connection and does not answer the log-in while ctx lasts is slow, which is
-// no fault.
-func Open(ctx context.Context, n foundation.Network, db accessions.Database, who string, connect, silence foundation.Micros) (*Conn, error) {
-	c, err := dialTwice(ctx, n, db.Address, connect, silence)
+// connection and does not answer the log-in within wait is slow, which is no
+// fault.
+func (d *Dialer) Open(ctx context.Context, db accessions.Database, wait foundation.Micros) (*Conn, error) {
+	c, err := d.dial(ctx, db.Address)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrSilent, err)
+		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
-	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, who, db.ID)); err != nil {
+	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, d.Who, db.ID)); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
 	}
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -16,15 +16,21 @@
 // service.
 type Share func(service string) int
 
+// maxDials bounds the connections that a process is making at one time.
+const maxDials = 16
+
 func init() {
 	foundation.Register(foundation.Plugin{
 		Name: "shelf", Rank: 50, Roles: []string{"desk"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			sh := New(k, Config{
-				Who: s.NodeName, Silence: charter.Span(s.SilenceMs), Connect: charter.Span(s.CheckWaitMs), OpenWait: 2 * foundation.Second,
-				IdleFor: 15 * foundation.Second,
-				Share:   func(svc string) int { return foundation.Need[Share](k)(svc) },
+				Dialer: Dialer{
+					Net: k.Net, Who: s.NodeName, Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
+					Pace: make(chan struct{}, maxDials),
+				},
+				OpenWait: 2 * foundation.Second, CheckWait: charter.Span(s.CheckWaitMs), IdleFor: 15 * foundation.Second,
+				Share: func(svc string) int { return foundation.Need[Share](k)(svc) },
 			}, foundation.Need[*conservator.Conservator](k))
 			foundation.Offer(k, sh)
 			foundation.Offer[conservator.Checker](k, sh.Check)
@@ -37,8 +43,12 @@
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			v := foundation.Need[*vault.Vault](k)
+			d := &Dialer{
+				Net: k.Net, Who: "archive", Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
+				Pace: make(chan struct{}, maxDials),
+			}
 			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
-				return probe(ctx, k, v, id, charter.Span(s.CheckWaitMs), charter.Span(s.SilenceMs))
+				return probe(ctx, k, v, d, id)
 			})
 			return nil
 		},
@@ -46,7 +56,7 @@
 }
 
 // probe tries, for an archive, whether a database takes a connection.
-func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, id string, connect, silence foundation.Micros) bool {
+func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, d *Dialer, id string) bool {
 	raw, err := v.Read(accessions.Key(id))
 	if err != nil || raw == nil {
 		return true // not the primary any more, or gone: nothing to decide
@@ -56,7 +66,7 @@
 		k.Counters.Add("shelf.unreadable", 1)
 		return true
 	}
-	c, err := Open(ctx, k.Net, db, "archive", connect, silence)
+	c, err := d.Open(ctx, db, d.Connect)
 	if err != nil {
 		return isFull(err) || errors.Is(err, ErrSlow)
 	}
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -17,12 +17,11 @@
 
 // Config is what a shelf is built from.
 type Config struct {
-	Who      string // name given at log-in
-	Silence  foundation.Micros
-	Connect  foundation.Micros // for the connection itself
-	OpenWait foundation.Micros // for the log-in too
-	IdleFor  foundation.Micros // after which a spare connection is closed
-	Share    func(service string) int
+	Dialer    Dialer
+	OpenWait  foundation.Micros // for a log-in
+	CheckWait foundation.Micros // for the log-in of a check
+	IdleFor   foundation.Micros // after which a spare connection is closed
+	Share     func(service string) int
 }
 
 // Shelf holds this desk's server connections to all databases.
@@ -222,13 +221,11 @@
 }
 
 func (s *Shelf) openOne(p *pool) {
-	ctx, cancel := context.WithTimeout(s.ctx, s.cfg.OpenWait.Duration())
-	defer cancel()
 	s.mu.Lock()
-	db := p.db
+	ctx, db := s.ctx, p.db
 	s.mu.Unlock()
 	_, gen := s.health.State(db.ID)
-	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Connect, s.cfg.Silence)
+	c, err := s.cfg.Dialer.Open(ctx, db, s.cfg.OpenWait)
 	s.k.Counters.Add("shelf.opened", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -327,7 +324,7 @@
 	db := p.db
 	s.mu.Unlock()
 	up, gen := s.health.State(id)
-	c, err := Open(ctx, s.k.Net, db, s.cfg.Who, s.cfg.Connect, s.cfg.Silence)
+	c, err := s.cfg.Dialer.Open(ctx, db, s.cfg.CheckWait)
 	if err != nil {
 		return isFull(err) || errors.Is(err, ErrSlow)
 	}
