A stalled disk is noticed before a change needs it; what many see a few tell

The crash itself was seen by 92 desks at once, each of which told 95 peers twice, in datagrams that carried news of members besides: some 170 KB to each desk, whose link carries 250 KB a second, so that checks of 30 other databases ran out of time and three leads moved for one crash.

Now each archive writes a few bytes to its disk once a lease; a primary whose disk takes over 400 ms hands over, a backup with such a disk is replaced. Notices carry no news of members, and a process that has heard a notice from two others within the random while it waits does not repeat it.

Ruled out: the archives' processors.

--- a/internal/circulation/circulation.go
+++ b/internal/circulation/circulation.go
@@ -139,11 +139,12 @@
 // are set before Serve.
 func (r *Ring) Handle(kind string, f func(from string, body json.RawMessage)) { r.handlers[kind] = f }
 
-// Send sends one datagram; it may be lost, repeated or late.
+// Send sends one datagram; it may be lost, repeated or late. It carries no
+// news of members: what goes to all at once must be small.
 func (r *Ring) Send(addr, kind string, body any) {
 	raw, err := json.Marshal(body)
 	if err == nil {
-		r.send(addr, packet{Kind: kind, Body: raw})
+		r.send(addr, packet{Kind: kind, Body: raw, News: []Member{}})
 	}
 }
 
--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -40,6 +41,8 @@
 	own        bool              // the check is for a fault of a session here
 	due        foundation.Micros // of the next check while down
 	calm       foundation.Micros // until then peers' notices call for no check
+	echoes     int               // notices of peers of late
+	echoed     foundation.Micros // the last of them
 }
 
 // Coordinator is the state machine by itself: no clock, network or
@@ -180,6 +183,15 @@
 	maxNotices = 64
 )
 
+// Where many processes see the same fault at once, a few need to tell it: each
+// waits a random while, the longer the more peers there are, and one that has
+// meanwhile heard the notice from others does not repeat it.
+const (
+	perPeer = foundation.Millisecond / 4
+	echo    = 200 * foundation.Millisecond
+	enough  = 2
+)
+
 // Event is an input of the coordinator: a "report" or "doubt" of a session, a
 // peer's "notice", or the result of an own check ("checked").
 type Event struct {
@@ -315,8 +327,12 @@
 		return
 	}
 	s.mu.Lock()
-	h := s.c.of(id)
-	idle := !h.up || h.checking || s.k.Clock.Now() < h.calm
+	h, now := s.c.of(id), s.k.Clock.Now()
+	if now-h.echoed > echo {
+		h.echoes = 0
+	}
+	h.echoes, h.echoed = h.echoes+1, now
+	idle := !h.up || h.checking || now < h.calm
 	s.mu.Unlock()
 	if idle {
 		s.k.Counters.Add("conservator.notices", 1)
@@ -411,12 +427,13 @@
 		return
 	}
 	go func() {
-		foundation.Sleep(ctx, gather)
+		foundation.Sleep(ctx, gather+rand.N(perPeer*foundation.Micros(len(to())+1)))
 		s.mu.Lock()
 		ids := o.ids
 		o.ids = nil
 		s.mu.Unlock()
 		for range times {
+			ids = s.untold(ids)
 			for _, addr := range to() {
 				for part := range slices.Chunk(ids, maxNotices) {
 					s.cfg.Send(addr, NoticeKind, notice{part})
@@ -429,6 +446,17 @@
 	}()
 }
 
+// untold leaves out what others have told of late.
+func (s *Conservator) untold(ids []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.k.Clock.Now()
+	return slices.DeleteFunc(ids, func(id string) bool {
+		h := s.c.of(id)
+		return h.echoes >= enough && now-h.echoed <= echo
+	})
+}
+
 // nextCheck is the time until a check is due.
 func (s *Conservator) nextCheck() foundation.Micros {
 	s.mu.Lock()
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -180,5 +180,15 @@
 		if n := checks.Load() - before; n != 0 {
 			t.Errorf("%d checks of databases that are held as down already", n)
 		}
+		// What two peers tell while this desk is about to needs no third.
+		before = sent.Load()
+		c.Report("seen by all", 0, true)
+		body, _ = json.Marshal(notice{[]string{"seen by all"}})
+		c.Notified("p1", body)
+		c.Notified("p2", body)
+		time.Sleep(80 * time.Millisecond)
+		if n := sent.Load() - before; n != 0 {
+			t.Errorf("%d datagrams repeat what all have heard", n)
+		}
 	})
 }
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -75,7 +75,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
-	case err == nil:
+	case err == nil && !a.Stalled:
 		delete(v.missed, addr)
 	case slices.Contains(backupAddrs(view), addr):
 		// A backup that answers nothing is replaced before a write needs it.
@@ -84,7 +84,7 @@
 			v.shun(addr)
 		}
 	}
-	if err == nil && a.Granted {
+	if err == nil && a.Granted && !a.Stalled {
 		v.heard[addr] = v.k.Clock.Now()
 	}
 	return a
@@ -498,6 +498,7 @@
 		return a, nil
 	}
 	a, changed := v.elector.renew(now, q.View)
+	a.Stalled = v.stalled.Load()
 	v.hear(now, q.View)
 	v.mu.Unlock()
 	if changed {
--- a/internal/vault/elector.go
+++ b/internal/vault/elector.go
@@ -125,6 +125,7 @@
 	Granted  bool  `json:"granted"`
 	Promised int64 `json:"promised"`
 	Abstains bool  `json:"abstains,omitempty"`
+	Stalled  bool  `json:"stalled,omitempty"` // its disk does not serve
 }
 
 // VoteKind is the kind of record of an elector's answer.
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -11,7 +11,6 @@
 	"math"
 	"os"
 	"path/filepath"
-	"sync"
 
 	"github.com/tidwall/buntdb"
 )
@@ -60,7 +59,7 @@
 	Fresh bool   // the store was made by this opening
 	torn  int64  // bytes of an unfinished last write that were cut off
 
-	mu     sync.Mutex
+	turn   chan struct{} // held while the store is used; a disk may stall meanwhile
 	db     *buntdb.DB
 	file   *os.File // for syncing: buntdb keeps the result of its own to itself
 	size   int64    // of the file, about
@@ -69,12 +68,17 @@
 	closed bool
 }
 
+func newStore(path string) *Store { return &Store{path: path, turn: make(chan struct{}, 1)} }
+
+func (s *Store) lock()   { s.turn <- struct{}{} }
+func (s *Store) unlock() { <-s.turn }
+
 // OpenStore opens or makes the store in dir.
 func OpenStore(dir string) (*Store, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("vault: %w", err)
 	}
-	s := &Store{path: filepath.Join(dir, StoreFile)}
+	s := newStore(filepath.Join(dir, StoreFile))
 	raw, err := os.ReadFile(s.path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("vault: %w", err)
@@ -172,8 +176,8 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	return s.write(key, text)
 }
 
@@ -208,8 +212,8 @@
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	if err := s.write(stateKey, text); err != nil {
 		return err
 	}
@@ -251,8 +255,8 @@
 
 // LoadState reads the state with the changes that follow it in its epoch.
 func (s *Store) LoadState() (State, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	return s.loadState()
 }
 
@@ -315,7 +319,8 @@
 	if err := os.Remove(next); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("vault: %w", err)
 	}
-	n := &Store{path: next, least: math.MaxInt64 / compactTimes}
+	n := newStore(next)
+	n.least = math.MaxInt64 / compactTimes
 	if err := n.open(next); err != nil {
 		return err
 	}
@@ -347,8 +352,8 @@
 
 // Load reads a record into v and tells whether there is one.
 func (s *Store) Load(key string, v any) (bool, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	return s.load(key, v)
 }
 
@@ -387,8 +392,8 @@
 
 // Close closes the store; later calls do nothing.
 func (s *Store) Close() error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock()
+	defer s.unlock()
 	if s.closed {
 		return nil
 	}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -123,6 +123,7 @@
 	small    bool // it was said that the core is smaller than Losses asks
 
 	refusing atomic.Bool // the disk refused the last write
+	stalled  atomic.Bool // the disk has not answered for a while
 
 	writing foundation.Gate // one write or change of view at a time
 	stating foundation.Gate // one write of the state to the disk at a time
@@ -395,11 +396,13 @@
 	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
 	taken := v.toBackups(ctx, view, c)
 	var saved error
+	t := time.NewTimer(diskWait.Duration())
 	select {
 	case saved = <-local:
-	case <-ctx.Done():
-		saved = ctx.Err()
+	case <-t.C:
+		saved = errStalled
 	}
+	t.Stop()
 	if saved != nil {
 		v.k.Counters.Add("vault.save_failed", 1)
 		go v.handOver("own disk fails")
@@ -469,6 +472,52 @@
 	return err
 }
 
+// diskWait is how long the disk may take for a small write before it counts as
+// stalled. What it costs is a hand-over.
+const diskWait = 400 * foundation.Millisecond
+
+// aliveKey is the record that is written to see whether the disk answers.
+const aliveKey = "alive"
+
+// watchDisk writes a few bytes now and then, so that a disk that stalls or
+// refuses is noticed before a change needs it: a primary then hands over, and
+// a backup is replaced.
+func (v *Vault) watchDisk(ctx context.Context) {
+	for n := 0; foundation.Sleep(ctx, v.lease); n++ {
+		done := make(chan error, 1)
+		go func() { done <- v.noteDisk(v.store.Save(aliveKey, n)) }()
+		t := time.NewTimer(diskWait.Duration())
+		var err error
+		select {
+		case err = <-done:
+			t.Stop()
+		case <-t.C:
+			v.stall(errStalled)
+			err = <-done
+		}
+		v.stall(err)
+	}
+}
+
+var errStalled = errors.New("does not answer")
+
+// stall notes whether the disk serves; a primary whose disk does not hands
+// over.
+func (v *Vault) stall(err error) {
+	if v.stalled.Swap(err != nil) == (err != nil) {
+		return
+	}
+	if err == nil {
+		v.k.Log.Info("disk serves again")
+		return
+	}
+	v.k.Counters.Add("vault.disk_stalled", 1)
+	v.k.Log.Warn("disk does not serve", "why", err.Error())
+	if _, leads := v.Primary(); leads {
+		v.handOver("own disk does not serve")
+	}
+}
+
 // saveRegister puts the register, as it is now, on disk; a vote counts only
 // after that.
 func (v *Vault) saveRegister(ctx context.Context) error {
@@ -554,6 +603,7 @@
 	if v.Abstains() {
 		go v.recoverElector(ctx)
 	}
+	go v.watchDisk(ctx)
 	for {
 		changed := v.cfg.Changed()
 		v.step(ctx)
@@ -601,7 +651,7 @@
 	active, leads := v.active, v.leads(now)
 	renew := active && now >= v.renewAt
 	idle := !active && !v.leaving && now >= v.seenTill && now >= v.standAt
-	may := v.mayStand()
+	may := v.mayStand() && !v.stalled.Load()
 	another := leads && now >= v.standAt && v.wantsAnother(now)
 	tell := idle && !may && v.seen.Epoch > 0 && now >= v.toldAt
 	if tell {
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -161,9 +161,7 @@
 	if reg, found, rerr := s.loadRegister(); err != nil || rerr != nil || !found || reg.Promised != 5 || st.Seq != 100 || len(st.Entries["a"]) != len(text) {
 		t.Errorf("read back %d entries at %d, %+v %v %v", len(st.Entries), st.Seq, reg, err, rerr)
 	}
-	s.mu.Lock()
 	s.unsure = true // as after a sync that failed: the next write rewrites first
-	s.mu.Unlock()
 	if err := s.Append(Change{4, 101, map[string]json.RawMessage{"a": nil}}); err != nil {
 		t.Fatal(err)
 	}
