--- a/internal/circulation/circulation.go
+++ b/internal/circulation/circulation.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -44,6 +45,7 @@
 	From   string          `json:"f"`
 	Target string          `json:"t,omitempty"`
 	News   []Member        `json:"m,omitempty"`
+	Sum    uint64          `json:"h,omitempty"` // of the members that the sender knows
 	Body   json.RawMessage `json:"b,omitempty"`
 }
 
@@ -57,6 +59,8 @@
 	pageSize    = 24 // members in one answer to a newcomer
 	maxDatagram = 8192
 	referees    = 3
+
+	compareEvery = 3 // rounds of probes from one comparison with a member to the next
 )
 
 // Config is what a ring is built from.
@@ -132,6 +136,24 @@
 	return out
 }
 
+// sum stands for the set of all that are not dead.
+func (r *Ring) sum() (sum uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	add := func(addr string) {
+		h := fnv.New64a()
+		h.Write([]byte(addr))
+		sum ^= h.Sum64()
+	}
+	add(r.self.Addr)
+	for addr, e := range r.members {
+		if e.Status != Dead {
+			add(addr)
+		}
+	}
+	return sum
+}
+
 // Changed closes at the next change of membership.
 func (r *Ring) Changed() <-chan struct{} { return r.bell.Wait() }
 
@@ -232,6 +254,10 @@
 	case ping:
 		r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: r.aboutSelf()})
 	case join:
+		if p.Sum != 0 && p.Sum == r.sum() {
+			r.send(p.From, packet{Kind: ack, Seq: p.Seq})
+			return
+		}
 		// Page by page: one datagram does not hold many members.
 		for page := range slices.Chunk(r.Members(), pageSize) {
 			r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: page})
@@ -340,6 +366,11 @@
 		if target == "" || round%8 == 7 {
 			r.joinSeeds(ctx)
 		}
+		if target != "" && round%compareEvery == 2 {
+			// News wear out before everyone has them, most of all when many
+			// start at once: who knows others than the target does asks for all.
+			go r.ask(ctx, target, packet{Kind: join, Sum: r.sum()}, r.cfg.Probe/2)
+		}
 		if target == "" {
 			continue
 		}
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -31,6 +31,8 @@
 	packets   map[string]*packetConn
 	conns     map[*conn]bool
 	port      int
+	bytes     map[string]int // sent to each host
+	datagrams map[string]int
 }
 
 // NewNet returns a network with half a millisecond of delay.
@@ -39,9 +41,23 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: 500 * time.Microsecond,
 		dark: map[string]bool{}, cuts: map[[2]string]bool{},
 		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, port: 40000,
+		bytes: map[string]int{}, datagrams: map[string]int{},
 	}
 }
 
+// Sent returns the bytes and datagrams sent to a host so far.
+func (n *Net) Sent(ip string) (bytes, datagrams int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bytes[ip], n.datagrams[ip]
+}
+
+// count notes what is sent to an address. The caller holds the lock.
+func (n *Net) count(to string, size int) {
+	host, _, _ := net.SplitHostPort(to)
+	n.bytes[host] += size
+}
+
 // Lossy sets the share of packets lost and of datagrams doubled.
 func (n *Net) Lossy(loss, dup float64) {
 	n.mu.Lock()
@@ -280,6 +296,7 @@
 // send has a piece, or the end, arrive in order; a lost one is sent again.
 func (c *conn) send(b []byte, eof bool) {
 	c.n.mu.Lock()
+	c.n.count(c.remote, len(b))
 	at := time.Now().Add(c.n.delay)
 	for c.local != c.remote && c.n.rng.Float64() < c.n.loss {
 		at = at.Add(200 * time.Millisecond)
@@ -413,6 +430,9 @@
 	n := p.n
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.count(to.String(), len(b))
+	host, _, _ := net.SplitHostPort(to.String())
+	n.datagrams[host]++
 	copies := 1
 	if n.rng.Float64() < n.dup {
 		copies = 2
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -54,6 +54,7 @@
 	platform *platform
 	Poll     int      // tune.poll_ms
 	Losses   int      // tolerate.hosts
+	Archives int      // zones with an archive, the first ones; all if 0
 	Seeds    []string // of processes started from now on; the first zones' if nil
 }
 
@@ -90,7 +91,9 @@
 func (w *World) ControlAddrs() []string {
 	var out []string
 	for z := 1; z <= w.Zones; z++ {
-		out = append(out, ip(z)+":8782")
+		if w.Archives == 0 || z <= w.Archives {
+			out = append(out, ip(z)+":8782")
+		}
 	}
 	return out
 }
@@ -98,7 +101,9 @@
 // Boot starts every archive and desk for the first time.
 func (w *World) Boot() {
 	for z := 1; z <= w.Zones; z++ {
-		w.Start("archive", z, true)
+		if w.Archives == 0 || z <= w.Archives {
+			w.Start("archive", z, true)
+		}
 		w.Start("desk", z, true)
 	}
 }
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -368,8 +368,8 @@
 }
 
 // copyToBackups hands the whole state to as many archives as may be lost, and
-// one at least. Archives that do not answer count as lost already. Those that
-// kept the state so far come first, shunned ones last.
+// one at least. Archives that do not answer count as lost already: if there are
+// too few others, these will do. Those that kept the state so far come first, shunned ones last.
 func (v *Vault) copyToBackups(ctx context.Context, state State, last View, answered map[string]string) ([]Member, error) {
 	alive := v.cfg.Archives()
 	v.mu.Lock()
@@ -394,16 +394,13 @@
 
 	want := max(1, v.cfg.Losses)
 	var got []Member
-	failed := 0
-	for len(order) > 0 && len(got) < want && (len(got) == 0 || len(got)+failed < want) {
+	for len(order) > 0 && len(got) < want {
 		n := min(want-len(got), len(order))
 		answers := ask(ctx, v, order[:n], "vault.copy", func(string) any { return state },
 			func(got map[string]copyAnswer) bool { return len(got) == n })
 		for _, addr := range order[:n] {
 			if a, ok := answers[addr]; ok && a.Member.Disk != "" {
 				got = append(got, a.Member)
-			} else {
-				failed++
 			}
 		}
 		order = order[n:]
