--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -21,6 +21,11 @@
 // silence is how long a peer may leave what was sent unacknowledged.
 const silence = 1500 * foundation.Millisecond
 
+// connectWait bounds the making of a connection. A peer without power answers
+// nothing, and an opening packet that was lost is sent again far too late: the
+// caller does better to ask another peer, or this one anew.
+const connectWait = 150 * foundation.Millisecond
+
 // ErrUnreachable says that a call got no answer; whether it was carried out
 // is not known.
 var ErrUnreachable = errors.New("loan: peer unreachable")
@@ -245,6 +250,8 @@
 	if there {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, connectWait.Duration())
+	defer cancel()
 	c, err := b.k.Net.Dial(ctx, addr, silence)
 	if err != nil {
 		return err
