--- a/cmd/indigowalk/tools.go
+++ b/cmd/indigowalk/tools.go
@@ -30,6 +30,7 @@
     release ID       replace a database
     lose NODE        lose a node
     restart          restart every process
+    grow DESKS       run that many desks
 `
 
 const replayUsage = `indigowalk replay [--json] FILE: play a recording through the decisions' code
@@ -166,7 +167,7 @@
 		if conf, faults = catalogue.Parse(raw); faults != nil {
 			return t.fail(fmt.Errorf("%s: %w", words[1], faults[0]))
 		}
-	case step == "drain", step == "release", step == "lose":
+	case step == "drain", step == "release", step == "lose", step == "grow":
 		what = words[1]
 	default:
 		return exitUsage
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -623,6 +623,13 @@
 		if err != nil || !strings.Contains(strings.Join(p.Effects, "\n"), "takes over") || !strings.HasSuffix(p.Restart[7], fmt.Sprintf("archive-%d", z)) {
 			t.Errorf("loss: %+v %v", p, err)
 		}
+		p, err = sys.Make("grow", "40", nil)
+		if err != nil || p.Conns["ledger"] != 2 || len(p.Warnings) != 0 || !strings.Contains(strings.Join(p.Effects, "\n"), "44 members") {
+			t.Errorf("40 desks: %+v %v", p, err)
+		}
+		if p, err = sys.Make("grow", "91", nil); err != nil || len(p.Warnings) != 1 {
+			t.Errorf("91 desks on 90 connections: %+v %v", p, err)
+		}
 		if _, err := sys.Make("drain", "nothing", nil); err == nil {
 			t.Error("a drain of an unknown database was planned")
 		}
--- a/internal/toolbox/plan.go
+++ b/internal/toolbox/plan.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"indigowalk/internal/accessions"
@@ -37,7 +38,8 @@
 }
 
 // Make plans a step: "config" with a parsed configuration, "drain" or
-// "release" of a database, "lose" of a node, or "restart" of all.
+// "release" of a database, "lose" of a node, "restart" of all, or "grow" to a
+// number of desks.
 func (s *System) Make(step, what string, conf *catalogue.Configuration) (*Plan, error) {
 	p := s.Primary()
 	if p == nil {
@@ -71,6 +73,15 @@
 			return nil, fmt.Errorf("no node %q", what)
 		}
 	case "restart":
+	case "grow":
+		n, err := strconv.Atoi(what)
+		if err != nil || n < 1 {
+			return nil, fmt.Errorf("%q is not a number of desks", what)
+		}
+		if err := plan.grow(p, desks, n); err != nil {
+			return nil, err
+		}
+		desks = n
 	default:
 		return nil, fmt.Errorf("unknown step %q", step)
 	}
@@ -189,6 +200,42 @@
 	}
 }
 
+// grow tells what a number of desks costs in connections, and what a desk that
+// comes is sent before it serves.
+func (p *Plan) grow(r *Report, now, desks int) error {
+	if r.Config == nil {
+		return fmt.Errorf("no configuration is in force yet")
+	}
+	members, err := json.Marshal(r.Members)
+	if err != nil {
+		return fmt.Errorf("members: %w", err)
+	}
+	var h catalogue.History
+	h.Turn(r.Config, 1)
+	conf, err := json.Marshal(h.Since(0, true))
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	state, err := json.Marshal([]any{r.Databases, r.Leads})
+	if err != nil {
+		return fmt.Errorf("databases: %w", err)
+	}
+	known := len(r.Members)
+	p.effect("a desk that comes is sent some %d KB: %d members, the configuration of %d routes and %d databases",
+		(len(members)*(known+desks-now)/max(known, 1)+len(conf)+len(state))>>10, known+desks-now, len(r.Config.Routes), len(r.Databases))
+	for _, s := range r.Config.Services {
+		if s.MaxConns == 0 {
+			continue
+		}
+		each := subscription.Split(s.MaxConns, desks)
+		p.effect("%s: up to %d of its %d connections to each database", s.Name, each*desks, s.MaxConns)
+		if each*desks > s.MaxConns {
+			p.warn("%s: %d desks with one connection each are over its max_conns of %d", s.Name, desks, s.MaxConns)
+		}
+	}
+	return nil
+}
+
 func (p *Plan) count(r *Report, conf *catalogue.Configuration, desks int, lost string) {
 	if conf == nil {
 		return
