An elector that is gone for good is let go

Now an elector that stays away and can't be exchanged is let go if the others bear the losses without it.

--- a/internal/rehearsal/control_test.go
+++ b/internal/rehearsal/control_test.go
@@ -208,3 +208,38 @@
 		}
 	})
 }
+
+// An archive that was an elector for a while and is gone for good does not
+// count against the losses that can be borne after that.
+func TestElectorGoneForGoodIsLetGo(t *testing.T) {
+	core(t, 4, 2, func(w *World, g *Group) {
+		w.Zones = 5
+		w.Start("archive", 5, false)
+		electors := func(n int) {
+			w.Until(fmt.Sprint(n, " electors"), 8*time.Second, func() bool {
+				z := vaultPrimary(w)
+				return z != 0 && len(w.Process("archive", z).vault().Electors()) == n
+			})
+		}
+		electors(5)
+		w.Process("archive", 1+vaultPrimary(w)%4).Kill()
+		electors(4)
+		time.Sleep(time.Second)
+		w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(5, 1, w.Configuration(7)) == 200 })
+		z := vaultPrimary(w)
+		var left []int
+		for i := range 5 {
+			zone := 1 + (z-1+i)%5
+			if p := w.Process("archive", zone); p != nil {
+				p.Kill()
+				if left = append(left, zone); len(left) <= 2 {
+					p.Wipe() // the primary's first of all
+				}
+			}
+		}
+		for _, zone := range left {
+			w.Start("archive", zone, false)
+		}
+		w.Until("the change is read back", 8*time.Second, func() bool { return w.Fetch() == 7 })
+	})
+}
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -118,7 +118,7 @@
 
 // wantedElectors is the set that there should be, given who takes part: large
 // enough for the losses to be borne, without electors that stay away while a
-// spare archive is there.
+// spare archive is there or the others are enough.
 func (v *Vault) wantedElectors(now foundation.Micros) []string {
 	set := slices.Clone(v.seen.Electors)
 	if !v.active || now-v.since < v.lease/2 {
@@ -126,12 +126,15 @@
 	}
 	spares := v.spares(set, now)
 	for i, addr := range set {
-		if len(spares) == 0 {
-			return set
+		if addr == v.self.Addr || now-max(v.heard[addr], v.since) <= v.cfg.Away {
+			continue
 		}
-		at := max(v.heard[addr], v.since)
-		if addr != v.self.Addr && now-at > v.cfg.Away {
+		if len(spares) > 0 {
 			set[i], spares = spares[0], spares[1:]
+		} else if len(set) > max(3, 2*v.cfg.Losses) {
+			// Without it the losses can be borne just as well; with it, gone for
+			// good, the losses of others would leave too few registers.
+			return slices.Delete(set, i, i+1)
 		}
 	}
 	for len(set) < 2*v.cfg.Losses+1 && len(spares) > 0 {
