Members are worked out once a change and compared in parts

Cause: every borrowed connection and every pool on each look for spare ones asked for the number of desks, for which all members were copied and sorted. Of 14 KB a second to each desk nearly all was news of members that each process told of all others. Ruled out: the polls (3 s of 155), the databases' beats. Change: the list, the addresses by role and sums of 16 parts are worked out when a member changes; a comparison tells the parts that differ, both ways; who is new is passed on twice, the rest found by comparing, first with an archive.

--- a/internal/circulation/circulation.go
+++ b/internal/circulation/circulation.go
@@ -10,9 +10,11 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigowalk/internal/foundation"
@@ -45,7 +47,7 @@
 	From   string          `json:"f"`
 	Target string          `json:"t,omitempty"`
 	News   []Member        `json:"m,omitempty"`
-	Sum    uint64          `json:"h,omitempty"` // of the members that the sender knows
+	Sums   []uint32        `json:"h,omitempty"` // of the parts of the members that the sender knows
 	Body   json.RawMessage `json:"b,omitempty"`
 }
 
@@ -54,11 +56,13 @@
 	ack     = "ack"
 	pingReq = "ask"
 	join    = "join"
+	page    = "page" // members that differ, in answer to a join
 
 	maxNews     = 8
 	pageSize    = 24 // members in one answer to a newcomer
 	maxDatagram = 8192
 	referees    = 3
+	maxMembers  = 10_000 // more than that are not believed
 
 	compareEvery = 3 // rounds of probes from one comparison with a member to the next
 )
@@ -73,7 +77,7 @@
 type entry struct {
 	Member
 	since foundation.Micros // of the present status
-	sends int               // how often its news has been passed on
+	sends int               // how often its news may be passed on yet
 }
 
 // Ring is one process's view of the members.
@@ -81,27 +85,32 @@
 	k   *foundation.Kernel
 	cfg Config
 
-	mu       sync.Mutex
-	conn     net.PacketConn
-	self     Member
-	left     bool // this life has said that it ends
-	members  map[string]*entry
-	turn     []string
-	nextSeq  uint64
-	waiting  map[uint64]chan struct{}
-	handlers map[string]func(from string, body json.RawMessage)
-	bell     foundation.Bell
+	mu        sync.Mutex
+	conn      net.PacketConn
+	self      Member
+	left      bool        // this life has said that it ends
+	unsettled atomic.Bool // the last comparison found a difference
+	members   map[string]*entry
+	fresh     []*entry // whose news may still be passed on
+	roll      *roll    // nil after a change
+	turn      []string
+	nextSeq   uint64
+	waiting   map[uint64]chan struct{}
+	handlers  map[string]func(from string, body json.RawMessage)
+	bell      foundation.Bell
 }
 
 // New returns a ring; its life starts with the time of day, so that a restart
 // outranks what was said of the life before.
 func New(k *foundation.Kernel, cfg Config) *Ring {
 	cfg.Self.Life = time.Now().UnixMicro()
-	return &Ring{
+	r := &Ring{
 		k: k, cfg: cfg, self: cfg.Self,
 		members: map[string]*entry{}, waiting: map[uint64]chan struct{}{},
 		handlers: map[string]func(string, json.RawMessage){},
 	}
+	r.unsettled.Store(true)
+	return r
 }
 
 // Self returns this process as a member.
@@ -111,49 +120,63 @@
 	return r.self
 }
 
-// Members lists all that are not dead, this process included.
-func (r *Ring) Members() []Member {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := []Member{r.self}
-	for _, e := range r.members {
-		if e.Status != Dead {
-			out = append(out, e.Member)
-		}
-	}
-	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
-	return out
+// roll is what is worked out of the members that are not dead, once for each
+// change of them: it is asked for with every statement and every packet.
+type roll struct {
+	all   []Member            // by address, this process included
+	peers map[string][]string // the others' addresses, by role
+	sums  [parts]uint32       // of the addresses in each part
 }
 
-// Peers lists the inner addresses of the others with the role.
-func (r *Ring) Peers(role string) []string {
-	var out []string
-	for _, m := range r.Members() {
-		if m.Role == role && m.Addr != r.cfg.Self.Addr {
-			out = append(out, m.Addr)
-		}
-	}
-	return out
+// parts is how many parts members are compared in: who differs in one is told
+// that part, not all.
+const parts = 16
+
+// partOf returns the part that an address belongs to, and its share of the
+// part's sum.
+func partOf(addr string) (part int, sum uint32) {
+	h := fnv.New64a()
+	h.Write([]byte(addr))
+	n := h.Sum64()
+	return int(n % parts), uint32(n >> 32)
 }
 
-// sum stands for the set of all that are not dead.
-func (r *Ring) sum() (sum uint64) {
+// now returns the roll, which is not to be changed.
+func (r *Ring) now() *roll {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	add := func(addr string) {
-		h := fnv.New64a()
-		h.Write([]byte(addr))
-		sum ^= h.Sum64()
+	if r.roll != nil {
+		return r.roll
 	}
-	add(r.self.Addr)
-	for addr, e := range r.members {
+	n := &roll{all: []Member{r.self}, peers: map[string][]string{}}
+	for _, e := range r.members {
 		if e.Status != Dead {
-			add(addr)
+			n.all = append(n.all, e.Member)
 		}
 	}
-	return sum
+	slices.SortFunc(n.all, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
+	for _, m := range n.all {
+		part, sum := partOf(m.Addr)
+		n.sums[part] ^= sum
+		if m.Addr != r.self.Addr {
+			n.peers[m.Role] = append(n.peers[m.Role], m.Addr)
+		}
+	}
+	for role, addrs := range n.peers {
+		n.peers[role] = slices.Clip(addrs) // appending to it makes a copy
+	}
+	r.roll = n
+	return n
 }
 
+// Members lists all that are not dead, this process included. The list is not
+// to be changed.
+func (r *Ring) Members() []Member { return r.now().all }
+
+// Peers lists the inner addresses of the others with the role. The list is not
+// to be changed.
+func (r *Ring) Peers(role string) []string { return r.now().peers[role] }
+
 // Changed closes at the next change of membership.
 func (r *Ring) Changed() <-chan struct{} { return r.bell.Wait() }
 
@@ -161,16 +184,17 @@
 // are set before Serve.
 func (r *Ring) Handle(kind string, f func(from string, body json.RawMessage)) { r.handlers[kind] = f }
 
-// Send sends one datagram; it may be lost, repeated or late. It carries no
-// news of members: what goes to all at once must be small.
-func (r *Ring) Send(addr, kind string, body any) {
+// Tell sends a datagram to each of the addresses; it may be lost, repeated or
+// late. It carries no news of members: what goes to all at once must be small.
+func (r *Ring) Tell(addrs []string, kind string, body any) {
 	raw, err := json.Marshal(body)
 	if err == nil {
-		r.send(addr, packet{Kind: kind, Body: raw, News: []Member{}})
+		r.send(packet{Kind: kind, Body: raw, News: []Member{}}, addrs...)
 	}
 }
 
-func (r *Ring) send(addr string, p packet) {
+// send sends a packet, encoded once, to the addresses.
+func (r *Ring) send(p packet, addrs ...string) {
 	r.mu.Lock()
 	p.From = r.self.Addr
 	if p.News == nil && p.Kind != pingReq {
@@ -178,40 +202,61 @@
 	}
 	conn := r.conn
 	r.mu.Unlock()
-	to, err := net.ResolveUDPAddr("udp4", addr)
-	if conn == nil || err != nil {
-		return
-	}
 	raw, err := json.Marshal(p)
-	if err != nil {
+	if conn == nil || err != nil {
 		return
 	}
-	if _, err := conn.WriteTo(raw, to); err != nil {
-		r.k.Counters.Add("circulation.send_failed", 1)
+	for _, addr := range addrs {
+		to, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			r.k.Counters.Add("circulation.malformed", 1)
+			continue
+		}
+		if _, err := conn.WriteTo(raw, net.UDPAddrFromAddrPort(to)); err != nil {
+			r.k.Counters.Add("circulation.send_failed", 1)
+		}
 	}
 }
 
-// gossip picks the news passed on least often.
+// gossip picks the news that may be passed on most often yet.
 func (r *Ring) gossip() []Member {
-	limit := 3
-	for n := len(r.members) + 1; n > 1; n /= 2 {
-		limit += 2
-	}
-	var fresh []*entry
-	for _, e := range r.members {
-		if e.sends < limit {
-			fresh = append(fresh, e)
-		}
-	}
-	slices.SortFunc(fresh, func(a, b *entry) int { return a.sends - b.sends })
-	var out []Member
-	for _, e := range fresh[:min(len(fresh), maxNews)] {
-		e.sends++
+	r.fresh = slices.DeleteFunc(r.fresh, func(e *entry) bool { return e.sends == 0 || r.members[e.Addr] != e })
+	if len(r.fresh) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(r.fresh, func(a, b *entry) int { return b.sends - a.sends })
+	out := make([]Member, 0, maxNews)
+	for _, e := range r.fresh[:min(len(r.fresh), maxNews)] {
+		e.sends--
 		out = append(out, e.Member)
 	}
 	return out
 }
 
+// rumour is how often a process passes on that a member's status has changed:
+// so often that all soon know.
+func (r *Ring) rumour() int {
+	sends := 3
+	for n := len(r.members) + 1; n > 1; n /= 2 {
+		sends += 2
+	}
+	return sends
+}
+
+// greeting is how often a process passes on that a member is new. Where many
+// start at once each would tell all of all; whom it has not heard of in this
+// way a process learns of by comparing.
+const greeting = 2
+
+// changed notes that an entry is news, to be passed on so often. The caller
+// holds the lock.
+func (r *Ring) changed(e *entry, sends int) {
+	e.sends, r.roll = sends, nil
+	if sends > 0 && !slices.Contains(r.fresh, e) {
+		r.fresh = append(r.fresh, e)
+	}
+}
+
 // Serve takes part until ctx ends.
 func (r *Ring) Serve(ctx context.Context) error {
 	conn, err := r.k.Net.ListenPacket(r.cfg.Self.Addr)
@@ -244,35 +289,39 @@
 
 func (r *Ring) take(ctx context.Context, p packet) {
 	for _, m := range p.News {
-		if newer, ok := r.learn(m); ok && m.Addr == p.From {
+		if newer, ok := r.learn(m, p.Kind != page); ok && m.Addr == p.From {
 			// Its clock may have stepped back between two lives: it learns the
 			// newest that is known, and objects with the next.
-			r.send(p.From, packet{Kind: ack, News: []Member{newer}})
+			r.send(packet{Kind: ack, News: []Member{newer}}, p.From)
 		}
 	}
 	switch p.Kind {
 	case ping:
-		r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: r.aboutSelf()})
+		r.send(packet{Kind: ack, Seq: p.Seq, News: r.aboutSelf()}, p.From)
 	case join:
-		if p.Sum != 0 && p.Sum == r.sum() {
-			r.send(p.From, packet{Kind: ack, Seq: p.Seq})
+		lacks := r.differing(p.Sums)
+		if len(lacks) == 0 {
+			r.send(packet{Kind: ack, Seq: p.Seq}, p.From)
 			return
 		}
-		// Page by page: one datagram does not hold many members.
-		for page := range slices.Chunk(r.Members(), pageSize) {
-			r.send(p.From, packet{Kind: ack, Seq: p.Seq, News: page})
-		}
-	case ack:
+		r.pages(p.From, packet{Kind: page, Seq: p.Seq, Sums: r.sums()}, lacks)
+	case ack, page:
 		r.mu.Lock()
 		if ch := r.waiting[p.Seq]; ch != nil {
 			close(ch)
 			delete(r.waiting, p.Seq)
 		}
 		r.mu.Unlock()
+		if len(p.Sums) == parts {
+			// It knows others than this process did; what it lacks itself, and
+			// whatever was lost on the way, is made up for soon.
+			r.unsettled.Store(true)
+			r.pages(p.From, packet{Kind: page}, r.differing(p.Sums))
+		}
 	case pingReq:
 		go func() {
 			if r.ask(ctx, p.Target, packet{Kind: ping}, r.cfg.Probe/2) {
-				r.send(p.From, packet{Kind: ack, Seq: p.Seq})
+				r.send(packet{Kind: ack, Seq: p.Seq}, p.From)
 			}
 		}()
 	default:
@@ -284,6 +333,38 @@
 	}
 }
 
+// differing lists the members of the parts in which somebody with these sums
+// knows others; all, if it knows none.
+func (r *Ring) differing(sums []uint32) []Member {
+	now := r.now()
+	if len(sums) != parts {
+		return now.all
+	}
+	var out []Member
+	for _, m := range now.all {
+		if part, _ := partOf(m.Addr); now.sums[part] != sums[part] {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// sums are those of the members that this process knows.
+func (r *Ring) sums() []uint32 { s := r.now().sums; return s[:] }
+
+// pages sends the members page by page, since one datagram does not hold many;
+// the sums go with the last.
+func (r *Ring) pages(to string, p packet, members []Member) {
+	sums := p.Sums
+	for len(members) > 0 {
+		n := min(len(members), pageSize)
+		if p.News, p.Sums, members = members[:n], nil, members[n:]; len(members) == 0 {
+			p.Sums = sums
+		}
+		r.send(p, to)
+	}
+}
+
 // aboutSelf is the usual news with this process first.
 func (r *Ring) aboutSelf() []Member {
 	r.mu.Lock()
@@ -292,8 +373,9 @@
 }
 
 // learn merges one piece of news; if more is known of that member already, it
-// returns what.
-func (r *Ring) learn(m Member) (newer Member, known bool) {
+// returns what. A new member that was told of in person or by word of mouth is
+// passed on, one that was found by comparing is not.
+func (r *Ring) learn(m Member, pass bool) (newer Member, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m.Addr == r.self.Addr {
@@ -301,7 +383,7 @@
 			return Member{}, false // it says so itself
 		}
 		if m.Life > r.self.Life || m.Status != Alive && m.Life == r.self.Life {
-			r.self.Life = m.Life + 1 // object
+			r.self.Life, r.roll = m.Life+1, nil // object
 			r.k.Counters.Add("circulation.objections", 1)
 		}
 		return Member{}, false
@@ -311,7 +393,17 @@
 		if m.Status == Dead {
 			return Member{}, false
 		}
-		r.members[m.Addr] = &entry{Member: m, since: r.k.Clock.Now()}
+		if len(r.members) >= maxMembers {
+			r.k.Counters.Add("circulation.too_many", 1)
+			return Member{}, false
+		}
+		e = &entry{Member: m, since: r.k.Clock.Now()}
+		r.members[m.Addr] = e
+		sends := 0
+		if pass {
+			sends = greeting
+		}
+		r.changed(e, sends)
 		r.bell.Ring()
 		return Member{}, false
 	}
@@ -322,7 +414,8 @@
 	if e.Status != m.Status {
 		e.since = r.k.Clock.Now()
 	}
-	e.Member, e.sends = m, 0
+	e.Member = m
+	r.changed(e, r.rumour())
 	if changed {
 		r.bell.Ring()
 	}
@@ -341,7 +434,7 @@
 	if p.News == nil {
 		p.News = r.aboutSelf()
 	}
-	r.send(addr, p)
+	r.send(p, addr)
 	defer func() {
 		r.mu.Lock()
 		delete(r.waiting, seq)
@@ -366,10 +459,16 @@
 		if target == "" || round%8 == 7 {
 			r.joinSeeds(ctx)
 		}
-		if target != "" && round%compareEvery == 2 {
-			// News wear out before everyone has them, most of all when many
-			// start at once: who knows others than the target does asks for all.
-			go r.ask(ctx, target, packet{Kind: join, Sum: r.sum()}, r.cfg.Probe/2)
+		// News wear out before everyone has them, most of all when many start
+		// at once: what two know differently they tell each other.
+		with := ""
+		if r.unsettled.Swap(false) {
+			with = r.wellInformed()
+		} else if round%compareEvery == 2 {
+			with = target
+		}
+		if with != "" && with != r.cfg.Self.Addr {
+			go r.ask(ctx, with, packet{Kind: join, Sums: r.sums()}, r.cfg.Probe/2)
 		}
 		if target == "" {
 			continue
@@ -380,6 +479,18 @@
 	}
 }
 
+// wellInformed picks one of those whom all who start greet.
+func (r *Ring) wellInformed() string {
+	known := r.Peers("archive")
+	if len(known) == 0 {
+		known = r.cfg.Seeds
+	}
+	if len(known) == 0 {
+		return ""
+	}
+	return known[rand.IntN(len(known))]
+}
+
 // joinSeeds greets the seeds that are not known to be alive.
 func (r *Ring) joinSeeds(ctx context.Context) {
 	for _, s := range r.cfg.Seeds {
@@ -440,7 +551,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e := r.members[addr]; e != nil && e.Status == Alive {
-		e.Status, e.since, e.sends = Suspect, r.k.Clock.Now(), 0
+		e.Status, e.since = Suspect, r.k.Clock.Now()
+		r.changed(e, r.rumour())
 		r.k.Counters.Add("circulation.suspected", 1)
 	}
 }
@@ -454,7 +566,8 @@
 	for addr, e := range r.members {
 		switch {
 		case e.Status == Suspect && now-e.since > 3*r.cfg.Probe:
-			e.Status, e.since, e.sends = Dead, now, 0
+			e.Status, e.since = Dead, now
+			r.changed(e, r.rumour())
 			r.k.Log.Info("member removed", "name", e.Name, "role", e.Role)
 			r.bell.Ring()
 		case e.Status == Dead && now-e.since > 60*r.cfg.Probe:
@@ -472,7 +585,7 @@
 	r.mu.Unlock()
 	for i, m := range r.Members() {
 		if i < 2*referees && m.Addr != gone.Addr {
-			r.send(m.Addr, packet{Kind: ack, News: []Member{gone}})
+			r.send(packet{Kind: ack, News: []Member{gone}}, m.Addr)
 		}
 	}
 }
