The state is decoded step by step, and told whole in groups, encoded once

Cause: each beat that changed anything decoded all databases, each change all databases, leads and desks three times; a desk that started was sent 100 KB that were encoded for it alone and looked through twice more on their way. Change: what is decoded is kept and only changed entries decoded again; the whole state is encoded once per change that desks are told of; databases, routes and services that are alike but for names are told together; lines carry encoded bodies as they are.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -78,7 +78,7 @@
 
 // tuneMemory trades a little memory for less work of the collector.
 func tuneMemory() {
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(96 << 20)
 }
 
--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -79,6 +79,8 @@
 	k *foundation.Kernel
 	v *vault.Vault
 
+	decoded *vault.Decoded[Database]
+
 	mu   sync.Mutex
 	soft map[string]Soft
 	bell foundation.Bell
@@ -86,16 +88,15 @@
 
 // New returns the list kept in v.
 func New(k *foundation.Kernel, v *vault.Vault) *Accessions {
-	return &Accessions{k: k, v: v, soft: map[string]Soft{}}
+	return &Accessions{k: k, v: v, decoded: Decoder(), soft: map[string]Soft{}}
 }
 
-// Decode picks the databases out of the control state.
+// Decoder returns what picks the databases out of the control state.
+func Decoder() *vault.Decoded[Database] { return vault.NewDecoded[Database](keyPrefix) }
+
+// Decode picks the databases out of the control state, once.
 func Decode(entries map[string]json.RawMessage) (map[string]Database, error) {
-	out, err := vault.Pick[Database](entries, keyPrefix)
-	if err != nil {
-		return nil, fmt.Errorf("accessions: %w", err)
-	}
-	return out, nil
+	return Decoder().Of(entries)
 }
 
 // Heartbeat takes a beat; it returns nil only once everything in it that is
@@ -131,7 +132,11 @@
 		return nil
 	}
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		return settle(entries, want)
+		known, err := a.decoded.Of(entries)
+		if err != nil {
+			return nil, err
+		}
+		return settle(known, want)
 	}, "database known", "id", id, "zone", b.Zone, "status", b.Status, "role", b.Role)
 }
 
@@ -161,12 +166,8 @@
 
 // settle enters a database, and deals with any other at its address: of the
 // same service it is the same one before a crash, of another it is gone.
-func settle(entries map[string]json.RawMessage, d Database) (map[string]json.RawMessage, error) {
-	out := map[string]json.RawMessage{}
-	known, err := Decode(entries)
-	if err != nil {
-		return nil, err
-	}
+func settle(known map[string]Database, d Database) (out map[string]json.RawMessage, err error) {
+	out = map[string]json.RawMessage{}
 	if old, ok := known[d.ID]; ok {
 		d.Was, d.Out, d.Gone, d.Draining = old.Was, old.Out, old.Gone, d.Draining || old.Draining
 	}
@@ -208,14 +209,14 @@
 // edit changes the entry of a database, if there is one.
 func (a *Accessions) edit(ctx context.Context, id string, f func(*Database), msg string) error {
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		known, err := Decode(entries)
-		if err != nil {
-			return nil, err
-		}
-		d, ok := known[id]
+		have, ok := entries[keyPrefix+id]
 		if !ok {
 			return nil, nil
 		}
+		var d Database
+		if err := json.Unmarshal(have, &d); err != nil {
+			return nil, err
+		}
 		f(&d)
 		raw, err := json.Marshal(d)
 		return map[string]json.RawMessage{keyPrefix + id: raw}, err
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -16,21 +16,27 @@
 	hosts    map[string]*Route
 }
 
-// Alike are routes that differ by their keys only.
+// Alike are routes that differ by their keys and services only.
 type Alike struct {
 	Route
-	Keys []string `json:"keys"`
+	Of map[string][]string `json:"of"` // keys, by service
+}
+
+// AlikeServices are services that differ by their names only.
+type AlikeServices struct {
+	Service
+	Names []string `json:"names"`
 }
 
 // Step leads from one configuration to a later one. Most changes touch a few
 // of many routes, and most routes are like others: a step is far smaller than
 // the configuration.
 type Step struct {
-	Rev      int64     `json:"rev"`
-	Alike    []Alike   `json:"alike,omitempty"`   // routes that are new or changed
-	Dropped  []string  `json:"dropped,omitempty"` // keys of routes that are no more
-	Services []Service `json:"services,omitempty"`
-	Limits   Limits    `json:"limits"`
+	Rev      int64           `json:"rev"`
+	Alike    []Alike         `json:"alike,omitempty"`    // routes that are new or changed
+	Dropped  []string        `json:"dropped,omitempty"`  // keys of routes that are no more
+	Services []AlikeServices `json:"services,omitempty"` // all, if any changed
+	Limits   Limits          `json:"limits"`
 }
 
 // key is what tells a route from others.
@@ -85,17 +91,24 @@
 func (h *History) Since(seq int64, whole bool) *Step {
 	s := &Step{Rev: h.conf.Rev, Limits: h.conf.Limits}
 	if whole || h.served > seq {
-		s.Services = h.conf.Services
+		s.Services = alikeServices(h.conf.Services)
 	}
-	groups := map[Route][]string{}
+	groups := map[Route]map[string][]string{}
 	for key, bare := range h.routes {
 		if whole || h.at[key] > seq {
-			groups[bare] = append(groups[bare], key)
+			service := bare.Service
+			bare.Service = ""
+			if groups[bare] == nil {
+				groups[bare] = map[string][]string{}
+			}
+			groups[bare][service] = append(groups[bare][service], key)
 		}
 	}
-	for bare, keys := range groups {
-		slices.Sort(keys)
-		s.Alike = append(s.Alike, Alike{bare, keys})
+	for bare, of := range groups {
+		for _, keys := range of {
+			slices.Sort(keys)
+		}
+		s.Alike = append(s.Alike, Alike{bare, of})
 	}
 	if !whole {
 		for key, at := range h.at {
@@ -107,6 +120,20 @@
 	return s
 }
 
+func alikeServices(services []Service) []AlikeServices {
+	names := map[Service][]string{}
+	for _, s := range services {
+		name := s.Name
+		s.Name = ""
+		names[s] = append(names[s], name)
+	}
+	out := make([]AlikeServices, 0, len(names))
+	for s, n := range names {
+		out = append(out, AlikeServices{s, n})
+	}
+	return out
+}
+
 // Next returns the index after a step; x, which may be nil, stays as it is.
 func (x *Index) Next(s *Step, whole bool) *Index {
 	n := &Index{Rev: s.Rev, Limits: s.Limits, services: map[string]*Service{}, routes: map[string]*Route{}, hosts: map[string]*Route{}}
@@ -116,20 +143,26 @@
 	}
 	if s.Services != nil {
 		clear(n.services)
-		for i := range s.Services {
-			n.services[s.Services[i].Name] = &s.Services[i]
+		for _, a := range s.Services {
+			for _, name := range a.Names {
+				svc := a.Service
+				svc.Name = name
+				n.services[name] = &svc
+			}
 		}
 	}
 	for _, a := range s.Alike {
-		for _, key := range a.Keys {
-			r := a.Route
-			r.Prefix = "/"
-			if host, prefix, ok := strings.Cut(key, " "); ok {
-				r.Host, r.Prefix = host, prefix
-			} else {
-				r.Host = key
+		for service, keys := range a.Of {
+			for _, key := range keys {
+				r := a.Route
+				r.Service, r.Prefix = service, "/"
+				if host, prefix, ok := strings.Cut(key, " "); ok {
+					r.Host, r.Prefix = host, prefix
+				} else {
+					r.Host = key
+				}
+				n.routes[key] = &r
 			}
-			n.routes[key] = &r
 		}
 	}
 	for _, key := range s.Dropped {
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -56,13 +56,12 @@
 // busyPause is before a database that has no slot free is asked again.
 const busyPause = 15 * foundation.Millisecond
 
-// Decode picks the leads out of the control state.
+// Decoder returns what picks the leads out of the control state.
+func Decoder() *vault.Decoded[Lead] { return vault.NewDecoded[Lead](keyPrefix) }
+
+// Decode picks the leads out of the control state, once.
 func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
-	out, err := vault.Pick[Lead](entries, keyPrefix)
-	if err != nil {
-		return nil, fmt.Errorf("custodian: %w", err)
-	}
-	return out, nil
+	return Decoder().Of(entries)
 }
 
 // Errors of this layer.
@@ -91,6 +90,10 @@
 	readers *Readers
 	client  *http.Client
 
+	databases *vault.Decoded[accessions.Database]
+	leads     *vault.Decoded[Lead]
+	desks     *vault.Decoded[int64]
+
 	mu                 sync.Mutex
 	busy               map[string]bool              // services being moved by this process
 	tried              map[string]foundation.Micros // when what is paced was last tried
@@ -114,6 +117,7 @@
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
+		databases: accessions.Decoder(), leads: Decoder(), desks: vault.NewDecoded[int64](deskPrefix),
 		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, said: map[string]string{},
 	}
 }
@@ -140,6 +144,7 @@
 // scene is what one look at the control state shows.
 type scene struct {
 	databases map[string]accessions.Database
+	services  map[string][]accessions.Database
 	leads     map[string]Lead
 	conf      *catalogue.Configuration
 	soft      map[string]accessions.Soft
@@ -155,15 +160,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.seen == nil || c.seenSeq != state.Seq || c.seenEpoch != state.Epoch {
-		s := &scene{}
+		s := &scene{services: map[string][]accessions.Database{}}
 		entries := state.Entries
-		if s.databases, err = accessions.Decode(entries); err != nil {
+		if s.databases, err = c.databases.Of(entries); err != nil {
 			return nil, err
 		}
-		if s.leads, err = Decode(entries); err != nil {
+		for _, d := range s.databases {
+			s.services[d.Service] = append(s.services[d.Service], d)
+		}
+		if s.leads, err = c.leads.Of(entries); err != nil {
 			return nil, err
 		}
-		if s.desks, err = Registered(entries); err != nil {
+		if s.desks, err = c.desks.Of(entries); err != nil {
 			return nil, err
 		}
 		if c.seen != nil && bytes.Equal(c.confRaw, entries[catalogue.Key]) {
@@ -181,8 +189,8 @@
 // replicas lists the databases of a service besides one.
 func (s *scene) replicas(service, besides string) []accessions.Database {
 	var out []accessions.Database
-	for _, d := range s.databases {
-		if d.Service == service && d.ID != besides {
+	for _, d := range s.services[service] {
+		if d.ID != besides {
 			out = append(out, d)
 		}
 	}
@@ -213,11 +221,7 @@
 		return
 	}
 	c.readers.Term(epoch, s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
-	services := map[string]bool{}
-	for _, d := range s.databases {
-		services[d.Service] = true
-	}
-	for svc := range services {
+	for svc := range s.services {
 		lead, known := s.leads[svc]
 		switch back := s.returned(lead); {
 		case known && back != "" && !lead.Called:
@@ -278,8 +282,8 @@
 // returned finds the lead that crashed and is back, as the primary that it
 // was: with its log, and nobody promoted meanwhile.
 func (s *scene) returned(l Lead) string {
-	for _, d := range s.databases {
-		if d.Was != "" && d.Was == l.ID && d.Service == l.Service && s.soft[d.ID].Role == "primary" {
+	for _, d := range s.services[l.Service] {
+		if d.Was != "" && d.Was == l.ID && s.soft[d.ID].Role == "primary" {
 			return d.ID
 		}
 	}
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -109,11 +109,7 @@
 
 // Registered picks the desks, with their lives, out of the control state.
 func Registered(entries map[string]json.RawMessage) (map[string]int64, error) {
-	out, err := vault.Pick[int64](entries, deskPrefix)
-	if err != nil {
-		return nil, fmt.Errorf("custodian: %w", err)
-	}
-	return out, nil
+	return vault.Pick[int64](entries, deskPrefix)
 }
 
 // Register returns the change of the control state that enters a desk's life.
--- a/internal/loan/loan.go
+++ b/internal/loan/loan.go
@@ -42,7 +42,30 @@
 	Err  string          `json:"err,omitempty"`
 }
 
-// Handler answers one kind of call.
+// encode returns the line with its end. The body is JSON as it left the
+// encoder and is not looked through again.
+func (l line) encode() ([]byte, error) {
+	body := l.Body
+	l.Body = nil
+	raw, err := json.Marshal(l)
+	if err != nil {
+		return nil, err
+	}
+	if body != nil {
+		raw = append(append(append(raw[:len(raw)-1], `,"body":`...), body...), '}')
+	}
+	return append(raw, '\n'), nil
+}
+
+// encode encodes a message; what is raw already goes as it is.
+func encode(v any) (json.RawMessage, error) {
+	if raw, ok := v.(json.RawMessage); ok {
+		return raw, nil
+	}
+	return json.Marshal(v)
+}
+
+// Handler answers one kind of call; a json.RawMessage is sent as it is.
 type Handler func(ctx context.Context, body json.RawMessage) (any, error)
 
 // Branch takes and makes loans for one process.
@@ -135,16 +158,16 @@
 			a := line{ID: q.ID}
 			if v, err := h(ctx, q.Body); err != nil {
 				a.Err = err.Error()
-			} else if a.Body, err = json.Marshal(v); err != nil {
+			} else if a.Body, err = encode(v); err != nil {
 				a.Err = err.Error()
 			}
-			raw, err := json.Marshal(a)
+			raw, err := a.encode()
 			if err != nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			if _, err := c.Write(append(raw, '\n')); err != nil {
+			if _, err := c.Write(raw); err != nil {
 				c.Close()
 			}
 		}()
@@ -171,7 +194,7 @@
 func (b *Branch) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	body, err := json.Marshal(ask)
+	body, err := encode(ask)
 	if err != nil {
 		return fmt.Errorf("loan: %w", err)
 	}
@@ -228,7 +251,7 @@
 	if answer == nil {
 		return nil
 	}
-	raw, err := json.Marshal(v)
+	raw, err := encode(v)
 	if err == nil {
 		err = json.Unmarshal(raw, answer)
 	}
@@ -273,13 +296,13 @@
 		return 0, nil, net.ErrClosed
 	}
 	p.nextID++
-	raw, err := json.Marshal(line{ID: p.nextID, Op: op, Body: body})
+	raw, err := line{ID: p.nextID, Op: op, Body: body}.encode()
 	if err != nil {
 		return 0, nil, err
 	}
 	ch := make(chan line, 1)
 	p.calls[p.nextID] = ch
-	if _, err := p.conn.Write(append(raw, '\n')); err != nil {
+	if _, err := p.conn.Write(raw); err != nil {
 		p.drop(p.conn)
 		return 0, nil, err
 	}
--- a/internal/subscription/edition.go
+++ b/internal/subscription/edition.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -15,11 +17,53 @@
 
 // news is what a desk lacks of the control state.
 type news struct {
-	Whole     bool                           `json:"whole,omitempty"` // all there is, not only what changed
-	Config    *catalogue.Step                `json:"config,omitempty"`
-	Databases map[string]accessions.Database `json:"databases,omitempty"`
-	Gone      []string                       `json:"gone,omitempty"` // databases that are no more
-	Leads     map[string]custodian.Lead      `json:"leads,omitempty"`
+	Whole     bool                      `json:"whole,omitempty"` // all there is, not only what changed
+	Config    *catalogue.Step           `json:"config,omitempty"`
+	Databases databases                 `json:"databases,omitempty"`
+	Gone      []string                  `json:"gone,omitempty"` // databases that are no more
+	Leads     map[string]custodian.Lead `json:"leads,omitempty"`
+}
+
+// databases are told in groups of those that differ by id, service and address
+// only: most are alike in all else.
+type databases map[string]accessions.Database
+
+type alike struct {
+	accessions.Database
+	Rows [][3]string `json:"rows"` // id, service and address of each
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d databases) MarshalJSON() ([]byte, error) {
+	groups := map[accessions.Database][][3]string{}
+	for _, id := range slices.Sorted(maps.Keys(d)) {
+		bare := d[id]
+		row := [3]string{bare.ID, bare.Service, bare.Address}
+		bare.ID, bare.Service, bare.Address = "", "", ""
+		groups[bare] = append(groups[bare], row)
+	}
+	out := make([]alike, 0, len(groups))
+	for bare, rows := range groups {
+		out = append(out, alike{bare, rows})
+	}
+	return json.Marshal(out)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *databases) UnmarshalJSON(raw []byte) error {
+	var groups []alike
+	if err := json.Unmarshal(raw, &groups); err != nil {
+		return err
+	}
+	*d = databases{}
+	for _, g := range groups {
+		for _, row := range g.Rows {
+			one := g.Database
+			one.ID, one.Service, one.Address = row[0], row[1], row[2]
+			(*d)[one.ID] = one
+		}
+	}
+	return nil
 }
 
 // edition is the control state as desks are told of it. It is decoded once
@@ -36,6 +80,14 @@
 	databases map[string]accessions.Database
 	leads     map[string]custodian.Lead
 	told      map[int64]json.RawMessage // news by the seq that a desk has
+	whole     json.RawMessage           // for a desk of which nothing is known
+
+	ofDatabases *vault.Decoded[accessions.Database]
+	ofLeads     *vault.Decoded[custodian.Lead]
+}
+
+func newEdition() *edition {
+	return &edition{ofDatabases: accessions.Decoder(), ofLeads: custodian.Decoder()}
 }
 
 // concerns tells whether desks are told of an entry.
@@ -58,6 +110,9 @@
 	for svc := range e.leads {
 		urgent = urgent || e.at[custodian.Key(svc)] > seq
 	}
+	if n.Whole && e.whole != nil {
+		return e.whole, true, nil
+	}
 	if raw, ok := e.told[seq]; ok && !n.Whole {
 		return raw, urgent, nil
 	}
@@ -65,7 +120,7 @@
 	case n.Whole:
 		n.Databases, n.Leads = e.databases, e.leads
 	default:
-		n.Databases, n.Leads = map[string]accessions.Database{}, map[string]custodian.Lead{}
+		n.Databases, n.Leads = databases{}, map[string]custodian.Lead{}
 		for key, at := range e.at {
 			if at > seq {
 				e.add(&n, key)
@@ -78,7 +133,9 @@
 	if raw, err = json.Marshal(n); err != nil {
 		return nil, false, fmt.Errorf("subscription: %w", err)
 	}
-	if !n.Whole {
+	if n.Whole {
+		e.whole = raw
+	} else {
 		e.told[seq] = raw
 	}
 	return raw, urgent || n.Whole, nil
@@ -111,16 +168,17 @@
 			next[key] = raw
 		}
 	}
-	databases, err := accessions.Decode(next)
+	listed, err := e.ofDatabases.Of(next)
 	if err != nil {
 		return err
 	}
-	for id, d := range databases {
-		if d.Gone {
-			delete(databases, id)
+	databases := make(map[string]accessions.Database, len(listed))
+	for id, d := range listed {
+		if !d.Gone {
+			databases[id] = d
 		}
 	}
-	leads, err := custodian.Decode(next)
+	leads, err := e.ofLeads.Of(next)
 	if err != nil {
 		return err
 	}
@@ -149,6 +207,9 @@
 			e.at[key], e.newest = state.Seq, state.Seq
 		}
 	}
-	e.seq, e.entries, e.databases, e.leads, e.told = state.Seq, next, databases, leads, map[int64]json.RawMessage{}
+	if e.newest == state.Seq || e.told == nil {
+		e.told, e.whole = map[int64]json.RawMessage{}, nil
+	}
+	e.seq, e.entries, e.databases, e.leads = state.Seq, next, databases, leads
 	return nil
 }
--- a/internal/subscription/edition_test.go
+++ b/internal/subscription/edition_test.go
@@ -14,7 +14,7 @@
 // A desk is told what changed since what it has, and everything only if what
 // came before is not known any more.
 func TestNewsSinceASequence(t *testing.T) {
-	var e edition
+	e := newEdition()
 	state := vault.State{Epoch: 3, Seq: 10, Entries: map[string]json.RawMessage{}}
 	put := func(key, raw string) {
 		state.Seq++
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -42,13 +42,13 @@
 	readers *custodian.Readers
 	lease   foundation.Micros
 	hold    func() foundation.Micros
-	heard   func(id string) // a desk's notice of a fault
-	edition edition
+	heard   func(desk, id string) // a desk's notice of a fault
+	edition *edition
 }
 
 // NewOffice answers polls through the branch.
-func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(string)) *Office {
-	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
+func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string)) *Office {
+	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard, edition: newEdition()}
 	loan.On(b, pollOp, o.onPoll)
 	return o
 }
@@ -73,7 +73,7 @@
 		return pollAnswer{Newest: newest}, nil
 	}
 	for _, id := range q.Down {
-		o.heard(id)
+		o.heard(q.Desk, id)
 	}
 	t := time.NewTimer(o.hold().Duration())
 	defer t.Stop()
@@ -168,5 +168,10 @@
 	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
 		return pollAnswer{}, nil
 	}
-	return pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, News: news}, nil
+	raw, err := json.Marshal(pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease})
+	if err != nil || news == nil {
+		return json.RawMessage(raw), err
+	}
+	// The news were encoded once for all desks.
+	return json.RawMessage(append(append(append(raw[:len(raw)-1], `,"news":`...), news...), '}')), nil
 }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -1,6 +1,7 @@
 package vault
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -61,19 +62,57 @@
 // Pick decodes the entries whose keys begin with the prefix, by the rest of
 // their keys.
 func Pick[T any](entries map[string]json.RawMessage, prefix string) (map[string]T, error) {
-	out := map[string]T{}
+	return NewDecoded[T](prefix).Of(entries)
+}
+
+// Decoded keeps the entries of one kind decoded: of a state that changed, only
+// what changed is decoded again.
+type Decoded[T any] struct {
+	prefix string
+
+	mu     sync.Mutex
+	raw    map[string]json.RawMessage // what the values were decoded from
+	values map[string]T
+}
+
+// NewDecoded returns a keeper of the entries whose keys begin with the prefix.
+func NewDecoded[T any](prefix string) *Decoded[T] { return &Decoded[T]{prefix: prefix} }
+
+// Of decodes the entries, by the rest of their keys. The map is shared and not
+// to be changed.
+func (d *Decoded[T]) Of(entries map[string]json.RawMessage) (map[string]T, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fresh, there := map[string]T{}, 0
 	for key, raw := range entries {
-		rest, ok := strings.CutPrefix(key, prefix)
+		rest, ok := strings.CutPrefix(key, d.prefix)
 		if !ok {
 			continue
 		}
+		there++
+		if was, known := d.raw[rest]; known && bytes.Equal(was, raw) {
+			continue
+		}
 		var v T
 		if err := json.Unmarshal(raw, &v); err != nil {
 			return nil, fmt.Errorf("vault: entry %s: %w", key, err)
 		}
-		out[rest] = v
+		fresh[rest] = v
+	}
+	if d.values != nil && len(fresh) == 0 && there == len(d.values) {
+		return d.values, nil
+	}
+	raw, values := make(map[string]json.RawMessage, there), make(map[string]T, there)
+	for rest, v := range d.values {
+		if still, ok := entries[d.prefix+rest]; ok {
+			raw[rest], values[rest] = still, v
+		}
+	}
+	for rest, v := range fresh {
+		raw[rest], values[rest] = entries[d.prefix+rest], v
 	}
-	return out, nil
+	d.raw, d.values = raw, values
+	return values, nil
 }
 
 // Config is what a vault is built from.
