Notices are told in parts, archives first, and left to senior tellers

Cause: telling 300 peers one by one takes a desk with 0.064 cores longer than the others wait before they tell the same, so that all told all; archives, who move the lead, came last. Change: a datagram is encoded once for all; peers are told 24 at a time, each teller begins with other desks, and one that hears meanwhile that two of its seniors tell the same stops. The most senior tellers always go through.

--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,8 +42,8 @@
 	own        bool              // the check is for a fault of a session here
 	due        foundation.Micros // of the next check while down
 	calm       foundation.Micros // until then peers' notices call for no check
-	echoes     int               // notices of peers of late
-	echoed     foundation.Micros // the last of them
+	tellers    []string          // peers that told of it of late, a few
+	echoed     foundation.Micros // when the last of them did
 }
 
 // Coordinator is the state machine by itself: no clock, network or
@@ -160,9 +161,10 @@
 	Interval foundation.Micros // between checks of a database that is down
 	First    foundation.Micros // until the first check after a local report
 	Check    Checker
-	Peers    func() []string
+	Self     string          // address under which peers hear of this process
+	Peers    func() []string // in the order in which they are told
 	Archives func() []string // of the peers, those that may move a lead
-	Send     func(addr, kind string, body any)
+	Tell     func(addrs []string, kind string, body any)
 	Heed     func() bool // whether peers' notices matter to this process now
 }
 
@@ -185,13 +187,26 @@
 
 // Where many processes see the same fault at once, a few need to tell it: each
 // waits a random while, the longer the more peers there are, and one that has
-// meanwhile heard the notice from others does not repeat it.
+// meanwhile heard the notice from others does not repeat it. Telling many takes
+// a while itself: it goes on in parts, and whoever hears between two of them
+// that its seniors tell the same leaves the rest to them. The most senior
+// tellers hear of none, so that some always tell all.
 const (
 	perPeer = foundation.Millisecond / 4
 	echo    = 200 * foundation.Millisecond
 	enough  = 2
+	atOnce  = 24 // peers told in one part
+	tellers = 8  // remembered for one database
 )
 
+// rank orders the tellers of a database's fault; lower ones are senior.
+func rank(addr, id string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(addr))
+	h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // Event is an input of the coordinator: a "report" or "doubt" of a session, a
 // peer's "notice", or the result of an own check ("checked").
 type Event struct {
@@ -309,29 +324,32 @@
 }
 
 // Notified takes a peer's datagram.
-func (s *Conservator) Notified(_ string, body json.RawMessage) {
+func (s *Conservator) Notified(from string, body json.RawMessage) {
 	var n notice
 	if json.Unmarshal(body, &n) != nil || len(n.Databases) == 0 || slices.Contains(n.Databases, "") {
 		s.k.Counters.Add("conservator.malformed", 1)
 		return
 	}
 	for _, id := range n.Databases {
-		s.Heard(id)
+		s.Heard(from, id)
 	}
 }
 
 // Heard takes a peer's notice, however it came. One that tells nothing new is
 // only counted.
-func (s *Conservator) Heard(id string) {
+func (s *Conservator) Heard(from, id string) {
 	if !s.cfg.Heed() {
 		return
 	}
 	s.mu.Lock()
 	h, now := s.c.of(id), s.k.Clock.Now()
 	if now-h.echoed > echo {
-		h.echoes = 0
+		h.tellers = h.tellers[:0]
+	}
+	h.echoed = now
+	if len(h.tellers) < tellers && !slices.Contains(h.tellers, from) {
+		h.tellers = append(h.tellers, from)
 	}
-	h.echoes, h.echoed = h.echoes+1, now
 	idle := !h.up || h.checking || now < h.calm
 	s.mu.Unlock()
 	if idle {
@@ -433,12 +451,8 @@
 		o.ids = nil
 		s.mu.Unlock()
 		for range times {
-			ids = s.untold(ids)
-			for _, addr := range to() {
-				for part := range slices.Chunk(ids, maxNotices) {
-					s.cfg.Send(addr, NoticeKind, notice{part})
-				}
-			}
+			ids = s.untold(ids, func(string, string) bool { return true })
+			s.tell(ctx, ids, to())
 			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
 				return
 			}
@@ -446,14 +460,34 @@
 	}()
 }
 
-// untold leaves out what others have told of late.
-func (s *Conservator) untold(ids []string) []string {
+// tell sends notices to peers, part by part.
+func (s *Conservator) tell(ctx context.Context, ids, peers []string) {
+	senior := func(from, id string) bool { return rank(from, id) < rank(s.cfg.Self, id) }
+	for part := range slices.Chunk(peers, atOnce) {
+		for some := range slices.Chunk(ids, maxNotices) {
+			s.cfg.Tell(part, NoticeKind, notice{some})
+		}
+		if len(ids) == 0 || len(peers) > atOnce && !foundation.Sleep(ctx, foundation.Millisecond) {
+			return
+		}
+		ids = s.untold(slices.Clone(ids), senior)
+	}
+}
+
+// untold leaves out what enough others, of those that count, have told of
+// late.
+func (s *Conservator) untold(ids []string, counts func(from, id string) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.k.Clock.Now()
 	return slices.DeleteFunc(ids, func(id string) bool {
-		h := s.c.of(id)
-		return h.echoes >= enough && now-h.echoed <= echo
+		h, n := s.c.of(id), 0
+		for _, from := range h.tellers {
+			if counts(from, id) {
+				n++
+			}
+		}
+		return n >= enough && now-h.echoed <= echo
 	})
 }
 
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -70,8 +70,12 @@
 		Check:    func(context.Context, string) bool { checks.Add(1); return running.Load() },
 		Peers:    func() []string { return []string{"p1", "p2"} },
 		Archives: func() []string { return nil },
-		Send:     func(_, kind string, _ any) { sent(kind) },
-		Heed:     func() bool { return true },
+		Tell: func(addrs []string, kind string, _ any) {
+			for range addrs {
+				sent(kind)
+			}
+		},
+		Heed: func() bool { return true },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
@@ -192,3 +196,45 @@
 		}
 	})
 }
+
+// Telling many takes a while; whoever hears meanwhile that its seniors tell the
+// same leaves the rest to them, and the most senior one goes on.
+func TestTellingIsLeftToSeniors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var running atomic.Bool
+		var checks, sent atomic.Int64
+		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c.cfg.Peers = func() []string { return make([]string, 240) }
+		var senior, junior []string
+		for i := range 40 {
+			if addr := fmt.Sprint("p", i); rank(addr, "a") < rank(c.cfg.Self, "a") {
+				senior = append(senior, addr)
+			} else {
+				junior = append(junior, addr)
+			}
+		}
+		tell := func(id string, from []string) int64 {
+			before := sent.Load()
+			c.Report(id, 0, true)
+			for range 1000 { // until the first part is sent
+				if sent.Load() > before {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			body, _ := json.Marshal(notice{[]string{id}})
+			for _, addr := range from[:2] {
+				c.Notified(addr, body)
+			}
+			time.Sleep(30 * time.Millisecond)
+			return sent.Load() - before
+		}
+		if n := tell("a", junior); n != 240 {
+			t.Errorf("%d of 240 peers told, though only juniors tell the same", n)
+		}
+		c.Forget("a")
+		if n := tell("a", senior); n > 2*atOnce {
+			t.Errorf("%d peers told beside two seniors", n)
+		}
+	})
+}
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"indigowalk/internal/charter"
@@ -10,6 +11,16 @@
 	"indigowalk/internal/vault"
 )
 
+// order is that in which peers are told: those that may move a lead first, and
+// of the others each process begins with another.
+func order(archives, desks []string) []string {
+	at := 0
+	if len(desks) > 0 {
+		at = rand.IntN(len(desks))
+	}
+	return slices.Concat(archives, desks[at:], desks[:at])
+}
+
 func init() {
 	foundation.Register(foundation.Plugin{
 		Name: "conservator", Rank: 40, Roles: []string{"desk", "archive"},
@@ -30,9 +41,10 @@
 				Interval: charter.Span(s.CheckMs),
 				First:    charter.Span(s.CheckMs) / 10,
 				Check:    func(ctx context.Context, id string) bool { return foundation.Need[Checker](k)(ctx, id) },
-				Peers:    func() []string { return slices.Concat(ring.Peers("desk"), ring.Peers("archive")) },
+				Self:     ring.Self().Addr,
+				Peers:    func() []string { return order(ring.Peers("archive"), ring.Peers("desk")) },
 				Archives: func() []string { return ring.Peers("archive") },
-				Send:     ring.Send,
+				Tell:     ring.Tell,
 				Heed:     heed,
 			})
 			ring.Handle(NoticeKind, c.Notified)
