Connections are opened step by step, and open ones preferred

Change: no more connections are opened at a time than there are; of two replicas the one with an idle connection is preferred, as by one statement's time.

--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -153,7 +153,7 @@
 	_, err := d.card.Primary(q.Service)
 	return d.aid.Pick(q, findingaid.Scene{
 		Databases: dbs, Lead: lead, Leased: err == nil, Zone: d.cfg.Zone,
-		Up: d.health.Up, Busy: d.shelf.Busy,
+		Up: d.health.Up, Busy: d.shelf.Busy, Idle: d.shelf.Idle,
 	})
 }
 
--- a/internal/findingaid/findingaid.go
+++ b/internal/findingaid/findingaid.go
@@ -44,6 +44,7 @@
 	Zone      string
 	Up        func(id string) bool
 	Busy      func(id string) int
+	Idle      func(id string) bool // a connection to it waits for use
 }
 
 type observation struct {
@@ -216,8 +217,12 @@
 			continue
 		}
 		// The wait to expect: this desk's own share of the busy slots, at the
-		// database's pace. Another zone is like half a statement more.
+		// database's pace. Another zone is like half a statement more, a
+		// connection that must be opened first like a whole one.
 		c := a.paceOf(d.ID) * (1 + float64(s.Busy(d.ID)) + 0.2*rand.Float64())
+		if !s.Idle(d.ID) {
+			c++
+		}
 		if d.Zone != s.Zone {
 			c += 0.5
 		}
--- a/internal/findingaid/findingaid_test.go
+++ b/internal/findingaid/findingaid_test.go
@@ -29,6 +29,7 @@
 		},
 		Lead: custodian.Lead{ID: "p"}, Leased: true, Zone: "z1",
 		Up: func(id string) bool { return !down[id] }, Busy: func(id string) int { return busy[id] },
+		Idle: func(string) bool { return true },
 	}
 	q := Request{Service: "svc", Type: "bounded", Stale: 1500 * ms, Received: clock.now}
 	expect := func(what, id string, after folio.Position) {
--- a/internal/rehearsal/grown_test.go
+++ b/internal/rehearsal/grown_test.go
@@ -13,13 +13,14 @@
 	"indigowalk/internal/subscription"
 )
 
-// Some ninety processes and thirty services: what each desk is sent for one
-// change must not grow with what there is.
+// Some three hundred desks and a hundred services: what each desk is sent in a
+// quiet second, for one change and for one crash must not grow with what there
+// is.
 func TestManyDesksAndServices(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const desks, archives, services = 85, 5, 30
+		const desks, archives, services = 300, 6, 120
 		w := NewWorld(t, 1, desks)
-		w.Archives, w.Losses = archives, 2
+		w.Archives, w.Losses, w.MaxConns = archives, 2, 1200
 		defer w.Close()
 		for i := range services {
 			w.Group(fmt.Sprintf("ledger%02d", i))
@@ -35,6 +36,22 @@
 				"svc": "ledger00", "deadline_ms": 4000, "target_ms": 600, "prio": 2, "tries": 2, "stale_ms": 1500,
 			})
 		}
+		// during returns the most that any desk without an archive was sent in
+		// that span.
+		during := func(span time.Duration) (bytes, datagrams int) {
+			type sent struct{ bytes, datagrams int }
+			before := map[int]sent{}
+			for z := archives + 1; z <= desks; z++ {
+				b, d := w.Net.Sent(ip(z))
+				before[z] = sent{b, d}
+			}
+			time.Sleep(span)
+			for z, was := range before {
+				b, d := w.Net.Sent(ip(z))
+				bytes, datagrams = max(bytes, b-was.bytes), max(datagrams, d-was.datagrams)
+			}
+			return bytes, datagrams
+		}
 		send := func(rev, base int64) {
 			conf["rev"] = rev
 			body, err := json.Marshal(conf)
@@ -44,7 +61,13 @@
 			w.Until("a configuration is taken", 10*time.Second, func() bool { return w.Replace(1, base, body) == 200 })
 		}
 		send(1, 0)
-		time.Sleep(14 * time.Second)
+		if got, _ := during(3 * time.Second); got > 200_000 {
+			t.Errorf("up to %d bytes to a desk while all start", got)
+		}
+		time.Sleep(4 * time.Second)
+		if got, datagrams := during(7 * time.Second); got > 7*3000 || datagrams > 7*15 {
+			t.Errorf("up to %d bytes in %d datagrams to a desk in 7 quiet seconds", got, datagrams)
+		}
 		for z := 1; z <= desks; z++ {
 			k := w.Process("desk", z).Kernel
 			if n := len(foundation.Need[*circulation.Ring](k).Members()); n != desks+archives {
@@ -54,22 +77,6 @@
 				t.Errorf("desk %d is not ready", z)
 			}
 		}
-		// during returns the most that any desk without an archive was sent in
-		// that span.
-		during := func(span time.Duration) (bytes, datagrams int) {
-			type sent struct{ bytes, datagrams int }
-			before := map[int]sent{}
-			for z := archives + 1; z <= desks; z++ {
-				b, d := w.Net.Sent(ip(z))
-				before[z] = sent{b, d}
-			}
-			time.Sleep(span)
-			for z, was := range before {
-				b, d := w.Net.Sent(ip(z))
-				bytes, datagrams = max(bytes, b-was.bytes), max(datagrams, d-was.datagrams)
-			}
-			return bytes, datagrams
-		}
 		quiet, _ := during(time.Second)
 		conf["routes"].([]any)[7].(map[string]any)["deadline_ms"] = 1500
 		send(2, 1)
@@ -90,7 +97,7 @@
 			defer s.Close()
 		}
 		lead.Crash(false)
-		if bytes, datagrams := during(500 * time.Millisecond); bytes > 40_000 || datagrams > desks {
+		if bytes, datagrams := during(500 * time.Millisecond); bytes > 10_000 || datagrams > 40 {
 			t.Errorf("a crash that all desks saw: up to %d bytes in %d datagrams to a desk", bytes, datagrams)
 		}
 		w.Until("the next lead", 3*time.Second, func() bool { l := g.Lead(); return l != nil && l != lead })
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -54,6 +54,7 @@
 	platform *platform
 	Poll     int      // tune.poll_ms
 	Losses   int      // tolerate.hosts
+	MaxConns int      // max_conns of the services
 	Archives int      // zones with an archive, the first ones; all if 0
 	Seeds    []string // of processes started from now on; the first zones' if nil
 }
@@ -78,14 +79,14 @@
 func NewWorld(t TB, seed uint64, zones int) *World {
 	w := &World{
 		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, dir: t.TempDir(),
-		procs: map[string]*Process{}, Poll: 600, Losses: 1,
+		procs: map[string]*Process{}, Poll: 600, Losses: 1, MaxConns: 90,
 	}
 	w.platform = &platform{w: w, fences: map[string]int64{}}
 	w.platform.serve()
 	return w
 }
 
-func ip(zone int) string { return fmt.Sprintf("10.%d.0.1", zone) }
+func ip(zone int) string { return fmt.Sprintf("10.%d.%d.1", 1+(zone-1)%200, (zone-1)/200) }
 
 // ControlAddrs lists the archives' control addresses.
 func (w *World) ControlAddrs() []string {
@@ -250,7 +251,7 @@
 func (w *World) Configuration(rev int64) []byte {
 	var routes, services []map[string]any
 	for name := range w.Groups {
-		services = append(services, map[string]any{"name": name, "max_conns": 90, "sync_replicas": 1})
+		services = append(services, map[string]any{"name": name, "max_conns": w.MaxConns, "sync_replicas": 1})
 		for _, t := range []string{"primary", "bounded", "nearest"} {
 			routes = append(routes, map[string]any{
 				"name": t + name, "host": t[:1] + "." + name, "path_prefix": "/", "type": t, "svc": name,
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -110,6 +110,14 @@
 	return 0
 }
 
+// Idle tells whether a connection to the database waits for use.
+func (s *Shelf) Idle(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[id]
+	return p != nil && len(p.idle) > 0
+}
+
 // Counts returns the open and idle connections by database.
 func (s *Shelf) Counts() map[string][2]int {
 	s.mu.Lock()
@@ -214,7 +222,9 @@
 	if s.k.Clock.Now() < p.fullTil {
 		share = max(1, p.open)
 	}
-	for p.opening < len(p.waiting) && p.open+p.opening < share {
+	// Step by step: a connection that becomes free serves sooner than one that
+	// all desks open at the same time.
+	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share {
 		p.opening++
 		go s.openOne(p)
 	}
@@ -235,6 +245,7 @@
 		return
 	}
 	s.admit(p, c, gen)
+	s.extend(p, max(1, s.cfg.Share(p.db.Service)))
 }
 
 func (s *Shelf) openFailed(p *pool, id string, gen int64, err error) {
