--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -43,6 +43,8 @@
 
 	MemMB  float64 `key:"limits.mem_mb" validate:"gte=0"`
 	MaxFDs int64   `key:"limits.max_fds" validate:"gte=0"`
+	// NetMbps is the bandwidth of the machine's own link; 0 if it is not known.
+	NetMbps float64 `key:"limits.net_mbps" validate:"gte=0"`
 
 	ContactMs  int64 `key:"bounds.contact_ms" default:"4000" validate:"gt=0"`
 	DrainMs    int64 `key:"bounds.drain_ms" default:"7000" validate:"gt=0"`
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -64,6 +64,18 @@
 	return true
 }
 
+// Count is how many desks held a lease at that time or later.
+func (r *Readers) Count(at foundation.Micros) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.desks {
+		if d.until > at {
+			n++
+		}
+	}
+	return n
+}
+
 // Left tells whether every desk has left the service's old primary at that
 // turn or holds no lease any more, and if not, how long the leases run.
 func (r *Readers) Left(service string, turn int64, now foundation.Micros) (bool, foundation.Micros) {
--- a/internal/foundation/seams.go
+++ b/internal/foundation/seams.go
@@ -80,8 +80,10 @@
 func breakOnSilence(fd int, silence Micros) error {
 	for _, o := range []struct{ level, name, value int }{
 		{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence.Millis())},
+		// One that is quiet is asked seldom: with thousands at rest the asking
+		// itself would fill links, and their use tells sooner.
 		{unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
-		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 1},
+		{unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, 6},
 		{unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, 1},
 		{unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 2},
 	} {
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -77,7 +77,7 @@
 	}
 	c, err := dialTwice(ctx, d.Net, addr, d.Connect, d.Silence)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %v", ErrSilent, err)
+		return nil, fmt.Errorf("%w: %w", ErrSilent, err)
 	}
 	return c, nil
 }
--- a/internal/shelf/shelf.go
+++ b/internal/shelf/shelf.go
@@ -21,6 +21,7 @@
 	OpenWait  foundation.Micros // for a log-in
 	CheckWait foundation.Micros // for the log-in of a check
 	IdleFor   foundation.Micros // after which a spare connection is closed
+	UnusedFor foundation.Micros // after which a database is left without any
 	Share     func(service string) int
 }
 
@@ -370,7 +371,7 @@
 	s.mu.Lock()
 	s.ctx = ctx
 	s.mu.Unlock()
-	tick := time.NewTicker((2 * foundation.Second).Duration())
+	tick := time.NewTicker(foundation.Second.Duration())
 	defer tick.Stop()
 	for {
 		changed := s.health.Changed()
@@ -397,6 +398,9 @@
 	now := s.k.Clock.Now()
 	for _, p := range s.pools {
 		share := max(1, s.cfg.Share(p.db.Service))
+		if n := len(p.idle); n > 0 && n == p.open && now-p.idle[n-1].idleAt > s.cfg.UnusedFor {
+			p.closeIdle()
+		}
 		for len(p.idle) > 1 && now-p.idle[0].idleAt > s.cfg.IdleFor || len(p.idle) > 0 && p.open > share {
 			p.idle[0].Close()
 			p.idle = p.idle[1:]
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -25,6 +25,10 @@
 // leaseMargin is kept between the check of the lease and its end.
 const leaseMargin = 50 * foundation.Millisecond
 
+// wholeWait is how much longer a desk that knows nothing waits for the whole
+// state.
+const wholeWait = 2 * foundation.Second
+
 // leaveWait bounds how long leaving a primary that answers waits for what is
 // under way there.
 const leaveWait = 400 * foundation.Millisecond
@@ -54,6 +58,7 @@
 	byService map[string][]accessions.Database
 	leads     map[string]custodian.Lead
 	leaseEnd  foundation.Micros
+	desks     int            // that the archive knows
 	inside    map[string]int // statements and transactions at a primary, by service
 	left      map[string]int64
 	learnt    map[string]foundation.Micros // when a move was learnt of
@@ -210,7 +215,11 @@
 	}
 	start := c.k.Clock.Now()
 	var a pollAnswer
-	if err := c.b.Call(ctx, addr, pollOp, q, &a, c.cfg.Poll()+300*foundation.Millisecond); err != nil {
+	span := c.cfg.Poll() + 300*foundation.Millisecond
+	if q.Seq == 0 {
+		span += wholeWait // there is nothing to lose, and a turn to wait for
+	}
+	if err := c.b.Call(ctx, addr, pollOp, q, &a, span); err != nil {
 		return "", err
 	}
 	if a.Newest >= q.Life {
@@ -275,7 +284,7 @@
 	if a.News != nil {
 		c.merge(n)
 	}
-	c.epoch, c.seq = a.Epoch, a.Seq
+	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
 	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
 	databases := c.databases
 	var floors []custodian.Lead
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"indigowalk/internal/custodian"
@@ -32,7 +33,8 @@
 	Epoch     int64             `json:"epoch,omitempty"`
 	Seq       int64             `json:"seq,omitempty"`
 	Lease     foundation.Micros `json:"lease_us,omitempty"`
-	News      json.RawMessage   `json:"news,omitempty"` // of type news; none if nothing changed since the desk's seq
+	Desks     int               `json:"desks,omitempty"` // that have been here of late
+	News      json.RawMessage   `json:"news,omitempty"`  // of type news; none if nothing changed since the desk's seq
 }
 
 // Office is the archive's side.
@@ -44,11 +46,39 @@
 	hold    func() foundation.Micros
 	heard   func(desk, id string) // a desk's notice of a fault
 	edition *edition
+	turns   turns
+}
+
+// turns has whole states leave one after another, at a share of the link: of
+// hundreds of desks that start at once each is sent one, and whatever else the
+// archive sends would wait behind them, its checks of databases too.
+type turns struct {
+	rate float64 // bytes a microsecond; 0 for no bound
+
+	mu   sync.Mutex
+	next foundation.Micros
+}
+
+// linkShare is the part of the link that whole states may take.
+const linkShare = 0.7
+
+// take returns how long to wait for the turn of so many bytes.
+func (t *turns) take(now foundation.Micros, size int) foundation.Micros {
+	if t.rate == 0 {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := max(now, t.next)
+	t.next = at + foundation.Micros(float64(size)/t.rate)
+	return at - now
 }
 
 // NewOffice answers polls through the branch.
-func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string)) *Office {
+// Mbps is the bandwidth of its link, 0 if that is not known.
+func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string), mbps float64) *Office {
 	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard, edition: newEdition()}
+	o.turns.rate = linkShare * mbps / 8
 	loan.On(b, pollOp, o.onPoll)
 	return o
 }
@@ -77,7 +107,7 @@
 	}
 	t := time.NewTimer(o.hold().Duration())
 	defer t.Stop()
-	for {
+	for waited := false; ; {
 		changed := o.v.Changed()
 		state, err := o.v.Durable()
 		if err != nil {
@@ -88,6 +118,13 @@
 			o.k.Counters.Add("subscription.unreadable", 1)
 			return nil, err
 		}
+		if q.Seq == 0 && news != nil && !waited {
+			waited = true
+			if wait := o.turns.take(o.k.Clock.Now(), len(news)); wait > 0 {
+				foundation.Sleep(ctx, wait)
+				continue
+			}
+		}
 		if news == nil && !q.Now {
 			select {
 			case <-ctx.Done():
@@ -107,6 +144,10 @@
 	}
 }
 
+// ofLate is for how long a desk that polls no more is counted: the connections
+// that it had may be there yet, and it may come back.
+const ofLate = 20 * foundation.Second
+
 // gather is how long a change that can wait is held back for others.
 const gather = 50 * foundation.Millisecond
 
@@ -168,7 +209,9 @@
 	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
 		return pollAnswer{}, nil
 	}
-	raw, err := json.Marshal(pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease})
+	raw, err := json.Marshal(pollAnswer{
+		Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Desks: o.readers.Count(o.k.Clock.Now() - ofLate),
+	})
 	if err != nil || news == nil {
 		return json.RawMessage(raw), err
 	}
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -22,7 +22,7 @@
 			book := foundation.Need[*charter.Book](k)
 			health := foundation.Need[*conservator.Conservator](k)
 			NewOffice(k, foundation.Need[*loan.Branch](k), foundation.Need[*vault.Vault](k),
-				foundation.Need[*custodian.Readers](k), charter.Span(book.Now().ReaderLeaseMs), pollSpan(book), health.Heard)
+				foundation.Need[*custodian.Readers](k), charter.Span(book.Now().ReaderLeaseMs), pollSpan(book), health.Heard, book.Now().NetMbps)
 			return nil
 		},
 	})
@@ -69,9 +69,14 @@
 // unlimited stands in for a max_conns of 0.
 const unlimited = 64
 
-// share splits max_conns of a service's databases over the live desks.
+// share splits max_conns of a service's databases over the live desks: those
+// that this one knows as members or, if they are more, that the archive heard of
+// late. A desk that has just started, or is cut off, knows few members.
 func (c *Card) share(service string, desks int) int {
-	conf := c.Config()
+	c.mu.RLock()
+	conf := c.conf
+	desks = max(desks, c.desks)
+	c.mu.RUnlock()
 	if conf == nil {
 		return 1
 	}
