--- /dev/null
+++ b/internal/shelf/silences_test.go
@@ -0,0 +1,23 @@
+package shelf
+
+import (
+	"testing"
+
+	"indigowalk/internal/foundation"
+)
+
+// One silent database counts at once; where another was silent a moment ago,
+// the archive's own link may be full, and it is tried again.
+func TestSeveralSilencesAreDoubted(t *testing.T) {
+	var s silences
+	at := foundation.Second
+	if s.note(at, "a") || s.note(at+ofLate/2, "a") {
+		t.Error("one database is taken for several")
+	}
+	if !s.note(at+ofLate, "b") {
+		t.Error("a second one is not noticed")
+	}
+	if s.note(at+3*ofLate, "c") {
+		t.Error("silences of long ago count")
+	}
+}
