--- a/cmd/indigowalk/tools.go
+++ b/cmd/indigowalk/tools.go
@@ -40,10 +40,18 @@
 the changes of state and the record at which a rule was first broken.
 `
 
-const statusUsage = `indigowalk status [--all] [--json] ADDR...: ask processes for their view
+const statusUsage = `indigowalk status [--all] [--details] [--only TEXT] [--json] ADDR...: ask processes for their view
 
   ADDR is an inner address: the first port of port_range for an archive, the
   second for a desk, as in 10.1.0.8:7440. --all asks every member they know.
+  What is told is how many there are of what, and whoever is not as most are;
+  --details gives every database and process a line, --only those whose name,
+  role, zone or service contains TEXT. Members are asked side by side and
+  waited for 2 s.
+
+    indigowalk status --all 10.1.0.8:7440
+    indigowalk status --all --only hall-gent 10.1.0.8:7440
+    indigowalk status --all --json 10.1.0.8:7440 > view.json
 `
 
 // tool runs one of the toolbox's commands.
@@ -53,6 +61,8 @@
 	fs.SetOutput(io.Discard)
 	asJSON := fs.Bool("json", false, "")
 	all := fs.Bool("all", false, "")
+	details := fs.Bool("details", false, "")
+	only := fs.String("only", "", "")
 	from := fs.String("from", "", "")
 	view := fs.String("view", "", "")
 	base := fs.String("on", "", "")
@@ -81,7 +91,7 @@
 	case name == "replay" && len(words) == 1:
 		code = t.replay(words[0])
 	case name == "status" && len(words) > 0:
-		code = t.status(words, *all)
+		code = t.status(words, *all, *details, *only)
 	}
 	if code == exitUsage {
 		fmt.Fprint(errs, usage)
@@ -209,9 +219,9 @@
 	return code
 }
 
-func (t tools) status(addrs []string, all bool) int {
+func (t tools) status(addrs []string, all, details bool, only string) int {
 	sys := toolbox.Ask(context.Background(), foundation.HostNetwork{}, addrs, all)
-	code := t.show(sys, sys.Print)
+	code := t.show(sys, func(w io.Writer) { sys.Print(w, details, only) })
 	if len(sys.Missing) > 0 {
 		return exitFault
 	}
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -610,10 +610,20 @@
 		if len(sys.Reports) != 8 || len(sys.Missing) != 0 || sys.Primary() == nil {
 			t.Fatalf("%d reports, %v missing", len(sys.Reports), sys.Missing)
 		}
-		var text strings.Builder
-		sys.Print(&text)
-		if !strings.Contains(text.String(), "database ledger-1 of ledger in z1: primary, lead") {
-			t.Errorf("status says:\n%s", text.String())
+		says := func(all bool, only string) string {
+			var text strings.Builder
+			sys.Print(&text, all, only)
+			return text.String()
+		}
+		if text := says(true, ""); !strings.Contains(text, "database ledger-1 of ledger in z1: primary, lead") {
+			t.Errorf("status says:\n%s", text)
+		}
+		if text := says(false, ""); strings.Contains(text, "database ledger-1") || !strings.Contains(text, "databases: 3 of 1 services, 1 with a lead; 0 down") ||
+			!strings.Contains(text, "desks: 4 asked, 4 as most are, 0 differ") {
+			t.Errorf("in short:\n%s", text)
+		}
+		if text := says(false, "desk-2"); !strings.Contains(text, "desk desk-2 in z2") || strings.Contains(text, "desk-3") {
+			t.Errorf("of one desk:\n%s", text)
 		}
 		p, err := sys.Make("release", "ledger-1", nil)
 		if err != nil || len(p.Warnings) != 0 || !strings.Contains(p.Effects[0], "[ledger-2 ledger-3]") || p.Headroom["ledger"] != 14 || p.Conns["ledger"] != 20 {
--- a/internal/toolbox/replay.go
+++ b/internal/toolbox/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -138,7 +139,7 @@
 
 func (p *player) choice(c custodian.Choice) string {
 	to, why := custodian.Choose(c.Situation)
-	fmt.Fprintf(p.w, "%d us: lead of %s: %s\n", p.at, c.Service, cmpOr(to, "waits, "+why))
+	fmt.Fprintf(p.w, "%d us: lead of %s: %s\n", p.at, c.Service, cmp.Or(to, "waits, "+why))
 	if c.Epoch < p.epoch {
 		return fmt.Sprintf("a choice in epoch %d after epoch %d", c.Epoch, p.epoch)
 	}
--- a/internal/toolbox/status.go
+++ b/internal/toolbox/status.go
@@ -1,6 +1,7 @@
 package toolbox
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 
 	"indigowalk/internal/foundation"
@@ -61,24 +63,11 @@
 		addrs = next
 	}
 	slices.SortFunc(sys.Reports, func(a, b *Report) int {
-		if a.Role != b.Role {
-			return compare(a.Role, b.Role)
-		}
-		return compare(a.Node, b.Node)
+		return cmp.Or(strings.Compare(a.Role, b.Role), strings.Compare(a.Node, b.Node))
 	})
 	return sys
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Primary is the report of the archive that holds the lease, nil if none does.
 func (s *System) Primary() *Report {
 	for _, r := range s.Reports {
@@ -89,8 +78,10 @@
 	return nil
 }
 
-// Print writes the system's state for people.
-func (s *System) Print(w io.Writer) {
+// Print writes the system's state for people: how many there are of what, and
+// whoever differs. With all set each database and process has a line; only
+// names those whose name, role, zone or service contains it.
+func (s *System) Print(w io.Writer, all bool, only string) {
 	p := s.Primary()
 	if p == nil {
 		fmt.Fprintln(w, "control state: no primary among those asked")
@@ -102,39 +93,134 @@
 		fmt.Fprintf(w, "control state: epoch %d, primary %s, backups %v, lease %d ms more, electors %v, %d losses can be borne now\n",
 			p.Epoch, p.View.Primary.Name, backups, p.LeaseUs.Millis(), p.Electors, s.bearable(p, ""))
 		fmt.Fprintf(w, "configuration: version %d\n", p.Rev)
-		for _, id := range slices.Sorted(maps.Keys(p.Databases)) {
-			d, l := p.Databases[id], p.Leads[p.Databases[id].Service]
-			state := "up"
-			if gen, down := p.Down[id]; down {
-				state = fmt.Sprintf("down since generation %d", gen)
-			}
-			role := p.Roles[id]
-			if l.ID == id {
-				role += fmt.Sprintf(", lead of term %d", l.Term)
-			}
-			if l.Moving && l.ID == id {
-				role += ", moving to " + cmpOr(l.To, "one to be chosen")
-			}
-			fmt.Fprintf(w, "  database %s of %s in %s: %s, %s%s%s\n", id, d.Service, d.Zone, role, state,
-				flag(d.Draining, ", draining"), flag(d.Gone, ", gone"))
+		s.printDatabases(w, p, all, only)
+	}
+	for _, role := range []string{"archive", "desk"} {
+		s.printNodes(w, role, all, only)
+	}
+	for _, addr := range slices.Sorted(maps.Keys(s.Missing)) {
+		fmt.Fprintf(w, "no answer from %s: %s\n", addr, s.Missing[addr])
+	}
+}
+
+// named tells whether one of the names contains what is looked for.
+func named(only string, names ...string) bool {
+	return slices.ContainsFunc(names, func(n string) bool { return strings.Contains(n, only) })
+}
+
+func (s *System) printDatabases(w io.Writer, p *Report, all bool, only string) {
+	services := map[string]bool{}
+	var lines []string
+	odd := 0
+	for _, id := range slices.Sorted(maps.Keys(p.Databases)) {
+		d, l := p.Databases[id], p.Leads[p.Databases[id].Service]
+		services[d.Service] = true
+		gen, down := p.Down[id]
+		state := "up"
+		if down {
+			state = fmt.Sprintf("down since generation %d", gen)
+		}
+		role := cmp.Or(p.Roles[id], "not heard of yet")
+		moving := l.Moving && l.ID == id
+		if l.ID == id {
+			role += fmt.Sprintf(", lead of term %d", l.Term)
+		}
+		if moving {
+			role += ", moving to " + cmp.Or(l.To, "one to be chosen")
+		}
+		differs := down || moving || d.Draining || d.Gone
+		if differs {
+			odd++
+		}
+		if (all || differs || only != "") && named(only, id, d.Service, d.Zone) {
+			lines = append(lines, fmt.Sprintf("  database %s of %s in %s: %s, %s%s%s", id, d.Service, d.Zone, role, state,
+				flag(d.Draining, ", draining"), flag(d.Gone, ", gone")))
+		}
+	}
+	led := 0
+	for svc := range services {
+		if l, ok := p.Leads[svc]; ok && !l.Moving {
+			led++
 		}
 	}
+	fmt.Fprintf(w, "databases: %d of %d services, %d with a lead; %d down, moving, draining or gone\n", len(p.Databases), len(services), led, odd)
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
+	}
+}
+
+// usual is what most of the reports agree on.
+func usual[T comparable](reports []*Report, of func(*Report) T) (most T) {
+	counts := map[T]int{}
+	for _, r := range reports {
+		v := of(r)
+		if counts[v]++; counts[v] > counts[most] {
+			most = v
+		}
+	}
+	return most
+}
+
+// differs tells in which points a process is not as most of its role are.
+func (s *System) differs(r *Report, peers []*Report) (points []string) {
+	rev := usual(peers, func(r *Report) int64 { return r.Rev })
+	if p := s.Primary(); p != nil && r.Role == "desk" {
+		rev = p.Rev
+	}
+	if r.Role == "desk" && r.Rev != rev {
+		points = append(points, "another configuration")
+	}
+	if r.Epoch != usual(peers, func(r *Report) int64 { return r.Epoch }) {
+		points = append(points, "another epoch")
+	}
+	if r.Role == "desk" && r.LeaseUs <= 0 {
+		points = append(points, "no lease")
+	}
+	if len(r.Members) != usual(s.Reports, func(r *Report) int { return len(r.Members) }) {
+		points = append(points, "other members")
+	}
+	if r.Role == "desk" && len(r.Down) != usual(peers, func(r *Report) int { return len(r.Down) }) {
+		points = append(points, "other databases down")
+	}
+	if r.Abstains {
+		points = append(points, "abstains")
+	}
+	return points
+}
+
+func (s *System) printNodes(w io.Writer, role string, all bool, only string) {
+	var peers []*Report
 	for _, r := range s.Reports {
-		fmt.Fprintf(w, "%s %s in %s: epoch %d, configuration %d, lease %d ms more, %d members", r.Role, r.Node, r.Zone, r.Epoch, r.Rev, r.LeaseUs.Millis(), len(r.Members))
+		if r.Role == role {
+			peers = append(peers, r)
+		}
+	}
+	var lines []string
+	odd := 0
+	for _, r := range peers {
+		points := s.differs(r, peers)
+		if len(points) > 0 {
+			odd++
+		}
+		if !all && len(points) == 0 && only == "" || !named(only, r.Node, r.Role, r.Zone) {
+			continue
+		}
+		line := fmt.Sprintf("  %s %s in %s: epoch %d, configuration %d, lease %d ms more, %d members", r.Role, r.Node, r.Zone, r.Epoch, r.Rev, r.LeaseUs.Millis(), len(r.Members))
 		if r.Role == "desk" {
 			open := 0
 			for _, c := range r.Conns {
 				open += c[0]
 			}
-			fmt.Fprintf(w, ", %d server connections, %d databases down, %d statements, %d refused", open, len(r.Down), r.Counters["desk.statements"], r.Counters["desk.refused"])
+			line += fmt.Sprintf(", %d server connections, %d databases down, %d statements, %d refused", open, len(r.Down), r.Counters["desk.statements"], r.Counters["desk.refused"])
 		}
-		if r.Abstains {
-			fmt.Fprint(w, ", abstains as elector: its disk was empty and too few registers of others have been read")
+		if len(points) > 0 {
+			line += "; " + strings.Join(points, ", ")
 		}
-		fmt.Fprintln(w)
+		lines = append(lines, line)
 	}
-	for _, addr := range slices.Sorted(maps.Keys(s.Missing)) {
-		fmt.Fprintf(w, "no answer from %s: %s\n", addr, s.Missing[addr])
+	fmt.Fprintf(w, "%ss: %d asked, %d as most are, %d differ\n", role, len(peers), len(peers)-odd, odd)
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
 	}
 }
 
@@ -165,13 +251,6 @@
 	return ""
 }
 
-func cmpOr(a, b string) string {
-	if a == "" {
-		return b
-	}
-	return a
-}
-
 // WriteJSON writes v indented.
 func WriteJSON(w io.Writer, v any) error {
 	e := json.NewEncoder(w)
