--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -50,8 +50,6 @@
 	cfg  CardConfig
 	life int64
 
-	missed bool // the last poll went unanswered: large news may have to wait for their turn
-
 	mu        sync.RWMutex
 	seq       int64
 	epoch     int64
@@ -218,12 +216,10 @@
 	start := c.k.Clock.Now()
 	var a pollAnswer
 	span := c.cfg.Poll() + 300*foundation.Millisecond
-	if q.Seq == 0 || c.missed {
+	if q.Seq == 0 {
 		span += wholeWait // there is nothing to lose, and a turn to wait for
 	}
-	err := c.b.Call(ctx, addr, pollOp, q, &a, span)
-	c.missed = err != nil && c.k.Clock.Now()-start >= c.cfg.Poll()
-	if err != nil {
+	if err := c.b.Call(ctx, addr, pollOp, q, &a, span); err != nil {
 		return "", err
 	}
 	if a.Newest >= q.Life {
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -59,9 +59,6 @@
 	next foundation.Micros
 }
 
-// small is the size of news that need no turn.
-const small = 8 << 10
-
 // linkShare is the part of the link that whole states may take.
 const linkShare = 0.7
 
@@ -121,7 +118,7 @@
 			o.k.Counters.Add("subscription.unreadable", 1)
 			return nil, err
 		}
-		if len(news) > small && !waited {
+		if q.Seq == 0 && news != nil && !waited {
 			waited = true
 			if wait := o.turns.take(o.k.Clock.Now(), len(news)); wait > 0 {
 				foundation.Sleep(ctx, wait)
