--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -1,5 +1,5 @@
-// Command indigowalk is a pool of sessions onto databases: desks carry the
-// traffic, archives keep the control state.
+// Command indigowalk is a pool of sessions onto databases: desks carry sessions,
+// turnstiles requests, archives keep the control state.
 package main
 
 import (
@@ -14,6 +14,7 @@
 	"syscall"
 
 	_ "indigowalk/internal/accessions"
+	_ "indigowalk/internal/cart"
 	_ "indigowalk/internal/catalogue"
 	"indigowalk/internal/charter"
 	_ "indigowalk/internal/circulation"
@@ -27,6 +28,7 @@
 	_ "indigowalk/internal/shelf"
 	_ "indigowalk/internal/subscription"
 	_ "indigowalk/internal/toolbox"
+	_ "indigowalk/internal/turnstile"
 	_ "indigowalk/internal/vault"
 )
 
@@ -40,6 +42,7 @@
 const usage = `indigowalk: a pool of sessions onto databases
 
   indigowalk desk       carry clients' sessions
+  indigowalk turnstile  carry requests to services: the API gateway
   indigowalk archive    keep the control state: databases and configuration
   indigowalk check      look for faults in settings, deploy files,
                         configurations and stores
@@ -60,7 +63,7 @@
 		return exitUsage
 	}
 	switch args[0] {
-	case "desk", "archive":
+	case "desk", "turnstile", "archive":
 		if len(args) > 1 {
 			fmt.Fprintf(errs, "indigowalk %s takes no arguments\n", args[0])
 			return exitUsage
--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -223,12 +223,16 @@
 	}, msg, "id", id)
 }
 
-// Remove forgets a database that is gone and held nothing that the others do
+// Remove forgets databases that are gone and held nothing that the others do
 // not.
-func (a *Accessions) Remove(ctx context.Context, id string) error {
+func (a *Accessions) Remove(ctx context.Context, ids ...string) error {
 	return a.change(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		return map[string]json.RawMessage{keyPrefix + id: nil}, nil
-	}, "database removed", "id", id)
+		out := make(map[string]json.RawMessage, len(ids))
+		for _, id := range ids {
+			out[keyPrefix+id] = nil
+		}
+		return out, nil
+	}, "databases removed", "ids", ids)
 }
 
 func (a *Accessions) change(ctx context.Context, f func(map[string]json.RawMessage) (map[string]json.RawMessage, error), msg string, attrs ...any) error {
--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -20,27 +20,42 @@
 	"indigowalk/internal/vault"
 )
 
-// Types of routes.
+// Types of routes: of sessions the first three, of requests the others.
 const (
-	Primary = "primary"
-	Bounded = "bounded"
-	Nearest = "nearest"
+	Primary    = "primary"
+	Bounded    = "bounded"
+	Nearest    = "nearest"
+	Idempotent = "idempotent"
+	Mutating   = "mutating"
 )
 
-// Route sends a database name that clients use to a service.
+// Route sends a database name that sessions use, or the requests of a host and
+// path, to a service or, by weights, to several.
 type Route struct {
-	Name       string `json:"name" validate:"required"`
-	Host       string `json:"host" validate:"required"`
-	Prefix     string `json:"path_prefix"`
-	Type       string `json:"type" validate:"oneof=primary bounded nearest"`
+	Name   string `json:"name" validate:"required"`
+	Host   string `json:"host" validate:"required"`
+	Prefix string `json:"path_prefix"`
+	Manner
+	Service  string  `json:"svc,omitempty"`
+	Weighted []Share `json:"weighted,omitempty" validate:"dive"`
+}
+
+// Manner is how a route serves, whatever its name and wherever it leads.
+type Manner struct {
+	Type       string `json:"type" validate:"oneof=primary bounded nearest idempotent mutating"`
 	DeadlineMs int64  `json:"deadline_ms" validate:"gt=0"`
 	TargetMs   int64  `json:"target_ms" validate:"gte=0"`
 	Prio       int    `json:"prio" validate:"gte=0"`
-	Service    string `json:"svc" validate:"required"`
 	Tries      int    `json:"tries" validate:"gte=0"`
 	StaleMs    int64  `json:"stale_ms,omitempty" validate:"gte=0"`
 }
 
+// Share is the part of a route's requests that goes to one service.
+type Share struct {
+	Service string  `json:"svc" validate:"required"`
+	Weight  float64 `json:"share" validate:"gte=0"`
+}
+
 // Service is a group of databases.
 type Service struct {
 	Name         string `json:"name" validate:"required"`
@@ -100,7 +115,7 @@
 	var bad validator.ValidationErrors
 	if err := checker.Struct(c); errors.As(err, &bad) {
 		for _, f := range bad {
-			_, place, _ := strings.Cut(f.Namespace(), ".")
+			_, place, _ := strings.Cut(strings.Replace(f.Namespace(), ".Manner.", ".", 1), ".")
 			reason := "fails " + f.Tag()
 			if f.Param() != "" {
 				reason += "=" + f.Param()
@@ -118,9 +133,7 @@
 	type match struct{ host, prefix string }
 	matches := map[match]bool{}
 	for i, r := range c.Routes {
-		if !services[r.Service] {
-			faults = append(faults, Fault{fmt.Sprintf("routes[%d].svc", i), "names an unknown service"})
-		}
+		faults = append(faults, r.leads(fmt.Sprintf("routes[%d]", i), services)...)
 		m := match{r.Host, r.Prefix}
 		if matches[m] {
 			faults = append(faults, Fault{fmt.Sprintf("routes[%d].host", i), "same host and path_prefix as another route"})
@@ -133,6 +146,27 @@
 	return c, nil
 }
 
+// leads returns what is wrong with where the route leads.
+func (r Route) leads(place string, services map[string]bool) (faults []Fault) {
+	if (len(r.Weighted) == 0 || r.Service != "") && !services[r.Service] {
+		faults = append(faults, Fault{place + ".svc", "names an unknown service"})
+	}
+	if len(r.Weighted) == 0 {
+		return faults
+	}
+	sum := 0.0
+	for i, s := range r.Weighted {
+		sum += s.Weight
+		if !services[s.Service] {
+			faults = append(faults, Fault{fmt.Sprintf("%s.weighted[%d].svc", place, i), "names an unknown service"})
+		}
+	}
+	if sum <= 0 {
+		faults = append(faults, Fault{place + ".weighted", "the shares add up to 0"})
+	}
+	return faults
+}
+
 // Key is the entry of the control state that holds the configuration.
 const Key = "configuration"
 
@@ -188,13 +222,51 @@
 func (c *Catalogue) Replace(ctx context.Context, base int64, raw []byte) error {
 	conf, faults := Parse(raw)
 	if faults != nil {
-		c.k.Counters.Add("catalogue.invalid", 1)
-		return &Invalid{faults}
+		return c.refuse(&Invalid{faults})
+	}
+	body, err := compact(raw)
+	if err != nil {
+		return c.refuse(err)
+	}
+	return c.change(ctx, base, conf.Rev, digest(base, body), func(json.RawMessage) (json.RawMessage, error) {
+		return body, nil
+	})
+}
+
+// Update changes named items of the configuration base.
+func (c *Catalogue) Update(ctx context.Context, base int64, raw []byte) error {
+	p, err := parsePatch(raw)
+	if err != nil {
+		return c.refuse(err)
+	}
+	body, err := compact(raw)
+	if err != nil {
+		return c.refuse(err)
 	}
+	return c.change(ctx, base, p.Rev, digest(base, append([]byte("update "), body...)), func(now json.RawMessage) (json.RawMessage, error) {
+		next, err := p.apply(now)
+		if err != nil {
+			return nil, err
+		}
+		if _, faults := Parse(next); faults != nil {
+			return nil, &Invalid{faults}
+		}
+		return next, nil
+	})
+}
+
+func compact(raw []byte) ([]byte, error) {
 	var body bytes.Buffer
 	if err := json.Compact(&body, raw); err != nil {
-		return &Invalid{[]Fault{{"body", "is not JSON in full"}}}
+		return nil, &Invalid{[]Fault{{"body", "is not JSON in full"}}}
 	}
+	return body.Bytes(), nil
+}
+
+// change puts what next makes of the body in place in force, if that is the
+// body of version base. One that was taken before, as its sum shows, has been
+// sent again.
+func (c *Catalogue) change(ctx context.Context, base, rev int64, sum string, next func(json.RawMessage) (json.RawMessage, error)) error {
 	err := c.v.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		var now stored
 		if e := entries[Key]; e != nil {
@@ -202,22 +274,26 @@
 				return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 			}
 		}
-		rev, sum := strconv.FormatInt(conf.Rev, 10), digest(base, body.Bytes())
-		if now.Taken[rev] == sum {
-			return nil, nil // sent again unchanged
+		number := strconv.FormatInt(rev, 10)
+		if now.Taken[number] == sum {
+			return nil, nil
 		}
 		if now.Rev != base {
 			return nil, ErrOtherVersion
 		}
-		if conf.Rev <= now.Rev {
+		if rev <= now.Rev {
 			return nil, &Invalid{[]Fault{{"rev", fmt.Sprintf("is not higher than the current %d", now.Rev)}}}
 		}
+		body, err := next(now.Body)
+		if err != nil {
+			return nil, err
+		}
 		taken := maps.Clone(now.Taken)
 		if taken == nil {
 			taken = map[string]string{}
 		}
-		taken[rev] = sum
-		entry, err := json.Marshal(stored{conf.Rev, body.Bytes(), taken})
+		taken[number] = sum
+		entry, err := json.Marshal(stored{rev, body, taken})
 		if err != nil {
 			return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 		}
@@ -226,13 +302,22 @@
 	switch {
 	case err == nil:
 		c.k.Counters.Add("catalogue.taken", 1)
-		c.k.Log.Info("configuration in force", "rev", conf.Rev)
-	case errors.Is(err, ErrOtherVersion):
-		c.k.Counters.Add("catalogue.lost_race", 1)
+		c.k.Log.Info("configuration in force", "rev", rev)
+		return nil
 	case errors.Is(err, vault.ErrNotPrimary), errors.Is(err, vault.ErrUnavailable):
 		c.k.Counters.Add("catalogue.unavailable", 1)
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
+	return c.refuse(err)
+}
+
+// refuse counts a change that is not taken.
+func (c *Catalogue) refuse(err error) error {
+	if errors.Is(err, ErrOtherVersion) {
+		c.k.Counters.Add("catalogue.lost_race", 1)
+	} else {
+		c.k.Counters.Add("catalogue.invalid", 1)
+	}
 	return err
 }
 
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -50,8 +51,8 @@
 	conf := &Configuration{Rev: 1, Services: []Service{{Name: "s", MaxConns: 96}}}
 	for i := range 1900 {
 		conf.Routes = append(conf.Routes, Route{
-			Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("host%05d", i), Prefix: "/", Type: Bounded,
-			DeadlineMs: 4000, TargetMs: 600, Prio: 2, Service: "s", Tries: 2, StaleMs: 1500,
+			Name: fmt.Sprint("route-", i), Host: fmt.Sprintf("host%05d", i), Prefix: "/", Service: "s",
+			Manner: Manner{Type: Bounded, DeadlineMs: 4000, TargetMs: 600, Prio: 2, Tries: 2, StaleMs: 1500},
 		})
 	}
 	var h History
@@ -91,7 +92,7 @@
 		host := fmt.Sprintf("host%05d", i)
 		a, s := x.Find(host)
 		b, _ := y.Find(host)
-		if (a == nil) != (b == nil) || a != nil && (*a != *b || s.MaxConns != 50) {
+		if (a == nil) != (b == nil) || a != nil && (!reflect.DeepEqual(a, b) || s.MaxConns != 50) {
 			t.Fatalf("%s: %+v step by step, %+v at once", host, a, b)
 		}
 	}
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -12,14 +13,14 @@
 	Rev      int64
 	Limits   Limits
 	services map[string]*Service
-	routes   map[string]*Route // by key
-	hosts    map[string]*Route
+	routes   map[string]*Route   // by key
+	hosts    map[string][]*Route // the longest prefix first
 }
 
-// Alike are routes that differ by their keys and services only.
+// Alike are routes that differ by their keys and by where they lead only.
 type Alike struct {
-	Route
-	Of map[string][]string `json:"of"` // keys, by service
+	Manner
+	Of map[string][]string `json:"of"` // keys, by where they lead
 }
 
 // AlikeServices are services that differ by their names only.
@@ -47,17 +48,38 @@
 	return r.Host + " " + r.Prefix
 }
 
-// bare is the route without its key and name.
-func (r Route) bare() Route {
-	r.Name, r.Host, r.Prefix = "", "", ""
-	return r
+// bare is a route without its key and name.
+type bare struct {
+	Manner
+	to string
+}
+
+func (r Route) bare() bare { return bare{r.Manner, r.to()} }
+
+// to tells in a word where the route leads: a service, or a list of shares.
+func (r Route) to() string {
+	if len(r.Weighted) == 0 {
+		return r.Service
+	}
+	raw, err := json.Marshal(r.Weighted)
+	if err != nil {
+		return "" // shares that were read from JSON can be written
+	}
+	return string(raw)
+}
+
+// lead is the opposite of to.
+func (r *Route) lead(to string) {
+	if !strings.HasPrefix(to, "[") || json.Unmarshal([]byte(to), &r.Weighted) != nil {
+		r.Service = to
+	}
 }
 
 // History keeps the newest configuration and since which sequence each of its
 // routes is as it is.
 type History struct {
 	conf   *Configuration
-	routes map[string]Route // bare, by key
+	routes map[string]bare  // by key
 	at     map[string]int64 // seq at which a route last changed, or went
 	served int64            // seq at which the services last changed
 }
@@ -67,14 +89,14 @@
 	if h.conf == nil || !slices.Equal(h.conf.Services, conf.Services) {
 		h.served = seq
 	}
-	next := make(map[string]Route, len(conf.Routes))
+	next := make(map[string]bare, len(conf.Routes))
 	if h.at == nil {
 		h.at = map[string]int64{}
 	}
 	for _, r := range conf.Routes {
-		key, bare := r.key(), r.bare()
-		next[key] = bare
-		if old, ok := h.routes[key]; !ok || old != bare {
+		key, b := r.key(), r.bare()
+		next[key] = b
+		if old, ok := h.routes[key]; !ok || old != b {
 			h.at[key] = seq
 		}
 	}
@@ -93,22 +115,20 @@
 	if whole || h.served > seq {
 		s.Services = alikeServices(h.conf.Services)
 	}
-	groups := map[Route]map[string][]string{}
-	for key, bare := range h.routes {
+	groups := map[Manner]map[string][]string{}
+	for key, b := range h.routes {
 		if whole || h.at[key] > seq {
-			service := bare.Service
-			bare.Service = ""
-			if groups[bare] == nil {
-				groups[bare] = map[string][]string{}
+			if groups[b.Manner] == nil {
+				groups[b.Manner] = map[string][]string{}
 			}
-			groups[bare][service] = append(groups[bare][service], key)
+			groups[b.Manner][b.to] = append(groups[b.Manner][b.to], key)
 		}
 	}
-	for bare, of := range groups {
+	for manner, of := range groups {
 		for _, keys := range of {
 			slices.Sort(keys)
 		}
-		s.Alike = append(s.Alike, Alike{bare, of})
+		s.Alike = append(s.Alike, Alike{manner, of})
 	}
 	if !whole {
 		for key, at := range h.at {
@@ -136,7 +156,7 @@
 
 // Next returns the index after a step; x, which may be nil, stays as it is.
 func (x *Index) Next(s *Step, whole bool) *Index {
-	n := &Index{Rev: s.Rev, Limits: s.Limits, services: map[string]*Service{}, routes: map[string]*Route{}, hosts: map[string]*Route{}}
+	n := &Index{Rev: s.Rev, Limits: s.Limits, services: map[string]*Service{}, routes: map[string]*Route{}, hosts: map[string][]*Route{}}
 	if x != nil && !whole {
 		maps.Copy(n.routes, x.routes)
 		maps.Copy(n.services, x.services)
@@ -152,10 +172,11 @@
 		}
 	}
 	for _, a := range s.Alike {
-		for service, keys := range a.Of {
+		for to, keys := range a.Of {
+			var led Route
+			led.lead(to)
 			for _, key := range keys {
-				r := a.Route
-				r.Service, r.Prefix = service, "/"
+				r := Route{Manner: a.Manner, Prefix: "/", Service: led.Service, Weighted: led.Weighted}
 				if host, prefix, ok := strings.Cut(key, " "); ok {
 					r.Host, r.Prefix = host, prefix
 				} else {
@@ -169,9 +190,11 @@
 		delete(n.routes, key)
 	}
 	for _, r := range n.routes {
-		if o := n.hosts[r.Host]; o == nil || r.Prefix < o.Prefix {
-			n.hosts[r.Host] = r
-		}
+		n.hosts[r.Host] = append(n.hosts[r.Host], r)
+	}
+	for _, list := range n.hosts {
+		// Of two prefixes of one path the longer sorts behind.
+		slices.SortFunc(list, func(a, b *Route) int { return strings.Compare(b.Prefix, a.Prefix) })
 	}
 	return n
 }
@@ -182,7 +205,8 @@
 	if x == nil {
 		return nil, nil
 	}
-	if r := x.hosts[host]; r != nil {
+	if list := x.hosts[host]; len(list) > 0 {
+		r := list[len(list)-1]
 		if s := x.services[r.Service]; s != nil {
 			return r, s
 		}
@@ -190,6 +214,38 @@
 	return nil, nil
 }
 
+// Match returns the route of a host and path: that of the longest prefix.
+func (x *Index) Match(host, path string) *Route {
+	if x == nil {
+		return nil
+	}
+	for _, r := range x.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Draw picks the service for one request, at a point from 0 to below 1.
+func (r *Route) Draw(at float64) string {
+	sum := 0.0
+	for _, s := range r.Weighted {
+		sum += s.Weight
+	}
+	at *= sum
+	to := r.Service
+	for _, s := range r.Weighted {
+		if s.Weight > 0 {
+			to = s.Service
+		}
+		if at -= s.Weight; at < 0 {
+			break
+		}
+	}
+	return to
+}
+
 // Service returns a service, nil if it is not known.
 func (x *Index) Service(name string) *Service {
 	if x == nil {
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -40,6 +40,7 @@
 	Bootstrap   bool     `key:"bootstrap"`
 	DataDir     string   `key:"data_dir"`
 	HeartbeatMs int64    `key:"heartbeat_ms" validate:"gte=0"`
+	Deploy      string   `key:"deploy" default:"pooler"`
 
 	MemMB  float64 `key:"limits.mem_mb" validate:"gte=0"`
 	MaxFDs int64   `key:"limits.max_fds" validate:"gte=0"`
@@ -54,6 +55,12 @@
 	UnfreezeMs int64 `key:"bounds.unfreeze_ms" default:"300" validate:"gt=0"`
 	CatchupS   int64 `key:"bounds.catchup_s" default:"4" validate:"gt=0"`
 
+	// What may be sent again, over all nodes: this share of the first sends of a
+	// window, and this many more.
+	RetryRatio   float64 `key:"bounds.retry_ratio" default:"0.2" validate:"gte=0,lte=10"`
+	RetryWindowS int64   `key:"bounds.retry_window_s" default:"10" validate:"gt=0"`
+	RetryExtra   int64   `key:"bounds.retry_extra" default:"0" validate:"gte=0"`
+
 	TolerateHosts int64 `key:"tolerate.hosts" validate:"gte=0"`
 
 	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
@@ -81,10 +88,14 @@
 	return first + n
 }
 
+// API is the kind of deployment whose services have databases that are all
+// alike, without a lead.
+const API = "api"
+
 // Ports of the range, by use.
 const (
 	ArchivePort = 0 // loans and datagrams of an archive
-	DeskPort    = 1 // loans and datagrams of a desk
+	DeskPort    = 1 // loans and datagrams of a desk or turnstile
 )
 
 // SeedPeers turns the seeds' control addresses into the inner addresses of the
--- a/internal/charter/plugin.go
+++ b/internal/charter/plugin.go
@@ -12,7 +12,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "charter", Rank: 0, Roles: []string{"desk", "archive"},
+		Name: "charter", Rank: 0, Roles: []string{"desk", "turnstile", "archive"},
 		Build: func(k *foundation.Kernel) error {
 			b := foundation.Need[*Book](k)
 			if s := b.Now(); s.RecordKB > 0 {
--- a/internal/circulation/circulation.go
+++ b/internal/circulation/circulation.go
@@ -125,6 +125,7 @@
 type roll struct {
 	all   []Member            // by address, this process included
 	peers map[string][]string // the others' addresses, by role
+	near  []string            // addresses of this role in this zone, this process's too
 	sums  [parts]uint32       // of the addresses in each part
 }
 
@@ -158,6 +159,9 @@
 	for _, m := range n.all {
 		part, sum := partOf(m.Addr)
 		n.sums[part] ^= sum
+		if m.Role == r.self.Role && m.Zone == r.self.Zone {
+			n.near = append(n.near, m.Addr)
+		}
 		if m.Addr != r.self.Addr {
 			n.peers[m.Role] = append(n.peers[m.Role], m.Addr)
 		}
@@ -177,6 +181,10 @@
 // to be changed.
 func (r *Ring) Peers(role string) []string { return r.now().peers[role] }
 
+// Near lists the inner addresses of this role in this zone, in order, with this
+// process's own. The list is not to be changed.
+func (r *Ring) Near() []string { return r.now().near }
+
 // Changed closes at the next change of membership.
 func (r *Ring) Changed() <-chan struct{} { return r.bell.Wait() }
 
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -23,7 +23,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "conservator", Rank: 40, Roles: []string{"desk", "archive"},
+		Name: "conservator", Rank: 40, Roles: []string{"desk", "turnstile", "archive"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			ring := foundation.Need[*circulation.Ring](k)
@@ -31,19 +31,24 @@
 			if k.Role == "archive" {
 				// An archive has no sessions; it only needs to know for the
 				// custodian, which works in the vault's primary.
-				v := foundation.Need[*vault.Vault](k)
+				v, leads := foundation.Need[*vault.Vault](k), s.Deploy != charter.API
 				heed = func() bool {
 					_, left := v.Lease()
-					return left > 0
+					return leads && left > 0
 				}
 			}
+			// Where no lead is ever moved, archives need not hear.
+			carrier, movers := "desk", func() []string { return ring.Peers("archive") }
+			if s.Deploy == charter.API {
+				carrier, movers = "turnstile", func() []string { return nil }
+			}
 			c := New(k, Config{
 				Interval: charter.Span(s.CheckMs),
 				First:    charter.Span(s.CheckMs) / 10,
 				Check:    func(ctx context.Context, id string) bool { return foundation.Need[Checker](k)(ctx, id) },
 				Self:     ring.Self().Addr,
-				Peers:    func() []string { return order(ring.Peers("archive"), ring.Peers("desk")) },
-				Archives: func() []string { return ring.Peers("archive") },
+				Peers:    func() []string { return order(movers(), ring.Peers(carrier)) },
+				Archives: movers,
 				Tell:     ring.Tell,
 				Heed:     heed,
 			})
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -74,6 +74,7 @@
 type Config struct {
 	Name        string // duty holder
 	Platform    string
+	Leadless    bool // databases are all alike: none leads
 	ReaderLease foundation.Micros
 	Dialer      shelf.Dialer
 	AskWait     foundation.Micros // for one answer of a database
@@ -221,6 +222,10 @@
 		return
 	}
 	c.readers.Term(epoch, s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
+	if c.cfg.Leadless {
+		c.dismiss(ctx, s)
+		return
+	}
 	for svc := range s.services {
 		lead, known := s.leads[svc]
 		switch back := s.returned(lead); {
@@ -236,6 +241,19 @@
 	}
 }
 
+// dismiss forgets databases that are gone, where they held nothing.
+func (c *Custodian) dismiss(ctx context.Context, s *scene) {
+	var gone []string
+	for id, d := range s.databases {
+		if d.Gone {
+			gone = append(gone, id)
+		}
+	}
+	if len(gone) > 0 && c.due("dismiss") {
+		c.spawn("", func() error { return c.acc.Remove(ctx, gone...) })
+	}
+}
+
 // spawn runs one piece of work at a time for each service.
 func (c *Custodian) spawn(svc string, f func() error) {
 	c.mu.Lock()
--- a/internal/custodian/plugin.go
+++ b/internal/custodian/plugin.go
@@ -17,7 +17,7 @@
 			readers := NewReaders()
 			foundation.Offer(k, readers)
 			c := New(k, Config{
-				Name: s.NodeName, Platform: s.Platform, ReaderLease: charter.Span(s.ReaderLeaseMs),
+				Name: s.NodeName, Platform: s.Platform, Leadless: s.Deploy == charter.API, ReaderLease: charter.Span(s.ReaderLeaseMs),
 				Dialer:  shelf.Dialer{Net: k.Net, Who: "custodian", Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs)},
 				AskWait: foundation.Second, BeatWait: 700 * foundation.Millisecond,
 			}, foundation.Need[*vault.Vault](k), foundation.Need[*accessions.Accessions](k),
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -7,6 +7,7 @@
 	"indigowalk/internal/findingaid"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/shelf"
+	"indigowalk/internal/stacks"
 )
 
 // transaction is a client's open transaction. It takes a connection only with
@@ -171,7 +172,7 @@
 
 // lost reports a broken connection and closes one without an answer.
 func (j *job) lost(t *transaction, err error) {
-	if silent := errors.Is(err, shelf.ErrSilent); silent || errors.Is(err, shelf.ErrBroken) {
+	if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
 		_, gen := t.b.Bound()
 		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation), silent)
 		j.shun(t.conn.DB.ID)
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -12,6 +12,7 @@
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/shelf"
+	"indigowalk/internal/stacks"
 	"indigowalk/internal/subscription"
 )
 
@@ -146,7 +147,7 @@
 			if err == nil {
 				return conn, c, nil
 			}
-			if errors.Is(err, shelf.ErrFull) || errors.Is(err, shelf.ErrDeadline) {
+			if errors.Is(err, stacks.ErrFull) || errors.Is(err, stacks.ErrDeadline) {
 				return nil, c, errNoPlace
 			}
 			j.shun(c.Database.ID)
@@ -311,7 +312,7 @@
 // failed deals with an attempt that got no answer.
 func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
 	d, id := j.s.d, conn.DB.ID
-	if silent := errors.Is(err, shelf.ErrSilent); silent || errors.Is(err, shelf.ErrBroken) {
+	if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
 		_, gen := b.Bound()
 		d.health.Report(id, min(gen, conn.Generation), silent)
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -70,7 +70,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Servers.Heartbeat/{id}", r.primary(r.heartbeat))
 	mux.HandleFunc("POST /Servers.Deregister/{id}", r.primary(r.deregister))
-	mux.HandleFunc("POST /Conf.Replace", r.primary(r.replace))
+	mux.HandleFunc("POST /Conf.Replace", r.primary(r.change(r.cat.Replace)))
+	mux.HandleFunc("POST /Conf.Update", r.primary(r.change(r.cat.Update)))
 	mux.HandleFunc("GET /Conf.Fetch", r.primary(r.fetch))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
@@ -202,31 +203,34 @@
 	}
 }
 
-func (r *Registrar) replace(w http.ResponseWriter, q *http.Request) {
-	raw, ok := r.body(w, q, maxBody)
-	if !ok {
-		return
-	}
-	base, err := strconv.ParseInt(strings.TrimSpace(q.Header.Get("X-Indigowalk-Base-Version")), 10, 64)
-	if err != nil || base < 0 {
-		r.fail(w, http.StatusBadRequest, "X-Indigowalk-Base-Version is not a version", "X-Indigowalk-Base-Version")
-		return
-	}
-	ctx, cancel := context.WithTimeout(q.Context(), callWait)
-	defer cancel()
-	err = r.cat.Replace(ctx, base, raw)
-	var invalid *catalogue.Invalid
-	switch {
-	case errors.As(err, &invalid):
-		fields := make([]string, 0, len(invalid.Faults))
-		for _, f := range invalid.Faults {
-			fields = append(fields, f.Error())
+// change takes a whole configuration, or a change of named items.
+func (r *Registrar) change(take func(ctx context.Context, base int64, raw []byte) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		raw, ok := r.body(w, q, maxBody)
+		if !ok {
+			return
+		}
+		base, err := strconv.ParseInt(strings.TrimSpace(q.Header.Get("X-Indigowalk-Base-Version")), 10, 64)
+		if err != nil || base < 0 {
+			r.fail(w, http.StatusBadRequest, "X-Indigowalk-Base-Version is not a version", "X-Indigowalk-Base-Version")
+			return
+		}
+		ctx, cancel := context.WithTimeout(q.Context(), callWait)
+		defer cancel()
+		err = take(ctx, base, raw)
+		var invalid *catalogue.Invalid
+		switch {
+		case errors.As(err, &invalid):
+			fields := make([]string, 0, len(invalid.Faults))
+			for _, f := range invalid.Faults {
+				fields = append(fields, f.Error())
+			}
+			r.fail(w, http.StatusBadRequest, "invalid configuration", fields...)
+		case errors.Is(err, catalogue.ErrOtherVersion):
+			r.fail(w, http.StatusPreconditionFailed, err.Error())
+		case err != nil:
+			r.fail(w, http.StatusServiceUnavailable, err.Error())
 		}
-		r.fail(w, http.StatusBadRequest, "invalid configuration", fields...)
-	case errors.Is(err, catalogue.ErrOtherVersion):
-		r.fail(w, http.StatusPreconditionFailed, err.Error())
-	case err != nil:
-		r.fail(w, http.StatusServiceUnavailable, err.Error())
 	}
 }
 
--- /dev/null
+++ b/internal/rota/rota.go
@@ -0,0 +1,301 @@
+// Package rota picks, for a request, one of many databases that could serve it
+// alike. Nodes do not tell each other their loads: each keeps to a few of the
+// databases, so that what it sees of them is much of what there is to see.
+package rota
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/foundation"
+)
+
+// How a database's answers weigh: its pace is their time over what is usual on
+// their route. What was seen fades, so that one that was slow is tried again.
+const (
+	paceWeight  = 0.2
+	usualWeight = 0.02
+	fades       = 6 * foundation.Second
+	illWeight   = 0.3
+	illFades    = 3 * foundation.Second
+	// illCost is how many requests a database that fails all seems to have.
+	illCost = 30
+	// fullFor is how long one that said it was full is passed over.
+	fullFor = 150 * foundation.Millisecond
+	// shared is by how many nodes a database is used.
+	shared = 4
+	// fewest databases that a node uses, if there are as many.
+	fewest = 4
+	// awayCost is how many requests more another zone is like.
+	awayCost = 1.5
+	// spill is the cost from which databases beyond the node's own are looked at.
+	spill = 4
+)
+
+type standing struct {
+	open   int
+	began  []foundation.Micros // of the open ones
+	pace   float64
+	paceAt foundation.Micros
+	ill    float64
+	illAt  foundation.Micros
+	full   foundation.Micros // until then it takes no more
+	seen   foundation.Micros // of the last answer
+}
+
+// Rota remembers how databases have served of late.
+type Rota struct {
+	clock foundation.Clock
+
+	mu    sync.Mutex
+	of    map[string]*standing
+	usual map[string]float64 // time of an answer by route, in microseconds
+	lists map[string]list    // by service
+}
+
+// New returns a rota that has seen nothing.
+func New(clock foundation.Clock) *Rota {
+	return &Rota{clock: clock, of: map[string]*standing{}, usual: map[string]float64{}, lists: map[string]list{}}
+}
+
+// Scene is what a choice is made from.
+type Scene struct {
+	Service   string
+	Databases []accessions.Database
+	Self      string
+	Zone      string
+	Peers     []string // the nodes of this zone, this one included
+	Up        func(id string) bool
+	Avoid     []string // tried already
+}
+
+// list is the order in which this node looks at a service's databases.
+type list struct {
+	databases []accessions.Database // that it was made from
+	peers     []string
+	own       []accessions.Database
+	near      []accessions.Database // of the zone, the others
+	far       []accessions.Database
+}
+
+func hash(parts ...string) uint64 {
+	h := fnv.New64a()
+	for _, p := range parts {
+		h.Write([]byte(p))
+		h.Write([]byte{0})
+	}
+	// FNV alone leaves like ends near each other.
+	n := h.Sum64()
+	n ^= n >> 33
+	n *= 0xff51afd7ed558ccd
+	return n ^ n>>33
+}
+
+// listOf returns the node's own databases and the others. Databases and nodes
+// of a zone stand in the order of their hashes, and each node has a stretch of
+// the databases that begins at its own place: all are covered evenly, and who
+// comes or goes moves the stretches by a little.
+func (r *Rota) listOf(s Scene) list {
+	l := r.lists[s.Service]
+	if same(l.databases, s.Databases) && slices.Equal(l.peers, s.Peers) {
+		return l
+	}
+	l = list{databases: s.Databases, peers: s.Peers}
+	for _, d := range s.Databases {
+		switch {
+		case d.Draining:
+		case d.Zone == s.Zone:
+			l.near = append(l.near, d)
+		default:
+			l.far = append(l.far, d)
+		}
+	}
+	if len(l.near) == 0 {
+		l.near, l.far = l.far, nil
+	}
+	places := make(map[string]uint64, len(l.near))
+	for _, d := range l.near {
+		places[d.ID] = hash(d.ID)
+	}
+	slices.SortFunc(l.near, func(a, b accessions.Database) int { return cmp.Compare(places[a.ID], places[b.ID]) })
+	before := 0
+	for _, p := range s.Peers {
+		if p != s.Self && hash(p) < hash(s.Self) {
+			before++
+		}
+	}
+	nodes := max(1, len(s.Peers))
+	n := len(l.near)
+	size := min(n, max(fewest, (shared*n+nodes-1)/nodes))
+	if n > 0 {
+		start := before * n / nodes
+		l.near = append(slices.Clone(l.near[start:]), l.near[:start]...)
+	}
+	l.own, l.near = l.near[:size:size], l.near[size:]
+	r.lists[s.Service] = l
+	return l
+}
+
+// same tells whether two lists are one: they are never changed in place.
+func same(a, b []accessions.Database) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+func (r *Rota) standing(id string) *standing {
+	st := r.of[id]
+	if st == nil {
+		st = &standing{pace: 1}
+		r.of[id] = st
+	}
+	return st
+}
+
+func faded(v, rest float64, at, now, span foundation.Micros) float64 {
+	return rest + (v-rest)*math.Exp(-float64(now-at)/float64(span))
+}
+
+// cost is the time to expect, in usual answers.
+func (r *Rota) cost(d accessions.Database, now foundation.Micros, usual float64) float64 {
+	st := r.of[d.ID]
+	if st == nil {
+		return 1
+	}
+	pace := faded(st.pace, 1, st.paceAt, now, fades)
+	if len(st.began) > 0 && usual > 0 {
+		// One that leaves a request unanswered is at least as slow as that.
+		pace = max(pace, float64(now-st.began[0])/usual/2)
+	}
+	c := pace * (1 + float64(st.open)/float64(max(1, d.Slots)))
+	c += illCost * faded(st.ill, 0, st.illAt, now, illFades)
+	if now < st.full {
+		c += illCost
+	}
+	return c
+}
+
+// Pick returns the database to send to, or false if there is none.
+func (r *Rota) Pick(route string, s Scene) (accessions.Database, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now, usual := r.clock.Now(), r.usual[route]
+	l := r.listOf(s)
+	var best accessions.Database
+	least, found := 0.0, false
+	look := func(all []accessions.Database, more float64) {
+		for _, d := range all {
+			if !s.Up(d.ID) || slices.Contains(s.Avoid, d.ID) {
+				continue
+			}
+			if c := r.cost(d, now, usual) + more + 0.3*rand.Float64(); !found || c < least {
+				best, least, found = d, c, true
+			}
+		}
+	}
+	look(l.own, 0)
+	if !found || least > spill {
+		look(some(l.near), 0)
+	}
+	if !found || least > spill {
+		look(some(l.far), awayCost)
+	}
+	if !found {
+		look(l.near, 0)
+		look(l.far, awayCost)
+	}
+	return best, found
+}
+
+// some draws a few of many.
+func some(all []accessions.Database) []accessions.Database {
+	const few = 6
+	if len(all) <= few {
+		return all
+	}
+	at := rand.IntN(len(all) - few + 1)
+	return all[at : at+few]
+}
+
+// Begin counts a request as under way at a database.
+func (r *Rota) Begin(id string) (began foundation.Micros) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := r.standing(id)
+	began = r.clock.Now()
+	st.open++
+	st.began = append(st.began, began)
+	return began
+}
+
+// End ends what Begin began. A time counts for the pace only if the answer was
+// a success.
+func (r *Rota) End(route, id string, began foundation.Micros, o Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st, now := r.standing(id), r.clock.Now()
+	st.open--
+	if i := slices.Index(st.began, began); i >= 0 {
+		st.began = slices.Delete(st.began, i, i+1)
+	}
+	ill := faded(st.ill, 0, st.illAt, now, illFades)
+	switch o {
+	case Served:
+		usual, known := r.usual[route]
+		if !known {
+			usual = float64(now - began)
+		}
+		usual += usualWeight * (float64(now-began) - usual)
+		r.usual[route] = usual
+		pace := faded(st.pace, 1, st.paceAt, now, fades)
+		st.pace = pace + paceWeight*(float64(now-began)/max(usual, 1)-pace)
+		st.paceAt, st.seen = now, now
+		st.ill, st.illAt = ill*(1-illWeight), now
+	case Full:
+		st.full = now + fullFor
+	case Failed:
+		st.ill, st.illAt = ill+illWeight*(1-ill), now
+	}
+}
+
+// Outcome is how a request at a database ended.
+type Outcome int
+
+// Outcomes.
+const (
+	Served Outcome = iota
+	Full           // it took nothing and said so
+	Failed         // no answer, or one that tells of a fault
+	Unused         // it was not sent
+)
+
+// Usual is how long an answer of the route usually takes, 0 if none was seen.
+func (r *Rota) Usual(route string) foundation.Micros {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return foundation.Micros(r.usual[route])
+}
+
+// Answered is when the database last served a request.
+func (r *Rota) Answered(id string) foundation.Micros {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if st := r.of[id]; st != nil {
+		return st.seen
+	}
+	return 0
+}
+
+// Keep forgets databases that are no more.
+func (r *Rota) Keep(there map[string]accessions.Database) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, st := range r.of {
+		if _, ok := there[id]; !ok && st.open == 0 {
+			delete(r.of, id)
+		}
+	}
+}
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -1,11 +1,12 @@
-// Package shelf keeps the server connections: capped, shared between the
-// sessions of a desk, each with what is known of its state.
+// Package shelf holds the connections on which databases are spoken to in
+// statements, each with what is known of its state.
 package shelf
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -15,20 +16,19 @@
 	"indigowalk/internal/accessions"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/stacks"
 )
 
 // Errors of this layer.
 var (
-	ErrBroken   = errors.New("shelf: server connection broken")
-	ErrSilent   = errors.New("shelf: database silent or refusing connections")
-	ErrSlow     = errors.New("shelf: database connected but slow to log in")
-	ErrQuiet    = errors.New("shelf: no answer yet")
-	ErrUnbound  = errors.New("shelf: the database is held as down")
-	ErrDeadline = errors.New("shelf: deadline passed")
-	ErrFull     = errors.New("shelf: no connection free")
-	ErrRejected = errors.New("shelf: database rejects the log-in")
+	ErrQuiet   = errors.New("shelf: no answer yet")
+	ErrUnbound = errors.New("shelf: the database is held as down")
 )
 
+// Shelf holds a desk's server connections to all databases; whoever borrows one
+// names the session's values, which are best in force on it already.
+type Shelf = stacks.Stacks[map[string]string, *Conn]
+
 // Conn is one connection to a database.
 type Conn struct {
 	DB         accessions.Database
@@ -44,12 +44,10 @@
 	values map[string]string
 	names  map[string]string // server-side name by kind and shape
 	state  byte
-	idleAt foundation.Micros
-	home   *pool
 
 	mu      sync.Mutex
 	waiting int // answers outstanding
-	onDead  func(*Conn, bool)
+	onDead  func(byUs, silent bool)
 	closed  bool
 }
 
@@ -65,29 +63,12 @@
 	Pace chan struct{}
 }
 
-// dial makes the connection, once the pace allows it.
-func (d *Dialer) dial(ctx context.Context, addr string) (net.Conn, error) {
-	if d.Pace != nil {
-		select {
-		case d.Pace <- struct{}{}:
-			defer func() { <-d.Pace }()
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
-	}
-	c, err := dialTwice(ctx, d.Net, addr, d.Connect, d.Silence)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrSilent, err)
-	}
-	return c, nil
-}
-
 // Open connects and logs in, naming the expected id. A database to which no
 // connection can be made within the span is silent; one that takes the
 // connection and does not answer the log-in within wait is slow, which is no
 // fault.
 func (d *Dialer) Open(ctx context.Context, db accessions.Database, wait foundation.Micros) (*Conn, error) {
-	c, err := d.dial(ctx, db.Address)
+	c, err := stacks.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
 	if err != nil {
 		return nil, err
 	}
@@ -96,7 +77,7 @@
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
 	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, d.Who, db.ID)); err != nil {
 		c.Close()
-		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		return nil, fmt.Errorf("%w: %v", stacks.ErrBroken, err)
 	}
 	r := folio.NewReader(c)
 	line, err := r.Line()
@@ -104,16 +85,19 @@
 		c.Close()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, ErrSlow
+			return nil, stacks.ErrSlow
 		case errors.Is(err, syscall.ETIMEDOUT):
-			return nil, fmt.Errorf("%w: %v", ErrSilent, err)
+			return nil, fmt.Errorf("%w: %v", stacks.ErrSilent, err)
 		}
-		return nil, fmt.Errorf("%w: %v", ErrBroken, err)
+		return nil, fmt.Errorf("%w: %v", stacks.ErrBroken, err)
 	}
 	word, rest := folio.Word(line)
 	if string(word) != "IDLE" {
 		c.Close()
-		return nil, fmt.Errorf("%w: %s", ErrRejected, rest)
+		if code, _ := folio.Word(rest); string(code) == folio.MaxConn {
+			return nil, fmt.Errorf("%w: %s", stacks.ErrCapped, rest)
+		}
+		return nil, fmt.Errorf("%w: %s", stacks.ErrRejected, rest)
 	}
 	_, pos := folio.Word(rest)
 	s := &Conn{
@@ -146,54 +130,42 @@
 	f, byUs := s.onDead, s.closed
 	s.mu.Unlock()
 	if f != nil {
-		f(s, byUs)
+		f(byUs, s.silent)
 	}
 }
 
-// dialTwice tries a second time when the first has had no answer for a while:
-// one lost packet is no silence.
-func dialTwice(ctx context.Context, n foundation.Network, addr string, connect, silence foundation.Micros) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, connect.Duration())
-	type result struct {
-		c   net.Conn
-		err error
-	}
-	results := make(chan result, 2)
-	dial := func() {
-		c, err := n.Dial(ctx, addr, silence)
-		results <- result{c, err}
-	}
-	go dial()
-	tries := 1
-	t := time.NewTimer((connect / 4).Duration())
-	defer t.Stop()
-	var r result
-	select {
-	case r = <-results:
-	case <-t.C:
-		tries++
-		go dial()
-		r = <-results
-	}
-	if tries == 2 {
-		go func() { // the other one is not needed
-			defer cancel()
-			if o := <-results; o.c != nil {
-				o.c.Close()
-			}
-		}()
-	} else {
-		cancel()
+// Attach implements stacks.Line.
+func (s *Conn) Attach(generation int64, died func(byUs, silent bool)) {
+	s.Generation = generation
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onDead = died
+}
+
+// Clean implements stacks.Line: in state I, with every answer taken.
+func (s *Conn) Clean() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state == 'I' && s.waiting == 0 && !s.closed
+}
+
+// Fit implements stacks.Line: the same values are best, none at all next.
+func (s *Conn) Fit(values map[string]string, _ foundation.Micros) int {
+	switch {
+	case maps.Equal(s.values, values):
+		return 2
+	case len(s.values) == 0:
+		return 1
 	}
-	return r.c, r.err
+	return 0
 }
 
 // fault tells how a dead connection ended.
 func (s *Conn) fault() error {
 	if s.silent {
-		return ErrSilent
+		return stacks.ErrSilent
 	}
-	return ErrBroken
+	return stacks.ErrBroken
 }
 
 // Alive reports whether the connection has not broken yet.
@@ -220,7 +192,7 @@
 	}
 	if _, err := s.c.Write(msg); err != nil {
 		s.Close()
-		return fmt.Errorf("%w: %v", ErrBroken, err)
+		return fmt.Errorf("%w: %v", stacks.ErrBroken, err)
 	}
 	return nil
 }
@@ -242,7 +214,7 @@
 	}
 	if w.Doubt != nil && w.Quiet < wait {
 		a, err := s.receive(w.Quiet, w.Unbound)
-		if !errors.Is(err, ErrDeadline) {
+		if !errors.Is(err, stacks.ErrDeadline) {
 			return a, err
 		}
 		if !w.Doubt() {
@@ -271,7 +243,7 @@
 			return nil, s.fault()
 		}
 	case <-t.C:
-		return nil, ErrDeadline
+		return nil, stacks.ErrDeadline
 	}
 }
 
--- a/internal/shelf/dress.go
+++ b/internal/shelf/dress.go
@@ -6,6 +6,7 @@
 
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/stacks"
 )
 
 // Shape is what a prepared name stands for.
@@ -83,7 +84,7 @@
 	}
 	if a.Code != "" {
 		c.Close()
-		return ErrRejected
+		return stacks.ErrRejected
 	}
 	return nil
 }
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -12,31 +12,28 @@
 	"indigowalk/internal/charter"
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/stacks"
 	"indigowalk/internal/vault"
 )
 
-// Share tells how many connections a desk may hold to one database of a
-// service.
-type Share func(service string) int
-
-// maxDials bounds the connections that a process is making at one time.
-const maxDials = 16
-
 func init() {
 	foundation.Register(foundation.Plugin{
 		Name: "shelf", Rank: 50, Roles: []string{"desk"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
-			sh := New(k, Config{
-				Dialer: Dialer{
-					Net: k.Net, Who: s.NodeName, Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
-					Pace: make(chan struct{}, maxDials),
-				},
+			d := &Dialer{
+				Net: k.Net, Who: s.NodeName, Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
+				Pace: make(chan struct{}, stacks.MaxDials),
+			}
+			sh := stacks.New[map[string]string](k, stacks.Config[*Conn]{
+				Open:     d.Open,
 				OpenWait: 2 * foundation.Second, CheckWait: charter.Span(s.CheckWaitMs), IdleFor: 15 * foundation.Second, UnusedFor: 5 * foundation.Second,
-				Share: func(svc string) int { return foundation.Need[Share](k)(svc) },
+				Share: func(svc string) int { return foundation.Need[stacks.Share](k)(svc) },
 			}, foundation.Need[*conservator.Conservator](k))
 			foundation.Offer(k, sh)
-			foundation.Offer[conservator.Checker](k, sh.Check)
+			foundation.Offer(k, stacks.Stocker(sh.Stock))
+			foundation.Offer(k, stacks.Counts(sh.Counts))
+			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool { return stacks.Stands(sh.Check(ctx, id)) })
 			k.Supervise("shelf", sh.Serve)
 			return nil
 		},
@@ -48,7 +45,7 @@
 			v := foundation.Need[*vault.Vault](k)
 			d := &Dialer{
 				Net: k.Net, Who: "archive", Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
-				Pace: make(chan struct{}, maxDials),
+				Pace: make(chan struct{}, stacks.MaxDials),
 			}
 			quiet := &silences{}
 			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
@@ -94,14 +91,14 @@
 		return true
 	}
 	c, err := d.Open(ctx, db, d.Connect)
-	if errors.Is(err, ErrSilent) && !errors.Is(err, syscall.ECONNREFUSED) && quiet.note(k.Clock.Now(), id) {
+	if errors.Is(err, stacks.ErrSilent) && !errors.Is(err, syscall.ECONNREFUSED) && quiet.note(k.Clock.Now(), id) {
 		k.Counters.Add("shelf.probed_again", 1)
 		longer := *d
 		longer.Connect *= 2
 		c, err = longer.Open(ctx, db, longer.Connect)
 	}
 	if err != nil {
-		return isFull(err) || errors.Is(err, ErrSlow)
+		return stacks.Stands(err)
 	}
 	c.Close()
 	return true
--- /dev/null
+++ b/internal/stacks/stacks.go
@@ -0,0 +1,472 @@
+// Package stacks keeps a node's connections to databases, whatever they speak:
+// capped, shared, opened step by step and handed to who is most urgent.
+package stacks
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/foundation"
+)
+
+// Errors of this layer.
+var (
+	ErrBroken   = errors.New("stacks: connection broken")
+	ErrSilent   = errors.New("stacks: database silent or refusing connections")
+	ErrSlow     = errors.New("stacks: database connected but slow to be ready")
+	ErrFull     = errors.New("stacks: no connection free")
+	ErrCapped   = errors.New("stacks: database takes no more connections")
+	ErrDeadline = errors.New("stacks: deadline passed")
+	ErrRejected = errors.New("stacks: database rejects the connection")
+)
+
+// Line is a connection as the stacks need it. W is what a borrower may wish of
+// one.
+type Line[W any] interface {
+	comparable
+	Alive() bool
+	Close()
+	// Clean tells whether it can serve others now.
+	Clean() bool
+	// Fit tells how well one that has been idle for so long suits; below 0 it
+	// does not.
+	Fit(want W, idle foundation.Micros) int
+	// Attach names the generation under which it was opened, and whom to tell
+	// when it breaks.
+	Attach(generation int64, died func(byUs, silent bool))
+}
+
+// Share tells how many connections a node may hold to one database of a
+// service.
+type Share func(service string) int
+
+// Counts tells the open and idle connections by database.
+type Counts func() map[string][2]int
+
+// Stocker takes the databases there are.
+type Stocker func(map[string]accessions.Database)
+
+// Config is what stacks are built from.
+type Config[C any] struct {
+	Open      func(ctx context.Context, db accessions.Database, wait foundation.Micros) (C, error)
+	Probe     func(ctx context.Context, db accessions.Database, wait foundation.Micros) (C, error) // Open's, if nil
+	OpenWait  foundation.Micros                                                                    // for a log-in
+	CheckWait foundation.Micros                                                                    // for the log-in of a check
+	IdleFor   foundation.Micros                                                                    // after which a spare connection is closed, if others are left
+	UnusedFor foundation.Micros                                                                    // after which a database is left without any
+	Share     func(service string) int
+}
+
+// Stacks hold this node's connections to all databases.
+type Stacks[W any, C Line[W]] struct {
+	k      *foundation.Kernel
+	cfg    Config[C]
+	health *conservator.Conservator
+
+	mu     sync.Mutex
+	ctx    context.Context
+	pools  map[string]*pool[C]
+	berths map[C]berth[C] // of every open connection
+}
+
+// berth is where a connection belongs.
+type berth[C any] struct {
+	pool       *pool[C]
+	id         string
+	address    string
+	generation int64
+}
+
+type pool[C any] struct {
+	db      accessions.Database
+	idle    []resting[C]
+	open    int // connections there are, borrowed ones included
+	opening int
+	waiting []*waiter[C]
+	fullTil foundation.Micros // the database refused more connections
+}
+
+type resting[C any] struct {
+	c     C
+	since foundation.Micros
+}
+
+type waiter[C any] struct {
+	prio int
+	ch   chan grant[C]
+}
+
+type grant[C any] struct {
+	c   C
+	err error
+}
+
+// New returns empty stacks.
+func New[W any, C Line[W]](k *foundation.Kernel, cfg Config[C], health *conservator.Conservator) *Stacks[W, C] {
+	if cfg.Probe == nil {
+		cfg.Probe = cfg.Open
+	}
+	return &Stacks[W, C]{
+		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[C]{}, berths: map[C]berth[C]{},
+	}
+}
+
+// Stock names the databases there are; connections to others are closed once
+// they are idle.
+func (s *Stacks[W, C]) Stock(dbs map[string]accessions.Database) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, d := range dbs {
+		p := s.pools[id]
+		if p == nil {
+			s.pools[id] = &pool[C]{db: d}
+			continue
+		}
+		if p.db.Address != d.Address || p.db.Service != d.Service {
+			s.closeIdle(p)
+		}
+		p.db = d
+	}
+	for id, p := range s.pools {
+		if _, ok := dbs[id]; !ok {
+			p.fail(ErrBroken)
+			s.closeIdle(p)
+			delete(s.pools, id)
+			s.health.Forget(id)
+		}
+	}
+}
+
+func (s *Stacks[W, C]) closeIdle(p *pool[C]) {
+	for _, r := range p.idle {
+		s.end(p, r.c)
+	}
+	p.idle = nil
+}
+
+// end closes a connection that is neither borrowed nor idle any more.
+func (s *Stacks[W, C]) end(p *pool[C], c C) {
+	c.Close()
+	p.open--
+	delete(s.berths, c)
+}
+
+func (p *pool[C]) fail(err error) {
+	for _, w := range p.waiting {
+		w.ch <- grant[C]{err: err}
+	}
+	p.waiting = nil
+}
+
+// Busy returns how many connections to the database are borrowed or awaited.
+func (s *Stacks[W, C]) Busy(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pools[id]; p != nil {
+		return p.open - len(p.idle) + len(p.waiting)
+	}
+	return 0
+}
+
+// Idle tells whether a connection to the database waits for use.
+func (s *Stacks[W, C]) Idle(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[id]
+	return p != nil && len(p.idle) > 0
+}
+
+// Counts returns the open and idle connections by database.
+func (s *Stacks[W, C]) Counts() map[string][2]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][2]int{}
+	for id, p := range s.pools {
+		out[id] = [2]int{p.open, len(p.idle)}
+	}
+	return out
+}
+
+// queueFactor bounds those who wait for a connection, per connection allowed.
+const queueFactor = 6
+
+// Borrow hands out a connection to the database, the one that suits best, within
+// the span. ErrFull says that the queue is full of others
+// as urgent, ErrDeadline that none came free in time.
+func (s *Stacks[W, C]) Borrow(id string, prio int, want W, wait foundation.Micros) (c C, err error) {
+	s.mu.Lock()
+	p := s.pools[id]
+	if p == nil {
+		s.mu.Unlock()
+		return c, ErrBroken
+	}
+	if c, ok := s.take(p, want); ok {
+		s.mu.Unlock()
+		return c, nil
+	}
+	share := max(1, s.cfg.Share(p.db.Service))
+	if len(p.waiting) >= queueFactor*share && !p.displace(prio) {
+		s.mu.Unlock()
+		s.k.Counters.Add("stacks.queue_full", 1)
+		return c, ErrFull
+	}
+	w := &waiter[C]{prio, make(chan grant[C], 1)}
+	at, _ := slices.BinarySearchFunc(p.waiting, prio, func(o *waiter[C], prio int) int {
+		if o.prio <= prio {
+			return -1
+		}
+		return 1
+	})
+	p.waiting = slices.Insert(p.waiting, at, w)
+	s.extend(p, share)
+	s.mu.Unlock()
+
+	t := time.NewTimer(wait.Duration())
+	defer t.Stop()
+	select {
+	case g := <-w.ch:
+		return g.c, g.err
+	case <-t.C:
+	}
+	s.mu.Lock()
+	if i := slices.Index(p.waiting, w); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		s.mu.Unlock()
+		return c, ErrDeadline
+	}
+	s.mu.Unlock()
+	g := <-w.ch // it was granted at the last moment
+	return g.c, g.err
+}
+
+// displace makes room by refusing the least urgent, if less urgent than prio.
+func (p *pool[C]) displace(prio int) bool {
+	last := len(p.waiting) - 1
+	if last < 0 || p.waiting[last].prio <= prio {
+		return false
+	}
+	p.waiting[last].ch <- grant[C]{err: ErrFull}
+	p.waiting = p.waiting[:last]
+	return true
+}
+
+// take picks the idle connection that fits best, and of those the one used
+// last. Those that suit nobody any more are closed.
+func (s *Stacks[W, C]) take(p *pool[C], want W) (c C, ok bool) {
+	now := s.k.Clock.Now()
+	best, fit := -1, -1
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		r := p.idle[i]
+		if f := r.c.Fit(want, now-r.since); r.c.Alive() && f > fit {
+			best, fit = i, f
+		}
+	}
+	if best < 0 {
+		return c, false
+	}
+	c = p.idle[best].c
+	p.idle = slices.Delete(p.idle, best, best+1)
+	return c, true
+}
+
+// extend opens connections for those who wait, as far as the share goes.
+func (s *Stacks[W, C]) extend(p *pool[C], share int) {
+	if s.k.Clock.Now() < p.fullTil {
+		share = max(1, p.open)
+	}
+	// Step by step: a connection that becomes free serves sooner than one that
+	// all desks open at the same time.
+	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share {
+		p.opening++
+		go s.openOne(p)
+	}
+}
+
+func (s *Stacks[W, C]) openOne(p *pool[C]) {
+	s.mu.Lock()
+	ctx, db := s.ctx, p.db
+	s.mu.Unlock()
+	_, gen := s.health.State(db.ID)
+	c, err := s.cfg.Open(ctx, db, s.cfg.OpenWait)
+	s.k.Counters.Add("stacks.opened", 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.opening--
+	if err != nil {
+		s.openFailed(p, db.ID, gen, err)
+		return
+	}
+	s.admit(p, c, gen)
+	s.extend(p, max(1, s.cfg.Share(p.db.Service)))
+}
+
+func (s *Stacks[W, C]) openFailed(p *pool[C], id string, gen int64, err error) {
+	if errors.Is(err, ErrCapped) {
+		s.k.Counters.Add("stacks.capped", 1)
+		p.fullTil = s.k.Clock.Now() + 500*foundation.Millisecond
+		if p.open > 0 {
+			return // those who wait get the connections there are
+		}
+		p.fail(ErrFull)
+		return
+	}
+	if errors.Is(err, ErrRejected) {
+		s.k.Counters.Add("stacks.rejected", 1)
+		p.fail(ErrRejected)
+		return
+	}
+	if errors.Is(err, ErrSlow) {
+		s.k.Counters.Add("stacks.slow_logins", 1)
+		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
+		return
+	}
+	s.k.Counters.Add("stacks.open_failed", 1)
+	s.health.Report(id, gen, errors.Is(err, ErrSilent))
+	p.fail(ErrBroken)
+}
+
+func (s *Stacks[W, C]) put(p *pool[C], c C) {
+	if len(p.waiting) > 0 {
+		w := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		w.ch <- grant[C]{c: c}
+		return
+	}
+	p.idle = append(p.idle, resting[C]{c, s.k.Clock.Now()})
+}
+
+// Return gives a connection back. Only a clean one can serve others; any other
+// is closed.
+func (s *Stacks[W, C]) Return(c C) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.berths[c]
+	p := at.pool
+	surplus := p.open > max(1, s.cfg.Share(p.db.Service)) // others have come
+	if surplus || s.pools[at.id] != p || !c.Clean() || !c.Alive() || p.db.Address != at.address {
+		s.end(p, c)
+		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
+		return
+	}
+	s.put(p, c)
+}
+
+// died is called when a connection broke. One that was idle is dropped here;
+// a borrowed one by whoever returns it.
+func (s *Stacks[W, C]) died(c C, byUs, silent bool) {
+	s.mu.Lock()
+	at, open := s.berths[c]
+	if !open {
+		s.mu.Unlock()
+		return
+	}
+	p := at.pool
+	if i := slices.IndexFunc(p.idle, func(r resting[C]) bool { return r.c == c }); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+		s.end(p, c)
+	}
+	known := s.pools[at.id] == p && !p.db.Draining
+	s.mu.Unlock()
+	if !byUs && known {
+		s.k.Counters.Add("stacks.broken", 1)
+		s.health.Report(at.id, at.generation, silent)
+	}
+}
+
+// Generation is that of the database when the connection was opened.
+func (s *Stacks[W, C]) Generation(c C) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.berths[c].generation
+}
+
+// Check tries whether the database takes a new connection, and keeps it.
+func (s *Stacks[W, C]) Check(ctx context.Context, id string) error {
+	s.mu.Lock()
+	p := s.pools[id]
+	if p == nil {
+		s.mu.Unlock()
+		return ErrBroken
+	}
+	db := p.db
+	s.mu.Unlock()
+	up, gen := s.health.State(id)
+	c, err := s.cfg.Probe(ctx, db, s.cfg.CheckWait)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !up {
+		gen++ // it is opened for the generation that this check begins
+	}
+	s.admit(p, c, gen)
+	return nil
+}
+
+// Stands tells whether a check that ended so found the database up: full and
+// slow are no faults.
+func Stands(err error) bool {
+	return err == nil || errors.Is(err, ErrCapped) || errors.Is(err, ErrSlow)
+}
+
+// admit puts a new connection into its pool.
+func (s *Stacks[W, C]) admit(p *pool[C], c C, gen int64) {
+	p.open++
+	s.berths[c] = berth[C]{p, p.db.ID, p.db.Address, gen}
+	c.Attach(gen, func(byUs, silent bool) { s.died(c, byUs, silent) })
+	if s.pools[p.db.ID] != p || !c.Alive() {
+		s.end(p, c)
+		p.fail(ErrBroken)
+		return
+	}
+	s.put(p, c)
+}
+
+// Serve closes spare connections and refuses those who wait for a database
+// that went down.
+func (s *Stacks[W, C]) Serve(ctx context.Context) error {
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
+	tick := time.NewTicker(foundation.Second.Duration())
+	defer tick.Stop()
+	for {
+		changed := s.health.Changed()
+		down := s.health.Down()
+		s.mu.Lock()
+		for id := range down {
+			if p := s.pools[id]; p != nil {
+				p.fail(ErrBroken)
+				s.closeIdle(p)
+			}
+		}
+		s.closeSpare()
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+func (s *Stacks[W, C]) closeSpare() {
+	now := s.k.Clock.Now()
+	for _, p := range s.pools {
+		share := max(1, s.cfg.Share(p.db.Service))
+		if n := len(p.idle); n > 0 && n == p.open && now-p.idle[n-1].since > s.cfg.UnusedFor {
+			s.closeIdle(p)
+		}
+		for len(p.idle) > 1 && now-p.idle[0].since > s.cfg.IdleFor || len(p.idle) > 0 && p.open > share {
+			s.end(p, p.idle[0].c)
+			p.idle = p.idle[1:]
+		}
+	}
+}
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -90,6 +90,13 @@
 	return c.byService[service], c.leads[service]
 }
 
+// Serving returns the databases of a service, which are not to be changed.
+func (c *Card) Serving(service string) []accessions.Database {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.byService[service]
+}
+
 // Version returns the epoch, sequence and configuration version in hand, and
 // how long the lease runs.
 func (c *Card) Version() (epoch, seq, rev int64, left foundation.Micros) {
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -3,15 +3,15 @@
 import (
 	"slices"
 
-	"indigowalk/internal/accessions"
 	"indigowalk/internal/charter"
 	"indigowalk/internal/circulation"
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/findingaid"
+	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/loan"
-	"indigowalk/internal/shelf"
+	"indigowalk/internal/stacks"
 	"indigowalk/internal/vault"
 )
 
@@ -27,12 +27,11 @@
 		},
 	})
 	foundation.Register(foundation.Plugin{
-		Name: "subscription-card", Rank: 70, Roles: []string{"desk"},
+		Name: "subscription-card", Rank: 70, Roles: []string{"desk", "turnstile"},
 		Build: func(k *foundation.Kernel) error {
 			book := foundation.Need[*charter.Book](k)
 			ring := foundation.Need[*circulation.Ring](k)
-			sh := foundation.Need[*shelf.Shelf](k)
-			c := NewCard(k, foundation.Need[*loan.Branch](k), CardConfig{
+			cfg := CardConfig{
 				Desk: book.Now().NodeName,
 				Poll: pollSpan(book),
 				Archives: func() []string {
@@ -45,12 +44,16 @@
 					return known
 				},
 				Down:     foundation.Need[*conservator.Conservator](k).Down,
-				Applied:  func(dbs map[string]accessions.Database) { sh.Stock(dbs) },
-				Observed: foundation.Need[*findingaid.Aid](k).Observe,
-			})
+				Applied:  foundation.Need[stacks.Stocker](k),
+				Observed: func(string, foundation.Micros, folio.Position) {},
+			}
+			if k.Role == "desk" {
+				cfg.Observed = foundation.Need[*findingaid.Aid](k).Observe
+			}
+			c := NewCard(k, foundation.Need[*loan.Branch](k), cfg)
 			foundation.Offer(k, c)
-			foundation.Offer(k, shelf.Share(func(service string) int {
-				return c.share(service, 1+len(ring.Peers("desk")))
+			foundation.Offer(k, stacks.Share(func(service string) int {
+				return c.share(service, 1+len(ring.Peers(k.Role)))
 			}))
 			k.Supervise("subscription", c.Serve)
 			return nil
--- a/internal/toolbox/check.go
+++ b/internal/toolbox/check.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -67,6 +69,7 @@
 	Count  int      `toml:"count" validate:"gte=0"`
 	Apart  bool     `toml:"apart"`
 	Serves []string `toml:"serves" validate:"dive,oneof=edge ctl"`
+	For    []string `toml:"for"` // kinds of deployment; all, if empty
 }
 
 // CheckDeploy checks a deploy file.
@@ -90,21 +93,29 @@
 			faults = append(faults, Fault{strings.ToLower(place), "fails " + f.Tag()})
 		}
 	}
-	serving := map[string]string{}
-	for name, r := range d.Roles {
+	names := slices.Sorted(maps.Keys(d.Roles))
+	for i, name := range names {
+		r := d.Roles[name]
 		if (r.Share > 0) == (r.Count > 0) {
 			faults = append(faults, Fault{"roles." + name, "needs either share or count"})
 		}
-		for _, s := range r.Serves {
-			if other := serving[r.On+" "+s]; other != "" {
-				faults = append(faults, Fault{"roles." + name + ".serves", s + " is served by " + other + " on the same class"})
+		for _, other := range names[:i] {
+			o := d.Roles[other]
+			for _, s := range r.Serves {
+				if r.On == o.On && r.meets(o) && slices.Contains(o.Serves, s) {
+					faults = append(faults, Fault{"roles." + name + ".serves", s + " is served by " + other + " on the same class"})
+				}
 			}
-			serving[r.On+" "+s] = name
 		}
 	}
 	return faults
 }
 
+// meets tells whether two roles run in one kind of deployment.
+func (r deployRole) meets(o deployRole) bool {
+	return len(r.For) == 0 || len(o.For) == 0 || slices.ContainsFunc(r.For, func(kind string) bool { return slices.Contains(o.For, kind) })
+}
+
 // CheckConfig checks a configuration, as a change on top of another if base is
 // not "".
 func CheckConfig(path, base string) []Fault {
--- a/internal/toolbox/plan.go
+++ b/internal/toolbox/plan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -127,7 +128,7 @@
 		switch o, ok := old[n.Host+n.Prefix]; {
 		case !ok:
 			p.effect("route %s is added, to %s as %s", n.Host, n.Service, n.Type)
-		case o != n:
+		case !reflect.DeepEqual(o, n):
 			p.effect("route %s changes", n.Host)
 		}
 		delete(old, n.Host+n.Prefix)
--- a/internal/toolbox/report.go
+++ b/internal/toolbox/report.go
@@ -13,7 +13,7 @@
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/loan"
-	"indigowalk/internal/shelf"
+	"indigowalk/internal/stacks"
 	"indigowalk/internal/subscription"
 	"indigowalk/internal/vault"
 )
@@ -46,7 +46,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "status", Rank: 90, Roles: []string{"desk", "archive"},
+		Name: "status", Rank: 90, Roles: []string{"desk", "turnstile", "archive"},
 		Build: func(k *foundation.Kernel) error {
 			b := foundation.Need[*loan.Branch](k)
 			loan.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
@@ -62,9 +62,9 @@
 		Members: foundation.Need[*circulation.Ring](k).Members(),
 		Down:    foundation.Need[*conservator.Conservator](k).Down(), Counters: k.Counters.Snapshot(),
 	}
-	if k.Role == "desk" {
+	if k.Role != "archive" {
 		r.Epoch, _, r.Rev, r.LeaseUs = foundation.Need[*subscription.Card](k).Version()
-		r.Conns = foundation.Need[*shelf.Shelf](k).Counts()
+		r.Conns = foundation.Need[stacks.Counts](k)()
 		return r, nil
 	}
 	v := foundation.Need[*vault.Vault](k)
--- /dev/null
+++ b/internal/turnstile/job.go
@@ -0,0 +1,481 @@
+package turnstile
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/cart"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rota"
+	"indigowalk/internal/stacks"
+)
+
+const (
+	// maxKept is the largest body that is kept, so that it can be sent again.
+	maxKept = 64 << 10
+	// holdShare is the part of its aim for which a request waits for a database;
+	// past it the client hears when to come back.
+	holdShare = 0.2
+	// borrowWait is how long one database is waited for before another is asked.
+	borrowWait = 40 * foundation.Millisecond
+	// comeBack is what a client that is refused is told, and half as much again.
+	comeBack = 150 * foundation.Millisecond
+	// margin is kept of the deadline for the way back.
+	margin = 5 * foundation.Millisecond
+	// Of an answer that takes this many times the usual, or this part of the
+	// aim, the request is sent to a second database too.
+	quietTimes = 2.5
+	quietShare = 0.55
+	// keepForFaults is the part of the allowance left to requests that got no
+	// answer.
+	keepForFaults = 0.5
+)
+
+// job is one request on its way to a database.
+type job struct {
+	t        *Turnstile
+	in       *http.Request
+	target   *url.URL
+	id       string
+	header   http.Header
+	body     []byte
+	rest     *bounded // what follows a body that is not kept
+	route    *catalogue.Route
+	service  string
+	received foundation.Micros
+	deadline foundation.Micros
+	giveUp   foundation.Micros // until then a database is waited for
+	tries    int               // databases that it was sent to
+	avoid    []string
+}
+
+func (j *job) now() foundation.Micros  { return j.t.k.Clock.Now() }
+func (j *job) left() foundation.Micros { return j.deadline - j.now() }
+func (j *job) safe() bool              { return j.route.Type == catalogue.Idempotent }
+
+func malformed(text string) *refusal { return &refusal{status: http.StatusBadRequest, text: text} }
+
+// newJob reads a request, against one configuration.
+func (t *Turnstile) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
+	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(cart.RequestID)}
+	conf := t.card.Config()
+	if conf == nil {
+		return nil, j.busy("no configuration yet")
+	}
+	if q.Method == http.MethodConnect || q.RequestURI == "*" {
+		return nil, malformed("no such request is served")
+	}
+	if n := conf.Limits.MaxHeaderBytes; n > 0 && headSize(q) > n {
+		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "head over " + strconv.FormatInt(n, 10) + " bytes"}
+	}
+	if j.id == "" {
+		return nil, malformed(cart.RequestID + " is missing")
+	}
+	var ok bool
+	if j.target, ok = target(q); !ok {
+		return nil, malformed("the path can't be read")
+	}
+	host, _, _ := strings.Cut(strings.ToLower(q.Host), ":")
+	if j.route = conf.Match(host, pathOf(j.target)); j.route == nil {
+		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
+	}
+	j.service = j.route.Draw(rand.Float64())
+	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
+	if text := q.Header.Get(cart.DeadlineMs); text != "" {
+		ms, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+		if err != nil || ms <= 0 {
+			return nil, malformed(cart.DeadlineMs + " is no number of milliseconds")
+		}
+		span = min(span, foundation.Micros(min(ms, j.route.DeadlineMs))*foundation.Millisecond)
+	}
+	j.deadline = j.received + span
+	aim := foundation.Micros(j.route.TargetMs) * foundation.Millisecond
+	if aim == 0 {
+		aim = span
+	}
+	j.giveUp = j.received + foundation.Micros(holdShare*float64(min(aim, span)))
+	return j, j.read(w, conf.Limits.MaxBodyBytes)
+}
+
+func headSize(q *http.Request) (n int64) {
+	n = int64(len(q.Method) + len(q.RequestURI) + len(q.Host))
+	for name, values := range q.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + 4)
+		}
+	}
+	return n
+}
+
+// target is what is asked for, byte by byte as the client wrote it.
+func target(q *http.Request) (*url.URL, bool) {
+	switch {
+	case strings.HasPrefix(q.RequestURI, "//"):
+		// Such a path would be taken for a host.
+		return q.URL, q.URL.Host == "" && q.URL.RequestURI() == q.RequestURI
+	case strings.HasPrefix(q.RequestURI, "/"):
+		return &url.URL{Opaque: q.RequestURI}, true
+	}
+	u := *q.URL
+	u.Scheme, u.Host = "", ""
+	return &u, strings.HasPrefix(u.RequestURI(), "/")
+}
+
+// pathOf is the path by which a route is found.
+func pathOf(u *url.URL) string {
+	if u.Opaque == "" {
+		return u.EscapedPath()
+	}
+	path, _, _ := strings.Cut(u.Opaque, "?")
+	return path
+}
+
+// read takes the body in, as far as it is kept.
+func (j *job) read(w http.ResponseWriter, limit int64) *refusal {
+	j.header = j.in.Header.Clone()
+	dropHops(j.header)
+	if j.in.ContentLength == 0 {
+		return nil
+	}
+	if limit > 0 && j.in.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, text: "body over " + strconv.FormatInt(limit, 10) + " bytes"}
+	}
+	body := io.Reader(j.in.Body)
+	if limit > 0 {
+		body = http.MaxBytesReader(w, j.in.Body, limit)
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(j.left().Duration())); err != nil {
+		j.t.k.Counters.Add("turnstile.no_read_deadline", 1)
+	}
+	raw, err := io.ReadAll(io.LimitReader(body, maxKept+1))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return &refusal{status: http.StatusRequestEntityTooLarge, text: "body over " + strconv.FormatInt(limit, 10) + " bytes"}
+	case err != nil && j.left() <= 0:
+		return &refusal{status: http.StatusRequestTimeout, text: "the body did not come in time"}
+	case err != nil:
+		return malformed("the body can't be read in full")
+	}
+	if j.body = raw; len(raw) > maxKept {
+		j.rest = &bounded{r: body}
+	} else if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		j.t.k.Counters.Add("turnstile.no_read_deadline", 1)
+	}
+	return nil
+}
+
+// bounded remembers whether a body that is passed on as it comes turned out
+// too long.
+type bounded struct {
+	r    io.Reader
+	long bool
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	n, err := b.r.Read(p)
+	b.long = b.long || errors.As(err, new(*http.MaxBytesError))
+	return n, err
+}
+
+// request is what is sent to a database.
+func (j *job) request(id string) *http.Request {
+	h := j.header.Clone()
+	h.Set(cart.DeadlineMs, strconv.FormatInt(max(1, (j.left()-margin).Millis()), 10))
+	h.Set(cart.Target, id)
+	if h["User-Agent"] == nil {
+		h["User-Agent"] = nil // or one would be made up
+	}
+	q := &http.Request{Method: j.in.Method, URL: j.target, Host: j.in.Host, Header: h, ProtoMajor: 1, ProtoMinor: 1}
+	switch {
+	case j.rest != nil:
+		q.Body, q.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(j.body), j.rest)), j.in.ContentLength
+	case len(j.body) > 0:
+		q.Body, q.ContentLength = io.NopCloser(bytes.NewReader(j.body)), int64(len(j.body))
+	}
+	return q
+}
+
+// busy is the answer to a request that has not run and will not.
+func (j *job) busy(text string) *refusal {
+	return &refusal{http.StatusServiceUnavailable, text, comeBack + rand.N(comeBack/2)}
+}
+
+// unclear is the answer where a database may have run the request.
+func (j *job) unclear() *refusal {
+	if j.rest != nil && j.rest.long {
+		return &refusal{status: http.StatusRequestEntityTooLarge, text: "body too long"}
+	}
+	if j.left() <= 0 {
+		return &refusal{status: http.StatusGatewayTimeout, text: "no answer in time"}
+	}
+	return &refusal{status: http.StatusBadGateway, text: "no whole answer"}
+}
+
+// attempt is the request at one database.
+type attempt struct {
+	db    accessions.Database
+	conn  *cart.Conn
+	gen   int64
+	began foundation.Micros
+	ch    <-chan cart.Result
+}
+
+// serve has a database answer, a second one if the first does not.
+func (j *job) serve() (*cart.Reply, *refusal) {
+	a, no := j.first()
+	if no != nil {
+		return nil, no
+	}
+	sent := false // some database may have run it
+	for {
+		reply, err, quiet := j.await(a)
+		if quiet {
+			// The first goes on: whichever answers is the answer.
+			if b, ok := j.second(keepForFaults); ok {
+				reply, err, a = j.race(a, b)
+			} else {
+				reply, err = cart.Await(a.ch, j.left())
+			}
+		}
+		o, verdict := j.judge(reply, err)
+		j.done(a, o, reply, err)
+		switch verdict {
+		case answer:
+			return reply, nil
+		case ran:
+			sent = true
+		}
+		if reply != nil {
+			reply.Close()
+		}
+		if verdict == ran && !j.safe() {
+			return nil, j.unclear()
+		}
+		b, ok := j.second(0)
+		if !ok {
+			if sent {
+				if reply != nil && reply.Rest == nil && !promises(reply.Status) {
+					return reply, nil // the database's own word is better than ours
+				}
+				return nil, j.unclear()
+			}
+			return nil, j.busy("every database that was asked is busy")
+		}
+		a = b
+	}
+}
+
+// first sends the request to a database, waiting for one if need be.
+func (j *job) first() (*attempt, *refusal) {
+	for {
+		changed, health := j.t.card.Changed(), j.t.health.Changed()
+		a, err := j.send()
+		if err == nil {
+			j.t.again.First()
+			return a, nil
+		}
+		if j.now() >= min(j.giveUp, j.deadline-margin) {
+			return nil, j.busy("no database can take it now")
+		}
+		if errors.Is(err, errNoPlace) {
+			j.avoid = j.avoid[:0]
+			t := time.NewTimer(min(j.giveUp-j.now(), 50*foundation.Millisecond).Duration())
+			select {
+			case <-changed:
+			case <-health:
+			case <-t.C:
+			}
+			t.Stop()
+		}
+	}
+}
+
+// errNoPlace says that there is no database to send to now.
+var errNoPlace = errors.New("turnstile: no database can take it now")
+
+// second sends the request once more, to another database, if it may.
+func (j *job) second(keep float64) (*attempt, bool) {
+	if j.rest != nil || j.tries >= j.route.Tries || j.left() < 4*margin || !j.t.again.Again(keep) {
+		return nil, false
+	}
+	for range 3 {
+		if a, err := j.send(); err == nil {
+			j.t.k.Counters.Add("turnstile.sent_again", 1)
+			return a, true
+		} else if errors.Is(err, errNoPlace) {
+			break
+		}
+	}
+	return nil, false
+}
+
+// send picks a database and sends the request there.
+func (j *job) send() (*attempt, error) {
+	t := j.t
+	db, ok := t.rota.Pick(j.route.Host+j.route.Prefix, t.scene(j.service, j.avoid))
+	if !ok {
+		return nil, errNoPlace
+	}
+	began := t.rota.Begin(db.ID)
+	conn, err := t.conns.Borrow(db.ID, j.route.Prio, cart.Want{Sure: !j.safe()}, min(borrowWait, j.left()/4))
+	if err != nil {
+		j.avoid = append(j.avoid, db.ID)
+		t.rota.End("", db.ID, began, rota.Full)
+		return nil, err
+	}
+	ch, err := conn.Send(j.request(db.ID), j.id, j.left())
+	if err != nil {
+		t.conns.Return(conn)
+		t.rota.End("", db.ID, began, rota.Unused)
+		return nil, err
+	}
+	j.tries++
+	j.avoid = append(j.avoid, db.ID)
+	return &attempt{db, conn, t.conns.Generation(conn), began, ch}, nil
+}
+
+// scene is what the choice of a database is made from.
+func (t *Turnstile) scene(service string, avoid []string) rota.Scene {
+	return rota.Scene{
+		Service: service, Databases: t.card.Serving(service), Zone: t.cfg.Zone,
+		Self: t.ring.Self().Addr, Peers: t.ring.Near(), Up: t.health.Up, Avoid: avoid,
+	}
+}
+
+// await waits for an attempt; quiet says that it is time to ask another.
+func (j *job) await(a *attempt) (reply *cart.Reply, err error, quiet bool) {
+	wait := j.left()
+	if usual := j.t.rota.Usual(j.route.Host + j.route.Prefix); j.safe() && j.tries < j.route.Tries && usual > 0 {
+		soon := min(foundation.Micros(quietTimes*float64(usual)), foundation.Micros(quietShare*float64(j.route.TargetMs)*float64(foundation.Millisecond)))
+		if soon < wait {
+			if reply, err = cart.Await(a.ch, max(soon, margin)); !errors.Is(err, cart.ErrQuiet) {
+				return reply, err, false
+			}
+			return nil, nil, true
+		}
+	}
+	reply, err = cart.Await(a.ch, wait)
+	return reply, err, false
+}
+
+// race waits for the first good answer of two attempts and leaves the other
+// behind.
+func (j *job) race(a, b *attempt) (*cart.Reply, error, *attempt) {
+	t := time.NewTimer(j.left().Duration())
+	defer t.Stop()
+	for {
+		var r cart.Result
+		var won, other *attempt
+		select {
+		case r = <-a.ch:
+			won, other = a, b
+		case r = <-b.ch:
+			won, other = b, a
+		case <-t.C:
+			j.leave(b)
+			return nil, cart.ErrQuiet, a
+		}
+		if _, verdict := j.judge(r.Reply, r.Err); verdict == answer {
+			j.leave(other)
+			return r.Reply, r.Err, won
+		}
+		// The other one decides.
+		o, _ := j.judge(r.Reply, r.Err)
+		j.done(won, o, r.Reply, r.Err)
+		if r.Reply != nil {
+			r.Reply.Close()
+		}
+		reply, err := cart.Await(other.ch, j.left())
+		return reply, err, other
+	}
+}
+
+// leave waits aside for an attempt whose answer is not needed any more.
+func (j *job) leave(a *attempt) {
+	wait := j.left()
+	go func() {
+		reply, err := cart.Await(a.ch, wait)
+		o, _ := j.judge(reply, err)
+		j.done(a, o, reply, err)
+		if reply != nil {
+			reply.Close()
+		}
+	}()
+}
+
+// verdict is what an answer means for the request.
+type verdict int
+
+const (
+	answer verdict = iota
+	unrun          // promised not to have run
+	ran            // may have run
+)
+
+// judge tells how an attempt ended.
+func (j *job) judge(r *cart.Reply, err error) (rota.Outcome, verdict) {
+	switch {
+	case errors.Is(err, cart.ErrUnsent):
+		return rota.Unused, unrun
+	case err != nil:
+		return rota.Failed, ran
+	case r.Status == http.StatusMisdirectedRequest:
+		return rota.Failed, unrun
+	case r.Header.Get(cart.NotRun) != "":
+		return rota.Full, unrun
+	case promises(r.Status), r.Status < 300 && (r.Header.Get(seal) == "" || r.Header.Get("Content-Encoding") != ""):
+		return rota.Failed, ran // it can't be passed on as what it is
+	case r.Status >= 500 && r.Status != http.StatusGatewayTimeout && j.safe():
+		return rota.Failed, ran
+	case r.Status >= 500:
+		return rota.Failed, answer
+	}
+	return rota.Served, answer
+}
+
+// seal marks a database's success.
+const seal = "X-Indigowalk-Seal"
+
+// promises tells whether a client takes the status for a promise that the
+// request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// done gives an attempt's connection back and notes how the database served.
+func (j *job) done(a *attempt, o rota.Outcome, r *cart.Reply, err error) {
+	t := j.t
+	if err != nil && !errors.Is(err, cart.ErrUnsent) {
+		t.k.Counters.Add("turnstile.unanswered", 1)
+		if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
+			t.health.Report(a.db.ID, a.gen, silent)
+		}
+		a.conn.Close()
+	}
+	if r != nil && r.Status == http.StatusMisdirectedRequest {
+		t.k.Counters.Add("turnstile.misdirected", 1)
+	}
+	if r == nil || r.Rest == nil {
+		t.conns.Return(a.conn)
+	} else {
+		go func() { // its body is being passed on yet
+			<-r.Freed
+			t.conns.Return(a.conn)
+		}()
+	}
+	t.rota.End(j.route.Host+j.route.Prefix, a.db.ID, a.began, o)
+}
--- /dev/null
+++ b/internal/turnstile/turnstile.go
@@ -0,0 +1,310 @@
+// Package turnstile is the gateway: requests in front of services whose
+// databases each run a few at a time.
+package turnstile
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/cart"
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/circulation"
+	"indigowalk/internal/conservator"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/renewals"
+	"indigowalk/internal/rota"
+)
+
+// Card is what the turnstile needs of the control state.
+type Card interface {
+	Ready() bool
+	Config() *catalogue.Index
+	Changed() <-chan struct{}
+	Serving(service string) []accessions.Database
+}
+
+// Config is what a turnstile is built from.
+type Config struct {
+	ClientAddr string
+	Zone       string
+	Grace      func() foundation.Micros
+}
+
+// Turnstile takes requests and has databases answer them.
+type Turnstile struct {
+	k      *foundation.Kernel
+	cfg    Config
+	card   Card
+	conns  *cart.Stacks
+	rota   *rota.Rota
+	health *conservator.Conservator
+	ring   *circulation.Ring
+	again  *renewals.Allowance
+
+	leaving atomic.Bool
+	srv     *http.Server
+
+	mu     sync.Mutex
+	guests map[net.Conn]*guest
+}
+
+// New returns a turnstile.
+func New(k *foundation.Kernel, cfg Config, card Card, conns *cart.Stacks, r *rota.Rota, health *conservator.Conservator, ring *circulation.Ring, again *renewals.Allowance) *Turnstile {
+	t := &Turnstile{
+		k: k, cfg: cfg, card: card, conns: conns, rota: r, health: health, ring: ring, again: again,
+		guests: map[net.Conn]*guest{},
+	}
+	t.srv = &http.Server{
+		Handler: t, MaxHeaderBytes: maxHeader, ConnState: t.noteState,
+		ErrorLog: log.New(counted{k.Counters.Of("turnstile.server_notes")}, "", 0),
+	}
+	return t
+}
+
+// counted counts what the server would log: clients that come and go.
+type counted struct{ n *atomic.Int64 }
+
+func (c counted) Write(b []byte) (int, error) {
+	c.n.Add(1)
+	return len(b), nil
+}
+
+// maxHeader bounds a request's head before the configuration's own bound is
+// looked at.
+const maxHeader = 256 << 10
+
+// Ready tells whether clients should be sent here.
+func (t *Turnstile) Ready() bool { return !t.leaving.Load() && t.card.Ready() }
+
+// Serve takes requests until ctx ends.
+func (t *Turnstile) Serve(ctx context.Context) error {
+	ln, err := t.k.Net.Listen(t.cfg.ClientAddr)
+	if err != nil {
+		return fmt.Errorf("turnstile: %w", err)
+	}
+	defer context.AfterFunc(ctx, func() { t.srv.Close() })()
+	go t.watchGuests(ctx)
+	if err := t.srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("turnstile: %w", err)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// closeAfter is how long a leaving turnstile still takes connections: the entry
+// asks every second and needs two misses.
+const closeAfter = 2200 * foundation.Millisecond
+
+// Leave ends in order: not ready at once, every answer tells that its
+// connection closes, and what is under way ends.
+func (t *Turnstile) Leave(ctx context.Context) {
+	start := t.k.Clock.Now()
+	t.leaving.Store(true)
+	t.k.Log.Info("leaving")
+	end := start + t.cfg.Grace() - 600*foundation.Millisecond
+	if !foundation.Sleep(ctx, closeAfter) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(end-t.k.Clock.Now(), 0).Duration())
+	defer cancel()
+	if err := t.srv.Shutdown(ctx); err != nil {
+		t.k.Counters.Add("turnstile.cut_at_end", 1)
+	}
+}
+
+// guest is a client's connection. Its times are bounded by the configuration,
+// which may change while it is open.
+type guest struct {
+	state http.ConnState
+	since foundation.Micros
+	busy  bool // a request has been read
+}
+
+func (t *Turnstile) noteState(c net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(t.guests, c)
+	default:
+		t.guests[c] = &guest{state: state, since: t.k.Clock.Now()}
+	}
+}
+
+// inHand notes that a connection's request has been read, or is done.
+func (t *Turnstile) inHand(c net.Conn, busy bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.guests[c]; g != nil {
+		g.busy, g.since = busy, t.k.Clock.Now()
+	}
+}
+
+// Bounds where the configuration has none.
+const (
+	defaultHeaderWait = 5 * foundation.Second
+	defaultIdle       = 60 * foundation.Second
+)
+
+func (t *Turnstile) limits() (header, idle foundation.Micros) {
+	header, idle = defaultHeaderWait, defaultIdle
+	if conf := t.card.Config(); conf != nil {
+		if ms := conf.Limits.HeaderTimeoutMs; ms > 0 {
+			header = foundation.Micros(ms) * foundation.Millisecond
+		}
+		if ms := conf.Limits.IdleTimeoutMs; ms > 0 {
+			idle = foundation.Micros(ms) * foundation.Millisecond
+		}
+	}
+	return header, idle
+}
+
+// watchGuests closes connections that are idle, or take too long over a
+// request's head.
+func (t *Turnstile) watchGuests(ctx context.Context) {
+	for foundation.Sleep(ctx, 250*foundation.Millisecond) {
+		header, idle := t.limits()
+		now := t.k.Clock.Now()
+		var late []net.Conn
+		t.mu.Lock()
+		for c, g := range t.guests {
+			limit := header
+			if g.state == http.StateIdle {
+				limit = idle
+			}
+			if !g.busy && now-g.since > limit {
+				late = append(late, c)
+			}
+		}
+		t.mu.Unlock()
+		for _, c := range late {
+			t.k.Counters.Add("turnstile.late_guests", 1)
+			c.Close()
+		}
+	}
+}
+
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
+// ServeHTTP implements http.Handler.
+func (t *Turnstile) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if c, ok := q.Context().Value(connKey{}).(net.Conn); ok {
+		t.inHand(c, true)
+		defer t.inHand(c, false)
+	}
+	t.k.Counters.Add("turnstile.requests", 1)
+	h := w.Header()
+	if t.leaving.Load() {
+		h.Set("Connection", "close")
+	} else if _, idle := t.limits(); idle > 2*foundation.Second {
+		h.Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(idle/foundation.Second)-1, 10))
+	}
+	j, no := t.newJob(w, q)
+	if no != nil {
+		t.refuse(w, no)
+		return
+	}
+	reply, no := j.serve()
+	if no != nil {
+		t.refuse(w, no)
+		return
+	}
+	t.pass(w, reply)
+}
+
+// hopByHop are headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// dropHops removes what concerns one connection only.
+func dropHops(h http.Header) {
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// pass hands a database's answer on.
+func (t *Turnstile) pass(w http.ResponseWriter, r *cart.Reply) {
+	defer r.Close()
+	h := w.Header()
+	dropHops(r.Header)
+	for name, values := range r.Header {
+		h[name] = values
+	}
+	if r.Header["Content-Type"] == nil {
+		h["Content-Type"] = nil // or one would be guessed
+	}
+	if r.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
+	} else if r.Rest == nil {
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(r.Status)
+	_, err := w.Write(r.Body)
+	if err == nil && r.Rest != nil {
+		_, err = io.Copy(w, r.Rest)
+	}
+	if err != nil {
+		t.k.Counters.Add("turnstile.answers_cut", 1)
+		panic(http.ErrAbortHandler) // the client must not take it for whole
+	}
+}
+
+// refusal is an answer of the turnstile's own.
+type refusal struct {
+	status int
+	text   string
+	wait   foundation.Micros // when to come back
+}
+
+func (t *Turnstile) refuse(w http.ResponseWriter, no *refusal) {
+	t.k.Counters.Add("turnstile.answered_"+strconv.Itoa(no.status), 1)
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if no.wait > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(no.wait)/float64(foundation.Second), 'f', -1, 64))
+	}
+	w.WriteHeader(no.status)
+	if _, err := io.WriteString(w, no.text+"\n"); err != nil {
+		t.k.Counters.Add("turnstile.answers_cut", 1)
+	}
+}
+
+// serveReady answers the entry's probe.
+func (t *Turnstile) serveReady(ctx context.Context, addr string) error {
+	ln, err := t.k.Net.Listen(addr)
+	if err != nil {
+		return fmt.Errorf("turnstile: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !t.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("turnstile: %w", err)
+	}
+	return nil
+}
