News since a sequence outlive a change of primary; resends are counted by service

Cause of the first: a new primary told every carrier the whole state, hundreds at once. The vault's members now know which entries changed since when; large news take turns that are kept for whoever asks again.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -21,7 +21,7 @@
 	}
 	var h History
 	h.Turn(c, 1)
-	x := (*Index)(nil).Next(h.Since(0, true), true)
+	x := (*Index)(nil).Next(h.Since(0, true))
 	if r, s := x.Find("h2"); r == nil || r.StaleMs != 1500 || s.Name != "s" {
 		t.Errorf("h2: %+v %+v", r, s)
 	}
@@ -68,7 +68,7 @@
 	if size(whole) > size(conf)/8 {
 		t.Errorf("everything is told in %d bytes, of %d", size(whole), size(conf))
 	}
-	x := (*Index)(nil).Next(whole, true)
+	x := (*Index)(nil).Next(whole)
 	change := func(seq int64, f func(c *Configuration)) *Step {
 		next := *conf
 		next.Rev, next.Routes, next.Services = seq, slices.Clone(conf.Routes), slices.Clone(conf.Services)
@@ -85,9 +85,9 @@
 		if size(step) > 400 {
 			t.Errorf("a small change is told in %d bytes", size(step))
 		}
-		x = x.Next(step, false)
+		x = x.Next(step)
 	}
-	y := (*Index)(nil).Next(h.Since(0, true), true)
+	y := (*Index)(nil).Next(h.Since(0, true))
 	for i := range 1900 {
 		host := fmt.Sprintf("host%05d", i)
 		a, s := x.Find(host)
--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -34,6 +34,7 @@
 // the configuration.
 type Step struct {
 	Rev      int64           `json:"rev"`
+	All      bool            `json:"all,omitempty"`      // these are all routes and services there are
 	Alike    []Alike         `json:"alike,omitempty"`    // routes that are new or changed
 	Dropped  []string        `json:"dropped,omitempty"`  // keys of routes that are no more
 	Services []AlikeServices `json:"services,omitempty"` // all, if any changed
@@ -111,7 +112,7 @@
 // Since returns the step for whoever has the configuration of seq; of one
 // that has none, or is not known, everything is told.
 func (h *History) Since(seq int64, whole bool) *Step {
-	s := &Step{Rev: h.conf.Rev, Limits: h.conf.Limits}
+	s := &Step{Rev: h.conf.Rev, All: whole, Limits: h.conf.Limits}
 	if whole || h.served > seq {
 		s.Services = alikeServices(h.conf.Services)
 	}
@@ -155,9 +156,9 @@
 }
 
 // Next returns the index after a step; x, which may be nil, stays as it is.
-func (x *Index) Next(s *Step, whole bool) *Index {
+func (x *Index) Next(s *Step) *Index {
 	n := &Index{Rev: s.Rev, Limits: s.Limits, services: map[string]*Service{}, routes: map[string]*Route{}, hosts: map[string][]*Route{}}
-	if x != nil && !whole {
+	if x != nil && !s.All {
 		maps.Copy(n.routes, x.routes)
 		maps.Copy(n.services, x.services)
 	}
--- a/internal/renewals/renewals.go
+++ b/internal/renewals/renewals.go
@@ -10,15 +10,20 @@
 // parts is how many steps a window is kept in.
 const parts = 20
 
-// Allowance lets a node send again as a share of what it has itself sent first:
-// in every window its further sends stay below that share of its first ones,
-// and so do those of all nodes together, with nothing to be agreed on.
+// Allowance lets a node send again, to each service, as a share of what it has
+// itself sent there first: in every window its further sends stay below that
+// share of its first ones, and so do those of all nodes together, with nothing
+// to be agreed on.
 type Allowance struct {
 	clock foundation.Clock
 	ratio func() float64
 	step  foundation.Micros
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	of map[string]*sends // by service
+}
+
+type sends struct {
 	at     int64 // step of the newest part
 	firsts [parts + 1]int
 	agains [parts + 1]int
@@ -26,13 +31,23 @@
 
 // New returns an allowance of a share of the first sends of a window.
 func New(clock foundation.Clock, ratio func() float64, window foundation.Micros) *Allowance {
-	return &Allowance{clock: clock, ratio: ratio, step: max(window/parts, 1)}
+	return &Allowance{clock: clock, ratio: ratio, step: max(window/parts, 1), of: map[string]*sends{}}
+}
+
+// sends returns what has been sent to a service, as of now.
+func (a *Allowance) sends(service string) *sends {
+	s := a.of[service]
+	if s == nil {
+		s = &sends{}
+		a.of[service] = s
+	}
+	s.turn(int64(a.clock.Now() / a.step))
+	return s
 }
 
 // turn forgets what has left the window. Of the parts that are kept the oldest
 // lies in the window only in part.
-func (a *Allowance) turn() (newest int) {
-	now := int64(a.clock.Now() / a.step)
+func (a *sends) turn(now int64) {
 	for ; a.at < now && now-a.at <= parts+1; a.at++ {
 		i := (a.at + 1) % (parts + 1)
 		a.firsts[i], a.agains[i] = 0, 0
@@ -42,35 +57,39 @@
 		clear(a.firsts[:])
 		clear(a.agains[:])
 	}
-	return int(a.at % (parts + 1))
 }
 
+// newest is the index of the part that now lies in.
+func (a *sends) newest() int { return int(a.at % (parts + 1)) }
+
 // First counts a first send.
-func (a *Allowance) First() {
+func (a *Allowance) First(service string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.firsts[a.turn()]++
+	s := a.sends(service)
+	s.firsts[s.newest()]++
 }
 
 // Again tells whether something may be sent again now, and counts it. Of the
 // first sends only those surely inside the window are counted, of the others
 // all that may be. The part of the allowance that is kept for more pressing
 // sends is not used.
-func (a *Allowance) Again(keep float64) bool {
+func (a *Allowance) Again(service string, keep float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	newest := a.turn()
+	s := a.sends(service)
+	newest := s.newest()
 	oldest := (newest + 1) % (parts + 1)
 	firsts, agains := 0, 0
-	for i := range a.firsts {
-		agains += a.agains[i]
+	for i := range s.firsts {
+		agains += s.agains[i]
 		if i != oldest {
-			firsts += a.firsts[i]
+			firsts += s.firsts[i]
 		}
 	}
 	if float64(agains+1) > a.ratio()*(1-keep)*float64(firsts) {
 		return false
 	}
-	a.agains[newest]++
+	s.agains[newest]++
 	return true
 }
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -29,6 +29,9 @@
 // state.
 const wholeWait = 2 * foundation.Second
 
+// longestLater bounds how long a desk waits for its turn to be told.
+const longestLater = 2 * foundation.Second
+
 // leaveWait bounds how long leaving a primary that answers waits for what is
 // under way there.
 const leaveWait = 400 * foundation.Millisecond
@@ -236,6 +239,10 @@
 		c.mu.Unlock()
 		return addr, nil
 	}
+	if a.Later > 0 {
+		foundation.Sleep(ctx, min(a.Later, longestLater))
+		return addr, nil
+	}
 	if a.Lease <= 0 {
 		return a.Elsewhere, nil
 	}
@@ -286,11 +293,14 @@
 			c.k.Counters.Add("subscription.old_refused", 1)
 			return nil
 		}
-		c.conf = c.conf.Next(n.Config, n.Whole)
+		c.conf = c.conf.Next(n.Config)
 	}
 	if a.News != nil {
 		c.merge(n)
 	}
+	if n.Config != nil {
+		c.k.Log.Info("configuration taken", "rev", n.Config.Rev, "epoch", a.Epoch, "seq", a.Seq, "bytes", len(a.News))
+	}
 	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
 	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
 	databases := c.databases
--- a/internal/subscription/edition.go
+++ b/internal/subscription/edition.go
@@ -66,28 +66,28 @@
 	return nil
 }
 
-// edition is the control state as desks are told of it. It is decoded once
-// for each change, and remembers since when each entry is as it is.
+// edition is the control state as carriers are told of it in one term of the
+// vault's primary. It is decoded once for each change.
 type edition struct {
 	mu        sync.Mutex
-	seq       int64 // of the state that it was made from
-	first     int64 // changes after this seq are known one by one
-	newest    int64 // seq of the newest change that desks are told of
-	entries   map[string]json.RawMessage
-	at        map[string]int64 // seq at which an entry last changed, or went
+	began     int64 // the term
+	state     vault.State
+	read      bool  // there is a state
+	first     int64 // of the configuration, steps after this seq are known
+	newest    int64 // seq of the newest change that carriers are told of, as far as is known
 	conf      catalogue.History
 	rev       int64
 	databases map[string]accessions.Database
 	leads     map[string]custodian.Lead
-	told      map[int64]json.RawMessage // news by the seq that a desk has
-	whole     json.RawMessage           // for a desk of which nothing is known
+	told      map[int64]json.RawMessage // news by the seq that a carrier has
+	whole     json.RawMessage           // for one of which nothing is known
 
 	ofDatabases *vault.Decoded[accessions.Database]
 	ofLeads     *vault.Decoded[custodian.Lead]
 }
 
-func newEdition() *edition {
-	return &edition{ofDatabases: accessions.Decoder(), ofLeads: custodian.Decoder()}
+func newEdition(began int64) *edition {
+	return &edition{began: began, ofDatabases: accessions.Decoder(), ofLeads: custodian.Decoder()}
 }
 
 // concerns tells whether desks are told of an entry.
@@ -95,7 +95,7 @@
 	return key == catalogue.Key || accessions.Holds(key) || custodian.Holds(key)
 }
 
-// since returns what a desk that has the state of seq lacks; nil if that is
+// since returns what a carrier that has the state of seq lacks; nil if that is
 // nothing. Urgent news are not to wait.
 func (e *edition) since(state vault.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
 	e.mu.Lock()
@@ -103,46 +103,44 @@
 	if err := e.turn(state); err != nil {
 		return nil, false, err
 	}
-	if seq >= e.newest {
+	n := news{Whole: !state.Knows(seq)}
+	if seq >= state.Seq || !n.Whole && seq >= e.newest {
 		return nil, false, nil
 	}
-	n := news{Whole: seq < e.first}
-	for svc := range e.leads {
-		urgent = urgent || e.at[custodian.Key(svc)] > seq
-	}
 	if n.Whole && e.whole != nil {
 		return e.whole, true, nil
 	}
-	if raw, ok := e.told[seq]; ok && !n.Whole {
-		return raw, urgent, nil
-	}
-	switch {
-	case n.Whole:
+	if n.Whole {
 		n.Databases, n.Leads = e.databases, e.leads
-	default:
-		n.Databases, n.Leads = databases{}, map[string]custodian.Lead{}
-		for key, at := range e.at {
-			if at > seq {
-				e.add(&n, key)
-			}
+		if e.rev > 0 {
+			n.Config = e.conf.Since(0, true)
 		}
+		if e.whole, err = json.Marshal(n); err != nil {
+			return nil, false, fmt.Errorf("subscription: %w", err)
+		}
+		return e.whole, true, nil
+	}
+	n.Databases, n.Leads = databases{}, map[string]custodian.Lead{}
+	for _, key := range state.Since(seq) {
+		urgent = urgent || custodian.Holds(key)
+		e.add(&n, key, seq)
 	}
-	if e.rev > 0 && (n.Whole || e.at[catalogue.Key] > seq) {
-		n.Config = e.conf.Since(seq, n.Whole)
+	raw, told := e.told[seq]
+	if told {
+		return raw, urgent, nil
 	}
 	if raw, err = json.Marshal(n); err != nil {
 		return nil, false, fmt.Errorf("subscription: %w", err)
 	}
-	if n.Whole {
-		e.whole = raw
-	} else {
-		e.told[seq] = raw
-	}
-	return raw, urgent || n.Whole, nil
+	e.told[seq] = raw
+	return raw, urgent, nil
 }
 
-// add puts one entry among the news.
-func (e *edition) add(n *news, key string) {
+// add puts one entry among the news of whoever has the state of seq.
+func (e *edition) add(n *news, key string, seq int64) {
+	if key == catalogue.Key && e.rev > 0 {
+		n.Config = e.conf.Since(seq, seq < e.first)
+	}
 	if id, ok := strings.CutPrefix(key, accessions.Key("")); ok {
 		if d, there := e.databases[id]; there {
 			n.Databases[id] = d
@@ -159,7 +157,7 @@
 
 // turn takes a newer state in.
 func (e *edition) turn(state vault.State) error {
-	if e.entries != nil && state.Seq == e.seq {
+	if e.read && state.Seq == e.state.Seq {
 		return nil
 	}
 	next := map[string]json.RawMessage{}
@@ -182,12 +180,10 @@
 	if err != nil {
 		return err
 	}
-	if e.entries == nil || state.Seq < e.seq {
-		// What came before is not known: whoever has less is told all.
-		e.first, e.newest, e.at, e.entries = state.Seq, state.Seq, map[string]int64{}, next
-		e.conf, e.rev = catalogue.History{}, 0
+	if !e.read {
+		e.first = state.Seq
 	}
-	if !bytes.Equal(e.entries[catalogue.Key], next[catalogue.Key]) || e.rev == 0 {
+	if e.rev == 0 || !bytes.Equal(e.state.Entries[catalogue.Key], next[catalogue.Key]) {
 		_, conf, err := catalogue.Decode(next[catalogue.Key])
 		if err != nil {
 			return err
@@ -197,19 +193,15 @@
 			e.rev = conf.Rev
 		}
 	}
-	for key, raw := range next {
-		if !bytes.Equal(e.entries[key], raw) {
-			e.at[key], e.newest = state.Seq, state.Seq
-		}
-	}
-	for key := range e.entries {
-		if _, still := next[key]; !still {
-			e.at[key], e.newest = state.Seq, state.Seq
+	newer := !e.read
+	for _, key := range state.Since(e.newest) {
+		if concerns(key) {
+			e.newest, newer = state.Seq, true
 		}
 	}
-	if e.newest == state.Seq || e.told == nil {
+	if newer {
 		e.told, e.whole = map[int64]json.RawMessage{}, nil
 	}
-	e.seq, e.entries, e.databases, e.leads = state.Seq, next, databases, leads
+	e.read, e.state, e.databases, e.leads = true, state, databases, leads
 	return nil
 }
--- a/internal/subscription/edition_test.go
+++ b/internal/subscription/edition_test.go
@@ -3,10 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
+	"strings"
 	"testing"
 
 	"indigowalk/internal/accessions"
+	"indigowalk/internal/catalogue"
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/vault"
 )
@@ -14,14 +15,13 @@
 // A desk is told what changed since what it has, and everything only if what
 // came before is not known any more.
 func TestNewsSinceASequence(t *testing.T) {
-	e := newEdition()
-	state := vault.State{Epoch: 3, Seq: 10, Entries: map[string]json.RawMessage{}}
+	e := newEdition(1)
+	state := vault.State{Epoch: 3, Seq: 10}.WithoutPast()
 	put := func(key, raw string) {
-		state.Seq++
-		state.Entries = maps.Clone(state.Entries)
-		if state.Entries[key] = json.RawMessage(raw); raw == "" {
-			delete(state.Entries, key)
+		if raw == "" {
+			raw = "null"
 		}
+		state = state.With(map[string]json.RawMessage{key: json.RawMessage(raw)})
 	}
 	since := func(seq int64) (n news, size int, urgent bool) {
 		t.Helper()
@@ -70,3 +70,48 @@
 		t.Errorf("all changes since: %+v", n)
 	}
 }
+
+// A new primary that has followed the changes tells what a desk lacks, not all
+// there is: hundreds of desks find it at the same time.
+func TestNewsOfAnotherPrimary(t *testing.T) {
+	conf := func(rev int, hosts ...string) json.RawMessage {
+		var routes []string
+		for _, h := range hosts {
+			routes = append(routes, fmt.Sprintf(`{"name":%[1]q,"host":%[1]q,"path_prefix":"/","type":"bounded","deadline_ms":9,"svc":"s"}`, h))
+		}
+		return json.RawMessage(fmt.Sprintf(`{"rev":%d,"body":{"rev":%d,"routes":[%s],"services":[{"name":"s"}]}}`, rev, rev, strings.Join(routes, ",")))
+	}
+	state := vault.State{Epoch: 3, Seq: 10}.WithoutPast()
+	for i := range 90 {
+		id := fmt.Sprint("i-", i)
+		state = state.With(map[string]json.RawMessage{accessions.Key(id): json.RawMessage(fmt.Sprintf(`{"id":%q,"svc":"s"}`, id))})
+	}
+	state = state.With(map[string]json.RawMessage{catalogue.Key: conf(1, "a", "b")})
+	had := state.Seq
+	old, _, err := newEdition(1).since(state, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var first news
+	if err := json.Unmarshal(old, &first); err != nil {
+		t.Fatal(err)
+	}
+	state = state.With(map[string]json.RawMessage{catalogue.Key: conf(2, "b", "c")})
+	raw, _, err := newEdition(2).since(state, had)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n news
+	if err := json.Unmarshal(raw, &n); err != nil {
+		t.Fatal(err)
+	}
+	if n.Whole || len(n.Databases) != 0 || n.Config == nil {
+		t.Fatalf("%d bytes of %d: %+v", len(raw), len(old), n)
+	}
+	x := (*catalogue.Index)(nil).Next(first.Config).Next(n.Config)
+	for host, there := range map[string]bool{"a": false, "b": true, "c": true} {
+		if r, _ := x.Find(host); (r != nil) != there {
+			t.Errorf("route %s is there: %v", host, r != nil)
+		}
+	}
+}
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -33,8 +34,9 @@
 	Epoch     int64             `json:"epoch,omitempty"`
 	Seq       int64             `json:"seq,omitempty"`
 	Lease     foundation.Micros `json:"lease_us,omitempty"`
-	Desks     int               `json:"desks,omitempty"` // that have been here of late
-	News      json.RawMessage   `json:"news,omitempty"`  // of type news; none if nothing changed since the desk's seq
+	Later     foundation.Micros `json:"later_us,omitempty"` // when the carrier's turn comes to be told: it is to ask again then
+	Desks     int               `json:"desks,omitempty"`    // that have been here of late
+	News      json.RawMessage   `json:"news,omitempty"`     // of type news; none if nothing changed since the desk's seq
 }
 
 // Office is the archive's side.
@@ -45,39 +47,75 @@
 	lease   foundation.Micros
 	hold    func() foundation.Micros
 	heard   func(desk, id string) // a desk's notice of a fault
-	edition *edition
 	turns   turns
+
+	mu      sync.Mutex
+	edition *edition
 }
 
-// turns has whole states leave one after another, at a share of the link: of
-// hundreds of desks that start at once each is sent one, and whatever else the
-// archive sends would wait behind them, its checks of databases too.
+// turns has large news leave one after another, at a share of the link: of
+// hundreds of desks that start at once, or find another primary, each is sent
+// some, and whatever else the archive sends would wait behind them, its checks
+// of databases too. A carrier whose turn is not soon asks again when it comes;
+// to hold its call until then would have it given up, and the turn lost.
 type turns struct {
 	rate float64 // bytes a microsecond; 0 for no bound
 
-	mu   sync.Mutex
-	next foundation.Micros
+	mu    sync.Mutex
+	next  foundation.Micros
+	given map[string]foundation.Micros // by carrier, turns that are to come
 }
 
-// linkShare is the part of the link that whole states may take.
-const linkShare = 0.7
+const (
+	// linkShare is the part of the link that large news may take.
+	linkShare = 0.7
+	// largeNews are those that take turns.
+	largeNews = 4 << 10
+	// stay is how long a turn may be waited for within one call.
+	stay = 200 * foundation.Millisecond
+	// turnKept is for how long a turn that was not used is remembered.
+	turnKept = 2 * foundation.Second
+)
 
-// take returns how long to wait for the turn of so many bytes.
-func (t *turns) take(now foundation.Micros, size int) foundation.Micros {
-	if t.rate == 0 {
+// take returns how long the carrier is to wait for the turn of so many bytes.
+func (t *turns) take(carrier string, now foundation.Micros, size int) foundation.Micros {
+	if t.rate == 0 || size < largeNews {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.given, func(_ string, at foundation.Micros) bool { return now-at > turnKept })
+	if at, given := t.given[carrier]; given {
+		if at <= now {
+			delete(t.given, carrier)
+		}
+		return max(0, at-now)
+	}
 	at := max(now, t.next)
 	t.next = at + foundation.Micros(float64(size)/t.rate)
+	if at-now > stay {
+		if t.given == nil {
+			t.given = map[string]foundation.Micros{}
+		}
+		t.given[carrier] = at
+	}
 	return at - now
 }
 
+// editionOf returns the edition of a term.
+func (o *Office) editionOf(began int64) *edition {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.edition == nil || o.edition.began != began {
+		o.edition = newEdition(began)
+	}
+	return o.edition
+}
+
 // NewOffice answers polls through the branch.
 // Mbps is the bandwidth of its link, 0 if that is not known.
 func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string), mbps float64) *Office {
-	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard, edition: newEdition()}
+	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
 	o.turns.rate = linkShare * mbps / 8
 	loan.On(b, pollOp, o.onPoll)
 	return o
@@ -107,20 +145,29 @@
 	}
 	t := time.NewTimer(o.hold().Duration())
 	defer t.Stop()
-	for waited := false; ; {
+	for mine := false; ; {
 		changed := o.v.Changed()
 		state, err := o.v.Durable()
 		if err != nil {
 			return pollAnswer{}, nil
 		}
-		news, urgent, err := o.edition.since(state, q.Seq)
+		_, began, err := o.v.Term()
+		if err != nil {
+			return pollAnswer{}, nil
+		}
+		news, urgent, err := o.editionOf(began).since(state, q.Seq)
 		if err != nil {
 			o.k.Counters.Add("subscription.unreadable", 1)
 			return nil, err
 		}
-		if q.Seq == 0 && news != nil && !waited {
-			waited = true
-			if wait := o.turns.take(o.k.Clock.Now(), len(news)); wait > 0 {
+		if news != nil && !mine {
+			wait := o.turns.take(q.Desk, o.k.Clock.Now(), len(news))
+			if wait > stay {
+				o.k.Counters.Add("subscription.later", 1)
+				return pollAnswer{Later: wait}, nil
+			}
+			mine = true
+			if wait > 0 {
 				foundation.Sleep(ctx, wait)
 				continue
 			}
--- a/internal/turnstile/job.go
+++ b/internal/turnstile/job.go
@@ -281,7 +281,7 @@
 		changed, health := j.t.card.Changed(), j.t.health.Changed()
 		a, err := j.send()
 		if err == nil {
-			j.t.again.First()
+			j.t.again.First(j.service)
 			return a, nil
 		}
 		if j.now() >= min(j.giveUp, j.deadline-margin) {
@@ -305,7 +305,7 @@
 
 // second sends the request once more, to another database, if it may.
 func (j *job) second(keep float64) (*attempt, bool) {
-	if j.rest != nil || j.tries >= j.route.Tries || j.left() < 4*margin || !j.t.again.Again(keep) {
+	if j.rest != nil || j.tries >= j.route.Tries || j.left() < 4*margin || !j.t.again.Again(j.service, keep) {
 		return nil, false
 	}
 	for range 3 {
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -549,7 +549,10 @@
 		if err := v.store.SaveState(s); err != nil {
 			return err
 		}
-		return v.replace(s)
+		v.mu.Lock()
+		have := v.state
+		v.mu.Unlock()
+		return v.replace(s.follows(have))
 	})
 	if err != nil {
 		return nil, v.refused(err)
@@ -590,7 +593,7 @@
 		if err := v.store.Append(c); err != nil {
 			return err
 		}
-		return v.replace(have.with(c.Entries))
+		return v.replace(have.With(c.Entries))
 	})
 	if err != nil {
 		return nil, v.refused(err)
--- /dev/null
+++ b/internal/vault/past.go
@@ -0,0 +1,82 @@
+package vault
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+)
+
+// past is what a member knows of when the entries of its state last changed. It
+// is not written to disk by itself: whoever opens a store, or is a backup for a
+// while, has seen the changes.
+type past struct {
+	from   int64            // changes after this sequence are known
+	at     map[string]int64 // when an entry last changed, or went
+	lo, hi int64            // but not what happened from lo on before hi
+}
+
+// WithoutPast is the state where nothing is known of before.
+func (s State) WithoutPast() State {
+	s.past = past{from: s.Seq}
+	return s
+}
+
+// Knows tells whether all that changed after a sequence is known.
+func (s State) Knows(seq int64) bool {
+	return seq >= s.past.from && (seq < s.past.lo || seq >= s.past.hi)
+}
+
+// Since lists the entries that changed, or went, after a sequence that is known.
+func (s State) Since(seq int64) (keys []string) {
+	for key, at := range s.past.at {
+		if at > seq {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// changed is the past after a change that makes sequence seq.
+func (p past) changed(changes map[string]json.RawMessage, seq int64) past {
+	if p.at = maps.Clone(p.at); p.at == nil {
+		p.at = map[string]int64{}
+	}
+	for key := range changes {
+		p.at[key] = seq
+	}
+	return p
+}
+
+// follows returns the state with what this member knows of its past from the
+// one that it had. Of that, all but the last change is surely part of the past
+// of every state that comes after it: a primary has one change under way at a
+// time. So what its last change touched counts as changed now, as does whatever
+// differs, and of states between the two nothing is known.
+func (s State) follows(old State) State {
+	if old.Epoch == 0 || s.Seq < old.Seq {
+		return s.WithoutPast()
+	}
+	s.past = old.past.changed(nil, 0)
+	for key, at := range s.past.at {
+		if at == old.Seq {
+			s.past.at[key] = s.Seq
+		}
+	}
+	for key, raw := range s.Entries {
+		if was, there := old.Entries[key]; !there || !bytes.Equal(was, raw) {
+			s.past.at[key] = s.Seq
+		}
+	}
+	for key := range old.Entries {
+		if _, there := s.Entries[key]; !there {
+			s.past.at[key] = s.Seq
+		}
+	}
+	if s.Seq > old.Seq {
+		if s.past.hi == 0 {
+			s.past.lo = old.Seq
+		}
+		s.past.lo, s.past.hi = min(s.past.lo, old.Seq), s.Seq
+	}
+	return s
+}
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -266,6 +266,7 @@
 	if err != nil || !found {
 		return st, err
 	}
+	st = st.WithoutPast()
 	var texts []string
 	err = s.db.View(func(tx *buntdb.Tx) error {
 		return tx.AscendKeys(changeKey+"*", func(_, text string) bool {
@@ -282,7 +283,7 @@
 			return st, fmt.Errorf("%w: a change of the state: %v", ErrDamaged, err)
 		}
 		if c.Epoch == st.Epoch && c.Seq == st.Seq+1 {
-			st = st.with(c.Entries)
+			st = st.With(c.Entries)
 		}
 	}
 	return st, nil
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -30,6 +30,7 @@
 	Epoch   int64                      `json:"epoch"`
 	Seq     int64                      `json:"seq"`
 	Entries map[string]json.RawMessage `json:"entries"`
+	past    past
 }
 
 // Change is one step of the state; an entry that is null is removed.
@@ -39,8 +40,9 @@
 	Entries map[string]json.RawMessage `json:"entries"`
 }
 
-func (s State) with(changes map[string]json.RawMessage) State {
-	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries)}
+// With is the state after one more change.
+func (s State) With(changes map[string]json.RawMessage) State {
+	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries), past: s.past.changed(changes, s.Seq+1)}
 	if n.Entries == nil {
 		n.Entries = map[string]json.RawMessage{}
 	}
@@ -337,7 +339,7 @@
 	if !v.leads(v.k.Clock.Now()) {
 		return State{}, ErrNotPrimary
 	}
-	return State{v.seen.Epoch, v.state.Seq, v.state.Entries}, nil
+	return State{v.seen.Epoch, v.state.Seq, v.state.Entries, v.state.past}, nil
 }
 
 // ChangeFunc sees the entries and returns those to replace (nil removes one).
@@ -417,7 +419,7 @@
 	}
 	old, view := v.state, v.seen
 	v.mu.Unlock()
-	next := State{view.Epoch, old.Seq + 1, maps.Clone(old.Entries)}
+	next := State{Epoch: view.Epoch, Seq: old.Seq + 1, Entries: maps.Clone(old.Entries)}
 	if next.Entries == nil {
 		next.Entries = map[string]json.RawMessage{}
 	}
@@ -432,6 +434,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
+	next.past = old.past.changed(changes, next.Seq)
 	local := make(chan error, 1)
 	c := Change{view.Epoch, next.Seq, changes}
 	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
