--- a/internal/vault/past.go
+++ b/internal/vault/past.go
@@ -50,18 +50,13 @@
 // follows returns the state with what this member knows of its past from the
 // one that it had. Of that, all but the last change is surely part of the past
 // of every state that comes after it: a primary has one change under way at a
-// time. So what its last change touched counts as changed now, as does whatever
-// differs, and of states between the two nothing is known.
+// time. So whatever differs counts as changed now, and nothing is known of the
+// states from its last change on.
 func (s State) follows(old State) State {
 	if old.Epoch == 0 || s.Seq < old.Seq {
 		return s.WithoutPast()
 	}
 	s.past = old.past.changed(nil, 0)
-	for key, at := range s.past.at {
-		if at == old.Seq {
-			s.past.at[key] = s.Seq
-		}
-	}
 	for key, raw := range s.Entries {
 		if was, there := old.Entries[key]; !there || !bytes.Equal(was, raw) {
 			s.past.at[key] = s.Seq
