Telling peers of faults takes a fifth of the link at most; gateway: link gauge, descriptors, zones

Polls failed for 20 s, CONFIG broke, 22435 clients found no connection. Ruled out: processor, descriptors alone, the archive.

--- a/internal/cart/conn.go
+++ b/internal/cart/conn.go
@@ -139,14 +139,19 @@
 	Silence foundation.Micros
 	Pace    chan struct{} // bounds those that are being made
 	Path    func(service string) string
+	Wrap    Wrap // of every connection
 }
 
+// Wrap stands between a connection and its use.
+type Wrap func(net.Conn) net.Conn
+
 // Open makes a connection.
 func (d *Dialer) Open(ctx context.Context, db accessions.Database, _ foundation.Micros) (*Conn, error) {
 	c, err := stacks.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
 	if err != nil {
 		return nil, err
 	}
+	c = d.Wrap(c)
 	m := &meter{r: c, left: -1}
 	s := &Conn{DB: db, c: c, meter: m, in: bufio.NewReaderSize(m, pollBuffer), dead: make(chan struct{})}
 	go s.listen()
--- a/internal/conservator/conservator.go
+++ b/internal/conservator/conservator.go
@@ -166,6 +166,7 @@
 	Archives func() []string // of the peers, those that may move a lead
 	Tell     func(addrs []string, kind string, body any)
 	Heed     func() bool // whether peers' notices matter to this process now
+	Rate     float64     // bytes a microsecond that telling peers may take, 0 for no bound
 }
 
 // EventKind is the kind of record of an event.
@@ -199,6 +200,33 @@
 	tellers = 8  // remembered for one database
 )
 
+// Whoever's own link is full finds database after database silent, and telling
+// hundreds of peers of each would keep it full. So telling takes a part of the
+// link at most, as an average over a while: what is found meanwhile waits and is
+// told together.
+const (
+	tellFor    = 2 * foundation.Second
+	noticeHead = 110 // bytes of a datagram, and of each database in it
+	noticeEach = 18
+)
+
+// purse holds the bytes that may be told yet. Its fields are guarded by the
+// conservator's mutex.
+type purse struct {
+	bytes float64
+	at    foundation.Micros
+}
+
+// open tells whether something may be told now.
+func (p *purse) open(now foundation.Micros, rate float64) bool {
+	if rate == 0 {
+		return true
+	}
+	p.bytes = min(p.bytes+float64(now-p.at)*rate, float64(tellFor)*rate)
+	p.at = now
+	return p.bytes > 0
+}
+
 // rank orders the tellers of a database's fault; lower ones are senior.
 func rank(addr, id string) uint64 {
 	h := fnv.New64a()
@@ -237,6 +265,7 @@
 	mu       sync.Mutex
 	c        *Coordinator
 	bindings map[string]map[*Binding]struct{}
+	purse    purse
 	faults   outbox // for all peers
 	doubts   outbox // for the archives
 	bell     foundation.Bell
@@ -447,10 +476,21 @@
 	go func() {
 		foundation.Sleep(ctx, gather+rand.N(perPeer*foundation.Micros(len(to())+1)))
 		s.mu.Lock()
+		for !s.purse.open(s.k.Clock.Now(), s.cfg.Rate) {
+			s.mu.Unlock()
+			s.k.Counters.Add("conservator.notices_held", 1)
+			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
+				return
+			}
+			s.mu.Lock()
+		}
 		ids := o.ids
 		o.ids = nil
 		s.mu.Unlock()
-		for range times {
+		for n := range times {
+			if n > 0 && !s.mayTell() {
+				return // a lost notice costs less than a full link
+			}
 			ids = s.untold(ids, func(string, string) bool { return true })
 			s.tell(ctx, ids, to())
 			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
@@ -460,12 +500,21 @@
 	}()
 }
 
+func (s *Conservator) mayTell() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.purse.open(s.k.Clock.Now(), s.cfg.Rate)
+}
+
 // tell sends notices to peers, part by part.
 func (s *Conservator) tell(ctx context.Context, ids, peers []string) {
 	senior := func(from, id string) bool { return rank(from, id) < rank(s.cfg.Self, id) }
 	for part := range slices.Chunk(peers, atOnce) {
 		for some := range slices.Chunk(ids, maxNotices) {
 			s.cfg.Tell(part, NoticeKind, notice{some})
+			s.mu.Lock()
+			s.purse.bytes -= float64(len(part) * (noticeHead + noticeEach*len(some)))
+			s.mu.Unlock()
 		}
 		if len(ids) == 0 || len(peers) > atOnce && !foundation.Sleep(ctx, foundation.Millisecond) {
 			return
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -21,6 +21,9 @@
 	return slices.Concat(archives, desks[at:], desks[:at])
 }
 
+// tellShare is the part of the link that telling peers of faults may take.
+const tellShare = 0.2
+
 func init() {
 	foundation.Register(foundation.Plugin{
 		Name: "conservator", Rank: 40, Roles: []string{"desk", "turnstile", "archive"},
@@ -51,6 +54,7 @@
 				Archives: movers,
 				Tell:     ring.Tell,
 				Heed:     heed,
+				Rate:     tellShare * s.NetMbps / 8,
 			})
 			ring.Handle(NoticeKind, c.Notified)
 			foundation.Offer(k, c)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,6 +22,7 @@
 
 	// The parts that a cluster is made of register themselves.
 	_ "indigowalk/internal/accessions"
+	_ "indigowalk/internal/cart"
 	_ "indigowalk/internal/catalogue"
 	_ "indigowalk/internal/circulation"
 	_ "indigowalk/internal/conservator"
@@ -31,6 +33,7 @@
 	_ "indigowalk/internal/registrar"
 	_ "indigowalk/internal/shelf"
 	_ "indigowalk/internal/subscription"
+	_ "indigowalk/internal/turnstile"
 	_ "indigowalk/internal/vault"
 )
 
@@ -49,6 +52,8 @@
 	Net      *Net
 	Zones    int
 	Groups   map[string]*Group
+	Services map[string]*Service
+	Deploy   string // kind of deployment; a pooler's if ""
 	dir      string
 	procs    map[string]*Process
 	platform *platform
@@ -78,7 +83,7 @@
 // and a desk run, and a platform.
 func NewWorld(t TB, seed uint64, zones int) *World {
 	w := &World{
-		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, dir: t.TempDir(),
+		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, Services: map[string]*Service{}, dir: t.TempDir(),
 		procs: map[string]*Process{}, Poll: 600, Losses: 1, MaxConns: 90,
 	}
 	w.platform = &platform{w: w, fences: map[string]int64{}}
@@ -105,10 +110,18 @@
 		if w.Archives == 0 || z <= w.Archives {
 			w.Start("archive", z, true)
 		}
-		w.Start("desk", z, true)
+		w.Start(w.Carrier(), z, true)
 	}
 }
 
+// Carrier is the role that carries the traffic.
+func (w *World) Carrier() string {
+	if w.Deploy == charter.API {
+		return "turnstile"
+	}
+	return "desk"
+}
+
 // Start starts a process of a zone's machine.
 func (w *World) Start(role string, zone int, bootstrap bool) *Process {
 	name := fmt.Sprintf("%s-%d", role, zone)
@@ -130,7 +143,8 @@
 platform.address=%[7]s:8783
 tune.poll_ms=%[8]d
 tolerate.hosts=%[9]d
-`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses)
+deploy=%[10]s
+`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses, cmp.Or(w.Deploy, "pooler"))
 	s, err := charter.Parse([]byte(text))
 	if err != nil {
 		w.T.Fatalf("settings: %v", err)
@@ -206,6 +220,11 @@
 			}
 		}
 	}
+	for _, s := range w.Services {
+		for _, d := range s.dbs {
+			d.Crash(false)
+		}
+	}
 	for _, p := range w.procs {
 		p.Kill()
 	}
@@ -216,6 +235,11 @@
 			w.T.Errorf("%s: %s", g.Service, b)
 		}
 	}
+	for _, s := range w.Services {
+		for _, b := range s.Broken {
+			w.T.Errorf("%s: %s", s.Name, b)
+		}
+	}
 	for _, b := range w.platform.broken {
 		w.T.Errorf("platform: %s", b)
 	}
@@ -259,6 +283,15 @@
 			})
 		}
 	}
+	for name := range w.Services {
+		services = append(services, map[string]any{"name": name, "max_conns": w.MaxConns, "health_path": "/healthz"})
+		for prefix, t := range map[string]string{"/safe/": "idempotent", "/unsafe/": "mutating"} {
+			routes = append(routes, map[string]any{
+				"name": t + name, "host": name + ".example", "path_prefix": prefix, "type": t, "svc": name,
+				"deadline_ms": 2000, "target_ms": 500, "prio": 1, "tries": 2,
+			})
+		}
+	}
 	raw, _ := json.Marshal(map[string]any{
 		"rev": rev, "routes": routes, "services": services, "limits": map[string]any{"txn_idle_ms": 3000},
 	})
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -18,9 +18,10 @@
 // How a database's answers weigh: its pace is their time over what is usual on
 // their route. What was seen fades, so that one that was slow is tried again.
 const (
-	paceWeight  = 0.2
+	paceWeight  = 0.12
+	mostPace    = 4 // of one answer: a long one may be the request's own
 	usualWeight = 0.02
-	fades       = 6 * foundation.Second
+	fades       = 20 * foundation.Second
 	illWeight   = 0.3
 	illFades    = 3 * foundation.Second
 	// illCost is how many requests a database that fails all seems to have.
@@ -31,10 +32,12 @@
 	shared = 4
 	// fewest databases that a node uses, if there are as many.
 	fewest = 4
-	// awayCost is how many requests more another zone is like.
-	awayCost = 1.5
-	// spill is the cost from which databases beyond the node's own are looked at.
-	spill = 4
+	// awayCost is how many usual answers more another zone is like.
+	awayCost = 0.35
+	// drawn is how many of its own databases a node compares for a request. To
+	// take the best of all would have everyone run to the same ones, which what
+	// was seen of them no longer tells.
+	drawn = 2
 )
 
 type standing struct {
@@ -78,9 +81,9 @@
 type list struct {
 	databases []accessions.Database // that it was made from
 	peers     []string
-	own       []accessions.Database
-	near      []accessions.Database // of the zone, the others
-	far       []accessions.Database
+	own       []accessions.Database // of the zone
+	away      []accessions.Database // of other zones
+	rest      []accessions.Database // all others
 }
 
 func hash(parts ...string) uint64 {
@@ -106,23 +109,19 @@
 		return l
 	}
 	l = list{databases: s.Databases, peers: s.Peers}
+	var near, far []accessions.Database
 	for _, d := range s.Databases {
 		switch {
 		case d.Draining:
 		case d.Zone == s.Zone:
-			l.near = append(l.near, d)
+			near = append(near, d)
 		default:
-			l.far = append(l.far, d)
+			far = append(far, d)
 		}
 	}
-	if len(l.near) == 0 {
-		l.near, l.far = l.far, nil
+	if len(near) == 0 {
+		near, far = far, nil
 	}
-	places := make(map[string]uint64, len(l.near))
-	for _, d := range l.near {
-		places[d.ID] = hash(d.ID)
-	}
-	slices.SortFunc(l.near, func(a, b accessions.Database) int { return cmp.Compare(places[a.ID], places[b.ID]) })
 	before := 0
 	for _, p := range s.Peers {
 		if p != s.Self && hash(p) < hash(s.Self) {
@@ -130,17 +129,29 @@
 		}
 	}
 	nodes := max(1, len(s.Peers))
-	n := len(l.near)
-	size := min(n, max(fewest, (shared*n+nodes-1)/nodes))
-	if n > 0 {
-		start := before * n / nodes
-		l.near = append(slices.Clone(l.near[start:]), l.near[:start]...)
+	size := max(fewest, (shared*len(near)+nodes-1)/nodes)
+	l.own, l.rest = stretch(near, before*len(near)/nodes, size)
+	if len(far) > 0 {
+		var others []accessions.Database
+		l.away, others = stretch(far, int(hash(s.Self)%uint64(len(far))), (size+1)/2)
+		l.rest = append(l.rest, others...)
 	}
-	l.own, l.near = l.near[:size:size], l.near[size:]
 	r.lists[s.Service] = l
 	return l
 }
 
+// stretch cuts so many databases out of those in the order of their hashes.
+func stretch(all []accessions.Database, start, size int) (in, out []accessions.Database) {
+	places := make(map[string]uint64, len(all))
+	for _, d := range all {
+		places[d.ID] = hash(d.ID)
+	}
+	slices.SortFunc(all, func(a, b accessions.Database) int { return cmp.Compare(places[a.ID], places[b.ID]) })
+	turned := append(slices.Clone(all[start:]), all[:start]...)
+	size = min(size, len(all))
+	return turned[:size:size], turned[size:]
+}
+
 // same tells whether two lists are one: they are never changed in place.
 func same(a, b []accessions.Database) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
@@ -186,40 +197,35 @@
 	l := r.listOf(s)
 	var best accessions.Database
 	least, found := 0.0, false
-	look := func(all []accessions.Database, more float64) {
-		for _, d := range all {
+	// look takes the better of a few drawn from those that are up, if it is
+	// better than what has been found.
+	look := func(all []accessions.Database, few int, more float64) {
+		at := rand.Perm(len(all))
+		for _, i := range at {
+			d := all[i]
+			if few == 0 {
+				return
+			}
 			if !s.Up(d.ID) || slices.Contains(s.Avoid, d.ID) {
 				continue
 			}
-			if c := r.cost(d, now, usual) + more + 0.3*rand.Float64(); !found || c < least {
+			few--
+			if c := r.cost(d, now, usual) + more; !found || c < least {
 				best, least, found = d, c, true
 			}
 		}
 	}
-	look(l.own, 0)
-	if !found || least > spill {
-		look(some(l.near), 0)
-	}
-	if !found || least > spill {
-		look(some(l.far), awayCost)
-	}
-	if !found {
-		look(l.near, 0)
-		look(l.far, awayCost)
+	look(l.own, drawn, 0)
+	look(l.away, 1, awayCost)
+	for range 2 {
+		if !found || least >= illCost/2 {
+			look(l.own, len(l.own), 0)
+			look(l.rest, drawn, awayCost)
+		}
 	}
 	return best, found
 }
 
-// some draws a few of many.
-func some(all []accessions.Database) []accessions.Database {
-	const few = 6
-	if len(all) <= few {
-		return all
-	}
-	at := rand.IntN(len(all) - few + 1)
-	return all[at : at+few]
-}
-
 // Begin counts a request as under way at a database.
 func (r *Rota) Begin(id string) (began foundation.Micros) {
 	r.mu.Lock()
@@ -251,7 +257,7 @@
 		usual += usualWeight * (float64(now-began) - usual)
 		r.usual[route] = usual
 		pace := faded(st.pace, 1, st.paceAt, now, fades)
-		st.pace = pace + paceWeight*(float64(now-began)/max(usual, 1)-pace)
+		st.pace = pace + paceWeight*(min(float64(now-began)/max(usual, 1), mostPace)-pace)
 		st.paceAt, st.seen = now, now
 		st.ill, st.illAt = ill*(1-illWeight), now
 	case Full:
--- a/internal/shelf/plugin.go
+++ b/internal/shelf/plugin.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
-	"sync"
 	"syscall"
 
 	"indigowalk/internal/accessions"
@@ -47,7 +45,7 @@
 				Net: k.Net, Who: "archive", Connect: charter.Span(s.CheckWaitMs), Silence: charter.Span(s.SilenceMs),
 				Pace: make(chan struct{}, stacks.MaxDials),
 			}
-			quiet := &silences{}
+			quiet := &stacks.Silences{}
 			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
 				return probe(ctx, k, v, d, quiet, id)
 			})
@@ -56,31 +54,10 @@
 	})
 }
 
-// silences remembers which databases took no connection of late.
-type silences struct {
-	mu sync.Mutex
-	at map[string]foundation.Micros
-}
-
-// ofLate is how long a silence is remembered.
-const ofLate = 500 * foundation.Millisecond
-
-// note notes a silence and tells whether another database is silent too.
-func (s *silences) note(now foundation.Micros, id string) (others bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	maps.DeleteFunc(s.at, func(_ string, at foundation.Micros) bool { return now-at > ofLate })
-	if s.at == nil {
-		s.at = map[string]foundation.Micros{}
-	}
-	s.at[id] = now
-	return len(s.at) > 1
-}
-
 // probe tries, for an archive, whether a database takes a connection. Where
 // several do not answer at once it may be the archive's own link that is full:
 // before leads are moved for it, they are tried again, and longer.
-func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, d *Dialer, quiet *silences, id string) bool {
+func probe(ctx context.Context, k *foundation.Kernel, v *vault.Vault, d *Dialer, quiet *stacks.Silences, id string) bool {
 	raw, err := v.Read(accessions.Key(id))
 	if err != nil || raw == nil {
 		return true // not the primary any more, or gone: nothing to decide
@@ -91,7 +68,7 @@
 		return true
 	}
 	c, err := d.Open(ctx, db, d.Connect)
-	if errors.Is(err, stacks.ErrSilent) && !errors.Is(err, syscall.ECONNREFUSED) && quiet.note(k.Clock.Now(), id) {
+	if errors.Is(err, stacks.ErrSilent) && !errors.Is(err, syscall.ECONNREFUSED) && quiet.Note(k.Clock.Now(), id) {
 		k.Counters.Add("shelf.probed_again", 1)
 		longer := *d
 		longer.Connect *= 2
--- a/internal/shelf/silences_test.go
+++ b/internal/stacks/silences_test.go
@@ -1,4 +1,4 @@
-package shelf
+package stacks
 
 import (
 	"testing"
@@ -9,15 +9,15 @@
 // One silent database counts at once; where another was silent a moment ago,
 // the archive's own link may be full, and it is tried again.
 func TestSeveralSilencesAreDoubted(t *testing.T) {
-	var s silences
+	var s Silences
 	at := foundation.Second
-	if s.note(at, "a") || s.note(at+ofLate/2, "a") {
+	if s.Note(at, "a") || s.Note(at+ofLate/2, "a") {
 		t.Error("one database is taken for several")
 	}
-	if !s.note(at+ofLate, "b") {
+	if !s.Note(at+ofLate, "b") {
 		t.Error("a second one is not noticed")
 	}
-	if s.note(at+3*ofLate, "c") {
+	if s.Note(at+3*ofLate, "c") {
 		t.Error("silences of long ago count")
 	}
 }
--- a/internal/stacks/stacks.go
+++ b/internal/stacks/stacks.go
@@ -7,6 +7,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"indigowalk/internal/accessions"
@@ -60,6 +61,8 @@
 	IdleFor   foundation.Micros                                                                    // after which a spare connection is closed, if others are left
 	UnusedFor foundation.Micros                                                                    // after which a database is left without any
 	Share     func(service string) int
+	Most      int  // connections to all databases together, 0 for no bound
+	Doubt     bool // of several silent databases the node's own link is suspected first
 }
 
 // Stacks hold this node's connections to all databases.
@@ -72,6 +75,7 @@
 	ctx    context.Context
 	pools  map[string]*pool[C]
 	berths map[C]berth[C] // of every open connection
+	quiet  Silences
 }
 
 // berth is where a connection belongs.
@@ -281,12 +285,33 @@
 	}
 	// Step by step: a connection that becomes free serves sooner than one that
 	// all desks open at the same time.
-	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share {
+	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share && s.room() {
 		p.opening++
 		go s.openOne(p)
 	}
 }
 
+// room tells whether one more connection may be opened; if there are as many as
+// there may be, the one that has been idle for longest goes.
+func (s *Stacks[W, C]) room() bool {
+	if s.cfg.Most == 0 || len(s.berths) < s.cfg.Most {
+		return true
+	}
+	var oldest *pool[C]
+	for _, p := range s.pools {
+		if len(p.idle) > 0 && (oldest == nil || p.idle[0].since < oldest.idle[0].since) {
+			oldest = p
+		}
+	}
+	if oldest == nil {
+		s.k.Counters.Add("stacks.no_room", 1)
+		return false
+	}
+	s.end(oldest, oldest.idle[0].c)
+	oldest.idle = oldest.idle[1:]
+	return true
+}
+
 func (s *Stacks[W, C]) openOne(p *pool[C]) {
 	s.mu.Lock()
 	ctx, db := s.ctx, p.db
@@ -326,7 +351,12 @@
 		return
 	}
 	s.k.Counters.Add("stacks.open_failed", 1)
-	s.health.Report(id, gen, errors.Is(err, ErrSilent))
+	sure := errors.Is(err, ErrSilent)
+	if sure && s.cfg.Doubt && !errors.Is(err, syscall.ECONNREFUSED) && s.quiet.Note(s.k.Clock.Now(), id) {
+		s.k.Counters.Add("stacks.silence_doubted", 1)
+		sure = false
+	}
+	s.health.Report(id, gen, sure)
 	p.fail(ErrBroken)
 }
 
--- a/internal/turnstile/job.go
+++ b/internal/turnstile/job.go
@@ -88,6 +88,10 @@
 	if j.route = conf.Match(host, pathOf(j.target)); j.route == nil {
 		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
+	if wait, _ := t.gauge.load(); wait > fullWait {
+		t.k.Counters.Add("turnstile.link_full", 1)
+		return nil, j.busy("this node's link is full")
+	}
 	j.service = j.route.Draw(rand.Float64())
 	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
 	if text := q.Header.Get(cart.DeadlineMs); text != "" {
@@ -326,8 +330,9 @@
 	if !ok {
 		return nil, errNoPlace
 	}
+	linkWait, _ := t.gauge.load()
 	began := t.rota.Begin(db.ID)
-	conn, err := t.conns.Borrow(db.ID, j.route.Prio, cart.Want{Sure: !j.safe()}, min(borrowWait, j.left()/4))
+	conn, err := t.conns.Borrow(db.ID, j.route.Prio, cart.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
 	if err != nil {
 		j.avoid = append(j.avoid, db.ID)
 		t.rota.End("", db.ID, began, rota.Full)
--- a/internal/turnstile/plugin.go
+++ b/internal/turnstile/plugin.go
@@ -35,10 +35,11 @@
 			}))
 			again := renewals.New(k.Clock, func() float64 { return book.Now().RetryRatio }, foundation.Micros(s.RetryWindowS)*foundation.Second)
 			t := New(k, Config{
-				ClientAddr: s.ClientAddr, Zone: s.Zone,
+				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
 				Grace: func() foundation.Micros { return foundation.Micros(book.Now().GraceS) * foundation.Second },
 			}, card, foundation.Need[*cart.Stacks](k), foundation.Need[*rota.Rota](k),
 				foundation.Need[*conservator.Conservator](k), foundation.Need[*circulation.Ring](k), again)
+			foundation.Offer[cart.Wrap](k, func(c net.Conn) net.Conn { return &gauged{c, t.gauge} })
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
 			}
--- a/internal/turnstile/turnstile.go
+++ b/internal/turnstile/turnstile.go
@@ -38,6 +38,7 @@
 type Config struct {
 	ClientAddr string
 	Zone       string
+	NetMbps    float64 // of the machine's link, 0 if that is not known
 	Grace      func() foundation.Micros
 }
 
@@ -51,7 +52,9 @@
 	health *conservator.Conservator
 	ring   *circulation.Ring
 	again  *renewals.Allowance
+	gauge  *gauge
 
+	crowded atomic.Bool
 	leaving atomic.Bool
 	srv     *http.Server
 
@@ -63,7 +66,7 @@
 func New(k *foundation.Kernel, cfg Config, card Card, conns *cart.Stacks, r *rota.Rota, health *conservator.Conservator, ring *circulation.Ring, again *renewals.Allowance) *Turnstile {
 	t := &Turnstile{
 		k: k, cfg: cfg, card: card, conns: conns, rota: r, health: health, ring: ring, again: again,
-		guests: map[net.Conn]*guest{},
+		guests: map[net.Conn]*guest{}, gauge: newGauge(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
 		Handler: t, MaxHeaderBytes: maxHeader, ConnState: t.noteState,
@@ -85,7 +88,38 @@
 const maxHeader = 256 << 10
 
 // Ready tells whether clients should be sent here.
-func (t *Turnstile) Ready() bool { return !t.leaving.Load() && t.card.Ready() }
+func (t *Turnstile) Ready() bool {
+	return !t.leaving.Load() && t.card.Ready() && !t.crowded.Load()
+}
+
+// A turnstile whose link is in use by more than crowdedFrom is not ready, until
+// it is by less than crowdedTo: clients are not spread evenly, and others have
+// room. That lasts for a while at most, since all may be crowded alike.
+const (
+	crowdedFrom = 0.9
+	crowdedTo   = 0.6
+	crowdedFor  = 4 * foundation.Second
+	// fullWait is the wait at the link from which requests are refused.
+	fullWait = 150 * foundation.Millisecond
+)
+
+// watchLink keeps crowded up to date.
+func (t *Turnstile) watchLink(ctx context.Context) {
+	var since foundation.Micros
+	for foundation.Sleep(ctx, 100*foundation.Millisecond) {
+		_, use := t.gauge.load()
+		now := t.k.Clock.Now()
+		switch crowded := t.crowded.Load(); {
+		case !crowded && use > crowdedFrom && now-since > 2*crowdedFor:
+			since = now
+			t.crowded.Store(true)
+			t.k.Log.Info("link full, not ready", "use", use)
+		case crowded && (use < crowdedTo || now-since > crowdedFor):
+			t.crowded.Store(false)
+			t.k.Log.Info("link has room, ready", "use", use)
+		}
+	}
+}
 
 // Serve takes requests until ctx ends.
 func (t *Turnstile) Serve(ctx context.Context) error {
@@ -95,7 +129,8 @@
 	}
 	defer context.AfterFunc(ctx, func() { t.srv.Close() })()
 	go t.watchGuests(ctx)
-	if err := t.srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	go t.watchLink(ctx)
+	if err := t.srv.Serve(gaugedListener{ln, t.gauge}); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("turnstile: %w", err)
 	}
 	<-ctx.Done()
@@ -211,6 +246,9 @@
 	} else if _, idle := t.limits(); idle > 2*foundation.Second {
 		h.Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(idle/foundation.Second)-1, 10))
 	}
+	if t.crowded.Load() {
+		h.Set("Connection", "close")
+	}
 	j, no := t.newJob(w, q)
 	if no != nil {
 		t.refuse(w, no)
