--- a/internal/cart/plugin.go
+++ b/internal/cart/plugin.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 
+	"indigowalk/internal/accessions"
 	"indigowalk/internal/charter"
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/foundation"
@@ -47,7 +48,10 @@
 				Doubt: true,
 			}, foundation.Need[*conservator.Conservator](k))
 			foundation.Offer(k, st)
-			foundation.Offer(k, stacks.Stocker(st.Stock))
+			foundation.Offer(k, stacks.Stocker(func(dbs map[string]accessions.Database) {
+				st.Stock(dbs)
+				r.Keep(dbs)
+			}))
 			foundation.Offer(k, stacks.Counts(st.Counts))
 			foundation.Offer[conservator.Checker](k, func(ctx context.Context, id string) bool {
 				began := k.Clock.Now()
--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -21,7 +21,8 @@
 	paceWeight  = 0.12
 	mostPace    = 4 // of one answer: a long one may be the request's own
 	usualWeight = 0.02
-	fades       = 20 * foundation.Second
+	fades       = 3 * foundation.Second // to what all nodes say
+	toldFades   = 20 * foundation.Second
 	illWeight   = 0.3
 	illFades    = 3 * foundation.Second
 	// illCost is how many requests a database that fails all seems to have.
@@ -37,7 +38,7 @@
 	// drawn is how many of its own databases a node compares for a request. To
 	// take the best of all would have everyone run to the same ones, which what
 	// was seen of them no longer tells.
-	drawn = 2
+	drawn = 4
 )
 
 type standing struct {
@@ -59,11 +60,58 @@
 	of    map[string]*standing
 	usual map[string]float64 // time of an answer by route, in microseconds
 	lists map[string]list    // by service
+	told  map[string]told    // by all nodes
+	sight map[string]Sight   // since it was last told
+}
+
+// told is what a request at a database costs, as all nodes together saw it.
+type told struct {
+	cost float64
+	at   foundation.Micros
+}
+
+// Sight is what this node saw of a database: how many answers, the sum of their
+// times over what is usual, and how many requests failed.
+type Sight struct {
+	Answers  int
+	Paces    float64
+	Failures int
+}
+
+// Seen returns what was seen since it was last asked for.
+func (r *Rota) Seen() map[string]Sight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.sight
+	r.sight = map[string]Sight{}
+	return seen
+}
+
+// Told takes in what all nodes saw, in hundredths of a usual answer.
+func (r *Rota) Told(costs map[string]int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for id, c := range costs {
+		r.told[id] = told{float64(c) / 100, now}
+	}
+}
+
+// common is what all nodes say of a database, 1 if nothing.
+func (r *Rota) common(id string, now foundation.Micros) float64 {
+	t, ok := r.told[id]
+	if !ok {
+		return 1
+	}
+	return faded(t.cost, 1, t.at, now, toldFades)
 }
 
 // New returns a rota that has seen nothing.
 func New(clock foundation.Clock) *Rota {
-	return &Rota{clock: clock, of: map[string]*standing{}, usual: map[string]float64{}, lists: map[string]list{}}
+	return &Rota{
+		clock: clock, of: map[string]*standing{}, usual: map[string]float64{}, lists: map[string]list{},
+		told: map[string]told{}, sight: map[string]Sight{},
+	}
 }
 
 // Scene is what a choice is made from.
@@ -172,11 +220,11 @@
 
 // cost is the time to expect, in usual answers.
 func (r *Rota) cost(d accessions.Database, now foundation.Micros, usual float64) float64 {
-	st := r.of[d.ID]
+	st, common := r.of[d.ID], r.common(d.ID, now)
 	if st == nil {
-		return 1
+		return common
 	}
-	pace := faded(st.pace, 1, st.paceAt, now, fades)
+	pace := faded(st.pace, common, st.paceAt, now, fades)
 	if len(st.began) > 0 && usual > 0 {
 		// One that leaves a request unanswered is at least as slow as that.
 		pace = max(pace, float64(now-st.began[0])/usual/2)
@@ -256,14 +304,21 @@
 		}
 		usual += usualWeight * (float64(now-began) - usual)
 		r.usual[route] = usual
-		pace := faded(st.pace, 1, st.paceAt, now, fades)
+		pace := faded(st.pace, r.common(id, now), st.paceAt, now, fades)
 		st.pace = pace + paceWeight*(min(float64(now-began)/max(usual, 1), mostPace)-pace)
 		st.paceAt, st.seen = now, now
+		see := r.sight[id]
+		see.Answers++
+		see.Paces += min(float64(now-began)/max(usual, 1), mostPace)
+		r.sight[id] = see
 		st.ill, st.illAt = ill*(1-illWeight), now
 	case Full:
 		st.full = now + fullFor
 	case Failed:
 		st.ill, st.illAt = ill+illWeight*(1-ill), now
+		see := r.sight[id]
+		see.Failures++
+		r.sight[id] = see
 	}
 }
 
@@ -304,4 +359,9 @@
 			delete(r.of, id)
 		}
 	}
+	for id := range r.told {
+		if _, ok := there[id]; !ok {
+			delete(r.told, id)
+		}
+	}
 }
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -44,6 +44,8 @@
 	Down     func() map[string]int64 // databases that the health coordinator holds as down
 	Applied  func(map[string]accessions.Database)
 	Observed func(service string, sent foundation.Micros, pos folio.Position)
+	Seen     func() map[string]Seen     // what requests showed since it was last asked, nil if nothing
+	Paces    func(paces map[string]int) // what all carriers together saw
 }
 
 // Card is the desk's side: the newest control state it has, and its lease.
@@ -62,6 +64,8 @@
 	leads     map[string]custodian.Lead
 	leaseEnd  foundation.Micros
 	desks     int            // that the archive knows
+	term      int64          // of the tally that was told last,
+	told      int64          // and up to which change
 	inside    map[string]int // statements and transactions at a primary, by service
 	left      map[string]int64
 	learnt    map[string]foundation.Micros // when a move was learnt of
@@ -203,6 +207,7 @@
 	wait := c.leaving(down)
 	c.mu.RLock()
 	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
+	q.Term, q.Told = c.term, c.told
 	q.Now = c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
 		q.Down = append(q.Down, id)
@@ -224,6 +229,9 @@
 		return c.poll(ctx, addr)
 	}
 	start := c.k.Clock.Now()
+	if c.cfg.Seen != nil {
+		q.Seen = c.cfg.Seen()
+	}
 	var a pollAnswer
 	span := c.cfg.Poll() + 300*foundation.Millisecond
 	if q.Seq == 0 {
@@ -302,6 +310,7 @@
 		c.k.Log.Info("configuration taken", "rev", n.Config.Rev, "epoch", a.Epoch, "seq", a.Seq, "bytes", len(a.News))
 	}
 	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
+	c.term, c.told = a.Term, a.Told
 	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
 	databases := c.databases
 	var floors []custodian.Lead
@@ -311,6 +320,9 @@
 		}
 	}
 	c.mu.Unlock()
+	if len(a.Paces) > 0 && c.cfg.Paces != nil {
+		c.cfg.Paces(a.Paces)
+	}
 	for _, l := range floors {
 		// No commit is acknowledged while a lead moves to a chosen database,
 		// so its position covers all until the poll was sent.
--- a/internal/subscription/edition.go
+++ b/internal/subscription/edition.go
@@ -136,6 +136,14 @@
 	return raw, urgent, nil
 }
 
+// has tells whether there is such a database.
+func (e *edition) has(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, there := e.databases[id]
+	return there
+}
+
 // add puts one entry among the news of whoever has the state of seq.
 func (e *edition) add(n *news, key string, seq int64) {
 	if key == catalogue.Key && e.rev > 0 {
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -26,6 +26,9 @@
 	Left map[string]int64 `json:"left,omitempty"`
 	Down []string         `json:"down,omitempty"` // databases the desk holds as down
 	Now  bool             `json:"now,omitempty"`  // the desk's lease can't wait for the next change
+	Seen map[string]Seen  `json:"seen,omitempty"` // what requests showed of databases
+	Term int64            `json:"term,omitempty"` // of the tally that the carrier was told last,
+	Told int64            `json:"told,omitempty"` // and up to which change
 }
 
 type pollAnswer struct {
@@ -36,6 +39,9 @@
 	Lease     foundation.Micros `json:"lease_us,omitempty"`
 	Later     foundation.Micros `json:"later_us,omitempty"` // when the carrier's turn comes to be told: it is to ask again then
 	Desks     int               `json:"desks,omitempty"`    // that have been here of late
+	Term      int64             `json:"term,omitempty"`     // of the tally
+	Told      int64             `json:"told,omitempty"`     // the newest change of it
+	Paces     map[string]int    `json:"paces,omitempty"`    // what changed in it
 	News      json.RawMessage   `json:"news,omitempty"`     // of type news; none if nothing changed since the desk's seq
 }
 
@@ -51,6 +57,7 @@
 
 	mu      sync.Mutex
 	edition *edition
+	tally   *tally // of the edition's term
 }
 
 // turns has large news leave one after another, at a share of the link: of
@@ -102,14 +109,14 @@
 	return at - now
 }
 
-// editionOf returns the edition of a term.
-func (o *Office) editionOf(began int64) *edition {
+// inTerm returns the edition and the tally of a term.
+func (o *Office) inTerm(began int64) (*edition, *tally) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.edition == nil || o.edition.began != began {
-		o.edition = newEdition(began)
+		o.edition, o.tally = newEdition(began), newTally(o.k.Clock)
 	}
-	return o.edition
+	return o.edition, o.tally
 }
 
 // NewOffice answers polls through the branch.
@@ -155,11 +162,19 @@
 		if err != nil {
 			return pollAnswer{}, nil
 		}
-		news, urgent, err := o.editionOf(began).since(state, q.Seq)
+		edition, tally := o.inTerm(began)
+		if q.Seen != nil {
+			tally.add(q.Seen)
+			q.Seen = nil
+		}
+		news, urgent, err := edition.since(state, q.Seq)
 		if err != nil {
 			o.k.Counters.Add("subscription.unreadable", 1)
 			return nil, err
 		}
+		if news != nil {
+			tally.keep(edition.has)
+		}
 		if news != nil && !mine {
 			wait := o.turns.take(q.Desk, o.k.Clock.Now(), len(news))
 			if wait > stay {
@@ -187,7 +202,7 @@
 			foundation.Sleep(ctx, gather)
 			continue
 		}
-		return o.answer(q, state, news)
+		return o.answer(q, state, news, tally, began)
 	}
 }
 
@@ -247,7 +262,7 @@
 	}
 }
 
-func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage) (any, error) {
+func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage, tally *tally, began int64) (any, error) {
 	// The lease is noted before it is granted, and only while this archive's
 	// own lease runs.
 	if !o.readers.Grant(q.Desk, q.Life, o.k.Clock.Now()+o.lease) {
@@ -256,9 +271,14 @@
 	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
 		return pollAnswer{}, nil
 	}
-	raw, err := json.Marshal(pollAnswer{
-		Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Desks: o.readers.Count(o.k.Clock.Now() - ofLate),
-	})
+	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Desks: o.readers.Count(o.k.Clock.Now() - ofLate)}
+	if q.Term != began {
+		q.Told = 0
+	}
+	if a.Paces, a.Told = tally.since(q.Told); a.Told > 0 {
+		a.Term = began
+	}
+	raw, err := json.Marshal(a)
 	if err != nil || news == nil {
 		return json.RawMessage(raw), err
 	}
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -11,6 +11,7 @@
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/loan"
+	"indigowalk/internal/rota"
 	"indigowalk/internal/stacks"
 	"indigowalk/internal/vault"
 )
@@ -49,6 +50,10 @@
 			}
 			if k.Role == "desk" {
 				cfg.Observed = foundation.Need[*findingaid.Aid](k).Observe
+			} else {
+				r := foundation.Need[*rota.Rota](k)
+				cfg.Paces = r.Told
+				cfg.Seen = func() map[string]Seen { return seenOf(r.Seen()) }
 			}
 			c := NewCard(k, foundation.Need[*loan.Branch](k), cfg)
 			foundation.Offer(k, c)
@@ -61,6 +66,18 @@
 	})
 }
 
+// seenOf is what a rota has seen, as it is told.
+func seenOf(seen map[string]rota.Sight) map[string]Seen {
+	if len(seen) == 0 {
+		return nil
+	}
+	out := make(map[string]Seen, len(seen))
+	for id, s := range seen {
+		out[id] = Seen{s.Answers, int(100 * s.Paces), s.Failures}
+	}
+	return out
+}
+
 func pollSpan(book *charter.Book) func() foundation.Micros {
 	return func() foundation.Micros { return charter.Span(book.Now().PollMs) }
 }
--- a/internal/turnstile/job.go
+++ b/internal/turnstile/job.go
@@ -29,6 +29,10 @@
 	borrowWait = 40 * foundation.Millisecond
 	// comeBack is what a client that is refused is told, and half as much again.
 	comeBack = 150 * foundation.Millisecond
+	// startHold is how long a request waits for a node that has just started, and
+	// startsIn when it is told to come back if that does not do.
+	startHold = 80 * foundation.Millisecond
+	startsIn  = foundation.Second
 	// margin is kept of the deadline for the way back.
 	margin = 5 * foundation.Millisecond
 	// Of an answer that takes this many times the usual, or this part of the
@@ -67,9 +71,9 @@
 // newJob reads a request, against one configuration.
 func (t *Turnstile) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
 	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(cart.RequestID)}
-	conf := t.card.Config()
+	conf := j.configuration()
 	if conf == nil {
-		return nil, j.busy("no configuration yet")
+		return nil, &refusal{http.StatusServiceUnavailable, "no configuration yet", startsIn}
 	}
 	if q.Method == http.MethodConnect || q.RequestURI == "*" {
 		return nil, malformed("no such request is served")
@@ -110,6 +114,25 @@
 	return j, j.read(w, conf.Limits.MaxBodyBytes)
 }
 
+// configuration returns what is in force; a node that has just started may learn
+// it in a moment.
+func (j *job) configuration() *catalogue.Index {
+	until := j.received + startHold
+	for {
+		changed := j.t.card.Changed()
+		conf, wait := j.t.card.Config(), until-j.now()
+		if conf != nil || wait <= 0 {
+			return conf
+		}
+		t := time.NewTimer(wait.Duration())
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
 func headSize(q *http.Request) (n int64) {
 	n = int64(len(q.Method) + len(q.RequestURI) + len(q.Host))
 	for name, values := range q.Header {
