--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -49,6 +49,7 @@
   indigowalk plan       what a change, a drain, a release or a loss would do
   indigowalk replay     play a recording of decisions again
   indigowalk status     ask processes for their view
+  indigowalk stocktake  measure what the control state costs at a number of nodes
   indigowalk help       this text
 
 Each tool says more with --help. The daemons read the settings file named by the variable ` + charter.EnvVar + `.
@@ -71,6 +72,8 @@
 		return serve(args[0], errs)
 	case "check", "plan", "replay", "status":
 		return tool(args[0], args[1:], out, errs)
+	case "stocktake":
+		return stocktakes(args[1:], out, errs)
 	case "help", "-h", "--help":
 		fmt.Fprint(out, usage)
 		return exitClean
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -100,3 +100,47 @@
 		t.Errorf("%+v, limits %+v, version %d", r, x.Limits, x.Rev)
 	}
 }
+
+// Routes of requests: the longest prefix of a host, and weights.
+func TestMatchAndDraw(t *testing.T) {
+	body := `{"rev":1,"routes":[
+	{"name":"a","host":"h","path_prefix":"/","type":"idempotent","deadline_ms":9,"svc":"s"},
+	{"name":"b","host":"h","path_prefix":"/x/","type":"mutating","deadline_ms":9,"weighted":[{"svc":"s","share":90},{"svc":"t","share":10},{"svc":"s","share":0}]},
+	{"name":"c","host":"h","path_prefix":"/x/y/","type":"mutating","deadline_ms":8,"svc":"t"}],
+	"services":[{"name":"s"},{"name":"t"}]}`
+	c, faults := Parse([]byte(body))
+	if faults != nil {
+		t.Fatal(faults)
+	}
+	var h History
+	h.Turn(c, 1)
+	raw, err := json.Marshal(h.Since(0, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var step Step
+	if err := json.Unmarshal(raw, &step); err != nil {
+		t.Fatal(err)
+	}
+	x := (*Index)(nil).Next(&step)
+	for path, want := range map[string]string{"/": "/", "/xx": "/", "/x/": "/x/", "/x/y": "/x/", "/x/y/z": "/x/y/"} {
+		if r := x.Match("h", path); r == nil || r.Prefix != want {
+			t.Errorf("%s: %+v, want the route of %s", path, r, want)
+		}
+	}
+	if x.Match("other", "/") != nil {
+		t.Error("a route of another host")
+	}
+	r := x.Match("h", "/x/1")
+	for at, want := range map[float64]string{0: "s", 0.899: "s", 0.901: "t", 0.9999999999: "t"} {
+		if got := r.Draw(at); got != want {
+			t.Errorf("at %v: %s, want %s", at, got, want)
+		}
+	}
+	for old, field := range map[string]string{`"share":90},{"svc":"t","share":10`: "routes[1].weighted", `"svc":"t","share":10`: "routes[1].weighted[1].svc"} {
+		bad := strings.Replace(body, old, map[string]string{"routes[1].weighted": `"share":0},{"svc":"t","share":0`, "routes[1].weighted[1].svc": `"svc":"u","share":10`}[field], 1)
+		if _, faults := Parse([]byte(bad)); len(faults) != 1 || faults[0].Field != field {
+			t.Errorf("%s: %v", field, faults)
+		}
+	}
+}
--- a/internal/charter/plugin.go
+++ b/internal/charter/plugin.go
@@ -12,7 +12,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "charter", Rank: 0, Roles: []string{"desk", "turnstile", "archive"},
+		Name: "charter", Rank: 0, Roles: []string{"desk", "turnstile", "archive", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			b := foundation.Need[*Book](k)
 			if s := b.Now(); s.RecordKB > 0 {
--- a/internal/circulation/plugin.go
+++ b/internal/circulation/plugin.go
@@ -8,7 +8,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "circulation", Rank: 15, Roles: []string{"desk", "turnstile", "archive"},
+		Name: "circulation", Rank: 15, Roles: []string{"desk", "turnstile", "archive", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			r := New(k, Config{
--- a/internal/conservator/conservator_test.go
+++ b/internal/conservator/conservator_test.go
@@ -238,3 +238,24 @@
 		}
 	})
 }
+
+// A node that finds one database after another silent, as one does whose own
+// link is full, tells its peers no more than its share of the link carries.
+func TestTellingTakesAShareOfTheLink(t *testing.T) {
+	p := purse{}
+	const rate = 0.05 // bytes a microsecond: 50 KB a second
+	told := 0.0
+	for now := foundation.Micros(foundation.Second); now < 21*foundation.Second; now += 10 * foundation.Millisecond {
+		if p.open(now, rate) {
+			const all = 92 * (noticeHead + noticeEach)
+			p.bytes -= all
+			told += all
+		}
+	}
+	if told > 22*50_000 || told < 18*50_000 {
+		t.Errorf("%.0f bytes in 20 s at 50 KB a second", told)
+	}
+	if !(&purse{}).open(0, 0) {
+		t.Error("nothing is told on a link that is not known")
+	}
+}
--- a/internal/conservator/plugin.go
+++ b/internal/conservator/plugin.go
@@ -26,7 +26,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "conservator", Rank: 40, Roles: []string{"desk", "turnstile", "archive"},
+		Name: "conservator", Rank: 40, Roles: []string{"desk", "turnstile", "archive", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			s := foundation.Need[*charter.Book](k).Now()
 			ring := foundation.Need[*circulation.Ring](k)
--- a/internal/loan/plugin.go
+++ b/internal/loan/plugin.go
@@ -7,7 +7,7 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "loan", Rank: 10, Roles: []string{"desk", "turnstile", "archive"},
+		Name: "loan", Rank: 10, Roles: []string{"desk", "turnstile", "archive", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			port := charter.DeskPort
 			if k.Role == "archive" {
--- /dev/null
+++ b/internal/rota/rota_test.go
@@ -0,0 +1,115 @@
+package rota
+
+import (
+	"fmt"
+	"testing"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/foundation"
+)
+
+type clock struct{ now foundation.Micros }
+
+func (c *clock) Now() foundation.Micros { return c.now }
+
+func scene(self int, nodes, near, far int) Scene {
+	s := Scene{Service: "s", Self: fmt.Sprint("node-", self), Zone: "a", Up: func(string) bool { return true }}
+	for i := range nodes {
+		s.Peers = append(s.Peers, fmt.Sprint("node-", i))
+	}
+	for i := range near + far {
+		zone := "a"
+		if i >= near {
+			zone = "b"
+		}
+		s.Databases = append(s.Databases, accessions.Database{ID: fmt.Sprint("i-", i), Zone: zone, Slots: 2})
+	}
+	return s
+}
+
+// Every database of a zone is used by about as many nodes, and who leaves moves
+// few of them.
+func TestStretchesCoverEvenly(t *testing.T) {
+	used := func(nodes int) (by map[string]int, of []map[string]bool) {
+		by = map[string]int{}
+		for n := range nodes {
+			mine := map[string]bool{}
+			for _, d := range New(&clock{1}).listOf(scene(n, nodes, 51, 150)).own {
+				by[d.ID]++
+				mine[d.ID] = true
+			}
+			of = append(of, mine)
+		}
+		return by, of
+	}
+	by, before := used(21)
+	if len(by) != 51 {
+		t.Fatalf("%d of 51 databases are used", len(by))
+	}
+	for id, n := range by {
+		if n < shared-1 || n > shared+2 {
+			t.Errorf("%s is used by %d nodes", id, n)
+		}
+	}
+	_, after := used(20)
+	moved := 0
+	for n, mine := range after {
+		for id := range mine {
+			if !before[n][id] {
+				moved++
+			}
+		}
+	}
+	if moved > 20*4 {
+		t.Errorf("one node less moves %d of 200 uses", moved)
+	}
+}
+
+// Slow, failing and hanging databases get few requests, and soon; a database
+// that all others found out about gets none even from a node that has not.
+func TestPickTurnsFromBadDatabases(t *testing.T) {
+	for name, serve := range map[string]func(r *Rota, c *clock, id string, began foundation.Micros){
+		"slow": func(r *Rota, c *clock, id string, began foundation.Micros) {
+			c.now += 600 * foundation.Millisecond
+			r.End("r", id, began, Served)
+		},
+		"failing": func(r *Rota, c *clock, id string, began foundation.Micros) { r.End("r", id, began, Failed) },
+		"hanging": func(*Rota, *clock, string, foundation.Micros) {},
+	} {
+		c := &clock{foundation.Second}
+		r, s := New(c), scene(0, 1, 8, 0)
+		bad := 0
+		for n := range 400 {
+			d, ok := r.Pick("r", s)
+			if !ok {
+				t.Fatal("no database")
+			}
+			began := r.Begin(d.ID)
+			c.now += 20 * foundation.Millisecond
+			if d.ID == "i-3" && n > 100 {
+				bad++
+				serve(r, c, d.ID, began)
+				continue
+			}
+			c.now += 80 * foundation.Millisecond
+			r.End("r", d.ID, began, Served)
+		}
+		if bad > 20 {
+			t.Errorf("%s: %d of 300 requests", name, bad)
+		}
+	}
+	c := &clock{foundation.Second}
+	r, s := New(c), scene(0, 1, 8, 0)
+	r.Told(map[string]int{"i-3": 900})
+	for range 200 {
+		if d, _ := r.Pick("r", s); d.ID == "i-3" {
+			t.Fatal("what others told is not heeded")
+		}
+	}
+	// With all its own down, the others serve.
+	s = scene(0, 1, 3, 5)
+	s.Up = func(id string) bool { return id == "i-6" }
+	if d, ok := r.Pick("r", s); !ok || d.ID != "i-6" {
+		t.Errorf("%v %v, and only i-6 is up", d.ID, ok)
+	}
+}
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -28,7 +28,7 @@
 		},
 	})
 	foundation.Register(foundation.Plugin{
-		Name: "subscription-card", Rank: 70, Roles: []string{"desk", "turnstile"},
+		Name: "subscription-card", Rank: 70, Roles: []string{"desk", "turnstile", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			book := foundation.Need[*charter.Book](k)
 			ring := foundation.Need[*circulation.Ring](k)
@@ -48,9 +48,10 @@
 				Applied:  foundation.Need[stacks.Stocker](k),
 				Observed: func(string, foundation.Micros, folio.Position) {},
 			}
-			if k.Role == "desk" {
+			switch k.Role {
+			case "desk":
 				cfg.Observed = foundation.Need[*findingaid.Aid](k).Observe
-			} else {
+			case "turnstile":
 				r := foundation.Need[*rota.Rota](k)
 				cfg.Paces = r.Told
 				cfg.Seen = func() map[string]Seen { return seenOf(r.Seen()) }
