--- a/internal/catalogue/index.go
+++ b/internal/catalogue/index.go
@@ -41,8 +41,8 @@
 	Limits   Limits          `json:"limits"`
 }
 
-// key is what tells a route from others.
-func (r Route) key() string {
+// Place is what tells a route from others.
+func (r Route) Place() string {
 	if r.Prefix == "/" {
 		return r.Host
 	}
@@ -55,10 +55,10 @@
 	to string
 }
 
-func (r Route) bare() bare { return bare{r.Manner, r.to()} }
+func (r Route) bare() bare { return bare{r.Manner, r.To()} }
 
-// to tells in a word where the route leads: a service, or a list of shares.
-func (r Route) to() string {
+// To tells in a word where the route leads: a service, or a list of shares.
+func (r Route) To() string {
 	if len(r.Weighted) == 0 {
 		return r.Service
 	}
@@ -69,7 +69,7 @@
 	return string(raw)
 }
 
-// lead is the opposite of to.
+// lead is the opposite of To.
 func (r *Route) lead(to string) {
 	if !strings.HasPrefix(to, "[") || json.Unmarshal([]byte(to), &r.Weighted) != nil {
 		r.Service = to
@@ -95,7 +95,7 @@
 		h.at = map[string]int64{}
 	}
 	for _, r := range conf.Routes {
-		key, b := r.key(), r.bare()
+		key, b := r.Place(), r.bare()
 		next[key] = b
 		if old, ok := h.routes[key]; !ok || old != b {
 			h.at[key] = seq
--- a/internal/toolbox/plan.go
+++ b/internal/toolbox/plan.go
@@ -47,7 +47,7 @@
 		return nil, fmt.Errorf("the view holds no archive with a lease: ask all members")
 	}
 	plan := &Plan{Step: strings.TrimSpace(step + " " + what), Conns: map[string]int{}, Headroom: map[string]int{}}
-	desks := len(s.nodes("desk"))
+	desks := len(s.nodes("desk")) + len(s.nodes("turnstile"))
 	var lost string
 	switch step {
 	case "config":
@@ -64,7 +64,7 @@
 		for _, r := range s.Reports {
 			if r.Node == what {
 				found = true
-				if r.Role == "desk" {
+				if carries(r.Role) {
 					desks--
 				}
 				plan.lose(s, p, r)
@@ -127,19 +127,23 @@
 	for _, n := range conf.Routes {
 		switch o, ok := old[n.Host+n.Prefix]; {
 		case !ok:
-			p.effect("route %s is added, to %s as %s", n.Host, n.Service, n.Type)
+			p.effect("route %s is added, to %s as %s", n.Place(), n.To(), n.Type)
 		case !reflect.DeepEqual(o, n):
-			p.effect("route %s changes", n.Host)
+			p.effect("route %s changes", n.Place())
 		}
 		delete(old, n.Host+n.Prefix)
 	}
 	for _, o := range old {
-		p.effect("route %s is removed", o.Host)
+		p.effect("route %s is removed", o.Place())
 	}
 	slices.Sort(p.Effects)
 }
 
 func (p *Plan) release(r *Report, d accessions.Database) {
+	if _, led := r.Leads[d.Service]; !led {
+		p.effect("%s gets no more requests of %s: they go to the others", d.ID, d.Service)
+		return
+	}
 	if r.Leads[d.Service].ID != d.ID {
 		p.effect("%s is a replica of %s: its reads go to the others", d.ID, d.Service)
 		return
@@ -251,11 +255,11 @@
 	}
 }
 
-// restartOrder: desks zone by zone, then archives, the primary last of all
+// restartOrder: carriers zone by zone, then archives, the primary last of all
 // and its backups before it.
 func (s *System) restartOrder(p *Report) (out []string) {
-	for _, d := range s.nodes("desk") {
-		out = append(out, "desk "+d.Node)
+	for _, d := range append(s.nodes("desk"), s.nodes("turnstile")...) {
+		out = append(out, d.Role+" "+d.Node)
 	}
 	var last []string
 	for _, a := range s.nodes("archive") {
@@ -281,7 +285,7 @@
 		fmt.Fprintln(w, "  warning:", e)
 	}
 	for _, svc := range slices.Sorted(maps.Keys(p.Conns)) {
-		fmt.Fprintf(w, "  %s: %d connections per desk and database, %d slots\n", svc, p.Conns[svc], p.Headroom[svc])
+		fmt.Fprintf(w, "  %s: %d connections per carrier and database, %d slots\n", svc, p.Conns[svc], p.Headroom[svc])
 	}
 	fmt.Fprintln(w, "  restart one after another:", strings.Join(p.Restart, ", "))
 }
--- a/internal/toolbox/status.go
+++ b/internal/toolbox/status.go
@@ -95,7 +95,7 @@
 		fmt.Fprintf(w, "configuration: version %d\n", p.Rev)
 		s.printDatabases(w, p, all, only)
 	}
-	for _, role := range []string{"archive", "desk"} {
+	for _, role := range []string{"archive", "desk", "turnstile"} {
 		s.printNodes(w, role, all, only)
 	}
 	for _, addr := range slices.Sorted(maps.Keys(s.Missing)) {
@@ -103,6 +103,9 @@
 	}
 }
 
+// carries tells whether processes of a role carry clients' traffic.
+func carries(role string) bool { return role == "desk" || role == "turnstile" }
+
 // named tells whether one of the names contains what is looked for.
 func named(only string, names ...string) bool {
 	return slices.ContainsFunc(names, func(n string) bool { return strings.Contains(n, only) })
@@ -164,22 +167,22 @@
 // differs tells in which points a process is not as most of its role are.
 func (s *System) differs(r *Report, peers []*Report) (points []string) {
 	rev := usual(peers, func(r *Report) int64 { return r.Rev })
-	if p := s.Primary(); p != nil && r.Role == "desk" {
+	if p := s.Primary(); p != nil && carries(r.Role) {
 		rev = p.Rev
 	}
-	if r.Role == "desk" && r.Rev != rev {
+	if carries(r.Role) && r.Rev != rev {
 		points = append(points, "another configuration")
 	}
 	if r.Epoch != usual(peers, func(r *Report) int64 { return r.Epoch }) {
 		points = append(points, "another epoch")
 	}
-	if r.Role == "desk" && r.LeaseUs <= 0 {
+	if carries(r.Role) && r.LeaseUs <= 0 {
 		points = append(points, "no lease")
 	}
 	if len(r.Members) != usual(s.Reports, func(r *Report) int { return len(r.Members) }) {
 		points = append(points, "other members")
 	}
-	if r.Role == "desk" && len(r.Down) != usual(peers, func(r *Report) int { return len(r.Down) }) {
+	if carries(r.Role) && len(r.Down) != usual(peers, func(r *Report) int { return len(r.Down) }) {
 		points = append(points, "other databases down")
 	}
 	if r.Abstains {
@@ -206,18 +209,26 @@
 			continue
 		}
 		line := fmt.Sprintf("  %s %s in %s: epoch %d, configuration %d, lease %d ms more, %d members", r.Role, r.Node, r.Zone, r.Epoch, r.Rev, r.LeaseUs.Millis(), len(r.Members))
-		if r.Role == "desk" {
+		if carries(r.Role) {
 			open := 0
 			for _, c := range r.Conns {
 				open += c[0]
 			}
-			line += fmt.Sprintf(", %d server connections, %d databases down, %d statements, %d refused", open, len(r.Down), r.Counters["desk.statements"], r.Counters["desk.refused"])
+			line += fmt.Sprintf(", %d server connections, %d databases down, ", open, len(r.Down))
+			if r.Role == "desk" {
+				line += fmt.Sprintf("%d statements, %d refused", r.Counters["desk.statements"], r.Counters["desk.refused"])
+			} else {
+				line += fmt.Sprintf("%d requests, %d sent again, %d refused", r.Counters["turnstile.requests"], r.Counters["turnstile.sent_again"], r.Counters["turnstile.answered_503"])
+			}
 		}
 		if len(points) > 0 {
 			line += "; " + strings.Join(points, ", ")
 		}
 		lines = append(lines, line)
 	}
+	if len(peers) == 0 && role != "archive" {
+		return
+	}
 	fmt.Fprintf(w, "%ss: %d asked, %d as most are, %d differ\n", role, len(peers), len(peers)-odd, odd)
 	for _, line := range lines {
 		fmt.Fprintln(w, line)
