--- a/cmd/indigowalk/stocktake.go
+++ b/cmd/indigowalk/stocktake.go
@@ -16,12 +16,12 @@
 	"indigowalk/internal/toolbox"
 )
 
-const stocktakeUsage = `indigowalk stocktake [--json] [--databases N] [--routes N] [--changes N] [--quiet S] NODES...
+const stocktakeUsage = `indigowalk stocktake [--json] [--databases N] [--routes N] [--changes N] [--quiet S] [--sessions N] NODES...
 
 Measures, on the loopback of this machine, what the control state costs at each
 number of nodes: four archives as processes of their own, and hollow nodes, many
 in a process, which take part in membership and hear all news but carry no
-traffic. It takes about a minute a size and ends what it has started.
+traffic. With --sessions, so many idle sessions at one desk too. It takes about a minute a size and ends what it has started.
 
     indigowalk stocktake 50 150 410
     indigowalk stocktake --json --databases 450 --routes 1500 410 > size.json
@@ -39,7 +39,8 @@
 	routes := fs.Int("routes", 1500, "")
 	changes := fs.Int("changes", 10, "")
 	quiet := fs.Int("quiet", 10, "")
-	if err := fs.Parse(args); err != nil || fs.NArg() == 0 || *databases < 1 || *routes < 1 || *changes < 1 || *quiet < 1 {
+	sessions := fs.Int("sessions", 0, "")
+	if err := fs.Parse(args); err != nil || fs.NArg() == 0 || *databases < 1 || *routes < 1 || *changes < 1 || *quiet < 1 || *sessions < 0 {
 		if err == flag.ErrHelp {
 			fmt.Fprint(out, stocktakeUsage)
 			return exitClean
@@ -79,7 +80,7 @@
 		}
 		size, err := stocktake.Run(ctx, stocktake.Config{
 			Program: program, Dir: dir, Nodes: nodes, Archives: 4, Databases: *databases, Routes: *routes,
-			Changes: *changes, Quiet: time.Duration(*quiet) * time.Second,
+			Changes: *changes, Quiet: time.Duration(*quiet) * time.Second, Sessions: *sessions,
 		})
 		os.RemoveAll(dir)
 		if err != nil {
@@ -91,6 +92,9 @@
 				" primary %.1f thousandths, %.0f MB, other archives %.1f at most; a change in force everywhere in %v ms, %.0f B a node; after the primary's kill in %d ms\n",
 				size.Nodes, size.Databases, size.Routes, size.StartMs, size.NodeBytes, size.NodeCPU, size.NodeKB,
 				size.PrimaryCPU, size.PrimaryMB, size.ArchiveCPU, size.ChangeMs, size.ChangeBytes, size.TakeoverMs)
+			if *sessions > 0 {
+				fmt.Fprintf(out, "a desk of %.0f MB; %.0f bytes an idle session, of %d\n", size.DeskMB, size.SessionBytes, *sessions)
+			}
 		}
 	}
 	if *asJSON {
--- a/internal/stocktake/stocktake.go
+++ b/internal/stocktake/stocktake.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,24 +29,27 @@
 	Routes    int
 	Changes   int           // of the configuration
 	Quiet     time.Duration // for which nothing is asked of it
+	Sessions  int           // idle ones at one desk
 }
 
 // Size is what was measured at one number of nodes. Processor time is in
 // thousandths of a core.
 type Size struct {
-	Nodes       int     `json:"nodes"`
-	Databases   int     `json:"databases"`
-	Routes      int     `json:"routes"`
-	StartMs     int64   `json:"start_ms"`    // until all nodes had the state
-	NodeBytes   float64 `json:"node_bytes"`  // a second, sent and received by a node, quiet
-	NodeCPU     float64 `json:"node_cpu"`    // of a node, quiet
-	NodeKB      float64 `json:"node_kb"`     // of memory a node
-	PrimaryCPU  float64 `json:"primary_cpu"` // quiet
-	ArchiveCPU  float64 `json:"archive_cpu"` // of the busiest other
-	PrimaryMB   float64 `json:"primary_mb"`
-	ChangeMs    []int64 `json:"change_ms"`    // from sending until in force everywhere
-	ChangeBytes float64 `json:"change_bytes"` // to and from a node for one change, beyond the quiet
-	TakeoverMs  int64   `json:"takeover_ms"`  // from the primary's kill until a change is in force everywhere
+	Nodes        int     `json:"nodes"`
+	Databases    int     `json:"databases"`
+	Routes       int     `json:"routes"`
+	StartMs      int64   `json:"start_ms"`    // until all nodes had the state
+	NodeBytes    float64 `json:"node_bytes"`  // a second, sent and received by a node, quiet
+	NodeCPU      float64 `json:"node_cpu"`    // of a node, quiet
+	NodeKB       float64 `json:"node_kb"`     // of memory a node
+	PrimaryCPU   float64 `json:"primary_cpu"` // quiet
+	ArchiveCPU   float64 `json:"archive_cpu"` // of the busiest other
+	PrimaryMB    float64 `json:"primary_mb"`
+	ChangeMs     []int64 `json:"change_ms"`               // from sending until in force everywhere
+	ChangeBytes  float64 `json:"change_bytes"`            // to and from a node for one change, beyond the quiet
+	TakeoverMs   int64   `json:"takeover_ms"`             // from the primary's kill until a change is in force everywhere
+	DeskMB       float64 `json:"desk_mb,omitempty"`       // of a desk without sessions
+	SessionBytes float64 `json:"session_bytes,omitempty"` // of its memory, an idle session
 }
 
 // perProcess is how many hollow nodes share a process.
@@ -91,6 +95,9 @@
 	if err := r.changes(quiet); err != nil {
 		return nil, err
 	}
+	if err := r.sessions(ctx, strings.Join(seeds, ",")); err != nil {
+		return nil, err
+	}
 	return r.size, r.takeover()
 }
 
@@ -122,17 +129,78 @@
 	return p, out, nil
 }
 
-func (r *run) startArchive(ctx context.Context, node int, seeds string) error {
-	path := filepath.Join(r.cfg.Dir, fmt.Sprintf("archive-%d.conf", node))
-	text := settings(node, "archive", seeds, filepath.Join(r.cfg.Dir, fmt.Sprintf("archive-%d", node)))
+// startReal starts a daemon as it is.
+func (r *run) startReal(ctx context.Context, node int, role, seeds string) (*process, error) {
+	path := filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%d.conf", role, node))
+	text := settings(node, role, seeds, filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%d", role, node)))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("stocktake: %w", err)
+		return nil, fmt.Errorf("stocktake: %w", err)
 	}
-	p, _, err := r.start(ctx, "INDIGOWALK_SETTINGS="+path, "archive")
+	p, _, err := r.start(ctx, "INDIGOWALK_SETTINGS="+path, role)
+	return p, err
+}
+
+func (r *run) startArchive(ctx context.Context, node int, seeds string) error {
+	p, err := r.startReal(ctx, node, "archive", seeds)
 	r.archives = append(r.archives, p)
 	return err
 }
 
+// sessions measures what idle sessions cost a desk.
+func (r *run) sessions(ctx context.Context, seeds string) error {
+	if r.cfg.Sessions == 0 {
+		return nil
+	}
+	node := r.cfg.Archives + r.cfg.Nodes
+	desk, err := r.startReal(ctx, node, "desk", seeds)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		desk.cmd.Process.Kill()
+		desk.cmd.Wait()
+	}()
+	var open []net.Conn
+	defer func() {
+		for _, c := range open {
+			c.Close()
+		}
+	}()
+	login := func() error {
+		c, err := net.DialTimeout("tcp4", address(node)+":8784", time.Second)
+		if err != nil {
+			return err
+		}
+		open = append(open, c)
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.WriteString(c, "LOGIN host0 someone\r\n"); err != nil {
+			return err
+		}
+		answer, err := bufio.NewReader(c).ReadString('\n')
+		if err != nil || !strings.HasPrefix(answer, "IDLE") {
+			return fmt.Errorf("stocktake: log-in answered %q: %v", answer, err)
+		}
+		return nil
+	}
+	for end := time.Now().Add(wait); login() != nil; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			return errTooLong
+		}
+	}
+	time.Sleep(3 * time.Second)
+	_, before := desk.used()
+	for range r.cfg.Sessions {
+		if err := login(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(3 * time.Second)
+	_, after := desk.used()
+	r.size.DeskMB = float64(before) / (1 << 20)
+	r.size.SessionBytes = float64(after-before) / float64(r.cfg.Sessions)
+	return nil
+}
+
 func (r *run) startHollow(ctx context.Context, first, count int, seeds string) error {
 	p, out, err := r.start(ctx, "", "stocktake", "--hollow", fmt.Sprintf("%d,%d", first, count), seeds)
 	if err != nil {
