--- a/internal/rota/rota.go
+++ b/internal/rota/rota.go
@@ -38,7 +38,7 @@
 	// drawn is how many of its own databases a node compares for a request. To
 	// take the best of all would have everyone run to the same ones, which what
 	// was seen of them no longer tells.
-	drawn = 4
+	drawn = 8
 )
 
 type standing struct {
