--- a/internal/rehearsal/gateway_test.go
+++ b/internal/rehearsal/gateway_test.go
@@ -88,6 +88,58 @@
 	}
 }
 
+// Where every database loses its answers, a request that must not run twice runs
+// once and is answered at once; one that may is sent no more often than its
+// route allows.
+func TestUnclearRequestsAreNotSentAgain(t *testing.T) {
+	serveRequests(t, func(_ *World, s *Service) {
+		for z := 1; z <= 4; z++ {
+			for n := range 20 {
+				if a := s.Ask(z, fmt.Sprintf("warm-%d-%d", z, n), true, ""); a.Status != 200 {
+					t.Fatalf("status %d", a.Status)
+				}
+			}
+		}
+		for i := range 8 {
+			s.DB(i).Be(Loses)
+		}
+		for z := 1; z <= 4; z++ {
+			for n, safe := range []bool{false, true, false} {
+				id := fmt.Sprintf("lost-%d-%d", z, n)
+				a := s.Ask(z, id, safe, "")
+				if runs := s.runs[id]; a.Status != 502 || a.Took > 300*time.Millisecond || runs > 2 || runs > 1 && !safe {
+					t.Errorf("%s, may run again %v: status %d after %v, %d runs", id, safe, a.Status, a.Took, runs)
+				}
+			}
+		}
+	})
+}
+
+// What must not run twice does not go out on a connection that the far end may
+// have forgotten, and nothing that concerns one connection only goes on.
+func TestRestedConnectionsAndTheirHeaders(t *testing.T) {
+	serveRequests(t, func(_ *World, s *Service) {
+		for i := range 8 {
+			s.DB(i).Be(Forgetful)
+		}
+		for n := range 30 {
+			if a := s.Ask(1, fmt.Sprint("rested-", n), false, "x"); a.Status != 200 {
+				t.Errorf("status %d", a.Status)
+			}
+			time.Sleep(time.Duration(n) * 25 * time.Millisecond)
+		}
+		for i := range 8 {
+			d := s.DB(i)
+			if d.Count() == 0 {
+				continue
+			}
+			if h := d.Last; h.Get("X-Kept") != "yes" || h.Get("X-Dropped") != "" || h.Get("Te") != "" || h.Get("Connection") != "" {
+				t.Errorf("%s got %v", d.ID, h)
+			}
+		}
+	})
+}
+
 func TestRequestsAtCrashedDatabases(t *testing.T) {
 	for _, dark := range []bool{false, true} {
 		t.Run(fmt.Sprintf("dark %v", dark), func(t *testing.T) {
--- a/internal/rehearsal/service.go
+++ b/internal/rehearsal/service.go
@@ -59,6 +59,7 @@
 	drain   bool
 	busy    int
 	Arrived int
+	Last    http.Header // of the newest request
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -208,6 +209,7 @@
 			return
 		}
 		d.mu.Lock()
+		d.Last = q.Header
 		fault, healthy, full := d.fault, d.healthy && !d.drain, d.busy >= d.Slots+8
 		d.mu.Unlock()
 		if fault == Forgetful && time.Since(rested) > 200*time.Millisecond {
@@ -333,6 +335,7 @@
 	defer c.Close()
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: %s\r\nX-Indigowalk-Deadline-Ms: 2000\r\n", method, path, s.Name, id)
+	b.WriteString("X-Kept: yes\r\nX-Dropped: no\r\nConnection: keep-alive, X-Dropped\r\nTE: trailers\r\nX-Indigowalk-Target-Instance: i-none\r\n")
 	if body != "" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
