--- a/internal/rehearsal/grown_test.go
+++ b/internal/rehearsal/grown_test.go
@@ -11,6 +11,7 @@
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/subscription"
+	"indigowalk/internal/vault"
 )
 
 // Some three hundred desks and a hundred services: what each desk is sent in a
@@ -112,3 +113,47 @@
 		}
 	})
 }
+
+// The primary archive is lost right after it has acknowledged a change that few
+// have heard of: another, which has followed what changed, tells each desk that
+// and not all there is.
+func TestAnotherPrimaryTellsWhatChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const desks, archives = 24, 4
+		w := NewWorld(t, 1, desks)
+		w.Archives = archives
+		defer w.Close()
+		for i := range 40 {
+			w.Group(fmt.Sprintf("ledger%02d", i))
+		}
+		w.Boot()
+		w.Configure()
+		time.Sleep(5 * time.Second)
+		lost := 0
+		for z := 1; z <= archives; z++ {
+			if _, leads := foundation.Need[*vault.Vault](w.Process("archive", z).Kernel).Primary(); leads {
+				lost = z
+			}
+		}
+		if code := w.Replace(lost, 1, w.Configuration(2)); code != 200 {
+			t.Fatalf("the change is answered %d", code)
+		}
+		w.Process("archive", lost).Kill()
+		most := 0
+		before := map[int]int{}
+		for z := archives + 1; z <= desks; z++ {
+			before[z], _ = w.Net.Sent(ip(z))
+		}
+		time.Sleep(4 * time.Second)
+		for z := archives + 1; z <= desks; z++ {
+			now, _ := w.Net.Sent(ip(z))
+			most = max(most, now-before[z])
+			if _, _, rev, _ := foundation.Need[*subscription.Card](w.Process("desk", z).Kernel).Version(); rev != 2 {
+				t.Errorf("desk %d has version %d", z, rev)
+			}
+		}
+		if most > 11_000 {
+			t.Errorf("up to %d bytes to a desk", most)
+		}
+	})
+}
