--- a/internal/desk/plugin.go
+++ b/internal/desk/plugin.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
-	"net/http"
-	"time"
 
 	"indigowalk/internal/charter"
 	"indigowalk/internal/conservator"
@@ -35,29 +31,9 @@
 			k.Supervise("desk", d.Serve)
 			k.OnLeave(d.Leave)
 			k.Supervise("ready", func(ctx context.Context) error {
-				return d.serveReady(ctx, s.ReadyAddr)
+				return foundation.ServeReady(ctx, k.Net, s.ReadyAddr, d.Ready)
 			})
 			return nil
 		},
 	})
 }
-
-// serveReady answers the entry's probe.
-func (d *Desk) serveReady(ctx context.Context, addr string) error {
-	ln, err := d.k.Net.Listen(addr)
-	if err != nil {
-		return fmt.Errorf("desk: %w", err)
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !d.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
-	defer context.AfterFunc(ctx, func() { srv.Close() })()
-	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("desk: %w", err)
-	}
-	return nil
-}
--- a/internal/turnstile/plugin.go
+++ b/internal/turnstile/plugin.go
@@ -45,7 +45,7 @@
 			}
 			k.Supervise("turnstile", t.Serve)
 			k.OnLeave(t.Leave)
-			k.Supervise("ready", func(ctx context.Context) error { return t.serveReady(ctx, s.ReadyAddr) })
+			k.Supervise("ready", func(ctx context.Context) error { return foundation.ServeReady(ctx, k.Net, s.ReadyAddr, t.Ready) })
 			return nil
 		},
 	})
--- a/internal/turnstile/turnstile.go
+++ b/internal/turnstile/turnstile.go
@@ -14,7 +14,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"indigowalk/internal/accessions"
 	"indigowalk/internal/cart"
@@ -326,23 +325,3 @@
 		t.k.Counters.Add("turnstile.answers_cut", 1)
 	}
 }
-
-// serveReady answers the entry's probe.
-func (t *Turnstile) serveReady(ctx context.Context, addr string) error {
-	ln, err := t.k.Net.Listen(addr)
-	if err != nil {
-		return fmt.Errorf("turnstile: %w", err)
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !t.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
-	defer context.AfterFunc(ctx, func() { srv.Close() })()
-	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("turnstile: %w", err)
-	}
-	return nil
-}
