--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -55,11 +55,10 @@
 	UnfreezeMs int64 `key:"bounds.unfreeze_ms" default:"300" validate:"gt=0"`
 	CatchupS   int64 `key:"bounds.catchup_s" default:"4" validate:"gt=0"`
 
-	// What may be sent again, over all nodes: this share of the first sends of a
-	// window, and this many more.
+	// What may be sent again, over all nodes, is this share of the first sends of a
+	// window.
 	RetryRatio   float64 `key:"bounds.retry_ratio" default:"0.2" validate:"gte=0,lte=10"`
 	RetryWindowS int64   `key:"bounds.retry_window_s" default:"10" validate:"gt=0"`
-	RetryExtra   int64   `key:"bounds.retry_extra" default:"0" validate:"gte=0"`
 
 	TolerateHosts int64 `key:"tolerate.hosts" validate:"gte=0"`
 
--- a/internal/turnstile/job.go
+++ b/internal/turnstile/job.go
@@ -92,18 +92,18 @@
 	if j.route = conf.Match(host, pathOf(j.target)); j.route == nil {
 		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
-	if wait, _ := t.gauge.load(); wait > fullWait {
+	if wait, _ := t.gauge.load(); wait > fullWaits(j.route.Prio) {
 		t.k.Counters.Add("turnstile.link_full", 1)
 		return nil, j.busy("this node's link is full")
 	}
 	j.service = j.route.Draw(rand.Float64())
 	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
 	if text := q.Header.Get(cart.DeadlineMs); text != "" {
-		ms, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
-		if err != nil || ms <= 0 {
+		ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		if err != nil || !(ms > 0) {
 			return nil, malformed(cart.DeadlineMs + " is no number of milliseconds")
 		}
-		span = min(span, foundation.Micros(min(ms, j.route.DeadlineMs))*foundation.Millisecond)
+		span = min(span, foundation.Micros(min(ms, float64(j.route.DeadlineMs))*float64(foundation.Millisecond)))
 	}
 	j.deadline = j.received + span
 	aim := foundation.Micros(j.route.TargetMs) * foundation.Millisecond
@@ -133,6 +133,12 @@
 	}
 }
 
+// fullWaits is the wait at the link from which requests of a rank are refused:
+// the less urgent go first.
+func fullWaits(prio int) foundation.Micros {
+	return fullWait * foundation.Micros(2+max(0, 2-prio)) / 2
+}
+
 func headSize(q *http.Request) (n int64) {
 	n = int64(len(q.Method) + len(q.RequestURI) + len(q.Host))
 	for name, values := range q.Header {
--- a/internal/turnstile/turnstile.go
+++ b/internal/turnstile/turnstile.go
@@ -98,8 +98,9 @@
 	crowdedFrom = 0.9
 	crowdedTo   = 0.6
 	crowdedFor  = 4 * foundation.Second
-	// fullWait is the wait at the link from which requests are refused.
-	fullWait = 150 * foundation.Millisecond
+	// fullWait is the wait at the link from which the least urgent requests are
+	// refused.
+	fullWait = 120 * foundation.Millisecond
 )
 
 // watchLink keeps crowded up to date.
