--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -29,6 +29,9 @@
 // state.
 const wholeWait = 2 * foundation.Second
 
+// lostAfter is the time without an answer after which a log line tells so.
+const lostAfter = 2 * foundation.Second
+
 // longestLater bounds how long a desk waits for its turn to be told.
 const longestLater = 2 * foundation.Second
 
@@ -173,6 +176,7 @@
 // Serve polls until ctx ends.
 func (c *Card) Serve(ctx context.Context) error {
 	addr, failed := "", ""
+	heard, lost := c.k.Clock.Now(), false
 	for turn := 0; ctx.Err() == nil; {
 		if addr == "" {
 			known := c.cfg.Archives()
@@ -184,6 +188,16 @@
 			turn++
 		}
 		next, err := c.poll(ctx, addr)
+		switch now := c.k.Clock.Now(); {
+		case err == nil && next == addr:
+			if heard = now; lost {
+				c.k.Log.Info("the control state is heard of again", "from", addr)
+			}
+			lost = false
+		case !lost && now-heard > lostAfter:
+			lost = true
+			c.k.Log.Warn("the control state is not heard of", "asked", addr, "elsewhere", next, "error", err)
+		}
 		switch {
 		case err != nil:
 			c.k.Counters.Add("subscription.poll_failed", 1)
