--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -29,6 +29,11 @@
 // state.
 const wholeWait = 2 * foundation.Second
 
+// others is how long, after a poll that failed, others are not believed that it
+// was the right archive to ask. It may have been a lost packet; and an archive
+// that this desk does not know as a member it can ask by their word only.
+const others = 300 * foundation.Millisecond
+
 // lostAfter is the time without an answer after which a log line tells so.
 const lostAfter = 2 * foundation.Second
 
@@ -176,7 +181,7 @@
 // Serve polls until ctx ends.
 func (c *Card) Serve(ctx context.Context) error {
 	addr, failed := "", ""
-	heard, lost := c.k.Clock.Now(), false
+	heard, lost, failedAt := c.k.Clock.Now(), false, foundation.Micros(0)
 	for turn := 0; ctx.Err() == nil; {
 		if addr == "" {
 			known := c.cfg.Archives()
@@ -201,10 +206,10 @@
 		switch {
 		case err != nil:
 			c.k.Counters.Add("subscription.poll_failed", 1)
-			failed = addr
+			failed, failedAt = addr, c.k.Clock.Now()
 		case next == addr:
 			failed = ""
-		case next == failed:
+		case next == failed && c.k.Clock.Now()-failedAt < others:
 			next = "" // others may not have noticed yet
 		}
 		if next == "" {
