--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -65,7 +65,7 @@
 	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
 
 	VaultLeaseMs  int64 `key:"tune.vault_lease_ms" default:"1200" validate:"gte=100"`
-	ElectorAwayMs int64 `key:"tune.elector_away_ms" default:"3000" validate:"gte=100"`
+	WitnessAwayMs int64 `key:"tune.witness_away_ms" default:"3000" validate:"gte=100"`
 	ReaderLeaseMs int64 `key:"tune.reader_lease_ms" default:"2500" validate:"gte=100"`
 	PollMs        int64 `key:"tune.poll_ms" default:"600" validate:"gte=20"`
 	ProbeMs       int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
@@ -93,8 +93,8 @@
 
 // Ports of the range, by use.
 const (
-	ArchivePort = 0 // loans and datagrams of an archive
-	DeskPort    = 1 // loans and datagrams of a desk or turnstile
+	ArchivePort = 0 // calls and datagrams of an archive
+	DeskPort    = 1 // calls and datagrams of a desk or turnstile
 )
 
 // SeedPeers turns the seeds' control addresses into the inner addresses of the
--- a/internal/circulation/plugin.go
+++ b/internal/circulation/plugin.go
@@ -3,7 +3,7 @@
 import (
 	"indigowalk/internal/charter"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 )
 
 func init() {
@@ -13,7 +13,7 @@
 			s := foundation.Need[*charter.Book](k).Now()
 			r := New(k, Config{
 				Self: Member{
-					Addr: foundation.Need[*loan.Branch](k).Addr(), Name: s.NodeName, Role: k.Role, Zone: s.Zone,
+					Addr: foundation.Need[*rpc.Endpoint](k).Addr(), Name: s.NodeName, Role: k.Role, Zone: s.Zone,
 				},
 				Seeds: s.SeedPeers(),
 				Probe: charter.Span(s.ProbeMs),
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/rehearsal/cluster_test.go
@@ -15,7 +15,7 @@
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/toolbox"
 	"indigowalk/internal/vault"
 )
@@ -317,7 +317,7 @@
 		u.WriteTo([]byte(`{"k":"fault","f":"10.250.0.9:7440","b":7}`), address(ip(z)+":7440"))
 		u.Close()
 
-		b := loan.NewBranch(foundation.NewKernel("peer", host, slog.New(slog.DiscardHandler)), "10.250.0.9:7440")
+		b := rpc.NewEndpoint(foundation.NewKernel("peer", host, slog.New(slog.DiscardHandler)), "10.250.0.9:7440")
 		defer b.HangUp()
 		stranger := vault.Member{Name: "stranger", Addr: "10.250.0.9:7440", Disk: "foreign"}
 		for op, ask := range map[string]any{
@@ -325,7 +325,7 @@
 			"vault.copy":        map[string]any{"epoch": 99, "seq": 9},
 			"subscription.poll": map[string]any{"desk": "", "life": 0},
 		} {
-			var refused *loan.Refused
+			var refused *rpc.Refused
 			if err := b.Call(context.Background(), ip(z)+":7440", op, ask, nil, foundation.Second); !errors.As(err, &refused) {
 				t.Errorf("%s: %v", op, err)
 			}
@@ -337,7 +337,7 @@
 		}
 		time.Sleep(time.Second)
 		n := k.Counters.Snapshot()
-		for _, c := range []string{"loan.malformed", "circulation.malformed", "conservator.malformed", "subscription.malformed", "vault.old_epoch_refused"} {
+		for _, c := range []string{"rpc.malformed", "circulation.malformed", "conservator.malformed", "subscription.malformed", "vault.old_epoch_refused"} {
 			if n[c] == 0 {
 				t.Errorf("%s is not counted", c)
 			}
--- a/internal/rehearsal/control_test.go
+++ b/internal/rehearsal/control_test.go
@@ -70,8 +70,8 @@
 				w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(z+4, rev, w.Configuration(rev+1)) == 200 })
 				rev++
 			}
-			if p := w.Process("archive", vaultPrimary(w)).vault(); len(p.Electors()) != 3 {
-				t.Errorf("electors %v", p.Electors())
+			if p := w.Process("archive", vaultPrimary(w)).vault(); len(p.Witnesses()) != 3 {
+				t.Errorf("witnesses %v", p.Witnesses())
 			}
 			for z := 1; z <= 4; z++ { // desks look for the archives that there are now
 				w.Process("desk", z).Kill()
@@ -209,21 +209,21 @@
 	})
 }
 
-// An archive that was an elector for a while and is gone for good does not
+// An archive that was a witness for a while and is gone for good does not
 // count against the losses that can be borne after that.
-func TestElectorGoneForGoodIsLetGo(t *testing.T) {
+func TestWitnessGoneForGoodIsLetGo(t *testing.T) {
 	core(t, 4, 2, func(w *World, g *Group) {
 		w.Zones = 5
 		w.Start("archive", 5, false)
-		electors := func(n int) {
-			w.Until(fmt.Sprint(n, " electors"), 8*time.Second, func() bool {
+		witnesses := func(n int) {
+			w.Until(fmt.Sprint(n, " witnesses"), 8*time.Second, func() bool {
 				z := vaultPrimary(w)
-				return z != 0 && len(w.Process("archive", z).vault().Electors()) == n
+				return z != 0 && len(w.Process("archive", z).vault().Witnesses()) == n
 			})
 		}
-		electors(5)
+		witnesses(5)
 		w.Process("archive", 1+vaultPrimary(w)%4).Kill()
-		electors(4)
+		witnesses(4)
 		time.Sleep(time.Second)
 		w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(5, 1, w.Configuration(7)) == 200 })
 		z := vaultPrimary(w)
--- a/internal/rehearsal/poll_test.go
+++ b/internal/rehearsal/poll_test.go
@@ -11,7 +11,7 @@
 
 	"indigowalk/internal/accessions"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/subscription"
 )
 
@@ -22,13 +22,13 @@
 		n := NewNet(1)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		branch := func(host, addr string) (*foundation.Kernel, *loan.Branch) {
+		endpoint := func(host, addr string) (*foundation.Kernel, *rpc.Endpoint) {
 			k := foundation.NewKernel("archive", n.Host(host), slog.New(slog.DiscardHandler))
-			return k, loan.NewBranch(k, addr)
+			return k, rpc.NewEndpoint(k, addr)
 		}
 		const primary, other = "10.0.0.1:7440", "10.0.0.2:7440"
 		asked := 0
-		_, p := branch("10.0.0.1", primary)
+		_, p := endpoint("10.0.0.1", primary)
 		p.Handle("subscription.poll", func(context.Context, json.RawMessage) (any, error) {
 			if asked++; asked == 2 {
 				return nil, errors.New("not now")
@@ -36,11 +36,11 @@
 			time.Sleep(100 * time.Millisecond)
 			return map[string]any{"epoch": 1, "seq": 1, "lease_us": 500_000}, nil
 		})
-		_, o := branch("10.0.0.2", other)
+		_, o := endpoint("10.0.0.2", other)
 		o.Handle("subscription.poll", func(context.Context, json.RawMessage) (any, error) {
 			return map[string]any{"elsewhere": primary}, nil
 		})
-		k, b := branch("10.0.0.3", "10.0.0.3:7441")
+		k, b := endpoint("10.0.0.3", "10.0.0.3:7441")
 		card := subscription.NewCard(k, b, subscription.CardConfig{
 			Desk: "d", Poll: func() foundation.Micros { return 600 * foundation.Millisecond },
 			Archives: func() []string { return []string{other} },
--- a/internal/loan/plugin.go
+++ b/internal/rpc/plugin.go
@@ -1,4 +1,4 @@
-package loan
+package rpc
 
 import (
 	"indigowalk/internal/charter"
@@ -7,15 +7,15 @@
 
 func init() {
 	foundation.Register(foundation.Plugin{
-		Name: "loan", Rank: 10, Roles: []string{"desk", "turnstile", "archive", "hollow"},
+		Name: "rpc", Rank: 10, Roles: []string{"desk", "turnstile", "archive", "hollow"},
 		Build: func(k *foundation.Kernel) error {
 			port := charter.DeskPort
 			if k.Role == "archive" {
 				port = charter.ArchivePort
 			}
-			b := NewBranch(k, foundation.Need[*charter.Book](k).Now().Port(port))
+			b := NewEndpoint(k, foundation.Need[*charter.Book](k).Now().Port(port))
 			foundation.Offer(k, b)
-			k.Supervise("loan", b.Serve)
+			k.Supervise("rpc", b.Serve)
 			return nil
 		},
 	})
--- a/internal/loan/loan.go
+++ b/internal/rpc/rpc.go
@@ -1,6 +1,6 @@
-// Package loan carries calls between indigowalk's own processes: one JSON
+// Package rpc carries calls between indigowalk's own processes: one JSON
 // line asks, one JSON line answers, many calls share a connection.
-package loan
+package rpc
 
 import (
 	"bufio"
@@ -28,12 +28,12 @@
 
 // ErrUnreachable says that a call got no answer; whether it was carried out
 // is not known.
-var ErrUnreachable = errors.New("loan: peer unreachable")
+var ErrUnreachable = errors.New("rpc: peer unreachable")
 
 // Refused is the peer's answer that it did not carry out the call.
 type Refused struct{ Reason string }
 
-func (r *Refused) Error() string { return "loan: refused: " + r.Reason }
+func (r *Refused) Error() string { return "rpc: refused: " + r.Reason }
 
 type line struct {
 	ID   uint64          `json:"id"`
@@ -68,8 +68,8 @@
 // Handler answers one kind of call; a json.RawMessage is sent as it is.
 type Handler func(ctx context.Context, body json.RawMessage) (any, error)
 
-// Branch takes and makes loans for one process.
-type Branch struct {
+// Endpoint takes and makes calls for one process.
+type Endpoint struct {
 	k    *foundation.Kernel
 	addr string
 
@@ -78,23 +78,23 @@
 	peers    map[string]*peer
 }
 
-// NewBranch returns a branch that will listen at addr.
-func NewBranch(k *foundation.Kernel, addr string) *Branch {
-	return &Branch{k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{}}
+// NewEndpoint returns an endpoint that will listen at addr.
+func NewEndpoint(k *foundation.Kernel, addr string) *Endpoint {
+	return &Endpoint{k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{}}
 }
 
 // Addr is where other processes reach this one.
-func (b *Branch) Addr() string { return b.addr }
+func (b *Endpoint) Addr() string { return b.addr }
 
 // Handle sets the handler of an operation; all are set before Serve.
-func (b *Branch) Handle(op string, h Handler) { b.handlers[op] = h }
+func (b *Endpoint) Handle(op string, h Handler) { b.handlers[op] = h }
 
 // On registers a handler with a typed request.
-func On[Q any](b *Branch, op string, h func(context.Context, Q) (any, error)) {
+func On[Q any](b *Endpoint, op string, h func(context.Context, Q) (any, error)) {
 	b.Handle(op, func(ctx context.Context, body json.RawMessage) (any, error) {
 		var q Q
 		if err := json.Unmarshal(body, &q); err != nil {
-			b.k.Counters.Add("loan.malformed", 1)
+			b.k.Counters.Add("rpc.malformed", 1)
 			return nil, fmt.Errorf("malformed body: %w", err)
 		}
 		return h(ctx, q)
@@ -102,10 +102,10 @@
 }
 
 // Serve takes calls until ctx ends.
-func (b *Branch) Serve(ctx context.Context) error {
+func (b *Endpoint) Serve(ctx context.Context) error {
 	ln, err := b.k.Net.Listen(b.addr)
 	if err != nil {
-		return fmt.Errorf("loan: %w", err)
+		return fmt.Errorf("rpc: %w", err)
 	}
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
@@ -117,14 +117,14 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return fmt.Errorf("loan: %w", err)
+			return fmt.Errorf("rpc: %w", err)
 		}
-		go b.lend(ctx, c)
+		go b.serveConn(ctx, c)
 	}
 }
 
 // HangUp closes the connections to all peers.
-func (b *Branch) HangUp() {
+func (b *Endpoint) HangUp() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.peers {
@@ -136,7 +136,7 @@
 	}
 }
 
-func (b *Branch) lend(ctx context.Context, c net.Conn) {
+func (b *Endpoint) serveConn(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
@@ -146,12 +146,12 @@
 	for sc.Scan() {
 		var q line
 		if err := json.Unmarshal(sc.Bytes(), &q); err != nil {
-			b.k.Counters.Add("loan.malformed", 1)
+			b.k.Counters.Add("rpc.malformed", 1)
 			return
 		}
 		h := b.handlers[q.Op]
 		if h == nil {
-			b.k.Counters.Add("loan.malformed", 1)
+			b.k.Counters.Add("rpc.malformed", 1)
 			return
 		}
 		go func() {
@@ -191,12 +191,12 @@
 
 // Call asks the process at addr; answer may be nil. It waits at most for the
 // span.
-func (b *Branch) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
+func (b *Endpoint) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	body, err := encode(ask)
 	if err != nil {
-		return fmt.Errorf("loan: %w", err)
+		return fmt.Errorf("rpc: %w", err)
 	}
 	if addr == b.addr {
 		return b.own(ctx, op, body, answer)
@@ -211,13 +211,13 @@
 
 	id, ch, err := p.send(ctx, b, addr, op, body)
 	if err != nil {
-		b.k.Counters.Add("loan.unreachable", 1)
+		b.k.Counters.Add("rpc.unreachable", 1)
 		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
 	}
 	select {
 	case a, ok := <-ch:
 		if !ok {
-			b.k.Counters.Add("loan.unreachable", 1)
+			b.k.Counters.Add("rpc.unreachable", 1)
 			return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, addr)
 		}
 		if a.Err != "" {
@@ -227,19 +227,19 @@
 			return nil
 		}
 		if err := json.Unmarshal(a.Body, answer); err != nil {
-			b.k.Counters.Add("loan.malformed", 1)
+			b.k.Counters.Add("rpc.malformed", 1)
 			return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
 		}
 		return nil
 	case <-ctx.Done():
 		p.forget(id)
-		b.k.Counters.Add("loan.unreachable", 1)
+		b.k.Counters.Add("rpc.unreachable", 1)
 		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, ctx.Err())
 	}
 }
 
 // own has this process answer its own call.
-func (b *Branch) own(ctx context.Context, op string, body json.RawMessage, answer any) error {
+func (b *Endpoint) own(ctx context.Context, op string, body json.RawMessage, answer any) error {
 	h := b.handlers[op]
 	if h == nil {
 		return &Refused{"unknown operation"}
@@ -256,13 +256,13 @@
 		err = json.Unmarshal(raw, answer)
 	}
 	if err != nil {
-		return fmt.Errorf("loan: %w", err)
+		return fmt.Errorf("rpc: %w", err)
 	}
 	return nil
 }
 
 // connect makes sure that there is a connection; one call dials for all.
-func (p *peer) connect(ctx context.Context, b *Branch, addr string) error {
+func (p *peer) connect(ctx context.Context, b *Endpoint, addr string) error {
 	if err := p.dialing.Enter(ctx); err != nil {
 		return err
 	}
@@ -286,7 +286,7 @@
 	return nil
 }
 
-func (p *peer) send(ctx context.Context, b *Branch, addr, op string, body json.RawMessage) (uint64, chan line, error) {
+func (p *peer) send(ctx context.Context, b *Endpoint, addr, op string, body json.RawMessage) (uint64, chan line, error) {
 	if err := p.connect(ctx, b, addr); err != nil {
 		return 0, nil, err
 	}
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -15,7 +15,7 @@
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 )
 
 // ErrNoLease says that nothing may be sent to a primary now: there is none, it
@@ -59,7 +59,7 @@
 // Card is the desk's side: the newest control state it has, and its lease.
 type Card struct {
 	k    *foundation.Kernel
-	b    *loan.Branch
+	b    *rpc.Endpoint
 	cfg  CardConfig
 	life int64
 
@@ -83,7 +83,7 @@
 }
 
 // NewCard returns a card that knows nothing yet.
-func NewCard(k *foundation.Kernel, b *loan.Branch, cfg CardConfig) *Card {
+func NewCard(k *foundation.Kernel, b *rpc.Endpoint, cfg CardConfig) *Card {
 	return &Card{
 		k: k, b: b, cfg: cfg, life: time.Now().UnixMicro(), inside: map[string]int{},
 		left: map[string]int64{}, learnt: map[string]foundation.Micros{},
--- a/internal/subscription/edition_test.go
+++ b/internal/subscription/edition_test.go
@@ -16,7 +16,7 @@
 // came before is not known any more.
 func TestNewsSinceASequence(t *testing.T) {
 	e := newEdition(1)
-	state := vault.State{Epoch: 3, Seq: 10}.WithoutPast()
+	state := vault.State{Epoch: 3, Seq: 10}.WithoutRevisions()
 	put := func(key, raw string) {
 		if raw == "" {
 			raw = "null"
@@ -81,7 +81,7 @@
 		}
 		return json.RawMessage(fmt.Sprintf(`{"rev":%d,"body":{"rev":%d,"routes":[%s],"services":[{"name":"s"}]}}`, rev, rev, strings.Join(routes, ",")))
 	}
-	state := vault.State{Epoch: 3, Seq: 10}.WithoutPast()
+	state := vault.State{Epoch: 3, Seq: 10}.WithoutRevisions()
 	for i := range 90 {
 		id := fmt.Sprint("i-", i)
 		state = state.With(map[string]json.RawMessage{accessions.Key(id): json.RawMessage(fmt.Sprintf(`{"id":%q,"svc":"s"}`, id))})
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -13,7 +13,7 @@
 
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/vault"
 )
 
@@ -119,12 +119,12 @@
 	return o.edition, o.tally
 }
 
-// NewOffice answers polls through the branch.
+// NewOffice answers polls through the endpoint.
 // Mbps is the bandwidth of its link, 0 if that is not known.
-func NewOffice(k *foundation.Kernel, b *loan.Branch, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string), mbps float64) *Office {
+func NewOffice(k *foundation.Kernel, b *rpc.Endpoint, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string), mbps float64) *Office {
 	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
 	o.turns.rate = linkShare * mbps / 8
-	loan.On(b, pollOp, o.onPoll)
+	rpc.On(b, pollOp, o.onPoll)
 	return o
 }
 
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -10,8 +10,8 @@
 	"indigowalk/internal/findingaid"
 	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
 	"indigowalk/internal/rota"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/stacks"
 	"indigowalk/internal/vault"
 )
@@ -22,7 +22,7 @@
 		Build: func(k *foundation.Kernel) error {
 			book := foundation.Need[*charter.Book](k)
 			health := foundation.Need[*conservator.Conservator](k)
-			NewOffice(k, foundation.Need[*loan.Branch](k), foundation.Need[*vault.Vault](k),
+			NewOffice(k, foundation.Need[*rpc.Endpoint](k), foundation.Need[*vault.Vault](k),
 				foundation.Need[*custodian.Readers](k), charter.Span(book.Now().ReaderLeaseMs), pollSpan(book), health.Heard, book.Now().NetMbps)
 			return nil
 		},
@@ -56,7 +56,7 @@
 				cfg.Paces = r.Told
 				cfg.Seen = func() map[string]Seen { return seenOf(r.Seen()) }
 			}
-			c := NewCard(k, foundation.Need[*loan.Branch](k), cfg)
+			c := NewCard(k, foundation.Need[*rpc.Endpoint](k), cfg)
 			foundation.Offer(k, c)
 			foundation.Offer(k, stacks.Share(func(service string) int {
 				return c.share(service, 1+len(ring.Peers(k.Role)))
--- a/internal/toolbox/plan.go
+++ b/internal/toolbox/plan.go
@@ -176,7 +176,7 @@
 	}
 	spares := 0
 	for _, a := range s.nodes("archive") {
-		if !slices.Contains(prim.Electors, a.Addr) && a.Addr != r.Addr {
+		if !slices.Contains(prim.Witnesses, a.Addr) && a.Addr != r.Addr {
 			spares++
 		}
 	}
@@ -186,19 +186,19 @@
 	case slices.ContainsFunc(prim.View.Backups, func(m vault.Member) bool { return m.Addr == r.Addr }):
 		p.effect("the primary takes another backup")
 	}
-	if slices.Contains(prim.Electors, r.Addr) && spares > 0 {
-		p.effect("another archive becomes an elector in its place")
+	if slices.Contains(prim.Witnesses, r.Addr) && spares > 0 {
+		p.effect("another archive becomes a witness in its place")
 	}
 	left := 0
 	for _, a := range s.nodes("archive") {
-		if a.Addr != r.Addr && slices.Contains(prim.View.Electors, a.Addr) && !a.Abstains {
+		if a.Addr != r.Addr && slices.Contains(prim.View.Witnesses, a.Addr) && !a.Abstains {
 			left++
 		}
 	}
-	if n := len(prim.View.Electors); left < n/2+1 {
-		p.warn("only %d of %d electors remain: no lease could be granted", left, n)
+	if n := len(prim.View.Witnesses); left < n/2+1 {
+		p.warn("only %d of %d witnesses remain: no lease could be granted", left, n)
 	} else if more := s.bearable(prim, r.Addr); int64(more) < prim.Tolerates {
-		p.effect("%d of %d electors remain; %d more may be lost, of the %d to be tolerated", left, n, more, prim.Tolerates)
+		p.effect("%d of %d witnesses remain; %d more may be lost, of the %d to be tolerated", left, n, more, prim.Tolerates)
 	}
 	if len(s.nodes("archive")) <= 2 {
 		p.warn("without a backup nothing can be acknowledged")
--- a/internal/toolbox/replay.go
+++ b/internal/toolbox/replay.go
@@ -64,7 +64,7 @@
 	at    foundation.Micros
 	epoch int64
 
-	promised, accepted int64 // by this elector
+	promised, accepted int64 // by this witness
 	to                 string
 }
 
--- a/internal/toolbox/report.go
+++ b/internal/toolbox/report.go
@@ -12,7 +12,7 @@
 	"indigowalk/internal/conservator"
 	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/stacks"
 	"indigowalk/internal/subscription"
 	"indigowalk/internal/vault"
@@ -32,8 +32,8 @@
 	Rev       int64                          `json:"rev"`
 	LeaseUs   foundation.Micros              `json:"lease_us"` // vault's lease, or a desk's read lease
 	View      *vault.View                    `json:"view,omitempty"`
-	Electors  []string                       `json:"electors,omitempty"`
-	Abstains  bool                           `json:"abstains,omitempty"` // as an elector
+	Witnesses []string                       `json:"witnesses,omitempty"`
+	Abstains  bool                           `json:"abstains,omitempty"` // as a witness
 	HeardUs   map[string]foundation.Micros   `json:"heard_us,omitempty"` // since each archive last took part, on the primary
 	Config    *catalogue.Configuration       `json:"config,omitempty"`
 	Databases map[string]accessions.Database `json:"databases,omitempty"`
@@ -48,14 +48,14 @@
 	foundation.Register(foundation.Plugin{
 		Name: "status", Rank: 90, Roles: []string{"desk", "turnstile", "archive"},
 		Build: func(k *foundation.Kernel) error {
-			b := foundation.Need[*loan.Branch](k)
-			loan.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
+			b := foundation.Need[*rpc.Endpoint](k)
+			rpc.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
 			return nil
 		},
 	})
 }
 
-func report(k *foundation.Kernel, b *loan.Branch) (*Report, error) {
+func report(k *foundation.Kernel, b *rpc.Endpoint) (*Report, error) {
 	s := foundation.Need[*charter.Book](k).Now()
 	r := &Report{
 		Node: s.NodeName, Role: k.Role, Addr: b.Addr(), Zone: s.Zone, Tolerates: s.TolerateHosts,
@@ -69,7 +69,7 @@
 	}
 	v := foundation.Need[*vault.Vault](k)
 	view, _ := v.Primary()
-	r.View, r.Epoch, r.Electors, r.Abstains = &view, view.Epoch, v.Electors(), v.Abstains()
+	r.View, r.Epoch, r.Witnesses, r.Abstains = &view, view.Epoch, v.Witnesses(), v.Abstains()
 	if _, r.LeaseUs = v.Lease(); r.LeaseUs == 0 {
 		return r, nil
 	}
--- a/internal/toolbox/status.go
+++ b/internal/toolbox/status.go
@@ -13,7 +13,7 @@
 	"sync"
 
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/vault"
 )
 
@@ -29,7 +29,7 @@
 // member that they know too.
 func Ask(ctx context.Context, n foundation.Network, addrs []string, all bool) *System {
 	k := foundation.NewKernel("toolbox", n, slog.New(slog.DiscardHandler))
-	b := loan.NewBranch(k, "")
+	b := rpc.NewEndpoint(k, "")
 	defer b.HangUp()
 	sys := &System{Missing: map[string]string{}}
 	asked := map[string]bool{}
@@ -90,8 +90,8 @@
 		for _, b := range p.View.Backups {
 			backups = append(backups, b.Name)
 		}
-		fmt.Fprintf(w, "control state: epoch %d, primary %s, backups %v, lease %d ms more, electors %v, %d losses can be borne now\n",
-			p.Epoch, p.View.Primary.Name, backups, p.LeaseUs.Millis(), p.Electors, s.bearable(p, ""))
+		fmt.Fprintf(w, "control state: epoch %d, primary %s, backups %v, lease %d ms more, witnesses %v, %d losses can be borne now\n",
+			p.Epoch, p.View.Primary.Name, backups, p.LeaseUs.Millis(), p.Witnesses, s.bearable(p, ""))
 		fmt.Fprintf(w, "configuration: version %d\n", p.Rev)
 		s.printDatabases(w, p, all, only)
 	}
@@ -236,7 +236,7 @@
 }
 
 // bearable is how many archives may be lost at once, with their disks, so that
-// the state survives and a majority of the electors can still vote or be
+// the state survives and a majority of the witnesses can still vote or be
 // restored; lost is one that is taken for gone already.
 func (s *System) bearable(p *Report, lost string) int {
 	taking := 0
@@ -245,14 +245,14 @@
 		if a.Addr == lost {
 			continue
 		}
-		if slices.Contains(p.View.Electors, a.Addr) && !a.Abstains {
+		if slices.Contains(p.View.Witnesses, a.Addr) && !a.Abstains {
 			taking++
 		}
 		if a.Addr == p.View.Primary.Addr || slices.ContainsFunc(p.View.Backups, func(m vault.Member) bool { return m.Addr == a.Addr }) {
 			copies++
 		}
 	}
-	return max(0, min(copies-1, taking-(len(p.View.Electors)/2+1)))
+	return max(0, min(copies-1, taking-(len(p.View.Witnesses)/2+1)))
 }
 
 func flag(on bool, text string) string {
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -7,7 +7,7 @@
 	"slices"
 
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 )
 
 type copyAnswer struct {
@@ -71,7 +71,7 @@
 
 // renewWith tells one archive of the lease and notes whether it takes part.
 func (v *Vault) renewWith(ctx context.Context, addr string, view View) (a renewAnswer) {
-	err := v.branch.Call(ctx, addr, "vault.renew", renewAsk{view}, &a, callWait)
+	err := v.endpoint.Call(ctx, addr, "vault.renew", renewAsk{view}, &a, callWait)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
@@ -116,11 +116,11 @@
 	return out
 }
 
-// wantedElectors is the set that there should be, given who takes part: large
-// enough for the losses to be borne, without electors that stay away while a
+// wantedWitnesses is the set that there should be, given who takes part: large
+// enough for the losses to be borne, without witnesses that stay away while a
 // spare archive is there or the others are enough.
-func (v *Vault) wantedElectors(now foundation.Micros) []string {
-	set := slices.Clone(v.seen.Electors)
+func (v *Vault) wantedWitnesses(now foundation.Micros) []string {
+	set := slices.Clone(v.seen.Witnesses)
 	if !v.active || now-v.since < v.lease/2 {
 		return set
 	}
@@ -143,26 +143,26 @@
 	return set
 }
 
-// largeEnough tells whether the electors can bear the losses: what is left of
+// largeEnough tells whether the witnesses can bear the losses: what is left of
 // them must include one of any majority. An archive that is there and not yet
-// an elector is waited for; one that there is not, for a while.
+// a witness is waited for; one that there is not, for a while.
 func (v *Vault) largeEnough() bool {
-	if len(v.seen.Electors) >= 2*v.cfg.Losses {
+	if len(v.seen.Witnesses) >= 2*v.cfg.Losses {
 		return true
 	}
 	now := v.k.Clock.Now()
-	if now-v.since < v.cfg.Catchup || len(v.spares(v.seen.Electors, now)) > 0 {
+	if now-v.since < v.cfg.Catchup || len(v.spares(v.seen.Witnesses, now)) > 0 {
 		return false
 	}
 	if !v.small {
 		v.small = true
-		v.k.Log.Warn("fewer archives than the losses to be borne ask for", "electors", len(v.seen.Electors), "tolerate", v.cfg.Losses)
+		v.k.Log.Warn("fewer archives than the losses to be borne ask for", "witnesses", len(v.seen.Witnesses), "tolerate", v.cfg.Losses)
 	}
 	return true
 }
 
 // wantsAnother tells whether the primary should form another view: because a
-// backup failed, one more could be had, the set of electors is to change, or
+// backup failed, one more could be had, the set of witnesses is to change, or
 // has changed and its predecessor can be let go.
 func (v *Vault) wantsAnother(now foundation.Micros) bool {
 	if len(v.seen.Prior) > 0 || max(v.tried, v.state.Epoch) > v.seen.Epoch {
@@ -178,7 +178,7 @@
 			return true
 		}
 	}
-	return !slices.Equal(v.wantedElectors(now), v.seen.Electors)
+	return !slices.Equal(v.wantedWitnesses(now), v.seen.Witnesses)
 }
 
 // stand tries to become primary of a new epoch, or to form another view as
@@ -196,14 +196,14 @@
 	}
 }
 
-// How long promises are waited for: electors that have just started, or are
+// How long promises are waited for: witnesses that have just started, or are
 // about to, are asked again and again.
 const (
 	promiseTry  = 150 * foundation.Millisecond
 	promiseWait = 450 * foundation.Millisecond
 )
 
-// promises asks for the promises of the sets' electors, and returns the disk
+// promises asks for the promises of the sets' witnesses, and returns the disk
 // of each that gave one and the highest view that any has accepted.
 func (v *Vault) promises(ctx context.Context, epoch int64, sets [][]string) (disks map[string]string, highest View, won bool) {
 	type reply struct {
@@ -221,12 +221,12 @@
 		go func() {
 			for {
 				a := &promiseAnswer{}
-				err := v.branch.Call(ctx, addr, "vault.promise", q, a, promiseTry)
+				err := v.endpoint.Call(ctx, addr, "vault.promise", q, a, promiseTry)
 				if err == nil {
 					ch <- reply{addr, a}
 					return
 				}
-				if errors.As(err, new(*loan.Refused)) || !foundation.Sleep(ctx, 20*foundation.Millisecond) {
+				if errors.As(err, new(*rpc.Refused)) || !foundation.Sleep(ctx, 20*foundation.Millisecond) {
 					ch <- reply{addr, nil}
 					return
 				}
@@ -270,7 +270,7 @@
 }
 
 // leaseOf is how long leases stand against a majority; one that a few stale
-// electors still guard does not.
+// witnesses still guard does not.
 func leaseOf(sets [][]string, got map[string]promiseAnswer) foundation.Micros {
 	waits := []foundation.Micros{0}
 	for _, a := range got {
@@ -289,19 +289,19 @@
 func (v *Vault) tryStand(ctx context.Context) error {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
-	epoch := max(v.elector.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
+	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 	known, wasActive := v.seen, v.active
-	electors := v.wantedElectors(now)
+	witnesses := v.wantedWitnesses(now)
 	if len(known.Prior) > 0 {
-		electors = known.Electors // first let the predecessor go
+		witnesses = known.Witnesses // first let the predecessor go
 	}
 	v.mu.Unlock()
 
-	view := View{Epoch: epoch, Primary: v.self, Electors: electors}
+	view := View{Epoch: epoch, Primary: v.self, Witnesses: witnesses}
 	sets := known.sets()
-	if !slices.Equal(electors, known.Electors) {
-		view.Prior = known.Electors
-		sets = append(sets, electors)
+	if !slices.Equal(witnesses, known.Witnesses) {
+		view.Prior = known.Witnesses
+		sets = append(sets, witnesses)
 	}
 	disks, highest, won := v.promises(ctx, epoch, sets)
 	v.mu.Lock()
@@ -357,7 +357,7 @@
 	v.seenTill, v.renewAt = v.leaseEnd, start+v.lease/3
 	clear(v.missed)
 	v.k.Counters.Add("vault.epochs", 1)
-	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "electors", len(electors), "prior", len(view.Prior))
+	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "witnesses", len(witnesses), "prior", len(view.Prior))
 	v.changed.Ring()
 	return nil
 }
@@ -390,7 +390,7 @@
 		}
 		return r
 	}
-	order := union(backupAddrs(last), alive, last.Electors, []string{last.Primary.Addr})
+	order := union(backupAddrs(last), alive, last.Witnesses, []string{last.Primary.Addr})
 	order = slices.DeleteFunc(order, func(addr string) bool { return addr == "" || addr == v.self.Addr })
 	slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
 	v.mu.Unlock()
@@ -416,7 +416,7 @@
 
 // observe notes a view, if it is newer than those heard of.
 func (v *Vault) observe(view View) {
-	if view.Epoch > v.seen.Epoch || len(v.seen.Electors) == 0 {
+	if view.Epoch > v.seen.Epoch || len(v.seen.Witnesses) == 0 {
 		if v.active && view.Epoch > v.seen.Epoch {
 			v.leaseEnd = 0
 		}
@@ -434,7 +434,7 @@
 	v.mu.Unlock()
 	for _, addr := range union([]string{view.Primary.Addr}, backupAddrs(view)) {
 		if addr != v.self.Addr {
-			go v.branch.Call(ctx, addr, "vault.tell", view, nil, callWait)
+			go v.endpoint.Call(ctx, addr, "vault.tell", view, nil, callWait)
 		}
 	}
 }
@@ -450,7 +450,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	v.mu.Lock()
-	a, err := v.elector.promise(v.k.Clock.Now(), q)
+	a, err := v.witness.promise(v.k.Clock.Now(), q)
 	v.mu.Unlock()
 	if err != nil {
 		return nil, err
@@ -473,7 +473,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	v.mu.Lock()
-	a, err := v.elector.accept(v.k.Clock.Now(), q.View)
+	a, err := v.witness.accept(v.k.Clock.Now(), q.View)
 	v.mu.Unlock()
 	if err != nil || !a.Granted {
 		return a, err
@@ -491,13 +491,13 @@
 func (v *Vault) onRenew(ctx context.Context, q renewAsk) (any, error) {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
-	if q.View.Epoch < v.seen.Epoch || len(q.View.Electors) == 0 {
+	if q.View.Epoch < v.seen.Epoch || len(q.View.Witnesses) == 0 {
 		v.k.Counters.Add("vault.old_epoch_refused", 1)
-		a := renewAnswer{Promised: v.elector.reg.Promised}
+		a := renewAnswer{Promised: v.witness.reg.Promised}
 		v.mu.Unlock()
 		return a, nil
 	}
-	a, changed := v.elector.renew(now, q.View)
+	a, changed := v.witness.renew(now, q.View)
 	a.Stalled = v.stalled.Load()
 	v.hear(now, q.View)
 	v.mu.Unlock()
@@ -522,14 +522,14 @@
 func (v *Vault) onRelease(_ context.Context, q epochAsk) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.elector.release(q.Epoch)
+	v.witness.release(q.Epoch)
 	return struct{}{}, nil
 }
 
 func (v *Vault) onRegister(context.Context, struct{}) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return registerAnswer{v.elector.reg, v.elector.abstains}, nil
+	return registerAnswer{v.witness.reg, v.witness.abstains}, nil
 }
 
 var errOldEpoch = errors.New("old epoch")
--- a/internal/vault/plugin.go
+++ b/internal/vault/plugin.go
@@ -4,7 +4,7 @@
 	"indigowalk/internal/charter"
 	"indigowalk/internal/circulation"
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 )
 
 func init() {
@@ -17,11 +17,11 @@
 				return &charter.Error{Key: "data_dir", Reason: "an archive needs a disk"}
 			}
 			ring := foundation.Need[*circulation.Ring](k)
-			v, err := Open(k, foundation.Need[*loan.Branch](k), Config{
+			v, err := Open(k, foundation.Need[*rpc.Endpoint](k), Config{
 				Name: s.NodeName, Dir: s.DataDir, Bootstrap: s.Bootstrap,
 				Seeds:    func() []string { return book.Now().SeedPeers() },
 				Lease:    charter.Span(s.VaultLeaseMs),
-				Away:     charter.Span(s.ElectorAwayMs),
+				Away:     charter.Span(s.WitnessAwayMs),
 				Catchup:  foundation.Micros(s.CatchupS) * foundation.Second,
 				Losses:   int(s.TolerateHosts),
 				Archives: func() []string { return ring.Peers("archive") },
--- a/internal/vault/past_test.go
+++ b/internal/vault/revisions_test.go
@@ -26,7 +26,7 @@
 			}
 			return out
 		}
-		durable := State{Epoch: 1, Seq: 1}.WithoutPast()
+		durable := State{Epoch: 1, Seq: 1}.WithoutRevisions()
 		history := map[int64]map[string]json.RawMessage{1: nil}
 		members := []State{durable, durable, durable}
 		for range 40 {
--- a/internal/vault/stall_test.go
+++ b/internal/vault/stall_test.go
@@ -63,8 +63,8 @@
 		}
 		again()
 		time.Sleep(3 * time.Second)
-		if v, _ := at(primary()).Primary(); len(v.Electors) != 3 || w.Fetch() != 3 {
-			t.Errorf("electors %v, version %d", v.Electors, w.Fetch())
+		if v, _ := at(primary()).Primary(); len(v.Witnesses) != 3 || w.Fetch() != 3 {
+			t.Errorf("witnesses %v, version %d", v.Witnesses, w.Fetch())
 		}
 	})
 }
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -1,5 +1,5 @@
 // Package vault keeps the control state: a primary archive writes to its
-// backups before it answers, and electors that hold only epochs and views
+// backups before it answers, and witnesses that hold only epochs and views
 // decide who takes over.
 package vault
 
@@ -28,7 +28,7 @@
 const StoreFile = "vault.db"
 
 // storeFormat is the version of the records written here.
-const storeFormat = 2
+const storeFormat = 3
 
 // Keys of the records. Changes of the state follow it, by their sequence.
 const (
@@ -266,7 +266,7 @@
 	if err != nil || !found {
 		return st, err
 	}
-	st = st.WithoutPast()
+	st = st.WithoutRevisions()
 	var texts []string
 	err = s.db.View(func(tx *buntdb.Tx) error {
 		return tx.AscendKeys(changeKey+"*", func(_, text string) bool {
@@ -376,7 +376,7 @@
 	return true, nil
 }
 
-// loadRegister reads the elector's register; one that contradicts itself was
+// loadRegister reads the witness's register; one that contradicts itself was
 // never written as such.
 func (s *Store) loadRegister() (reg register, found bool, err error) {
 	if found, err = s.Load(registerKey, &reg); err == nil && reg.Promised < reg.Accepted.Epoch {
@@ -385,7 +385,7 @@
 	return reg, found, err
 }
 
-// CheckRegister tells what is wrong with the elector's register, if anything.
+// CheckRegister tells what is wrong with the witness's register, if anything.
 func (s *Store) CheckRegister() error {
 	_, _, err := s.loadRegister()
 	return err
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"indigowalk/internal/foundation"
-	"indigowalk/internal/loan"
+	"indigowalk/internal/rpc"
 )
 
 // Errors of this layer.
@@ -27,10 +27,10 @@
 
 // State is the whole control state as it lies on a member's disk.
 type State struct {
-	Epoch   int64                      `json:"epoch"`
-	Seq     int64                      `json:"seq"`
-	Entries map[string]json.RawMessage `json:"entries"`
-	past    past
+	Epoch     int64                      `json:"epoch"`
+	Seq       int64                      `json:"seq"`
+	Entries   map[string]json.RawMessage `json:"entries"`
+	revisions revisions
 }
 
 // Change is one step of the state; an entry that is null is removed.
@@ -42,7 +42,7 @@
 
 // With is the state after one more change.
 func (s State) With(changes map[string]json.RawMessage) State {
-	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries), past: s.past.changed(changes, s.Seq+1)}
+	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries), revisions: s.revisions.changed(changes, s.Seq+1)}
 	if n.Entries == nil {
 		n.Entries = map[string]json.RawMessage{}
 	}
@@ -124,7 +124,7 @@
 	Seeds     func() []string // inner addresses of the seeds' archives
 	Bootstrap bool
 	Lease     foundation.Micros
-	Away      foundation.Micros      // an elector that is away for longer is exchanged
+	Away      foundation.Micros      // a witness that is away for longer is exchanged
 	Catchup   foundation.Micros      // how long to wait for the archives that Losses asks for
 	Losses    int                    // archives that may be lost at once, with their disks
 	Archives  func() []string        // inner addresses of archives that seem alive
@@ -133,16 +133,16 @@
 
 // Vault is one archive's part in keeping the control state.
 type Vault struct {
-	k      *foundation.Kernel
-	branch *loan.Branch
-	cfg    Config
-	lease  foundation.Micros
-	store  *Store
-	self   Member
+	k        *foundation.Kernel
+	endpoint *rpc.Endpoint
+	cfg      Config
+	lease    foundation.Micros
+	store    *Store
+	self     Member
 
 	// mu guards what is in memory; it is never held across disk or network.
 	mu       sync.Mutex
-	elector  elector
+	witness  witness
 	state    State // on this disk; on the active primary also on the backups'
 	seen     View  // newest view heard of
 	seenTill foundation.Micros
@@ -174,67 +174,67 @@
 	wake    chan struct{}
 }
 
-// Open opens the store and takes part in the elections through the branch.
-func Open(k *foundation.Kernel, b *loan.Branch, cfg Config) (*Vault, error) {
+// Open opens the store and takes part in the elections through the endpoint.
+func Open(k *foundation.Kernel, b *rpc.Endpoint, cfg Config) (*Vault, error) {
 	st, err := OpenStore(cfg.Dir)
 	if err != nil {
 		return nil, err
 	}
 	v := &Vault{
-		k: k, branch: b, cfg: cfg, lease: cfg.Lease, store: st,
+		k: k, endpoint: b, cfg: cfg, lease: cfg.Lease, store: st,
 		self:    Member{cfg.Name, b.Addr(), st.Disk},
 		shunned: map[string]foundation.Micros{}, heard: map[string]foundation.Micros{}, missed: map[string]int{},
 		wake: make(chan struct{}, 1), writing: foundation.NewGate(), stating: foundation.NewGate(), voting: foundation.NewGate(),
 	}
 	now := k.Clock.Now()
-	v.elector = elector{lease: cfg.Lease}
+	v.witness = witness{lease: cfg.Lease}
 	reg, found, err := st.loadRegister()
 	if err != nil {
 		return nil, err
 	}
-	v.elector.reg = reg
+	v.witness.reg = reg
 	switch {
 	case found:
-		v.elector.quietTill = now + cfg.Lease
+		v.witness.quietTill = now + cfg.Lease
 	case cfg.Bootstrap:
 		// The very first start: the seeds elect.
-		v.elector.reg.Accepted.Electors = cfg.Seeds()
-		if err := st.Save(registerKey, v.elector.reg); err != nil {
+		v.witness.reg.Accepted.Witnesses = cfg.Seeds()
+		if err := st.Save(registerKey, v.witness.reg); err != nil {
 			return nil, err
 		}
 	default:
-		v.elector.abstains = true
+		v.witness.abstains = true
 	}
 	if v.state, err = st.LoadState(); err != nil {
 		return nil, err
 	}
-	v.seen = v.elector.reg.Accepted
+	v.seen = v.witness.reg.Accepted
 	v.seenTill = v.takeover(now, v.seen)
 	if st.torn > 0 {
 		k.Counters.Add("vault.torn_tails", 1)
 		k.Log.Warn("unfinished last write of the store cut off", "bytes", st.torn)
 	}
-	loan.On(b, "vault.promise", v.onPromise)
-	loan.On(b, "vault.accept", v.onAccept)
-	loan.On(b, "vault.renew", v.onRenew)
-	loan.On(b, "vault.release", v.onRelease)
-	loan.On(b, "vault.register", v.onRegister)
-	loan.On(b, "vault.copy", v.onCopy)
-	loan.On(b, "vault.write", v.onWrite)
-	loan.On(b, "vault.succeed", v.onSucceed)
-	loan.On(b, "vault.leaving", v.onLeaving)
-	loan.On(b, "vault.tell", v.onTell)
-	loan.On(b, "vault.void", v.onVoid)
+	rpc.On(b, "vault.promise", v.onPromise)
+	rpc.On(b, "vault.accept", v.onAccept)
+	rpc.On(b, "vault.renew", v.onRenew)
+	rpc.On(b, "vault.release", v.onRelease)
+	rpc.On(b, "vault.register", v.onRegister)
+	rpc.On(b, "vault.copy", v.onCopy)
+	rpc.On(b, "vault.write", v.onWrite)
+	rpc.On(b, "vault.succeed", v.onSucceed)
+	rpc.On(b, "vault.leaving", v.onLeaving)
+	rpc.On(b, "vault.tell", v.onTell)
+	rpc.On(b, "vault.void", v.onVoid)
 	return v, nil
 }
 
 // takeover is when this archive, hearing nothing more, may stand: the primary
 // of the view that has just started again at once, since its lease was its
 // own; a backup after the lease, one after another; at the very first start
-// the electors in turn.
+// the witnesses in turn.
 func (v *Vault) takeover(now foundation.Micros, view View) foundation.Micros {
 	if view.Epoch == 0 {
-		for i, addr := range view.Electors {
+		for i, addr := range view.Witnesses {
 			if addr == v.self.Addr {
 				return now + foundation.Micros(i)*foundation.Second/2
 			}
@@ -251,8 +251,8 @@
 	return now + v.lease
 }
 
-// Electors returns the inner addresses of the electors.
-func (v *Vault) Electors() []string {
+// Witnesses returns the inner addresses of the witnesses.
+func (v *Vault) Witnesses() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return union(v.seen.sets()...)
@@ -261,11 +261,11 @@
 // Self is this archive as a member.
 func (v *Vault) Self() Member { return v.self }
 
-// Abstains tells whether this archive, as an elector, may not vote yet.
+// Abstains tells whether this archive, as a witness, may not vote yet.
 func (v *Vault) Abstains() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.elector.abstains
+	return v.witness.abstains
 }
 
 // Heard returns, for the primary, how long ago each archive last took part.
@@ -339,7 +339,7 @@
 	if !v.leads(v.k.Clock.Now()) {
 		return State{}, ErrNotPrimary
 	}
-	return State{v.seen.Epoch, v.state.Seq, v.state.Entries, v.state.past}, nil
+	return State{v.seen.Epoch, v.state.Seq, v.state.Entries, v.state.revisions}, nil
 }
 
 // ChangeFunc sees the entries and returns those to replace (nil removes one).
@@ -414,8 +414,8 @@
 	}
 	if !v.largeEnough() {
 		v.mu.Unlock()
-		v.k.Counters.Add("vault.too_few_electors", 1)
-		return fmt.Errorf("%w: the electors can't bear the losses yet", ErrUnavailable)
+		v.k.Counters.Add("vault.too_few_witnesses", 1)
+		return fmt.Errorf("%w: the witnesses can't bear the losses yet", ErrUnavailable)
 	}
 	old, view := v.state, v.seen
 	v.mu.Unlock()
@@ -434,7 +434,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
-	next.past = old.past.changed(changes, next.Seq)
+	next.revisions = old.revisions.changed(changes, next.Seq)
 	local := make(chan error, 1)
 	c := Change{view.Epoch, next.Seq, changes}
 	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
@@ -570,7 +570,7 @@
 	}
 	defer v.voting.Leave()
 	v.mu.Lock()
-	reg := v.elector.reg
+	reg := v.witness.reg
 	v.mu.Unlock()
 	return v.noteDisk(v.store.Save(registerKey, reg))
 }
@@ -604,7 +604,7 @@
 	ask(ctx, v, union(view.sets()...), "vault.release", func(string) any { return epochAsk{view.Epoch} },
 		func(got map[string]struct{}) bool { return majorities(view.sets(), has(got)) })
 	for _, b := range view.Backups {
-		if v.branch.Call(ctx, b.Addr, "vault.succeed", epochAsk{view.Epoch}, nil, callWait) == nil {
+		if v.endpoint.Call(ctx, b.Addr, "vault.succeed", epochAsk{view.Epoch}, nil, callWait) == nil {
 			return
 		}
 	}
@@ -627,7 +627,7 @@
 	for _, addr := range addrs {
 		go func() {
 			r := reply{addr: addr}
-			r.err = v.branch.Call(ctx, addr, op, message(addr), &r.answer, callWait)
+			r.err = v.endpoint.Call(ctx, addr, op, message(addr), &r.answer, callWait)
 			ch <- r
 		}()
 	}
@@ -645,7 +645,7 @@
 // Serve renews the lease as primary, and stands when nobody holds one.
 func (v *Vault) Serve(ctx context.Context) error {
 	if v.Abstains() {
-		go v.recoverElector(ctx)
+		go v.recoverWitness(ctx)
 	}
 	go v.watchDisk(ctx)
 	for {
@@ -688,7 +688,7 @@
 }
 
 // step does what is due: what is wanted is one primary with a running lease,
-// backups that answer, and electors that take part.
+// backups that answer, and witnesses that take part.
 func (v *Vault) step(ctx context.Context) {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
@@ -718,12 +718,12 @@
 }
 
 // mayStand: only a member of the highest view, with that same disk; at the
-// very first start, while there is no view, an elector.
+// very first start, while there is no view, a witness.
 func (v *Vault) mayStand() bool {
 	if v.seen.Epoch == 0 {
-		for _, addr := range v.seen.Electors {
+		for _, addr := range v.seen.Witnesses {
 			if addr == v.self.Addr {
-				return v.cfg.Bootstrap && !v.elector.abstains
+				return v.cfg.Bootstrap && !v.witness.abstains
 			}
 		}
 		return false
@@ -740,7 +740,7 @@
 	v.mu.Unlock()
 	if !active {
 		if view.Has(v.self) {
-			v.branch.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, nil, callWait)
+			v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, nil, callWait)
 			v.awaitOther(ctx, view.Epoch)
 		}
 		return
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -181,8 +181,8 @@
 
 const lease = foundation.Second
 
-func TestElector(t *testing.T) {
-	e := &elector{lease: lease}
+func TestWitness(t *testing.T) {
+	e := &witness{lease: lease}
 	a, b := Member{"a", "a:1", "disk-a"}, Member{"b", "b:1", "disk-b"}
 	now := 10 * foundation.Second
 	promise := func(epoch int64, m Member) bool {
@@ -233,9 +233,9 @@
 		t.Error("an old epoch's release ended the lease")
 	}
 	// After a restart a lease may still run that was granted before.
-	again := &elector{reg: e.reg, lease: lease, quietTill: now + lease}
+	again := &witness{reg: e.reg, lease: lease, quietTill: now + lease}
 	if p, _ := again.promise(now, promiseAsk{9, a, 0}); p.Granted || p.Wait != lease {
-		t.Error("a restarted elector promised before a lease could have run out")
+		t.Error("a restarted witness promised before a lease could have run out")
 	}
 	if p, _ := again.promise(now, promiseAsk{8, a, 1}); p.Granted {
 		t.Error("the word that another view's lease is void was taken")
@@ -259,7 +259,7 @@
 		return func(a string) bool { return strings.Contains(addrs, a) }
 	}
 	three, four := []string{"a", "b", "c"}, []string{"a", "b", "c", "d"}
-	changing := View{Electors: []string{"b", "c", "d"}, Prior: []string{"a", "b", "c"}}
+	changing := View{Witnesses: []string{"b", "c", "d"}, Prior: []string{"a", "b", "c"}}
 	for _, c := range []struct {
 		sets     [][]string
 		voted    string
--- a/internal/vault/elector.go
+++ b/internal/vault/witness.go
@@ -20,11 +20,11 @@
 
 // View says who keeps the control state in an epoch, and who elects.
 type View struct {
-	Epoch    int64    `json:"epoch"`
-	Primary  Member   `json:"primary"`
-	Backups  []Member `json:"backups"`
-	Electors []string `json:"electors"` // inner addresses
-	// Prior is the set of electors before a change of the set. While it is
+	Epoch     int64    `json:"epoch"`
+	Primary   Member   `json:"primary"`
+	Backups   []Member `json:"backups"`
+	Witnesses []string `json:"witnesses"` // inner addresses
+	// Prior is the set of witnesses before a change of the set. While it is
 	// named, a majority of it must agree too.
 	Prior []string `json:"prior,omitempty"`
 }
@@ -34,12 +34,12 @@
 
 func (v View) is(o View) bool { return v.Epoch == o.Epoch && v.Primary == o.Primary }
 
-// sets are the sets of electors of each of which a majority is needed.
+// sets are the sets of witnesses of each of which a majority is needed.
 func (v View) sets() [][]string {
 	if len(v.Prior) > 0 {
-		return [][]string{v.Electors, v.Prior}
+		return [][]string{v.Witnesses, v.Prior}
 	}
-	return [][]string{v.Electors}
+	return [][]string{v.Witnesses}
 }
 
 // union lists the members of all sets once.
@@ -88,7 +88,7 @@
 	return true
 }
 
-// register is what an elector keeps on disk.
+// register is what a witness keeps on disk.
 type register struct {
 	Promised int64 `json:"promised"`
 	Accepted View  `json:"accepted"`
@@ -110,8 +110,8 @@
 	Wait     foundation.Micros `json:"wait_us,omitempty"` // a lease runs this long yet
 }
 
-// acceptAsk carries the disk on which the elector promised: an acceptance
-// rests on that promise, and an elector that lost it must not vote again.
+// acceptAsk carries the disk on which the witness promised: an acceptance
+// rests on that promise, and a witness that lost it must not vote again.
 type acceptAsk struct {
 	View View   `json:"view"`
 	Disk string `json:"disk"`
@@ -128,7 +128,7 @@
 	Stalled  bool  `json:"stalled,omitempty"` // its disk does not serve
 }
 
-// VoteKind is the kind of record of an elector's answer.
+// VoteKind is the kind of record of a witness's answer.
 const VoteKind = "vote"
 
 // Vote is the record of one: a "promise" or an "accept" of an epoch.
@@ -141,10 +141,10 @@
 
 var errAbstains = errors.New("abstains")
 
-// elector is the witness's side: it decides nothing about the state, it only
+// witness is the witness's side: it decides nothing about the state, it only
 // keeps two candidates from winning the same epoch. Its methods change what it
 // holds in memory; a vote counts once the register has been saved.
-type elector struct {
+type witness struct {
 	reg       register
 	to        Member            // whom this life promised the epoch to
 	lease     foundation.Micros // span of a lease
@@ -156,7 +156,7 @@
 // promise votes for a candidate's epoch. The holder of a lease may have
 // another epoch while it runs: with its own next life or next backups it does
 // not compete.
-func (e *elector) promise(now foundation.Micros, q promiseAsk) (promiseAnswer, error) {
+func (e *witness) promise(now foundation.Micros, q promiseAsk) (promiseAnswer, error) {
 	a := promiseAnswer{Promised: e.reg.Promised, Accepted: e.reg.Accepted}
 	if e.abstains {
 		return a, errAbstains
@@ -174,7 +174,7 @@
 	return a, nil
 }
 
-func (e *elector) accept(now foundation.Micros, v View) (renewAnswer, error) {
+func (e *witness) accept(now foundation.Micros, v View) (renewAnswer, error) {
 	if e.abstains {
 		return renewAnswer{Abstains: true}, nil
 	}
@@ -187,8 +187,8 @@
 }
 
 // renew prolongs the lease of the accepted view; a view whose acceptance this
-// elector missed is accepted now. It reports whether the register changed.
-func (e *elector) renew(now foundation.Micros, v View) (a renewAnswer, changed bool) {
+// witness missed is accepted now. It reports whether the register changed.
+func (e *witness) renew(now foundation.Micros, v View) (a renewAnswer, changed bool) {
 	if e.abstains || v.Epoch < e.reg.Promised || v.Epoch > e.reg.Accepted.Epoch {
 		a, _ = e.accept(now, v)
 		return a, a.Granted
@@ -200,7 +200,7 @@
 	return renewAnswer{Granted: true, Promised: v.Epoch}, false
 }
 
-func (e *elector) release(epoch int64) {
+func (e *witness) release(epoch int64) {
 	if e.reg.Accepted.Epoch == epoch {
 		e.until, e.quietTill = 0, 0
 	}
@@ -211,11 +211,11 @@
 	Abstains bool     `json:"abstains"`
 }
 
-// recoverElector fills the register of an elector that lost its disk. First
+// recoverWitness fills the register of a witness that lost its disk. First
 // every call that was under way when the disk was lost has ended, and every
 // lease that it may have granted. Then it reads so many intact registers that
-// no vote can be missed, of the newest set of electors that any of them knows.
-func (v *Vault) recoverElector(ctx context.Context) {
+// no vote can be missed, of the newest set of witnesses that any of them knows.
+func (v *Vault) recoverWitness(ctx context.Context) {
 	go v.giveUpLease(ctx)
 	foundation.Sleep(ctx, v.lease)
 	said := false
@@ -224,19 +224,19 @@
 		if err == nil {
 			v.mu.Lock()
 			v.observe(reg.Accepted)
-			v.elector.reg = reg
+			v.witness.reg = reg
 			v.mu.Unlock()
 			if err = v.saveRegister(ctx); err == nil {
 				v.mu.Lock()
-				v.elector.abstains = false
+				v.witness.abstains = false
 				v.mu.Unlock()
-				v.k.Log.Info("elector restored from the others", "promised", reg.Promised, "epoch", reg.Accepted.Epoch)
+				v.k.Log.Info("witness restored from the others", "promised", reg.Promised, "epoch", reg.Accepted.Epoch)
 				return
 			}
 		}
 		if !said {
 			said = true
-			v.k.Log.Info("elector abstains", "why", err.Error())
+			v.k.Log.Info("witness abstains", "why", err.Error())
 		}
 	}
 }
@@ -257,7 +257,7 @@
 			continue
 		}
 		for _, b := range newest.Backups {
-			if v.branch.Call(ctx, b.Addr, "vault.void", epochAsk{newest.Epoch}, nil, callWait) == nil {
+			if v.endpoint.Call(ctx, b.Addr, "vault.void", epochAsk{newest.Epoch}, nil, callWait) == nil {
 				v.k.Log.Info("lease of the life before given up", "epoch", newest.Epoch)
 				return
 			}
@@ -270,13 +270,13 @@
 	view := v.seen
 	v.mu.Unlock()
 	for hop := 0; hop < 8; hop++ {
-		from := union(view.Electors, view.Prior, v.cfg.Archives(), v.cfg.Seeds())
+		from := union(view.Witnesses, view.Prior, v.cfg.Archives(), v.cfg.Seeds())
 		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
 		reg, newest := register{}, view
 		for _, a := range answers {
 			reg.Promised = max(reg.Promised, a.Register.Promised)
 			// One that lost its own disk too may still know whom to ask.
-			if a.Register.Accepted.Epoch > newest.Epoch || len(newest.Electors) == 0 {
+			if a.Register.Accepted.Epoch > newest.Epoch || len(newest.Witnesses) == 0 {
 				newest = a.Register.Accepted
 			}
 		}
@@ -285,9 +285,9 @@
 			return ok && !a.Abstains && addr != v.self.Addr
 		}
 		switch {
-		case len(newest.Electors) == 0:
-			return register{}, errors.New("nobody knows the electors")
-		case newest.Epoch > view.Epoch || len(view.Electors) == 0:
+		case len(newest.Witnesses) == 0:
+			return register{}, errors.New("nobody knows the witnesses")
+		case newest.Epoch > view.Epoch || len(view.Witnesses) == 0:
 			view = newest
 			continue
 		case !overlap(view.sets(), intact):
@@ -297,5 +297,5 @@
 		reg.Accepted = view
 		return reg, nil
 	}
-	return register{}, errors.New("the electors change too often")
+	return register{}, errors.New("the witnesses change too often")
 }
