Order ledger: orders that were taken, as a bounded ring of entries of their own

Change: the last tune.orders_kept (512) orders are entries of their own, a ring written together with the configuration; one that may have been taken and forgotten is left without a clear answer, never refused. A configuration, sent or made by patches, is bounded at 2 MiB (MaxBody), since one that no call carries would stop the control state. A call whose body does not arrive gets 408: it may have been taken, so 400 would be a refusal of it.

--- a/internal/catalogue/catalogue.go
+++ b/internal/catalogue/catalogue.go
@@ -5,13 +5,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"reflect"
-	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -170,22 +167,24 @@
 // Key is the entry of the control state that holds the configuration.
 const Key = "configuration"
 
-// stored keeps the body as it was sent: read back, it must not differ. Taken
-// remembers what was taken before, for calls that are sent again.
+// stored keeps the body as it was sent: read back, it must not differ.
 type stored struct {
-	Rev   int64             `json:"rev"`
-	Body  json.RawMessage   `json:"body"`
-	Taken map[string]string `json:"taken"` // digest of base and body by version
+	Rev    int64           `json:"rev"`
+	Body   json.RawMessage `json:"body"`
+	Orders int64           `json:"orders"` // taken so far: it gives the next one's place in the ledger
 }
 
-func digest(base int64, body []byte) string {
-	return fmt.Sprintf("%x", sha256.Sum256(fmt.Appendf(nil, "%d %s", base, body)))[:32]
-}
+// MaxBody bounds a configuration, as it is sent and as it is kept: half of what
+// one call between archives carries, and some 10,000 routes.
+const MaxBody = 2 << 20
 
 // Errors of this layer.
 var (
 	ErrOtherVersion = errors.New("catalogue: another version is in place")
 	ErrUnavailable  = errors.New("catalogue: can't be changed now")
+	// ErrForgotten says that an order may have been taken long ago: the ledger
+	// does not reach back as far.
+	ErrForgotten = errors.New("catalogue: whether this was taken is not known any more")
 )
 
 // Invalid lists the faults for which a configuration was refused.
@@ -193,14 +192,25 @@
 
 func (e *Invalid) Error() string { return "catalogue: invalid configuration" }
 
-// Catalogue is the archive's side.
+// controlState is what the catalogue needs of the vault.
+type controlState interface {
+	Update(ctx context.Context, change vault.ChangeFunc) error
+	Read(key string) (json.RawMessage, error)
+}
+
+// Catalogue is the archive's side. The versions that were ever in force form a
+// chain: each was made by the one order that was taken on top of the version
+// before it, and its number is higher.
 type Catalogue struct {
-	k *foundation.Kernel
-	v *vault.Vault
+	k      *foundation.Kernel
+	v      controlState
+	ledger *ledger
 }
 
-// New returns the catalogue kept in v.
-func New(k *foundation.Kernel, v *vault.Vault) *Catalogue { return &Catalogue{k, v} }
+// New returns the catalogue kept in v; its ledger holds that many orders.
+func New(k *foundation.Kernel, v controlState, orders int64) *Catalogue {
+	return &Catalogue{k, v, newLedger(orders)}
+}
 
 // Decode returns the configuration in an entry of the control state.
 func Decode(entry json.RawMessage) (body json.RawMessage, c *Configuration, err error) {
@@ -228,7 +238,7 @@
 	if err != nil {
 		return c.refuse(err)
 	}
-	return c.change(ctx, base, conf.Rev, digest(base, body), func(json.RawMessage) (json.RawMessage, error) {
+	return c.change(ctx, newOrder("replace", base, conf.Rev, body), func(json.RawMessage) (json.RawMessage, error) {
 		return body, nil
 	})
 }
@@ -243,7 +253,7 @@
 	if err != nil {
 		return c.refuse(err)
 	}
-	return c.change(ctx, base, p.Rev, digest(base, append([]byte("update "), body...)), func(now json.RawMessage) (json.RawMessage, error) {
+	return c.change(ctx, newOrder("update", base, p.Rev, body), func(now json.RawMessage) (json.RawMessage, error) {
 		next, err := p.apply(now)
 		if err != nil {
 			return nil, err
@@ -263,59 +273,67 @@
 	return body.Bytes(), nil
 }
 
-// change puts what next makes of the body in place in force, if that is the
-// body of version base. One that was taken before, as its sum shows, has been
-// sent again.
-func (c *Catalogue) change(ctx context.Context, base, rev int64, sum string, next func(json.RawMessage) (json.RawMessage, error)) error {
+// change puts what next makes of the body in place in force, if the order
+// builds on that version. One that was taken before is acknowledged again, and
+// one of which that can't be told is left without a clear answer.
+func (c *Catalogue) change(ctx context.Context, o order, next func(json.RawMessage) (json.RawMessage, error)) error {
+	if o.Rev <= o.Base { // no version was ever made like this
+		return c.refuse(&Invalid{[]Fault{{"rev", fmt.Sprintf("is not higher than %d, on which it builds", o.Base)}}})
+	}
+	var fresh bool
 	err := c.v.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		fresh = false
 		var now stored
 		if e := entries[Key]; e != nil {
 			if err := json.Unmarshal(e, &now); err != nil {
 				return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 			}
 		}
-		number := strconv.FormatInt(rev, 10)
-		if now.Taken[number] == sum {
-			return nil, nil
-		}
-		if now.Rev != base {
-			return nil, ErrOtherVersion
-		}
-		if rev <= now.Rev {
-			return nil, &Invalid{[]Fault{{"rev", fmt.Sprintf("is not higher than the current %d", now.Rev)}}}
+		if o.Base != now.Rev {
+			return nil, c.ledger.check(entries, now.Rev, o)
 		}
 		body, err := next(now.Body)
 		if err != nil {
 			return nil, err
 		}
-		taken := maps.Clone(now.Taken)
-		if taken == nil {
-			taken = map[string]string{}
+		entry, err := json.Marshal(stored{o.Rev, body, now.Orders + 1})
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+		}
+		if len(entry) > MaxBody {
+			return nil, &Invalid{[]Fault{{"body", fmt.Sprintf("makes a configuration of over %d bytes", MaxBody)}}}
 		}
-		taken[number] = sum
-		entry, err := json.Marshal(stored{rev, body, taken})
+		record, err := json.Marshal(o)
 		if err != nil {
 			return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 		}
-		return map[string]json.RawMessage{Key: entry}, nil
+		fresh = true
+		return map[string]json.RawMessage{Key: entry, c.ledger.place(now.Orders): record}, nil
 	})
 	switch {
-	case err == nil:
+	case err == nil && fresh:
 		c.k.Counters.Add("catalogue.taken", 1)
-		c.k.Log.Info("configuration in force", "rev", rev)
+		c.k.Log.Info("configuration in force", "rev", o.Rev)
+		return nil
+	case err == nil:
+		c.k.Counters.Add("catalogue.taken_before", 1)
 		return nil
 	case errors.Is(err, vault.ErrNotPrimary), errors.Is(err, vault.ErrUnavailable):
-		c.k.Counters.Add("catalogue.unavailable", 1)
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		err = fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	return c.refuse(err)
 }
 
-// refuse counts a change that is not taken.
+// refuse counts a change that is not taken, or not surely.
 func (c *Catalogue) refuse(err error) error {
-	if errors.Is(err, ErrOtherVersion) {
+	switch {
+	case errors.Is(err, ErrOtherVersion):
 		c.k.Counters.Add("catalogue.lost_race", 1)
-	} else {
+	case errors.Is(err, ErrForgotten):
+		c.k.Counters.Add("catalogue.forgotten", 1)
+	case errors.Is(err, ErrUnavailable):
+		c.k.Counters.Add("catalogue.unavailable", 1)
+	default:
 		c.k.Counters.Add("catalogue.invalid", 1)
 	}
 	return err
--- a/internal/catalogue/plugin.go
+++ b/internal/catalogue/plugin.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"indigowalk/internal/charter"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/vault"
 )
@@ -9,7 +10,8 @@
 	foundation.Register(foundation.Plugin{
 		Name: "catalogue", Rank: 30, Roles: []string{"archive"},
 		Build: func(k *foundation.Kernel) error {
-			foundation.Offer(k, New(k, foundation.Need[*vault.Vault](k)))
+			s := foundation.Need[*charter.Book](k).Now()
+			foundation.Offer(k, New(k, foundation.Need[*vault.Vault](k), s.OrdersKept))
 			return nil
 		},
 	})
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -73,7 +73,10 @@
 	CheckWaitMs   int64 `key:"tune.check_wait_ms" default:"150" validate:"gte=10"`
 	QuietMs       int64 `key:"tune.quiet_ms" default:"100" validate:"gte=10"`
 	SilenceMs     int64 `key:"tune.silence_ms" default:"700" validate:"gte=50"`
-	RecordKB      int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
+	// OrdersKept is how many orders of operators are known again when they are sent
+	// again; an older one gets no clear answer.
+	OrdersKept int64 `key:"tune.orders_kept" default:"512" validate:"gte=64,lte=4096"`
+	RecordKB   int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
 }
 
 // Span converts a setting in milliseconds.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -24,10 +24,6 @@
 	"indigowalk/internal/vault"
 )
 
-// maxBody bounds what is read of a call where the configuration in force
-// says nothing.
-const maxBody = 1 << 20
-
 // maxBeat bounds a beat.
 const maxBeat = 16 << 10
 
@@ -165,7 +161,10 @@
 		r.fail(w, http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
 		return nil, false
 	case err != nil:
-		r.fail(w, http.StatusBadRequest, "body: is not there in full", "body")
+		// What never arrived says nothing of the order: it may be one that was
+		// taken, so this is no refusal of it.
+		r.k.Counters.Add("registrar.cut_short", 1)
+		r.fail(w, http.StatusRequestTimeout, "body: is not there in full", "body")
 		return nil, false
 	}
 	return raw, true
@@ -206,7 +205,7 @@
 // change takes a whole configuration, or a change of named items.
 func (r *Registrar) change(take func(ctx context.Context, base int64, raw []byte) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
-		raw, ok := r.body(w, q, maxBody)
+		raw, ok := r.body(w, q, catalogue.MaxBody)
 		if !ok {
 			return
 		}
