Model tests of orders: equal numbers, lost answers, take-overs at every step

Test: operators that pick equal numbers and send again, eight at once, against a control state whose primary ends at any step (TestOrdersOnACrashingState), and against archives that are killed, end, fall silent, lose a disk or all power (TestOrdersAcrossTakeOvers); the primary killed at each quarter millisecond of a write (TestOrderAtEachStepOfATakeOver).

--- a/internal/catalogue/ledger_test.go
+++ b/internal/catalogue/ledger_test.go
@@ -119,7 +119,7 @@
 	}{
 		{"the newest", c.Update, 9, patch(10), nil},
 		{"the newest, spaced otherwise", c.Update, 9, append([]byte("\n "), patch(10)...), nil},
-		{"the newest as another kind of call", c.Replace, 9, body(10, 1), ErrOtherVersion},
+		{"the newest as another kind of call", c.Replace, 9, patch(10), ErrOtherVersion},
 		{"another body under the newest's number", c.Update, 9, []byte(`{"rev":10}`), ErrOtherVersion},
 		{"another base under the newest's number", c.Update, 8, patch(10), ErrOtherVersion},
 		{"another number with the newest's body", c.Update, 9, patch(11), ErrOtherVersion},
--- /dev/null
+++ b/internal/rehearsal/orders_test.go
@@ -0,0 +1,374 @@
+package rehearsal
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"indigowalk/internal/catalogue"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
+)
+
+// body is the order as it is sent, to routes of the service.
+func (o order) body(service string) []byte {
+	var routes []map[string]any
+	for _, name := range slices.Sorted(maps.Keys(o.routes)) {
+		routes = append(routes, map[string]any{"name": name, "host": name, "path_prefix": "/", "type": "primary", "svc": service, "deadline_ms": o.routes[name]})
+	}
+	if o.invalid {
+		routes[0]["svc"] = "nowhere"
+	}
+	content := map[string]any{"rev": o.rev, "routes": routes, "services": []any{map[string]any{"name": service, "max_conns": 90, "sync_replicas": 1}}}
+	if o.update {
+		content = map[string]any{"rev": o.rev, "upsert": map[string]any{"routes": routes}}
+	}
+	raw, err := json.Marshal(content)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// random is an order of an operator that knows a version: several operators
+// pick few numbers, so that they often pick the same.
+func random(rng *rand.Rand, known int64) order {
+	o := order{update: known > 0 && rng.IntN(2) == 0, base: known, rev: known + 1 + rng.Int64N(2), routes: map[string]int64{}, invalid: rng.IntN(12) == 0}
+	for range 1 + rng.IntN(3) {
+		o.routes[string(rune('a'+rng.IntN(5)))] = 1000 + rng.Int64N(1000)
+	}
+	return o
+}
+
+// readBack is what a configuration holds; 0 if there is none.
+func readBack(raw []byte) (rev int64, routes map[string]int64) {
+	var c catalogue.Configuration
+	if len(raw) == 0 || json.Unmarshal(raw, &c) != nil {
+		return 0, nil
+	}
+	routes = map[string]int64{}
+	for _, r := range c.Routes {
+		routes[r.Name] = r.DeadlineMs
+	}
+	return c.Rev, routes
+}
+
+// crashing is a control state whose primary may end between any two steps of a
+// batch of changes: what it wrote then lasts or not, and nobody gets an answer.
+type crashing struct{ lasting, next map[string]json.RawMessage }
+
+func (s *crashing) Read(key string) (json.RawMessage, error) { return s.lasting[key], nil }
+
+func (s *crashing) Update(_ context.Context, change vault.ChangeFunc) error {
+	changes, err := change(s.next)
+	if err == nil {
+		maps.Copy(s.next, changes)
+	}
+	return err
+}
+
+// Operators that pick equal numbers send and send again, in batches of eight;
+// the primary ends at any step and the next one begins with an empty memory.
+// ORDER-SAME and LEDGER-BOUNDED rest on it.
+func TestOrdersOnACrashingState(t *testing.T) {
+	const kept = 8
+	var taken, again, refused, forgotten, lost int
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		s := &crashing{lasting: map[string]json.RawMessage{}}
+		h := &history{}
+		start := func() *catalogue.Catalogue {
+			return catalogue.New(foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), s, kept)
+		}
+		c := start()
+		known := make([]int64, 4) // by operator
+		var newest []int          // orders that were taken, in their order
+		read := func() int64 {
+			asked := h.tick()
+			raw, err := c.Fetch()
+			if err != nil {
+				t.Fatal(err)
+			}
+			rev, routes := readBack(raw)
+			if rev > 0 {
+				h.read(asked, rev, routes)
+			}
+			return rev
+		}
+		for range 150 {
+			type call struct{ n, asked, code int }
+			var batch []call
+			s.next = maps.Clone(s.lasting)
+			ends, keeps := rng.IntN(4) == 0, rng.IntN(2) == 0
+			before := slices.Clone(newest)
+			for range 1 + rng.IntN(8) {
+				n, all := 0, len(h.orders)
+				switch draw := rng.IntN(10); {
+				case all == 0 || draw < 4:
+					n = h.add(random(rng, known[rng.IntN(len(known))]))
+				case draw < 9:
+					n = max(0, all-1-rng.IntN(12)) // what is under way
+				default:
+					n = rng.IntN(all)
+				}
+				o := h.get(n)
+				take := c.Replace
+				if o.update {
+					take = c.Update
+				}
+				code, asked := 200, h.tick()
+				err := take(t.Context(), o.base, o.body("s"))
+				switch {
+				case errors.As(err, new(*catalogue.Invalid)):
+					code = 400
+					refused++
+				case errors.Is(err, catalogue.ErrOtherVersion):
+					code = 412
+					refused++
+				case errors.Is(err, catalogue.ErrForgotten):
+					code = 503
+					forgotten++
+					if i := slices.Index(newest, n); i >= 0 && i >= len(newest)-kept {
+						t.Errorf("seed %d: order %d is forgotten, the %dth of %d", seed, n, i+1, len(newest))
+					}
+				case err != nil:
+					t.Fatal(err)
+				}
+				if code == 200 && !slices.Contains(newest, n) {
+					newest = append(newest, n)
+					taken++
+				} else if code == 200 {
+					again++
+				}
+				batch = append(batch, call{n, asked, code})
+			}
+			if ends {
+				lost++
+				c = start()
+			}
+			if ends && !keeps {
+				newest = before
+			} else {
+				s.lasting = s.next
+			}
+			for _, b := range batch {
+				if ends {
+					b.code = 0
+				}
+				h.answered(b.n, b.asked, b.code)
+			}
+			if rng.IntN(2) == 0 {
+				known[rng.IntN(len(known))] = read()
+			}
+		}
+		read()
+		for _, fault := range h.faults() {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+	if min(taken, again, refused, forgotten, lost) < 150 {
+		t.Errorf("too little happened: %d taken, %d again, %d refused, %d forgotten, %d batches lost", taken, again, refused, forgotten, lost)
+	}
+}
+
+// send makes one call with an order, at one archive; 0 stands for no clear
+// answer.
+func (w *World) send(zone int, o order) int {
+	call := "/Conf.Replace"
+	if o.update {
+		call = "/Conf.Update"
+	}
+	code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(zone)+":8782", call,
+		map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(o.base, 10)}, o.body("ledger"))
+	if code >= 500 || code < 200 || code >= 300 && code < 400 || code == http.StatusRequestTimeout {
+		return 0
+	}
+	return code
+}
+
+// fetch reads the configuration back at one archive into the history.
+func (w *World) fetch(h *history, zone int) (int64, bool) {
+	asked := h.tick()
+	code, raw := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(zone)+":8782", "/Conf.Fetch", nil, nil)
+	rev, routes := readBack(raw)
+	if code != 200 || rev == 0 {
+		return 0, false
+	}
+	if rev > 1 { // the first one is not of the history
+		h.read(asked, rev, routes)
+	}
+	return rev, true
+}
+
+// Operators that pick equal numbers, eight orders under way, lost answers and
+// sends to other nodes, while archives are killed, end, fall silent, lose their
+// disks or all their power.
+func TestOrdersAcrossTakeOvers(t *testing.T) {
+	for seed := range uint64(2) {
+		core(t, 4, 1, func(w *World, g *Group) {
+			h := &history{}
+			end := make(chan struct{})
+			var wg sync.WaitGroup
+			for i := range 8 {
+				rng := rand.New(rand.NewPCG(seed, uint64(i)+10))
+				wg.Go(func() { w.operate(h, rng, end) })
+			}
+			rng := rand.New(rand.NewPCG(seed, 3))
+			for range 5 {
+				time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+				w.trouble(rng)
+			}
+			close(end)
+			wg.Wait()
+			w.Net.Heal()
+			w.Until("a version is read back", 10*time.Second, func() bool { _, ok := w.fetch(h, 1); return ok })
+			acked := 0
+			for n, o := range h.orders {
+				if slices.ContainsFunc(h.answers, func(a answer) bool { return a.order == n && a.code == 200 }) {
+					acked++
+					asked := h.tick()
+					w.Until("it is acknowledged again", 5*time.Second, func() bool {
+						code := w.send(1+rng.IntN(4), o)
+						h.answered(n, asked, code)
+						return code != 0
+					})
+				}
+			}
+			w.Until("the end is read back", 10*time.Second, func() bool { _, ok := w.fetch(h, 2); return ok })
+			for _, fault := range h.faults() {
+				t.Errorf("seed %d: %s", seed, fault)
+			}
+			t.Logf("seed %d: %d of %d orders acknowledged, %d answers, %d readings", seed, acked, len(h.orders), len(h.answers), len(h.readings))
+			if acked < 15 {
+				t.Errorf("seed %d: only %d of %d orders were acknowledged", seed, acked, len(h.orders))
+			}
+		})
+	}
+}
+
+// operate is an operator: it sends an order on top of the version that it
+// knows until it has a clear answer, and loses some answers.
+func (w *World) operate(h *history, rng *rand.Rand, end chan struct{}) {
+	for {
+		select {
+		case <-end:
+			return
+		default:
+		}
+		// All at about the same time, so that they meet on one version.
+		const round = 700 * time.Millisecond
+		time.Sleep(round - time.Duration(time.Now().UnixNano())%round + time.Duration(rng.IntN(20))*time.Millisecond)
+		known, ok := w.fetch(h, 1+rng.IntN(4))
+		if !ok {
+			continue
+		}
+		o := random(rng, known)
+		n := h.add(o)
+		o = h.get(n)
+		for try := range 12 {
+			asked := h.tick()
+			code := w.send(1+rng.IntN(4), o)
+			if rng.IntN(3) == 0 {
+				code = 0 // lost on its way
+			}
+			h.answered(n, asked, code)
+			if code != 0 {
+				break
+			}
+			time.Sleep(time.Duration(20+50*try) * time.Millisecond)
+		}
+	}
+}
+
+// trouble strikes an archive, the primary mostly, or all of them, and waits
+// until what was struck counts as back.
+func (w *World) trouble(rng *rand.Rand) {
+	z := vaultPrimary(w)
+	if z == 0 || rng.IntN(4) == 0 {
+		z = 1 + rng.IntN(4)
+	}
+	again := func(z int) { w.Start("archive", z, false) }
+	switch p := w.Process("archive", z); rng.IntN(6) {
+	case 0:
+		p.Kill()
+		again(z)
+	case 1:
+		p.Kill()
+		time.Sleep(1500 * time.Millisecond)
+		again(z)
+	case 2:
+		p.Term()
+		again(z)
+	case 3:
+		w.Net.Dark(ip(z), true)
+		time.Sleep(3 * time.Second)
+		w.Net.Dark(ip(z), false)
+	case 4:
+		p.Kill()
+		p.Wipe()
+		again(z)
+	case 5:
+		for z := 1; z <= 4; z++ {
+			w.Process("archive", z).Kill()
+		}
+		for z := 1; z <= 4; z++ {
+			again(z)
+		}
+	}
+	time.Sleep(4 * time.Second)
+}
+
+// TAKEN-LASTS: the primary ends at any step of a write. Where the next one
+// holds the order, that is acknowledged when it is sent again, and its rival under
+// the same number is refused; else the rival is taken, and it is not.
+func TestOrderAtEachStepOfATakeOver(t *testing.T) {
+	var held, dropped int
+	core(t, 4, 1, func(w *World, g *Group) {
+		h := &history{}
+		known := int64(1)
+		for step := range 14 {
+			z := vaultPrimary(w)
+			o := h.get(h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 7}}))
+			rival := h.get(h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 8}}))
+			first, second := len(h.orders)-2, len(h.orders)-1
+			asked, got := h.tick(), make(chan int)
+			go func() { got <- w.send(z, o) }()
+			time.Sleep(time.Duration(step) * 250 * time.Microsecond)
+			w.Process("archive", z).Kill()
+			h.answered(first, asked, <-got)
+			clear := func(n int, o order) (code int) {
+				asked := h.tick()
+				w.Until("a clear answer", 6*time.Second, func() bool { code = w.send(1+z%4, o); return code != 0 })
+				h.answered(n, asked, code)
+				return code
+			}
+			switch codes := [2]int{clear(second, rival), clear(first, o)}; codes {
+			case [2]int{412, 200}:
+				held++
+			case [2]int{200, 412}:
+				dropped++
+			default:
+				t.Errorf("step %d: the rival got %d, the order sent again %d", step, codes[0], codes[1])
+			}
+			known++
+			w.Start("archive", z, false)
+			w.Until("read back", 6*time.Second, func() bool { rev, ok := w.fetch(h, z); return ok && rev == known })
+			time.Sleep(2 * time.Second)
+		}
+		for _, fault := range h.faults() {
+			t.Error(fault)
+		}
+	})
+	if held < 3 || dropped < 3 {
+		t.Errorf("the order was held %d times and dropped %d times", held, dropped)
+	}
+}
