Vault: a second loss right after a repair, a leaving or a replacement

Cause: a backup that came back with an empty disk before it was missed stayed in the view until the next write, so that the primary's disk alone held the state. A backup that left waited one lease and went, though the primary was lost meanwhile and no other view had been formed; a leaving primary likewise. A witness lost together with the primary was exchanged 3 s after the take-over, that is after its successor counted as back. While the set of witnesses grew, the small one before it was still in force, and changes were acknowledged.

Change: a renewal's answer names the disk, and another disk is replaced at once. Leave returns once a view is known that does without the archive's disk, within the grace; a leaving member stands itself, after all others, and hands over again. A witness that answered nothing since the take-over gets one lease, and none more than half of catchup_s. A change rests on backups none of which failed or leaves, as many as may be lost unless no other archive takes part, and on no set of witnesses that is too small. What decides this is in membership.go, apart from locks and network. An archive that did not take a copy is not asked again for 2 s; one that did is no longer shunned.

Test: TestBackupBackWithAnEmptyDisk, TestLastHolderLeaves and TestWitnessesReplacedBeforeTheSecondLoss failed before; TestBackupsGrowOnceOthersAreBack held already.

--- /dev/null
+++ b/internal/rehearsal/replacement_test.go
@@ -0,0 +1,151 @@
+package rehearsal
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// catchup is bounds.catchup_s of the worlds here: a machine that is back for as
+// long does not count as lost any more, so that another may be.
+const catchup = 4 * time.Second
+
+// backups lists the zones of the primary's backups.
+func backups(w *World) (out []int) {
+	p := w.Process("archive", vaultPrimary(w)).vault()
+	view, _ := p.Primary()
+	for z := 1; z <= w.Zones; z++ {
+		if a := w.Process("archive", z); a != nil && a.vault() != p && view.Has(a.vault().Self()) {
+			out = append(out, z)
+		}
+	}
+	return out
+}
+
+// lose ends archives for good, with their disks.
+func (w *World) lose(zones ...int) {
+	for _, z := range zones {
+		p := w.Process("archive", z)
+		p.Kill()
+		p.Wipe()
+	}
+}
+
+// changed has a change taken.
+func changed(w *World, from, to int64) {
+	w.T.Helper()
+	w.Until("a change is taken", 5*time.Second, func() bool {
+		for z := 1; z <= w.Zones; z++ {
+			if w.Process("archive", z) != nil && w.Replace(z, from, w.Configuration(to)) == 200 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// lasts checks that a change is there, and that another is taken on top of it.
+func lasts(w *World, rev int64) {
+	w.T.Helper()
+	w.Until(fmt.Sprint("version ", rev, " is read back"), 8*time.Second, func() bool { return w.Fetch() == rev })
+	changed(w, rev, rev+1)
+}
+
+// AcknowledgedSurvives: a backup comes back with an empty disk sooner than it
+// is missed. Before it counts as back, the state is on as many disks as before,
+// though nothing was written meanwhile.
+func TestBackupBackWithAnEmptyDisk(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		changed(w, 1, 7)
+		z := backups(w)[0]
+		w.lose(z)
+		w.Start("archive", z, false)
+		time.Sleep(catchup)
+		w.lose(vaultPrimary(w))
+		lasts(w, 7)
+	})
+}
+
+// AcknowledgedSurvives: an archive that leaves in order is the last to hold the
+// state, since the other that held it is lost before a later view is formed. It
+// goes only once others have the state, within its grace.
+func TestLastHolderLeaves(t *testing.T) {
+	for _, who := range []string{"backup", "primary"} {
+		core(t, 4, 1, func(w *World, g *Group) {
+			changed(w, 1, 7)
+			leaving, lost := backups(w)[0], vaultPrimary(w)
+			if who == "primary" {
+				leaving, lost = lost, leaving
+			}
+			start, gone := time.Now(), make(chan time.Duration, 1)
+			go func() {
+				w.Process("archive", leaving).Term()
+				gone <- time.Since(start)
+			}()
+			w.lose(lost)
+			if took := <-gone; took > 5*time.Second {
+				t.Errorf("the %s went after %v", who, took)
+			}
+			lasts(w, 7)
+		})
+	}
+}
+
+// AcknowledgedSurvives: where two may be lost, a view that had one backup only,
+// since others were away, has two again before those count as back.
+func TestBackupsGrowOnceOthersAreBack(t *testing.T) {
+	for _, zones := range []int{5, 6} {
+		core(t, zones, 2, func(w *World, g *Group) {
+			for _, z := range backups(w) {
+				w.lose(z)
+			}
+			changed(w, 1, 7)
+			for z := 1; z <= zones; z++ {
+				if w.Process("archive", z) == nil {
+					w.Start("archive", z, false)
+				}
+			}
+			time.Sleep(catchup)
+			w.lose(append(backups(w)[:1], vaultPrimary(w))...)
+			time.Sleep(time.Second)
+			for z := 1; z <= zones; z++ {
+				if w.Process("archive", z) == nil {
+					w.Start("archive", z, false)
+				}
+			}
+			lasts(w, 7)
+		})
+	}
+}
+
+// MajorityRemains: the primary, or the primary and a witness, are lost for good
+// and replaced by new machines. Once these count as back as many may be lost
+// for good again, and a majority of the witnesses is left.
+func TestWitnessesReplacedBeforeTheSecondLoss(t *testing.T) {
+	for _, c := range []struct{ zones, losses int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}} {
+		core(t, c.zones, c.losses, func(w *World, g *Group) {
+			changed(w, 1, 7)
+			lost := []int{vaultPrimary(w)}
+			if c.losses == 2 {
+				lost = append(lost, backups(w)[0])
+			}
+			w.lose(lost...)
+			time.Sleep(100 * time.Millisecond)
+			for range lost {
+				w.Zones++
+				w.Start("archive", w.Zones, false)
+			}
+			time.Sleep(catchup)
+			z := vaultPrimary(w)
+			view, _ := w.Process("archive", z).vault().Primary()
+			lost = append(lost[:0], z)
+			for other := 1; other <= w.Zones && len(lost) < c.losses; other++ {
+				if p := w.Process("archive", other); p != nil && other != z && view.Has(p.vault().Self()) {
+					lost = append(lost, other)
+				}
+			}
+			w.lose(lost...)
+			lasts(w, 7)
+		})
+	}
+}
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -69,23 +69,31 @@
 	}
 }
 
+// missedMost renewals in a row that a backup leaves unanswered are too many.
+const missedMost = 2
+
 // renewWith tells one archive of the lease and notes whether it takes part.
 func (v *Vault) renewWith(ctx context.Context, addr string, view View) (a renewAnswer) {
 	err := v.endpoint.Call(ctx, addr, "vault.renew", renewAsk{view}, &a, callWait)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	i := slices.IndexFunc(view.Backups, func(b Member) bool { return b.Addr == addr })
 	switch {
+	case err == nil && i >= 0 && a.Disk != view.Backups[i].Disk:
+		// It came back without the state, sooner than it was missed.
+		v.missed[addr] = missedMost
 	case err == nil && !a.Stalled:
 		delete(v.missed, addr)
-	case slices.Contains(backupAddrs(view), addr):
-		// A backup that answers nothing is replaced before a write needs it.
-		if v.missed[addr]++; v.missed[addr] >= 2 && v.active && v.seen.Epoch == view.Epoch {
-			delete(v.missed, addr)
-			v.shun(addr)
-		}
+	default:
+		v.missed[addr]++
+	}
+	if i >= 0 && v.missed[addr] >= missedMost && v.active && v.seen.Epoch == view.Epoch {
+		// A backup that is of no use is replaced before a write needs it.
+		delete(v.missed, addr)
+		v.shun(addr)
 	}
 	if err == nil && a.Granted && !a.Stalled {
-		v.heard[addr] = v.k.Clock.Now()
+		v.members.heard[addr] = v.k.Clock.Now()
 	}
 	return a
 }
@@ -98,89 +106,6 @@
 	return out
 }
 
-// fresh tells whether the archive took part within the last lease.
-func (v *Vault) fresh(addr string, now foundation.Micros) bool {
-	at, ok := v.heard[addr]
-	return ok && now-at < v.lease
-}
-
-// spares are the archives that take part and are not in the set.
-func (v *Vault) spares(set []string, now foundation.Micros) []string {
-	var out []string
-	for addr := range v.heard {
-		if v.fresh(addr, now) && !slices.Contains(set, addr) && now >= v.shunned[addr] {
-			out = append(out, addr)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// wantedWitnesses is the set that there should be, given who takes part: large
-// enough for the losses to be borne, without witnesses that stay away while a
-// spare archive is there or the others are enough.
-func (v *Vault) wantedWitnesses(now foundation.Micros) []string {
-	set := slices.Clone(v.seen.Witnesses)
-	if !v.active || now-v.since < v.lease/2 {
-		return set
-	}
-	spares := v.spares(set, now)
-	for i, addr := range set {
-		if addr == v.self.Addr || now-max(v.heard[addr], v.since) <= v.cfg.Away {
-			continue
-		}
-		if len(spares) > 0 {
-			set[i], spares = spares[0], spares[1:]
-		} else if len(set) > max(3, 2*v.cfg.Losses) {
-			// Without it the losses can be borne just as well; with it, gone for
-			// good, the losses of others would leave too few registers.
-			return slices.Delete(set, i, i+1)
-		}
-	}
-	for len(set) < 2*v.cfg.Losses+1 && len(spares) > 0 {
-		set, spares = append(set, spares[0]), spares[1:]
-	}
-	return set
-}
-
-// largeEnough tells whether the witnesses can bear the losses: what is left of
-// them must include one of any majority. An archive that is there and not yet
-// a witness is waited for; one that there is not, for a while.
-func (v *Vault) largeEnough() bool {
-	if len(v.seen.Witnesses) >= 2*v.cfg.Losses {
-		return true
-	}
-	now := v.k.Clock.Now()
-	if now-v.since < v.cfg.Catchup || len(v.spares(v.seen.Witnesses, now)) > 0 {
-		return false
-	}
-	if !v.small {
-		v.small = true
-		v.k.Log.Warn("fewer archives than the losses to be borne ask for", "witnesses", len(v.seen.Witnesses), "tolerate", v.cfg.Losses)
-	}
-	return true
-}
-
-// wantsAnother tells whether the primary should form another view: because a
-// backup failed, one more could be had, the set of witnesses is to change, or
-// has changed and its predecessor can be let go.
-func (v *Vault) wantsAnother(now foundation.Micros) bool {
-	if len(v.seen.Prior) > 0 || max(v.tried, v.state.Epoch) > v.seen.Epoch {
-		return true
-	}
-	for _, addr := range backupAddrs(v.seen) {
-		if now < v.shunned[addr] {
-			return true
-		}
-	}
-	if len(v.seen.Backups) < v.cfg.Losses {
-		if len(v.spares(append(backupAddrs(v.seen), v.self.Addr), now)) > 0 {
-			return true
-		}
-	}
-	return !slices.Equal(v.wantedWitnesses(now), v.seen.Witnesses)
-}
-
 // stand tries to become primary of a new epoch, or to form another view as
 // primary.
 func (v *Vault) stand(ctx context.Context) {
@@ -291,9 +216,9 @@
 	now := v.k.Clock.Now()
 	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 	known, wasActive := v.seen, v.active
-	witnesses := v.wantedWitnesses(now)
-	if len(known.Prior) > 0 {
-		witnesses = known.Witnesses // first let the predecessor go
+	witnesses := known.Witnesses
+	if v.active && len(known.Prior) == 0 { // else first let the predecessor go
+		witnesses = v.members.wantedWitnesses(witnesses, now)
 	}
 	v.mu.Unlock()
 
@@ -313,9 +238,9 @@
 	case !won:
 		v.mu.Unlock()
 		return errors.New("no majority promised")
-	case v.leaving || wasActive && !v.active:
+	case wasActive && !v.active:
 		v.mu.Unlock()
-		return errors.New("leaving")
+		return errors.New("no longer primary")
 	}
 	v.state.Epoch = epoch // writes of older epochs are refused from here on
 	state := v.state
@@ -345,12 +270,12 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.leaving || v.seen.Epoch > epoch {
-		return errors.New("leaving")
+	if v.seen.Epoch > epoch || wasActive && !v.active {
+		return errors.New("no longer primary")
 	}
 	if !v.active {
 		v.term, v.endTerm = context.WithCancel(context.Background())
-		v.since, v.began = v.k.Clock.Now(), epoch
+		v.members.since, v.began = v.k.Clock.Now(), epoch
 	}
 	v.active, v.state, v.seen = true, state, view
 	v.leaseEnd = start + v.lease
@@ -372,40 +297,29 @@
 
 // copyToBackups hands the whole state to as many archives as may be lost, and
 // one at least. Archives that do not answer count as lost already: if there are
-// too few others, these will do. Those that kept the state so far come first, shunned ones last.
-func (v *Vault) copyToBackups(ctx context.Context, state State, last View, answered map[string]string) ([]Member, error) {
+// too few others, these will do.
+func (v *Vault) copyToBackups(ctx context.Context, state State, last View, disks map[string]string) ([]Member, error) {
 	alive := v.cfg.Archives()
 	v.mu.Lock()
-	now := v.k.Clock.Now()
-	rank := func(addr string) int {
-		r := 0
-		if now < v.shunned[addr] {
-			r += 4
-		}
-		if _, ok := answered[addr]; !ok && !v.fresh(addr, now) {
-			r += 2
-		}
-		if !slices.Contains(backupAddrs(last), addr) {
-			r++
-		}
-		return r
-	}
-	order := union(backupAddrs(last), alive, last.Witnesses, []string{last.Primary.Addr})
-	order = slices.DeleteFunc(order, func(addr string) bool { return addr == "" || addr == v.self.Addr })
-	slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
+	order := v.members.candidates(last, alive, has(disks), v.k.Clock.Now())
 	v.mu.Unlock()
 
-	want := max(1, v.cfg.Losses)
+	want := v.members.copies()
 	var got []Member
 	for len(order) > 0 && len(got) < want {
 		n := min(want-len(got), len(order))
 		answers := ask(ctx, v, order[:n], "vault.copy", func(string) any { return state },
 			func(got map[string]copyAnswer) bool { return len(got) == n })
+		v.mu.Lock()
 		for _, addr := range order[:n] {
 			if a, ok := answers[addr]; ok && a.Member.Disk != "" {
 				got = append(got, a.Member)
+				delete(v.members.shunned, addr)
+			} else {
+				v.members.shun(addr, v.k.Clock.Now())
 			}
 		}
+		v.mu.Unlock()
 		order = order[n:]
 	}
 	if len(got) == 0 {
@@ -498,7 +412,7 @@
 		return a, nil
 	}
 	a, changed := v.witness.renew(now, q.View)
-	a.Stalled = v.stalled.Load()
+	a.Disk, a.Stalled = v.self.Disk, v.stalled.Load()
 	v.hear(now, q.View)
 	v.mu.Unlock()
 	if changed {
@@ -624,11 +538,13 @@
 	return struct{}{}, nil
 }
 
+// onLeaving has a backup that is about to end replaced, and tells it which view
+// there is.
 func (v *Vault) onLeaving(_ context.Context, m Member) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.active && slices.ContainsFunc(v.seen.Backups, m.same) {
 		v.shun(m.Addr)
 	}
-	return struct{}{}, nil
+	return v.seen, nil
 }
--- /dev/null
+++ b/internal/vault/membership.go
@@ -0,0 +1,151 @@
+package vault
+
+import (
+	"slices"
+
+	"indigowalk/internal/foundation"
+)
+
+// membership is what a primary knows of who takes part, and what it concludes:
+// which witnesses and backups the next view should have, and whether the
+// present one bears the losses that are to be borne. It asks nobody and changes
+// nothing but its notes. docs/hardening.md names the invariants that rest on it.
+type membership struct {
+	self    string
+	losses  int // archives that may be lost at once, with their disks
+	lease   foundation.Micros
+	away    foundation.Micros            // a witness that is away for longer is exchanged
+	catchup foundation.Micros            // how long to wait for the archives that losses asks for
+	since   foundation.Micros            // when this archive became the primary; 0 while it is not
+	heard   map[string]foundation.Micros // archives by when they last took part
+	shunned map[string]foundation.Micros // archives that failed as backups or leave, until when
+}
+
+func newMembership(self string, cfg Config) membership {
+	return membership{
+		self: self, losses: cfg.Losses, lease: cfg.Lease, away: min(cfg.Away, cfg.Catchup/2), catchup: cfg.Catchup,
+		heard: map[string]foundation.Micros{}, shunned: map[string]foundation.Micros{},
+	}
+}
+
+// shunFor is how long an archive that failed is no backup, if there is another.
+const shunFor = 2 * foundation.Second
+
+// shun keeps an archive from being a backup for a while, if there is another.
+func (m *membership) shun(addr string, now foundation.Micros) { m.shunned[addr] = now + shunFor }
+
+func (m *membership) isShunned(addr string, now foundation.Micros) bool { return now < m.shunned[addr] }
+
+// fresh tells whether the archive took part within the last lease.
+func (m *membership) fresh(addr string, now foundation.Micros) bool {
+	at, ok := m.heard[addr]
+	return ok && now-at < m.lease
+}
+
+// absent tells whether a witness has been away for so long that another should
+// have its place. One that answered nothing since the primary took over, not
+// even the promises, may have been lost together with the last primary: so that
+// its place is filled before its successor counts as back, it gets a lease.
+func (m *membership) absent(addr string, now foundation.Micros) bool {
+	if at := m.heard[addr]; at >= m.since {
+		return now-at > m.away
+	}
+	return now-m.since > m.lease
+}
+
+// spares are the archives that take part and are not in the set.
+func (m *membership) spares(set []string, now foundation.Micros) []string {
+	var out []string
+	for addr := range m.heard {
+		if m.fresh(addr, now) && !slices.Contains(set, addr) && !m.isShunned(addr, now) {
+			out = append(out, addr)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// wantedWitnesses is the set that there should be in place of one: large enough
+// for the losses to be borne, without witnesses that stay away while a spare
+// archive is there or the others are enough.
+func (m *membership) wantedWitnesses(set []string, now foundation.Micros) []string {
+	set = slices.Clone(set)
+	if m.since == 0 || now-m.since < m.lease/2 {
+		return set
+	}
+	spares := m.spares(set, now)
+	for i, addr := range set {
+		if addr == m.self || !m.absent(addr, now) {
+			continue
+		}
+		if len(spares) > 0 {
+			set[i], spares = spares[0], spares[1:]
+		} else if len(set) > max(3, 2*m.losses) {
+			// Without it the losses can be borne just as well; with it, gone for
+			// good, the losses of others would leave too few registers.
+			return slices.Delete(set, i, i+1)
+		}
+	}
+	for len(set) < 2*m.losses+1 && len(spares) > 0 {
+		set, spares = append(set, spares[0]), spares[1:]
+	}
+	return set
+}
+
+// largeEnough tells whether the witnesses can bear the losses: what is left of
+// each set must include one of any majority. A set before a change that can't is
+// let go by the next view, which is formed at once. An archive that is there and
+// not yet a witness is waited for; one that there is not, for a while.
+func (m *membership) largeEnough(view View, now foundation.Micros) bool {
+	if len(view.Prior) > 0 && len(view.Prior) < 2*m.losses {
+		return false
+	}
+	return len(view.Witnesses) >= 2*m.losses || now-m.since >= m.catchup && len(m.spares(view.Witnesses, now)) == 0
+}
+
+// enoughBackups tells whether a change may rest on the view's backups: none of
+// them failed or is about to leave, and where there are fewer than may be lost,
+// no other archive could be one.
+func (m *membership) enoughBackups(view View, now foundation.Micros) bool {
+	addrs := backupAddrs(view)
+	for _, addr := range addrs {
+		if m.isShunned(addr, now) {
+			return false
+		}
+	}
+	return len(addrs) >= m.losses || len(m.spares(append(addrs, m.self), now)) == 0
+}
+
+// wantsAnother tells whether the primary should form another view: because it
+// lacks backups, or the set of witnesses is to change, or has changed and its
+// predecessor can be let go.
+func (m *membership) wantsAnother(view View, now foundation.Micros) bool {
+	return len(view.Prior) > 0 || !m.enoughBackups(view, now) || !slices.Equal(m.wantedWitnesses(view.Witnesses, now), view.Witnesses)
+}
+
+// candidates lists the archives that a copy is offered to, in turn: those that
+// kept the state in the last view come first, then others that take part, then
+// those that are silent; shunned ones last.
+func (m *membership) candidates(last View, alive []string, answered func(addr string) bool, now foundation.Micros) []string {
+	kept := backupAddrs(last)
+	rank := func(addr string) int {
+		r := 0
+		if m.isShunned(addr, now) {
+			r += 4
+		}
+		if !answered(addr) && !m.fresh(addr, now) {
+			r += 2
+		}
+		if !slices.Contains(kept, addr) {
+			r++
+		}
+		return r
+	}
+	order := union(kept, alive, last.Witnesses, []string{last.Primary.Addr})
+	order = slices.DeleteFunc(order, func(addr string) bool { return addr == "" || addr == m.self })
+	slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
+	return order
+}
+
+// copies is how many backups there should be.
+func (m *membership) copies() int { return max(1, m.losses) }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -152,10 +152,8 @@
 	began    int64 // epoch in which this archive became the primary
 	leaseEnd foundation.Micros
 	renewAt  foundation.Micros
-	since    foundation.Micros            // when this archive became the primary
-	shunned  map[string]foundation.Micros // backups that failed or leave, until when
-	heard    map[string]foundation.Micros // archives by when they last took part
-	missed   map[string]int               // renewals in a row that a backup left unanswered
+	members  membership
+	missed   map[string]int // renewals in a row that an archive left unanswered
 	leaving  bool
 	standAt  foundation.Micros
 	toldAt   foundation.Micros
@@ -182,8 +180,7 @@
 	}
 	v := &Vault{
 		k: k, endpoint: b, cfg: cfg, lease: cfg.Lease, store: st,
-		self:    Member{cfg.Name, b.Addr(), st.Disk},
-		shunned: map[string]foundation.Micros{}, heard: map[string]foundation.Micros{}, missed: map[string]int{},
+		self: Member{cfg.Name, b.Addr(), st.Disk}, members: newMembership(b.Addr(), cfg), missed: map[string]int{},
 		wake: make(chan struct{}, 1), writing: foundation.NewGate(), stating: foundation.NewGate(), voting: foundation.NewGate(),
 	}
 	now := k.Clock.Now()
@@ -273,7 +270,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, out := v.k.Clock.Now(), map[string]foundation.Micros{}
-	for addr, at := range v.heard {
+	for addr, at := range v.members.heard {
 		out[addr] = now - at
 	}
 	return out
@@ -398,8 +395,9 @@
 	}
 }
 
-// errBackup says that a backup did not take a write.
-var errBackup = fmt.Errorf("%w: a backup did not take it", ErrUnavailable)
+// errBackup says that the view's backups do not keep a write, or not enough of
+// them.
+var errBackup = fmt.Errorf("%w: too few backups take it", ErrUnavailable)
 
 func (v *Vault) write(ctx context.Context, batch []*update, own []error) error {
 	v.mu.Lock()
@@ -412,11 +410,20 @@
 		v.mu.Unlock()
 		return errBackup
 	}
-	if !v.largeEnough() {
+	now := v.k.Clock.Now()
+	if !v.members.enoughBackups(v.seen, now) {
+		v.mu.Unlock()
+		return errBackup
+	}
+	if !v.members.largeEnough(v.seen, now) {
 		v.mu.Unlock()
 		v.k.Counters.Add("vault.too_few_witnesses", 1)
 		return fmt.Errorf("%w: the witnesses can't bear the losses yet", ErrUnavailable)
 	}
+	if n := len(v.seen.Witnesses); n < 2*v.cfg.Losses && !v.small {
+		v.small = true
+		v.k.Log.Warn("fewer archives than the losses to be borne ask for", "witnesses", n, "tolerate", v.cfg.Losses)
+	}
 	old, view := v.state, v.seen
 	v.mu.Unlock()
 	next := State{Epoch: view.Epoch, Seq: old.Seq + 1, Entries: maps.Clone(old.Entries)}
@@ -487,9 +494,9 @@
 	return false
 }
 
-// shun keeps an archive from being a backup for a while, if there is another.
+// shun has a backup replaced.
 func (v *Vault) shun(addr string) {
-	v.shunned[addr] = v.k.Clock.Now() + 2*foundation.Second
+	v.members.shun(addr, v.k.Clock.Now())
 	v.poke()
 }
 
@@ -582,25 +589,29 @@
 	}
 }
 
-func (v *Vault) resign(why string) {
+// resign ends this archive's time as primary, and returns its last view; false
+// if it was none.
+func (v *Vault) resign(why string) (View, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.active {
-		return
+		return View{}, false
 	}
-	v.active = false
+	v.active, v.members.since = false, 0
 	v.endTerm()
 	v.k.Log.Info("no longer primary", "epoch", v.seen.Epoch, "why", why)
 	v.standAt = v.k.Clock.Now() + v.lease
 	v.changed.Ring()
+	return v.seen, true
 }
 
 // handOver gives the lease up before it ends and has the backups stand.
 func (v *Vault) handOver(why string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callWait.Duration())
-	defer cancel()
-	view, _ := v.Primary()
-	v.resign(why)
+	view, was := v.resign(why)
+	if !was {
+		return
+	}
+	ctx := context.Background() // each call is bounded
 	ask(ctx, v, union(view.sets()...), "vault.release", func(string) any { return epochAsk{view.Epoch} },
 		func(got map[string]struct{}) bool { return majorities(view.sets(), has(got)) })
 	for _, b := range view.Backups {
@@ -680,13 +691,24 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
-	due := max(v.seenTill, v.standAt)
+	due := v.standsAt()
 	if v.active {
 		due = v.renewAt
 	}
 	return min(max(due-now, 20*foundation.Millisecond), v.lease/2)
 }
 
+// standsAt is when this archive, as a member, may stand. One that leaves does so
+// only if no other has: it then holds what others may have lost, and hands over
+// once they have it.
+func (v *Vault) standsAt() foundation.Micros {
+	at := max(v.seenTill, v.standAt)
+	if v.leaving {
+		at += v.lease / 2
+	}
+	return at
+}
+
 // step does what is due: what is wanted is one primary with a running lease,
 // backups that answer, and witnesses that take part.
 func (v *Vault) step(ctx context.Context) {
@@ -694,9 +716,9 @@
 	now := v.k.Clock.Now()
 	active, leads := v.active, v.leads(now)
 	renew := active && now >= v.renewAt
-	idle := !active && !v.leaving && now >= v.seenTill && now >= v.standAt
+	idle := !active && now >= v.standsAt()
 	may := v.mayStand() && !v.stalled.Load()
-	another := leads && now >= v.standAt && v.wantsAnother(now)
+	another := leads && now >= v.standAt && (max(v.tried, v.state.Epoch) > v.seen.Epoch || v.members.wantsAnother(v.seen, now))
 	tell := idle && !may && v.seen.Epoch > 0 && now >= v.toldAt
 	if tell {
 		v.toldAt = now + v.lease
@@ -731,33 +753,33 @@
 	return v.seen.Has(v.self)
 }
 
-// Leave hands over in order: as primary to the backups, as backup by asking
-// to be replaced.
+// Leave hands over in order: as primary to the backups, as backup by asking to
+// be replaced. It returns once a view is known that does without this archive's
+// disk, or ctx is over: what was acknowledged may be on no other disk.
 func (v *Vault) Leave(ctx context.Context) {
 	v.mu.Lock()
 	v.leaving = true
-	view, active := v.seen, v.active
 	v.mu.Unlock()
-	if !active {
-		if view.Has(v.self) {
-			v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, nil, callWait)
-			v.awaitOther(ctx, view.Epoch)
-		}
-		return
-	}
-	if v.writing.Enter(ctx) != nil {
-		return
-	}
-	defer v.writing.Leave()
-	v.handOver("leaving")
-	v.awaitOther(ctx, view.Epoch)
-}
-
-// awaitOther waits, within bounds, until a later view is known.
-func (v *Vault) awaitOther(ctx context.Context, epoch int64) {
-	for end := v.k.Clock.Now() + v.lease; v.k.Clock.Now() < end; {
-		if view, _ := v.Primary(); view.Epoch > epoch || !foundation.Sleep(ctx, 20*foundation.Millisecond) {
+	for again := true; again; again = foundation.Sleep(ctx, 20*foundation.Millisecond) {
+		v.mu.Lock()
+		view, active := v.seen, v.active
+		v.mu.Unlock()
+		switch {
+		case active:
+			if v.writing.Enter(ctx) != nil {
+				return
+			}
+			v.handOver("leaving")
+			v.writing.Leave()
+		case !view.Has(v.self):
 			return
+		case view.Primary.Addr != v.self.Addr:
+			var newest View
+			if v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, &newest, callWait) == nil {
+				v.mu.Lock()
+				v.observe(newest)
+				v.mu.Unlock()
+			}
 		}
 	}
 }
--- a/internal/vault/witness.go
+++ b/internal/vault/witness.go
@@ -122,10 +122,11 @@
 }
 
 type renewAnswer struct {
-	Granted  bool  `json:"granted"`
-	Promised int64 `json:"promised"`
-	Abstains bool  `json:"abstains,omitempty"`
-	Stalled  bool  `json:"stalled,omitempty"` // its disk does not serve
+	Granted  bool   `json:"granted"`
+	Promised int64  `json:"promised"`
+	Abstains bool   `json:"abstains,omitempty"`
+	Disk     string `json:"disk,omitempty"`
+	Stalled  bool   `json:"stalled,omitempty"` // its disk does not serve
 }
 
 // VoteKind is the kind of record of a witness's answer.
