Vault: what a view needs, who may stand and what a register recovers are pure functions

Cause: these decisions stood between locks and calls, where no model could drive them. Change: proposal, mayStand, takeover and registerFrom, no change of what is decided.

--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -216,18 +216,9 @@
 	now := v.k.Clock.Now()
 	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 	known, wasActive := v.seen, v.active
-	witnesses := known.Witnesses
-	if v.active && len(known.Prior) == 0 { // else first let the predecessor go
-		witnesses = v.members.wantedWitnesses(witnesses, now)
-	}
+	view, sets := v.members.proposal(known, wasActive, epoch, now)
 	v.mu.Unlock()
 
-	view := View{Epoch: epoch, Primary: v.self, Witnesses: witnesses}
-	sets := known.sets()
-	if !slices.Equal(witnesses, known.Witnesses) {
-		view.Prior = known.Witnesses
-		sets = append(sets, witnesses)
-	}
 	disks, highest, won := v.promises(ctx, epoch, sets)
 	v.mu.Lock()
 	switch {
@@ -282,7 +273,7 @@
 	v.seenTill, v.renewAt = v.leaseEnd, start+v.lease/3
 	clear(v.missed)
 	v.k.Counters.Add("vault.epochs", 1)
-	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "witnesses", len(witnesses), "prior", len(view.Prior))
+	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "witnesses", len(view.Witnesses), "prior", len(view.Prior))
 	v.changed.Ring()
 	return nil
 }
@@ -335,7 +326,7 @@
 			v.leaseEnd = 0
 		}
 		v.seen = view
-		v.seenTill = max(v.seenTill, v.takeover(v.k.Clock.Now(), view))
+		v.seenTill = max(v.seenTill, v.members.takeover(view, v.k.Clock.Now()))
 		v.changed.Ring()
 	}
 }
@@ -429,7 +420,7 @@
 func (v *Vault) hear(now foundation.Micros, view View) {
 	v.observe(view)
 	if view.Epoch == v.seen.Epoch && !v.active {
-		v.seenTill = max(v.seenTill, v.takeover(now, view))
+		v.seenTill = max(v.seenTill, v.members.takeover(view, now))
 	}
 }
 
--- a/internal/vault/membership.go
+++ b/internal/vault/membership.go
@@ -11,7 +11,7 @@
 // present one bears the losses that are to be borne. It asks nobody and changes
 // nothing but its notes. docs/hardening.md names the invariants that rest on it.
 type membership struct {
-	self    string
+	self    Member
 	losses  int // archives that may be lost at once, with their disks
 	lease   foundation.Micros
 	away    foundation.Micros            // a witness that is away for longer is exchanged
@@ -21,7 +21,7 @@
 	shunned map[string]foundation.Micros // archives that failed as backups or leave, until when
 }
 
-func newMembership(self string, cfg Config) membership {
+func newMembership(self Member, cfg Config) membership {
 	return membership{
 		self: self, losses: cfg.Losses, lease: cfg.Lease, away: min(cfg.Away, cfg.Catchup/2), catchup: cfg.Catchup,
 		heard: map[string]foundation.Micros{}, shunned: map[string]foundation.Micros{},
@@ -75,7 +75,7 @@
 	}
 	spares := m.spares(set, now)
 	for i, addr := range set {
-		if addr == m.self || !m.absent(addr, now) {
+		if addr == m.self.Addr || !m.absent(addr, now) {
 			continue
 		}
 		if len(spares) > 0 {
@@ -113,7 +113,7 @@
 			return false
 		}
 	}
-	return len(addrs) >= m.losses || len(m.spares(append(addrs, m.self), now)) == 0
+	return len(addrs) >= m.losses || len(m.spares(append(addrs, m.self.Addr), now)) == 0
 }
 
 // wantsAnother tells whether the primary should form another view: because it
@@ -123,6 +123,45 @@
 	return len(view.Prior) > 0 || !m.enoughBackups(view, now) || !slices.Equal(m.wantedWitnesses(view.Witnesses, now), view.Witnesses)
 }
 
+// proposal is the next view, still without backups, and the sets of witnesses
+// each of which must agree to it. A change of the set names both; only once that
+// view is in force may one follow that lets the set before it go.
+func (m *membership) proposal(known View, active bool, epoch int64, now foundation.Micros) (view View, sets [][]string) {
+	view = View{Epoch: epoch, Primary: m.self, Witnesses: known.Witnesses}
+	sets = known.sets()
+	if !active || len(known.Prior) > 0 {
+		return view, sets
+	}
+	if wanted := m.wantedWitnesses(known.Witnesses, now); !slices.Equal(wanted, known.Witnesses) {
+		view.Witnesses, view.Prior = wanted, known.Witnesses
+		sets = append(sets, wanted)
+	}
+	return view, sets
+}
+
+// mayStand: only a member of the highest view, with that same disk; at the
+// very first start, while there is no view, a witness.
+func (m *membership) mayStand(view View, first bool) bool {
+	if view.Epoch == 0 {
+		return first && slices.Contains(view.Witnesses, m.self.Addr)
+	}
+	return view.Has(m.self)
+}
+
+// takeover is when this archive, hearing nothing more, may stand: the primary
+// of the view that has just started again at once, since its lease was its
+// own; a backup after the lease, one after another; at the very first start
+// the witnesses in turn.
+func (m *membership) takeover(view View, now foundation.Micros) foundation.Micros {
+	if i := slices.Index(view.Witnesses, m.self.Addr); view.Epoch == 0 && i >= 0 {
+		return now + foundation.Micros(i)*foundation.Second/2
+	}
+	if m.self.same(view.Primary) {
+		return now
+	}
+	return now + m.lease + foundation.Micros(max(0, slices.IndexFunc(view.Backups, m.self.same)))*m.lease/4
+}
+
 // candidates lists the archives that a copy is offered to, in turn: those that
 // kept the state in the last view come first, then others that take part, then
 // those that are silent; shunned ones last.
@@ -142,7 +181,7 @@
 		return r
 	}
 	order := union(kept, alive, last.Witnesses, []string{last.Primary.Addr})
-	order = slices.DeleteFunc(order, func(addr string) bool { return addr == "" || addr == m.self })
+	order = slices.DeleteFunc(order, func(addr string) bool { return addr == "" || addr == m.self.Addr })
 	slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
 	return order
 }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -178,9 +178,10 @@
 	if err != nil {
 		return nil, err
 	}
+	self := Member{cfg.Name, b.Addr(), st.Disk}
 	v := &Vault{
 		k: k, endpoint: b, cfg: cfg, lease: cfg.Lease, store: st,
-		self: Member{cfg.Name, b.Addr(), st.Disk}, members: newMembership(b.Addr(), cfg), missed: map[string]int{},
+		self: self, members: newMembership(self, cfg), missed: map[string]int{},
 		wake: make(chan struct{}, 1), writing: foundation.NewGate(), stating: foundation.NewGate(), voting: foundation.NewGate(),
 	}
 	now := k.Clock.Now()
@@ -206,7 +207,7 @@
 		return nil, err
 	}
 	v.seen = v.witness.reg.Accepted
-	v.seenTill = v.takeover(now, v.seen)
+	v.seenTill = v.members.takeover(v.seen, now)
 	if st.torn > 0 {
 		k.Counters.Add("vault.torn_tails", 1)
 		k.Log.Warn("unfinished last write of the store cut off", "bytes", st.torn)
@@ -225,29 +226,6 @@
 	return v, nil
 }
 
-// takeover is when this archive, hearing nothing more, may stand: the primary
-// of the view that has just started again at once, since its lease was its
-// own; a backup after the lease, one after another; at the very first start
-// the witnesses in turn.
-func (v *Vault) takeover(now foundation.Micros, view View) foundation.Micros {
-	if view.Epoch == 0 {
-		for i, addr := range view.Witnesses {
-			if addr == v.self.Addr {
-				return now + foundation.Micros(i)*foundation.Second/2
-			}
-		}
-	}
-	if v.self.same(view.Primary) {
-		return now
-	}
-	for i, b := range view.Backups {
-		if v.self.same(b) {
-			return now + v.lease + foundation.Micros(i)*v.lease/4
-		}
-	}
-	return now + v.lease
-}
-
 // Witnesses returns the inner addresses of the witnesses.
 func (v *Vault) Witnesses() []string {
 	v.mu.Lock()
@@ -717,7 +695,7 @@
 	active, leads := v.active, v.leads(now)
 	renew := active && now >= v.renewAt
 	idle := !active && now >= v.standsAt()
-	may := v.mayStand() && !v.stalled.Load()
+	may := v.members.mayStand(v.seen, v.cfg.Bootstrap && !v.witness.abstains) && !v.stalled.Load()
 	another := leads && now >= v.standAt && (max(v.tried, v.state.Epoch) > v.seen.Epoch || v.members.wantsAnother(v.seen, now))
 	tell := idle && !may && v.seen.Epoch > 0 && now >= v.toldAt
 	if tell {
@@ -739,20 +717,6 @@
 	}
 }
 
-// mayStand: only a member of the highest view, with that same disk; at the
-// very first start, while there is no view, a witness.
-func (v *Vault) mayStand() bool {
-	if v.seen.Epoch == 0 {
-		for _, addr := range v.seen.Witnesses {
-			if addr == v.self.Addr {
-				return v.cfg.Bootstrap && !v.witness.abstains
-			}
-		}
-		return false
-	}
-	return v.seen.Has(v.self)
-}
-
 // Leave hands over in order: as primary to the backups, as backup by asking to
 // be replaced. It returns once a view is known that does without this archive's
 // disk, or ctx is over: what was acknowledged may be on no other disk.
--- a/internal/vault/witness.go
+++ b/internal/vault/witness.go
@@ -272,31 +272,37 @@
 	v.mu.Unlock()
 	for hop := 0; hop < 8; hop++ {
 		from := union(view.Witnesses, view.Prior, v.cfg.Archives(), v.cfg.Seeds())
+		from = slices.DeleteFunc(from, func(addr string) bool { return addr == v.self.Addr })
 		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
-		reg, newest := register{}, view
-		for _, a := range answers {
-			reg.Promised = max(reg.Promised, a.Register.Promised)
-			// One that lost its own disk too may still know whom to ask.
-			if a.Register.Accepted.Epoch > newest.Epoch || len(newest.Witnesses) == 0 {
-				newest = a.Register.Accepted
-			}
-		}
-		intact := func(addr string) bool {
-			a, ok := answers[addr]
-			return ok && !a.Abstains && addr != v.self.Addr
-		}
-		switch {
-		case len(newest.Witnesses) == 0:
-			return register{}, errors.New("nobody knows the witnesses")
-		case newest.Epoch > view.Epoch || len(view.Witnesses) == 0:
-			view = newest
-			continue
-		case !overlap(view.sets(), intact):
-			return register{}, errors.New("too few intact registers answer")
+		reg, newest, err := registerFrom(view, answers)
+		if newest.Epoch == view.Epoch && len(view.Witnesses) > 0 || err != nil {
+			return reg, err
 		}
-		reg.Promised = max(reg.Promised, view.Epoch)
-		reg.Accepted = view
-		return reg, nil
+		view = newest
 	}
 	return register{}, errors.New("the witnesses change too often")
 }
+
+// registerFrom is what a witness that lost its disk may put in its register,
+// given the others' answers, if no vote can be missed. They may know of a view
+// newer than the one whose witnesses were asked; then those are to be asked.
+func registerFrom(view View, answers map[string]registerAnswer) (reg register, newest View, err error) {
+	newest = view
+	for _, a := range answers {
+		reg.Promised = max(reg.Promised, a.Register.Promised)
+		// One that lost its own disk too may still know whom to ask.
+		if a.Register.Accepted.Epoch > newest.Epoch || len(newest.Witnesses) == 0 {
+			newest = a.Register.Accepted
+		}
+	}
+	intact := func(addr string) bool { a, ok := answers[addr]; return ok && !a.Abstains }
+	switch {
+	case len(newest.Witnesses) == 0:
+		return register{}, newest, errors.New("nobody knows the witnesses")
+	case newest.Epoch > view.Epoch || len(view.Witnesses) == 0:
+		return register{}, newest, nil
+	case !overlap(view.sets(), intact):
+		return register{}, newest, errors.New("too few intact registers answer")
+	}
+	return register{max(reg.Promised, view.Epoch), view}, view, nil
+}
