rpc: an answer belongs to its call, its connection and the life of both ends

Cause: calls were kept with the peer and not with the connection, so a line of any process that served the address could answer them; a call of a life that had ended, or that was meant for another process, was carried out; a question that came twice ran twice; an unknown operation ended the calls of all.

Change: a connection begins with a greeting either way, ahead of the first call and the first answer, so without a round trip: who speaks, in which life, on which of its connections, and who is meant. Older lives, older connections and other addresses are refused and counted; a process whose clock stepped back is told the later life and takes the next. Calls are kept with their connection; an answer that was not asked for, or comes twice, ends it. A connection's calls under way, and those given up on it, are bounded.

--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -1,15 +1,23 @@
 // Package rpc carries calls between indigowalk's own processes: one JSON
 // line asks, one JSON line answers, many calls share a connection.
+//
+// An answer is given only to the call that it belongs to: the one of its number
+// on its own connection, between the two lives of processes that greeted each
+// other there. The package never sends a call a second time that may have been
+// read. What comes without greeting, from another address, of an older life,
+// unasked or unreadable ends the connection and is counted.
 package rpc
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"time"
 
 	"indigowalk/internal/foundation"
 )
@@ -18,6 +26,10 @@
 // configuration fits several times.
 const maxLine = 4 << 20
 
+// maxCalls bounds the calls of one connection that are being carried out; more
+// are not read.
+const maxCalls = 256
+
 // silence is how long a peer may leave what was sent unacknowledged.
 const silence = 1500 * foundation.Millisecond
 
@@ -36,10 +48,11 @@
 func (r *Refused) Error() string { return "rpc: refused: " + r.Reason }
 
 type line struct {
-	ID   uint64          `json:"id"`
-	Op   string          `json:"op,omitempty"`
-	Body json.RawMessage `json:"body,omitempty"`
-	Err  string          `json:"err,omitempty"`
+	Hello *hello          `json:"hello,omitempty"` // of the first line alone
+	ID    uint64          `json:"id,omitempty"`
+	Op    string          `json:"op,omitempty"`
+	Body  json.RawMessage `json:"body,omitempty"`
+	Err   string          `json:"err,omitempty"`
 }
 
 // encode returns the line with its end. The body is JSON as it left the
@@ -76,11 +89,19 @@
 	mu       sync.Mutex
 	handlers map[string]Handler
 	peers    map[string]*peer
+	life     int64
+	dialled  int64 // connections made so far
+	known    map[string]*process
 }
 
-// NewEndpoint returns an endpoint that will listen at addr.
+// NewEndpoint returns an endpoint that will listen at addr. Its life begins
+// with the time of day, so that a restart outranks the life before; where the
+// clock stepped back, whoever knows a later life says so and it takes the next.
 func NewEndpoint(k *foundation.Kernel, addr string) *Endpoint {
-	return &Endpoint{k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{}}
+	return &Endpoint{
+		k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{},
+		life: time.Now().UnixMicro(), known: map[string]*process{},
+	}
 }
 
 // Addr is where other processes reach this one.
@@ -126,37 +147,49 @@
 // HangUp closes the connections to all peers.
 func (b *Endpoint) HangUp() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, p := range b.peers {
+	peers := slices.Collect(maps.Values(b.peers))
+	b.mu.Unlock()
+	for _, p := range peers {
 		p.mu.Lock()
-		if p.conn != nil {
-			p.drop(p.conn)
+		if p.link != nil {
+			p.link.end(net.ErrClosed)
 		}
 		p.mu.Unlock()
 	}
 }
 
+// serveConn works off the calls of one connection. Their numbers rise, so that
+// none is carried out twice.
 func (b *Endpoint) serveConn(ctx context.Context, c net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	defer c.Close()
-	var mu sync.Mutex
 	sc := scanner(c)
+	from, ok := b.greeted(sc, c)
+	defer b.parted(from, c)
+	if !ok {
+		return
+	}
+	var mu sync.Mutex
+	var last uint64
+	slots := make(chan struct{}, maxCalls)
 	for sc.Scan() {
 		var q line
-		if err := json.Unmarshal(sc.Bytes(), &q); err != nil {
+		if err := json.Unmarshal(sc.Bytes(), &q); err != nil || q.Hello != nil || q.Op == "" || q.ID <= last {
 			b.k.Counters.Add("rpc.malformed", 1)
 			return
 		}
-		h := b.handlers[q.Op]
-		if h == nil {
-			b.k.Counters.Add("rpc.malformed", 1)
+		last = q.ID
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
 			return
 		}
 		go func() {
+			defer func() { <-slots }()
 			a := line{ID: q.ID}
-			if v, err := h(ctx, q.Body); err != nil {
+			if v, err := b.handle(ctx, q.Op, q.Body); err != nil {
 				a.Err = err.Error()
 			} else if a.Body, err = encode(v); err != nil {
 				a.Err = err.Error()
@@ -172,25 +205,22 @@
 			}
 		}()
 	}
+	b.countTooLong(sc)
 }
 
-func scanner(c net.Conn) *bufio.Scanner {
-	sc := bufio.NewScanner(c)
-	sc.Buffer(make([]byte, 0, 2048), maxLine)
-	return sc
-}
-
-type peer struct {
-	dialing foundation.Gate
-
-	mu     sync.Mutex
-	conn   net.Conn
-	nextID uint64
-	calls  map[uint64]chan line
+// handle carries a call out.
+func (b *Endpoint) handle(ctx context.Context, op string, body json.RawMessage) (any, error) {
+	h := b.handlers[op]
+	if h == nil {
+		b.k.Counters.Add("rpc.unknown_op", 1)
+		return nil, errors.New("unknown operation")
+	}
+	return h(ctx, body)
 }
 
 // Call asks the process at addr; answer may be nil. It waits at most for the
-// span.
+// span. Whatever it returns, the call was sent once at most: it is sent anew
+// only if the other end has refused the connection before it read any call.
 func (b *Endpoint) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
@@ -204,47 +234,34 @@
 	b.mu.Lock()
 	p := b.peers[addr]
 	if p == nil {
-		p = &peer{dialing: foundation.NewGate(), calls: map[uint64]chan line{}}
+		p = &peer{addr: addr, dialing: foundation.NewGate()}
 		b.peers[addr] = p
 	}
 	b.mu.Unlock()
 
-	id, ch, err := p.send(ctx, b, addr, op, body)
-	if err != nil {
+	a, err := p.call(ctx, b, op, body)
+	if errors.Is(err, errOldLife) {
+		a, err = p.call(ctx, b, op, body)
+	}
+	switch {
+	case err != nil:
 		b.k.Counters.Add("rpc.unreachable", 1)
 		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
-	}
-	select {
-	case a, ok := <-ch:
-		if !ok {
-			b.k.Counters.Add("rpc.unreachable", 1)
-			return fmt.Errorf("%w: %s: connection lost", ErrUnreachable, addr)
-		}
-		if a.Err != "" {
-			return &Refused{a.Err}
-		}
-		if answer == nil {
-			return nil
-		}
-		if err := json.Unmarshal(a.Body, answer); err != nil {
-			b.k.Counters.Add("rpc.malformed", 1)
-			return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
-		}
+	case a.Err != "":
+		return &Refused{a.Err}
+	case answer == nil:
 		return nil
-	case <-ctx.Done():
-		p.forget(id)
-		b.k.Counters.Add("rpc.unreachable", 1)
-		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, ctx.Err())
 	}
+	if err := json.Unmarshal(a.Body, answer); err != nil {
+		b.k.Counters.Add("rpc.malformed", 1)
+		return fmt.Errorf("%w: %s: %v", ErrUnreachable, addr, err)
+	}
+	return nil
 }
 
 // own has this process answer its own call.
 func (b *Endpoint) own(ctx context.Context, op string, body json.RawMessage, answer any) error {
-	h := b.handlers[op]
-	if h == nil {
-		return &Refused{"unknown operation"}
-	}
-	v, err := h(ctx, body)
+	v, err := b.handle(ctx, op, body)
 	if err != nil {
 		return &Refused{err.Error()}
 	}
@@ -260,96 +277,3 @@
 	}
 	return nil
 }
-
-// connect makes sure that there is a connection; one call dials for all.
-func (p *peer) connect(ctx context.Context, b *Endpoint, addr string) error {
-	if err := p.dialing.Enter(ctx); err != nil {
-		return err
-	}
-	defer p.dialing.Leave()
-	p.mu.Lock()
-	there := p.conn != nil
-	p.mu.Unlock()
-	if there {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, connectWait.Duration())
-	defer cancel()
-	c, err := b.k.Net.Dial(ctx, addr, silence)
-	if err != nil {
-		return err
-	}
-	p.mu.Lock()
-	p.conn = c
-	p.mu.Unlock()
-	go p.receive(c)
-	return nil
-}
-
-func (p *peer) send(ctx context.Context, b *Endpoint, addr, op string, body json.RawMessage) (uint64, chan line, error) {
-	if err := p.connect(ctx, b, addr); err != nil {
-		return 0, nil, err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == nil {
-		return 0, nil, net.ErrClosed
-	}
-	p.nextID++
-	raw, err := line{ID: p.nextID, Op: op, Body: body}.encode()
-	if err != nil {
-		return 0, nil, err
-	}
-	ch := make(chan line, 1)
-	p.calls[p.nextID] = ch
-	if _, err := p.conn.Write(raw); err != nil {
-		p.drop(p.conn)
-		return 0, nil, err
-	}
-	return p.nextID, ch, nil
-}
-
-func (p *peer) receive(c net.Conn) {
-	sc := scanner(c)
-	for sc.Scan() {
-		var a line
-		if json.Unmarshal(sc.Bytes(), &a) != nil {
-			break
-		}
-		p.mu.Lock()
-		if ch := p.calls[a.ID]; ch != nil {
-			delete(p.calls, a.ID)
-			ch <- a
-		}
-		p.mu.Unlock()
-	}
-	p.mu.Lock()
-	p.drop(c)
-	p.mu.Unlock()
-}
-
-// drop ends a broken connection and every call that waits on it.
-func (p *peer) drop(c net.Conn) {
-	c.Close()
-	if p.conn != c {
-		return
-	}
-	p.conn = nil
-	for id, ch := range p.calls {
-		delete(p.calls, id)
-		close(ch)
-	}
-}
-
-// forget gives up a call; a connection on which a call went unanswered may
-// be dead, so it is replaced at the next one.
-func (p *peer) forget(id uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, ok := p.calls[id]; ok {
-		delete(p.calls, id)
-		if p.conn != nil && len(p.calls) == 0 {
-			p.drop(p.conn)
-		}
-	}
-}
