custodian: a duty call leaves once, on a connection of its own

Cause: the client to the platform kept its connection. A call that was given up was still delivered by the system for as long as the peer took it.

Change: the platform's side stands in a type of its own. Each call has its own connection, a body that can't be got again, and a connection that is given up is cut off (SO_LINGER 0).

--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -10,8 +10,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -83,13 +81,13 @@
 
 // Custodian is the archive's side of failover.
 type Custodian struct {
-	k       *foundation.Kernel
-	cfg     Config
-	v       *vault.Vault
-	acc     *accessions.Accessions
-	health  *conservator.Conservator
-	readers *Readers
-	client  *http.Client
+	k        *foundation.Kernel
+	cfg      Config
+	v        *vault.Vault
+	acc      *accessions.Accessions
+	health   *conservator.Conservator
+	readers  *Readers
+	platform *platform
 
 	databases *vault.Decoded[accessions.Database]
 	leads     *vault.Decoded[Lead]
@@ -109,15 +107,7 @@
 func New(k *foundation.Kernel, cfg Config, v *vault.Vault, acc *accessions.Accessions, health *conservator.Conservator, readers *Readers) *Custodian {
 	return &Custodian{
 		k: k, cfg: cfg, v: v, acc: acc, health: health, readers: readers,
-		client: &http.Client{
-			Transport: &http.Transport{
-				DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-					return k.Net.Dial(ctx, addr, foundation.Second)
-				},
-				MaxIdleConns: 1, IdleConnTimeout: 5 * time.Second,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		platform:  newPlatform(k.Net, cfg.Platform, cfg.Name),
 		databases: accessions.Decoder(), leads: Decoder(), desks: vault.NewDecoded[int64](deskPrefix),
 		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, said: map[string]string{},
 	}
@@ -696,32 +686,10 @@
 	if wait < 100*foundation.Millisecond {
 		return errNotYet
 	}
-	body, err := json.Marshal(map[string]string{"svc": l.Service, "id": l.To})
-	if err != nil {
-		return fmt.Errorf("custodian: %w", err)
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Platform+"/failover", bytes.NewReader(body))
-	if err != nil {
-		return fmt.Errorf("custodian: %w", err)
-	}
-	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set("X-Indigowalk-Duty-Holder", c.cfg.Name)
-	q.Header.Set("X-Indigowalk-Fence", strconv.FormatInt(epoch, 10))
 	c.k.Counters.Add("custodian.platform_calls", 1)
-	a, err := c.client.Do(q)
-	if err != nil {
-		return fmt.Errorf("custodian: platform: %w", err)
-	}
-	a.Body.Close()
-	switch {
-	case a.StatusCode/100 == 2:
-		return nil
-	case a.StatusCode == http.StatusConflict:
-		return errNotRunning
-	}
-	return fmt.Errorf("custodian: platform answers %d", a.StatusCode)
+	return c.platform.failover(ctx, epoch, l.Service, l.To)
 }
 
 type statRow struct {
--- /dev/null
+++ b/internal/custodian/platform.go
@@ -0,0 +1,71 @@
+package custodian
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+
+	"indigowalk/internal/foundation"
+)
+
+// platform makes the calls that are the duty of one node. Each call leaves once,
+// on a connection of its own: net/http may send a request a second time only on
+// a connection that it has used before, or with a body that it can get again.
+// What is given up is cut off rather than delivered later.
+type platform struct {
+	client *http.Client
+	addr   string
+	holder string
+}
+
+func newPlatform(n foundation.Network, addr, holder string) *platform {
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) {
+		c, err := n.Dial(ctx, addr, foundation.Second)
+		if t, ok := c.(*net.TCPConn); ok && err == nil {
+			err = t.SetLinger(0)
+		}
+		return c, err
+	}
+	return &platform{
+		client: &http.Client{
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+		addr: addr, holder: holder,
+	}
+}
+
+// failover has the platform make a database the primary of its service;
+// errNotRunning says that it refused. After any other error the call may have
+// been carried out.
+func (p *platform) failover(ctx context.Context, fence int64, service, id string) error {
+	body, err := json.Marshal(map[string]string{"svc": service, "id": id})
+	if err != nil {
+		return fmt.Errorf("custodian: %w", err)
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr+"/failover", io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return fmt.Errorf("custodian: %w", err)
+	}
+	q.ContentLength = int64(len(body))
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("X-Indigowalk-Duty-Holder", p.holder)
+	q.Header.Set("X-Indigowalk-Fence", strconv.FormatInt(fence, 10))
+	a, err := p.client.Do(q)
+	if err != nil {
+		return fmt.Errorf("custodian: platform: %w", err)
+	}
+	a.Body.Close()
+	switch {
+	case a.StatusCode/100 == 2:
+		return nil
+	case a.StatusCode == http.StatusConflict:
+		return errNotRunning
+	}
+	return fmt.Errorf("custodian: platform answers %d", a.StatusCode)
+}
--- /dev/null
+++ b/internal/custodian/platform_test.go
@@ -0,0 +1,123 @@
+package custodian
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"indigowalk/internal/foundation"
+)
+
+// Invariant DUTY-ONCE: a call to the platform leaves once, whatever becomes of
+// its connection. The stand-in answers the first request of a connection and
+// then, as each way has it, resets the connection while it is at rest, or at the
+// next request; or it ends the first without an answer.
+func TestDUTYONCEACallLeavesOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers int  // requests of a connection that are answered
+		rest    bool // it is reset at rest, after the last answer
+		calls   int
+		fail    int // calls that get no answer
+	}{
+		"never breaks":             {100, false, 3, 0},
+		"reset at rest":            {1, true, 3, 0},
+		"reset at the second":      {1, false, 3, 0},
+		"reset without an answer":  {0, false, 3, 3},
+		"reset before it is asked": {0, true, 3, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			var mu sync.Mutex
+			var read, conns int
+			var wg sync.WaitGroup
+			serve := func(conn net.Conn) {
+				defer wg.Done()
+				defer conn.Close()
+				conn.(*net.TCPConn).SetLinger(0)
+				in := bufio.NewReader(conn)
+				for n := 0; n < c.answers || !c.rest; n++ {
+					q, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, q.Body)
+					mu.Lock()
+					read++
+					mu.Unlock()
+					if n == c.answers {
+						return
+					}
+					io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+				io.Copy(io.Discard, io.LimitReader(conn, 1)) // until the far end has its answer, or asks again
+			}
+			go func() {
+				for {
+					conn, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					mu.Lock()
+					conns++
+					mu.Unlock()
+					wg.Add(1)
+					go serve(conn)
+				}
+			}()
+			p := newPlatform(foundation.HostNetwork{}, ln.Addr().String(), "a")
+			failed := 0
+			for range c.calls {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				if err := p.failover(ctx, 7, "s", "id"); err != nil {
+					failed++
+				}
+				cancel()
+			}
+			p.client.CloseIdleConnections()
+			wg.Wait()
+			if asked := c.calls - min(failed, c.calls); failed != c.fail || read > c.calls || read < asked || conns != c.calls {
+				t.Errorf("%d calls were read %d times on %d connections, %d failed, not %d", c.calls, read, conns, failed, c.fail)
+			}
+		})
+	}
+}
+
+// A call that is given up before the platform has read it is cut off.
+func TestDUTYONCEWhatIsGivenUpIsNotDeliveredLater(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p := newPlatform(foundation.HostNetwork{}, ln.Addr().String(), "a")
+	ctx, cancel := context.WithCancel(t.Context())
+	asked := make(chan error)
+	go func() { asked <- p.failover(ctx, 7, "s", "id") }()
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	if _, err := in.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := <-asked; !errors.Is(err, context.Canceled) {
+		t.Error(err)
+	}
+	conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := io.Copy(io.Discard, in); err == nil {
+		t.Error("the connection ended as if all had been said")
+	}
+}
