shelf, folio: a connection takes no other statement's answer

Cause: a statement that was given up left its answer outstanding, and the next one sent on that connection (the custodian asks STAT after a PAUSE that got no answer) took it for its own; the connection counted as clean once the late answer had come. Part of something behind a whole answer went unnoticed. An answer was read up to its IDLE whatever came before: without COMPLETE or ERROR, or with an ERROR that has no code, it counted as success, and rows left of one answer joined the next.

Change: one statement is out at a time; until its answer is taken none is sent and the connection is not lent; what comes unasked, or behind an answer, spoils it. An answer is rows, then COMPLETE with its stamp or ERROR with its code, then IDLE with a known state; anything else ends the connection. Batches, which nobody used, go.

--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -198,7 +198,7 @@
 		text = "WAITPOS " + choice.After.String() + " " + text
 	}
 	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
-	send := func() error { return conn.Send(msg, 1) }
+	send := func() error { return conn.Send(msg) }
 	sent := j.now()
 	var err error
 	gated := choice.Primary && !leased
--- a/internal/folio/folio.go
+++ b/internal/folio/folio.go
@@ -126,29 +126,34 @@
 	Pos   string
 }
 
-// ReadAnswer reads one answer up to its IDLE.
+// ReadAnswer reads one answer up to its IDLE: rows, then how it ended, once.
+// Anything else is malformed, so that what is left of one answer is never read
+// as part of another.
 func ReadAnswer(r *Reader) (*Answer, error) {
 	a := &Answer{}
-	for {
+	for ended := false; ; {
 		line, err := r.Line()
 		if err != nil {
 			return nil, err
 		}
 		word, rest := Word(line)
-		switch string(word) {
-		case "ROW":
+		switch kind := string(word); {
+		case kind == "ROW" && !ended:
 			if len(a.Rows)+len(line) > 2*MaxMessage {
 				return nil, ErrOversize
 			}
 			a.Rows = append(append(a.Rows, line...), '\r', '\n')
-		case "COMPLETE":
-			a.Seal = string(rest)
-		case "ERROR":
+		case kind == "COMPLETE" && !ended && len(rest) > 0:
+			a.Seal, ended = string(rest), true
+		case kind == "ERROR" && !ended:
 			code, text := Word(rest)
-			a.Code, a.Text = string(code), string(text)
-		case "IDLE":
+			if len(code) == 0 {
+				return nil, ErrMalformed
+			}
+			a.Code, a.Text, ended = string(code), string(text), true
+		case kind == "IDLE" && ended:
 			state, pos := Word(rest)
-			if len(state) != 1 {
+			if s := string(state); s != "I" && s != "T" && s != "E" {
 				return nil, ErrMalformed
 			}
 			a.State, a.Pos = state[0], string(pos)
--- a/internal/folio/folio_test.go
+++ b/internal/folio/folio_test.go
@@ -30,7 +30,10 @@
 	if err != nil || a.Seal != "7.1" || a.State != 'T' || string(a.Append(nil)) != whole {
 		t.Errorf("%+v %v", a, err)
 	}
-	for _, cut := range []string{"ROW a\r\nCOMPLETE 7\r\n", "NOISE\r\n", "IDLE\r\n"} {
+	for _, cut := range []string{
+		"ROW a\r\nCOMPLETE 7\r\n", "NOISE\r\n", "IDLE\r\n", "IDLE I 3.1\r\n", "ROW a\r\nIDLE I 3.1\r\n", "ERROR \r\nIDLE I -\r\n",
+		"COMPLETE 7\r\nROW a\r\nCOMPLETE 8\r\nIDLE I -\r\n", "COMPLETE 7\r\nERROR RETRY\r\nIDLE I -\r\n", "COMPLETE 7\r\nIDLE X -\r\n",
+	} {
 		if a, err := ReadAnswer(NewReader(strings.NewReader(cut))); err == nil {
 			t.Errorf("%q gave %+v", cut, a)
 		}
--- a/internal/shelf/conn.go
+++ b/internal/shelf/conn.go
@@ -29,7 +29,10 @@
 // names the session's values, which are best in force on it already.
 type Shelf = stacks.Stacks[map[string]string, *Conn]
 
-// Conn is one connection to a database.
+// Conn is one connection to a database. One statement is out at a time: until
+// its answer has been taken no other is sent, so that a late answer is never
+// taken for another's; and nothing is sent after an answer that was not asked
+// for, nor behind which more came.
 type Conn struct {
 	DB         accessions.Database
 	Generation int64  // of the database when the connection was opened
@@ -45,10 +48,12 @@
 	names  map[string]string // server-side name by kind and shape
 	state  byte
 
-	mu      sync.Mutex
-	waiting int // answers outstanding
-	onDead  func(byUs, silent bool)
-	closed  bool
+	mu     sync.Mutex
+	out    bool // a statement was sent, whose answer nobody has taken
+	read   bool // that answer has come
+	spoilt bool // more came than was asked for
+	onDead func(byUs, silent bool)
+	closed bool
 }
 
 // Dialer opens connections to databases.
@@ -99,9 +104,13 @@
 		}
 		return nil, fmt.Errorf("%w: %s", stacks.ErrRejected, rest)
 	}
+	if r.Buffered() {
+		c.Close()
+		return nil, fmt.Errorf("%w: more came than the answer to the log-in", stacks.ErrBroken)
+	}
 	_, pos := folio.Word(rest)
 	s := &Conn{
-		DB: db, Login: string(pos), c: c, answers: make(chan *folio.Answer, maxBatch), dead: make(chan struct{}),
+		DB: db, Login: string(pos), c: c, answers: make(chan *folio.Answer, 1), dead: make(chan struct{}),
 		values: map[string]string{}, names: map[string]string{}, state: 'I',
 	}
 	go s.listen(r)
@@ -116,8 +125,8 @@
 			break
 		}
 		s.mu.Lock()
-		s.waiting--
-		asked := s.waiting >= 0
+		asked := s.out && !s.read
+		s.read, s.spoilt = true, s.spoilt || !asked || r.Buffered()
 		s.mu.Unlock()
 		if !asked {
 			break // an answer to nothing: the stream can't be trusted
@@ -146,7 +155,7 @@
 func (s *Conn) Clean() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state == 'I' && s.waiting == 0 && !s.closed
+	return s.state == 'I' && !s.out && !s.spoilt && !s.closed
 }
 
 // Fit implements stacks.Line: the same values are best, none at all next.
@@ -178,17 +187,19 @@
 	}
 }
 
-// maxBatch bounds the requests under way on one connection.
-const maxBatch = 16
-
-// Send writes a batch of requests, in one piece. An error means that the last
-// of them was not sent in full.
-func (s *Conn) Send(msg []byte, requests int) error {
+// Send writes a statement, in one piece. An error means that it was not sent in
+// full: what is cut off before its end is not run.
+func (s *Conn) Send(msg []byte) error {
 	s.mu.Lock()
-	s.waiting += requests
+	free := !s.out && !s.spoilt
+	s.out, s.read = true, s.read && !free
 	s.mu.Unlock()
-	if !s.Alive() {
+	switch {
+	case !s.Alive():
 		return s.fault()
+	case !free:
+		s.Close()
+		return fmt.Errorf("%w: an answer is outstanding, or surplus", stacks.ErrBroken)
 	}
 	if _, err := s.c.Write(msg); err != nil {
 		s.Close()
@@ -197,6 +208,14 @@
 	return nil
 }
 
+// take notes that an answer was taken.
+func (s *Conn) take(a *folio.Answer) *folio.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state, s.out, s.read = a.State, false, false
+	return a
+}
+
 // Watch is what the wait for an answer looks out for.
 type Watch struct {
 	Quiet   foundation.Micros // after so long without an answer Doubt is called, once
@@ -208,8 +227,7 @@
 func (s *Conn) Receive(wait foundation.Micros, w Watch) (*folio.Answer, error) {
 	select {
 	case a := <-s.answers:
-		s.state = a.State
-		return a, nil
+		return s.take(a), nil
 	default:
 	}
 	if w.Doubt != nil && w.Quiet < wait {
@@ -230,15 +248,13 @@
 	defer t.Stop()
 	select {
 	case a := <-s.answers:
-		s.state = a.State
-		return a, nil
+		return s.take(a), nil
 	case <-unbound:
 		return nil, ErrUnbound
 	case <-s.dead:
 		select {
 		case a := <-s.answers: // it came just before the end
-			s.state = a.State
-			return a, nil
+			return s.take(a), nil
 		default:
 			return nil, s.fault()
 		}
@@ -249,7 +265,7 @@
 
 // Ask sends a statement of the pool's own and waits for its answer.
 func (s *Conn) Ask(text string, wait foundation.Micros) (*folio.Answer, error) {
-	if err := s.Send(folio.AppendMessage(nil, "QUERY", "-", text), 1); err != nil {
+	if err := s.Send(folio.AppendMessage(nil, "QUERY", "-", text)); err != nil {
 		return nil, err
 	}
 	return s.Receive(wait, Watch{})
--- /dev/null
+++ b/internal/shelf/conn_test.go
@@ -0,0 +1,112 @@
+package shelf_test
+
+import (
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/folio"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rehearsal"
+	"indigowalk/internal/shelf"
+	"indigowalk/internal/stacks"
+)
+
+const answerA, answerB = "COMPLETE a\r\nIDLE I -\r\n", "COMPLETE b\r\nIDLE I -\r\n"
+
+// Invariant STATEMENT: an answer is given only to the statement that it answers,
+// and a connection on which that is not sure is neither used nor lent again. The
+// hand-made database answers each statement after 100 ms with the next text.
+func TestSTATEMENTTakesNoOthersAnswer(t *testing.T) {
+	const soon, late = 50 * foundation.Millisecond, 200 * foundation.Millisecond
+	for name, c := range map[string]struct {
+		texts []string
+		wait  foundation.Micros // for the first answer
+		first string            // its seal, "" if it is given up
+		clean bool              // the connection may serve others then
+		next  string            // seal of the next one's answer, "" if it is not sent
+	}{
+		"in order":                   {[]string{answerA, answerB}, late, "a", true, "b"},
+		"given up, answered late":    {[]string{answerA, answerB}, soon, "", false, ""},
+		"more behind a whole answer": {[]string{answerA + answerB, answerB}, late, "a", false, ""},
+		"part of more behind it":     {[]string{answerA + "COMP", answerB}, late, "a", false, ""},
+		"stops short":                {[]string{"ROW x\r\n", answerB}, late, "", false, ""},
+		"no end":                     {[]string{"ROW x\r\nIDLE I -\r\n", answerB}, late, "", false, ""},
+		"a failure without its code": {[]string{"ERROR\r\nIDLE I -\r\n", answerB}, late, "", false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := rehearsal.NewNet(1)
+				ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				go func() {
+					db, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					r := folio.NewReader(db)
+					for _, text := range append([]string{"IDLE I -\r\n"}, c.texts...) {
+						if _, err := r.Line(); err != nil {
+							return
+						}
+						if text != "IDLE I -\r\n" {
+							time.Sleep(100 * time.Millisecond)
+						}
+						io.WriteString(db, text)
+					}
+				}()
+				d := shelf.Dialer{Net: n.Host("10.0.0.1"), Who: "w", Connect: foundation.Second, Silence: foundation.Second}
+				conn, err := d.Open(t.Context(), accessions.Database{ID: "d", Service: "s", Address: "10.0.0.2:1"}, foundation.Second)
+				if err != nil {
+					t.Fatal(err)
+				}
+				seal := func(a *folio.Answer, err error) string {
+					if err != nil || a.Code != "" {
+						return ""
+					}
+					return a.Seal
+				}
+				if got := seal(conn.Ask("FETCH 1", c.wait)); got != c.first {
+					t.Errorf("first answer %q", got)
+				}
+				time.Sleep(200 * time.Millisecond) // what is late comes
+				if clean := conn.Clean() && conn.Alive(); clean != c.clean {
+					t.Errorf("it may serve others: %v", clean)
+				}
+				if got := seal(conn.Ask("PUT 2 x", late)); got != c.next {
+					t.Errorf("next answer %q", got)
+				}
+				conn.Close()
+				ln.Close()
+				time.Sleep(15 * time.Second)
+			})
+		})
+	}
+}
+
+// A log-in that is answered twice gives no connection.
+func TestSTATEMENTFollowsOneAnswerToTheLogIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := rehearsal.NewNet(1)
+		ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			if db, err := ln.Accept(); err == nil {
+				io.WriteString(db, "IDLE I -\r\nIDLE I -\r\n")
+			}
+		}()
+		d := shelf.Dialer{Net: n.Host("10.0.0.1"), Who: "w", Connect: foundation.Second, Silence: foundation.Second}
+		if _, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "10.0.0.2:1"}, foundation.Second); !errors.Is(err, stacks.ErrBroken) {
+			t.Errorf("a log-in answered twice: %v", err)
+		}
+		n.Reset("10.0.0.2")
+		time.Sleep(15 * time.Second)
+	})
+}
