cart: an id goes once over a connection; interim answers do no harm

Cause: answers are told apart by the request's id, so where the same id went twice over a connection a surplus answer to the first (a promise that it has not run, say) passed for the second's. An interim answer (100 Continue) carries no id and spoilt the connection like a foreign one.

Change: a connection refuses an id that it has carried of late and is used no more. Interim answers are passed over, eight at most for one request. What comes behind a long answer spoils the connection as behind a short one.

--- a/internal/cart/conn.go
+++ b/internal/cart/conn.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,7 +44,7 @@
 const (
 	maxHead    = 64 << 10 // of an answer
 	maxWhole   = 64 << 10 // bodies up to this are read whole before they are passed on
-	maxSurplus = 8        // answers to other requests that are passed over
+	maxSurplus = 8        // answers to other requests, or before the final one, that are passed over
 	pollBuffer = 4 << 10
 	// nearEnd is kept to the time at which a database closes an idle connection.
 	nearEnd = 500 * foundation.Millisecond
@@ -106,8 +107,10 @@
 	now     *asked
 	last    bool // it is not used again after the request under way
 	closed  bool
-	spoilt  bool              // the far end sent what nobody asked for
-	idleFor foundation.Micros // the database keeps it open for, 0 if it did not say
+	spoilt  bool               // the far end sent what nobody asked for
+	ids     [maxSurplus]string // of the last requests
+	sent    int                // requests
+	idleFor foundation.Micros  // the database keeps it open for, 0 if it did not say
 	silent  bool
 	onDead  func(byUs, silent bool)
 }
@@ -206,7 +209,8 @@
 	}
 }
 
-// Send writes a request within the span; the answer, or how it ended, comes on
+// Send writes a request within the span, unless one of the same id went this way
+// a moment ago: a surplus answer to that one could not be told from its own; the answer, or how it ended, comes on
 // the channel. If a body is not whole in memory it is streamed.
 func (s *Conn) Send(q *http.Request, id string, wait foundation.Micros) (<-chan Result, error) {
 	a := &asked{q, id, make(chan Result, 1)}
@@ -215,6 +219,13 @@
 		s.mu.Unlock()
 		return nil, ErrUnsent
 	}
+	if id != "" && slices.Contains(s.ids[:], id) {
+		s.spoilt = true
+		s.mu.Unlock()
+		return nil, ErrUnsent
+	}
+	s.ids[s.sent%len(s.ids)] = id
+	s.sent++
 	s.now = a
 	s.mu.Unlock()
 	if err := s.c.SetWriteDeadline(time.Now().Add(wait.Duration())); err != nil {
@@ -323,10 +334,10 @@
 		}
 		mine := a.id == "" || r.Header.Get(RequestID) == a.id
 		if r.StatusCode < 200 || !mine {
-			if !mine {
-				if surplus++; surplus > maxSurplus {
-					return ErrMalformed
-				}
+			if surplus++; surplus > maxSurplus {
+				return ErrMalformed
+			}
+			if r.StatusCode >= 200 {
 				s.spoil()
 			}
 			if _, err := io.Copy(io.Discard, r.Body); err != nil {
@@ -337,6 +348,7 @@
 		if err := s.deliver(a, r); err != nil {
 			return err
 		}
+		surplus = 0
 		if s.spent() {
 			return io.EOF
 		}
@@ -350,6 +362,15 @@
 	s.spoilt = true
 }
 
+// free ends the request under way; the connection is used no more if something
+// came behind its answer.
+func (s *Conn) free() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.now = nil
+	s.spoilt = s.spoilt || s.in.Buffered() > 0
+}
+
 // deliver hands the answer out, small ones whole.
 func (s *Conn) deliver(a *asked, r *http.Response) error {
 	reply := &Reply{Status: r.StatusCode, Header: r.Header, Length: r.ContentLength}
@@ -367,10 +388,7 @@
 	}
 	s.note(r)
 	if rest == nil {
-		s.mu.Lock()
-		s.now = nil
-		s.spoilt = s.spoilt || s.in.Buffered() > 0
-		s.mu.Unlock()
+		s.free()
 	}
 	a.ch <- Result{Reply: reply}
 	if rest != nil {
@@ -378,9 +396,7 @@
 		if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxWhole)); err != nil || n == maxWhole {
 			return fmt.Errorf("%w: body not taken in full", stacks.ErrBroken)
 		}
-		s.mu.Lock()
-		s.now = nil
-		s.mu.Unlock()
+		s.free()
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/cart/conn_test.go
@@ -0,0 +1,131 @@
+package cart_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/cart"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rehearsal"
+)
+
+// reply is an answer to a request.
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", cart.RequestID, id, len(body), body)
+}
+
+// connect plays a test with a connection to a hand-made database, which answers
+// the requests in turn with the texts; the connection ends after the last.
+func connect(t *testing.T, texts []string, f func(c *cart.Conn)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := rehearsal.NewNet(1)
+		ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			db, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer db.Close()
+			in := bufio.NewReader(db)
+			for _, text := range texts {
+				q, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, q.Body)
+				time.Sleep(100 * time.Millisecond)
+				io.WriteString(db, text)
+			}
+			time.Sleep(time.Second)
+		}()
+		d := cart.Dialer{
+			Net: n.Host("10.0.0.1"), Connect: foundation.Second, Silence: foundation.Second, Wrap: func(c net.Conn) net.Conn { return c },
+		}
+		c, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "10.0.0.2:1"}, foundation.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f(c)
+		c.Close()
+		ln.Close()
+		time.Sleep(15 * time.Second)
+	})
+}
+
+// ask sends a request and waits for its answer; "" if there is none.
+func ask(c *cart.Conn, id string, wait foundation.Micros) string {
+	q, err := http.NewRequest(http.MethodPost, "http://d/", strings.NewReader("x"))
+	if err != nil {
+		panic(err)
+	}
+	ch, err := c.Send(q, id, foundation.Second)
+	if err != nil {
+		return ""
+	}
+	r, err := cart.Await(ch, wait)
+	if err != nil {
+		return ""
+	}
+	defer r.Close()
+	if r.Rest != nil {
+		rest, err := io.ReadAll(r.Rest)
+		return fmt.Sprintf("%d %v", len(r.Body)+len(rest), err)
+	}
+	return string(r.Body)
+}
+
+// Invariant REQUEST: an answer is given only to the request that it answers, and
+// a connection on which that is not sure is neither used nor lent again.
+func TestREQUESTTakesNoOthersAnswer(t *testing.T) {
+	const soon, late = 50 * foundation.Millisecond, 300 * foundation.Millisecond
+	long := strings.Repeat("y", 100<<10)
+	interim := "HTTP/1.1 100 Continue\r\n\r\n"
+	for name, c := range map[string]struct {
+		texts []string
+		ids   [2]string
+		wait  foundation.Micros // for the first answer
+		first string
+		clean bool // the connection may serve others then
+		next  string
+	}{
+		"in order":                      {[]string{reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, late, "1", true, "2"},
+		"an interim answer":             {[]string{interim + reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, late, "1", true, "2"},
+		"interim answers without end":   {[]string{strings.Repeat(interim, 20) + reply("a", "1")}, [2]string{"a", "b"}, late, "", false, ""},
+		"given up, answered late":       {[]string{reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, soon, "", true, "2"},
+		"another's answer first":        {[]string{reply("z", "0") + reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, late, "1", false, ""},
+		"answered twice":                {[]string{reply("a", "1") + reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, late, "1", false, ""},
+		"the same id again":             {[]string{reply("a", "1"), reply("a", "1")}, [2]string{"a", "a"}, late, "1", true, ""},
+		"more behind a long answer":     {[]string{reply("a", long) + "HTTP", reply("b", "2")}, [2]string{"a", "b"}, late, "102400 <nil>", false, ""},
+		"cut off":                       {[]string{reply("a", long)[:5000]}, [2]string{"a", "b"}, 2 * foundation.Second, "", false, ""},
+		"an answer without its request": {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", reply("b", "2")}, [2]string{"a", "b"}, late, "", false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			connect(t, c.texts, func(conn *cart.Conn) {
+				if got := ask(conn, c.ids[0], c.wait); got != c.first {
+					t.Errorf("first answer %.20q", got)
+				}
+				time.Sleep(200 * time.Millisecond) // what is late comes
+				if clean := conn.Clean() && conn.Alive(); clean != c.clean {
+					t.Errorf("it may serve others: %v", clean)
+				}
+				if got := ask(conn, c.ids[1], late); got != c.next {
+					t.Errorf("next answer %.20q", got)
+				}
+				if c.ids[0] == c.ids[1] && conn.Clean() {
+					t.Error("it is lent again after an id that it has carried")
+				}
+			})
+		})
+	}
+}
