A late beat of a life before the last displaces nobody

Cause: only the id before the last was known of a database that returned under new ids. A late beat of an earlier one was taken for its successor: the running one's entry went, and its own beats counted as delayed from then on. After three seconds that held also at the archive that had heard them all. A late beat of one whose address went to another service marked the new one as gone. Change: every id whose entry is removed has a record, as those that deregister; a beat of a database that is gone changes nothing.

--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -79,8 +79,8 @@
 	k *foundation.Kernel
 	v *vault.Vault
 
-	decoded *vault.Decoded[Database]
-	left    *vault.Decoded[leaving]
+	decoded  *vault.Decoded[Database]
+	departed *vault.Decoded[departure]
 
 	mu   sync.Mutex
 	soft map[string]Soft
@@ -89,7 +89,7 @@
 
 // New returns the list kept in v.
 func New(k *foundation.Kernel, v *vault.Vault) *Accessions {
-	return &Accessions{k: k, v: v, decoded: Decoder(), left: vault.NewDecoded[leaving](leftPrefix), soft: map[string]Soft{}}
+	return &Accessions{k: k, v: v, decoded: Decoder(), departed: vault.NewDecoded[departure](departedPrefix), soft: map[string]Soft{}}
 }
 
 // Decoder returns what picks the databases out of the control state.
@@ -101,8 +101,9 @@
 }
 
 // Heartbeat takes a beat; it returns nil only once everything in it that is
-// control state is durable. A database that drains or has left never goes back
-// under that id: whatever says otherwise is a delayed beat.
+// control state is durable. A database that drains never goes back under that
+// id, and one that is gone or was replaced is never there again: whatever says
+// otherwise is a delayed beat.
 func (a *Accessions) Heartbeat(ctx context.Context, id string, b Beat) error {
 	if id == "" || b.Service == "" || b.Address == "" {
 		a.k.Counters.Add("accessions.malformed", 1)
@@ -129,11 +130,11 @@
 	switch {
 	case have == nil && late:
 		return fmt.Errorf("%w: a delayed beat of a database that is not known", ErrUnavailable)
-	case have != nil && (old.covers(want) || late && (old.Draining || !want.Draining)):
+	case have != nil && (old.Gone || old.covers(want) || late && (old.Draining || !want.Draining)):
 		return nil
 	}
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		if gone, err := a.hasLeft(entries, id); gone || err != nil {
+		if gone, err := a.hasDeparted(entries, id); gone || err != nil {
 			return nil, err
 		}
 		known, err := a.decoded.Of(entries)
@@ -199,14 +200,14 @@
 // leaves a record too: its beats may come yet.
 func (a *Accessions) Deregister(ctx context.Context, id string) error {
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		if gone, err := a.hasLeft(entries, id); gone || err != nil {
+		if gone, err := a.hasDeparted(entries, id); gone || err != nil {
 			return nil, err
 		}
 		out, err := edited(entries, id, func(d *Database) { d.Gone = true })
 		if err != nil {
 			return nil, err
 		}
-		return out, a.record(entries, id, out)
+		return out, a.record(entries, out, id)
 	}, "database gone", "id", id)
 }
 
@@ -249,8 +250,16 @@
 func (a *Accessions) change(ctx context.Context, f func(map[string]json.RawMessage) (map[string]json.RawMessage, error), msg string, attrs ...any) error {
 	var changes map[string]json.RawMessage
 	err := a.v.Update(ctx, func(entries map[string]json.RawMessage) (_ map[string]json.RawMessage, err error) {
-		changes, err = f(entries)
-		return changes, err
+		if changes, err = f(entries); err != nil {
+			return nil, err
+		}
+		var removed []string
+		for key, raw := range changes {
+			if id, ok := strings.CutPrefix(key, keyPrefix); ok && raw == nil {
+				removed = append(removed, id)
+			}
+		}
+		return changes, a.record(entries, changes, removed...)
 	})
 	if err != nil {
 		a.k.Counters.Add("accessions.unavailable", 1)
--- a/internal/rehearsal/calls_test.go
+++ b/internal/rehearsal/calls_test.go
@@ -69,6 +69,61 @@
 	})
 }
 
+// LEFT-STAYS: a database that crashed and returned under a new id is not displaced by a late
+// beat of a life before, however many lives ago, at the archive that heard them
+// all nor at another; nor is one of another service at that address.
+func TestLateBeatOfAnEarlierLife(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		d, first := g.DB(2), g.DB(2).ID
+		late := func(id string) {
+			t.Helper()
+			beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":6,"status":"up","call_seq":1}`, d.addr)
+			if code := w.post(vaultPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code >= 400 && code < 500 {
+				t.Errorf("a late beat of %s: %d", id, code)
+			}
+		}
+		listed := func() (out []string) {
+			state, err := w.Process("archive", vaultPrimary(w)).vault().Durable()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for key, raw := range state.Entries {
+				if strings.HasPrefix(key, "database/") && strings.Contains(string(raw), d.addr) && !strings.Contains(string(raw), `"gone":true`) {
+					out = append(out, strings.TrimPrefix(key, "database/"))
+				}
+			}
+			return out
+		}
+		expect := func(id string) {
+			t.Helper()
+			w.Until("the newest life is listed", 5*time.Second, func() bool { return len(listed()) > 0 })
+			if got := listed(); len(got) != 1 || got[0] != id {
+				t.Errorf("listed at its address: %v, want %s", got, id)
+			}
+		}
+		for _, id := range []string{"second", "third"} {
+			d.Crash(false)
+			time.Sleep(time.Second)
+			d.Return(id)
+			time.Sleep(5 * time.Second)
+		}
+		late(first)
+		expect("third")
+		w.Process("archive", vaultPrimary(w)).Kill()
+		w.Until("another primary", 5*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		late(first)
+		late("second")
+		expect("third")
+		d.Crash(false)
+		other := fmt.Appendf(nil, `{"svc":"lookup","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":9}`, d.addr)
+		w.Until("another's beat is taken", 3*time.Second, func() bool {
+			return w.post(vaultPrimary(w), "/Servers.Heartbeat/other", nil, other) == 200
+		})
+		late("third")
+		expect("other")
+	})
+}
+
 // What a call with an order gets that is not as the page has it, or has no
 // primary that could take it.
 func TestCallsWithOrders(t *testing.T) {
