A late or lost CONTINUE loses no commit and leaves no replica paused

Cause: PAUSE and STEPDOWN name a term, CONTINUE names none. Where the old primary was held as failed the replicas were paused and compared before every desk had left it, and a desk passed on what the old primary acknowledged after it had left. A CONTINUE that came late (of a custodian that had lost its term, frozen between deciding and writing) woke a replica after the choice: what it let the old primary acknowledge was acknowledged to clients, and the chosen one lacked it. The other way round, a CONTINUE that got lost after a move was called off was never said again, and a replica that stays paused receives nothing: with one replica left, no write ended any more.

Change: replicas are compared once every desk has left or holds no lease, and a desk acknowledges a commit only while it has not left, under its lease, and if the database leads in the same term as when the statement began; else the answer is UNKNOWN. So a CONTINUE may come at any time, and is said to each replica until it has answered once since the last move, or since the vault's primary changed.

--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -97,6 +97,7 @@
 	busy               map[string]bool              // services being moved by this process
 	tried              map[string]foundation.Micros // when what is paced was last tried
 	said               map[string]string            // why a service's move waits
+	woken              map[string]*woken            // by service
 	seen               *scene                       // the control state of seenEpoch and seenSeq
 	seenEpoch, seenSeq int64
 	confRaw            json.RawMessage // that the scene's configuration was read from
@@ -109,7 +110,7 @@
 		k: k, cfg: cfg, v: v, acc: acc, health: health, readers: readers,
 		platform:  newPlatform(k.Net, cfg.Platform, cfg.Name),
 		databases: accessions.Decoder(), leads: Decoder(), desks: vault.NewDecoded[int64](deskPrefix),
-		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, said: map[string]string{},
+		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, said: map[string]string{}, woken: map[string]*woken{},
 	}
 }
 
@@ -412,15 +413,18 @@
 // choose pauses the replicas, compares what they hold and makes the choice
 // durable.
 func (c *Custodian) choose(ctx context.Context, s *scene, l *Lead) error {
+	// From then on no commit of the old primary is acknowledged to a client, even
+	// if a replica is woken by a CONTINUE that comes late; what was acknowledged
+	// before is held by the replicas that are asked. What the desks have under way
+	// at a primary that answers ends before they are paused.
+	if err := c.awaitLeft(ctx, *l); err != nil {
+		return err
+	}
 	old, there := s.databases[l.ID]
 	alive := there && !old.Gone && c.health.Up(l.ID)
 	sit := Situation{Sync: s.syncReplicas(l.Service)}
 	newest, held := l.Term, int64(0)
 	if alive {
-		// What the desks have under way ends before the replicas stop.
-		if err := c.awaitLeft(ctx, *l); err != nil {
-			return err
-		}
 		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
 			sit.Held, newest = &row.received, max(newest, row.term)
 		}
@@ -594,6 +598,7 @@
 // tidy makes a replica of every database that leads without being the lead,
 // and forgets those that are gone.
 func (c *Custodian) tidy(ctx context.Context, s *scene, l Lead) {
+	c.wake(ctx, s, l)
 	ending := false
 	for _, d := range s.replicas(l.Service, l.ID) {
 		ending = ending || d.Gone || d.Draining && d.Out != l.Turn+1
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -19,6 +19,7 @@
 	conn    *shelf.Conn
 	choice  findingaid.Choice
 	service string
+	term    int64 // in which the primary led when it began
 	b       *conservator.Binding
 	wrote   bool
 	ran     int  // statements answered inside it
@@ -138,7 +139,7 @@
 	t.conn, t.choice, t.service = conn, choice, j.route.Service
 	t.b = d.health.Bind(conn.DB.ID)
 	if choice.Primary {
-		d.card.Begin(t.service)
+		t.term = d.card.Begin(t.service)
 	}
 	own := *j
 	own.q = t.begin
@@ -234,7 +235,9 @@
 		t.wrote = t.wrote || j.write
 		if a.State != 'T' {
 			s.tx = nil
-			if commit && t.wrote {
+			if commit && t.wrote && !s.d.card.Covers(t.service, t.conn.DB.ID, t.term) {
+				a = s.d.leftMeanwhile(t.conn.DB.ID)
+			} else if commit && t.wrote {
 				if pos, ok := folio.ParsePosition(a.Pos); ok && s.last.Less(pos) {
 					s.last = pos
 				}
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -259,8 +259,9 @@
 func (j *job) attempt(conn *shelf.Conn, choice findingaid.Choice) (a *folio.Answer, again bool) {
 	d, id := j.s.d, choice.Database.ID
 	b := d.health.Bind(id)
+	var term int64
 	if choice.Primary {
-		d.card.Begin(j.route.Service)
+		term = d.card.Begin(j.route.Service)
 	}
 	release := func() {
 		d.shelf.Return(conn)
@@ -290,6 +291,9 @@
 	if err != nil {
 		return j.failed(conn, b, err)
 	}
+	if j.write && a.Code == "" && !d.card.Covers(j.route.Service, id, term) {
+		return d.leftMeanwhile(id), false
+	}
 	return j.judge(conn, choice, a)
 }
 
@@ -309,6 +313,13 @@
 	}()
 }
 
+// leftMeanwhile is the answer to a write whose database has acknowledged it after
+// this desk had left it: whether it is kept is not known.
+func (d *Desk) leftMeanwhile(id string) *folio.Answer {
+	d.k.Counters.Add("desk.left_meanwhile", 1)
+	return refusal(folio.Unknown, "the lead moved from "+id, 'I')
+}
+
 // failed deals with an attempt that got no answer.
 func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
 	d, id := j.s.d, conn.DB.ID
--- /dev/null
+++ b/internal/rehearsal/stray_test.go
@@ -0,0 +1,65 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+)
+
+// heldReplicas waits until both replicas of a group of three are paused.
+func heldReplicas(w *World, g *Group) {
+	w.T.Helper()
+	w.Until("the replicas are paused", 10*time.Second, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.dbs[1].held > 0 && g.dbs[2].held > 0
+	})
+}
+
+// A CONTINUE of a custodian that has lost its term since comes late, between the
+// choice and the promotion: what was under way at the old primary is acknowledged
+// by the replica that it wakes, and the chosen one must not lack it.
+func TestALateContinueLosesNothing(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		under(w, g, func() {
+			g.DB(1).Deaf(true)
+			g.DB(2).Deaf(true) // so that writes are under way when they are paused
+			time.Sleep(100 * time.Millisecond)
+			w.Net.Cut(ip(z), g.DB(0).Host.IP, true) // only the custodian finds it down
+			heldReplicas(w, g)
+			time.Sleep(30 * time.Millisecond)
+			g.DB(2).control("CONTINUE", "")
+			g.DB(2).Deaf(false)
+			time.Sleep(3 * time.Second)
+			g.DB(1).Deaf(false)
+			w.Net.Cut(ip(z), g.DB(0).Host.IP, false)
+		})
+	})
+}
+
+// A CONTINUE that got lost is said again: a replica stays paused no longer than
+// the move for which it was paused.
+func TestALostContinueIsSaidAgain(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		z := vaultPrimary(w)
+		g.DB(2).Crash(true)
+		w.Net.Cut(ip(z), g.DB(0).Host.IP, true)
+		l := w.NewLoad(g, 3)
+		w.Until("a replica is paused", 10*time.Second, func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.dbs[1].held > 0
+		})
+		w.Net.Cut(ip(z), g.DB(1).Host.IP, true)
+		w.Net.Cut(ip(z), g.DB(0).Host.IP, false)
+		time.Sleep(5 * time.Second)
+		w.Net.Cut(ip(z), g.DB(1).Host.IP, false)
+		time.Sleep(5 * time.Second)
+		g.mu.Lock()
+		if g.dbs[1].held > 0 {
+			t.Error("a replica is still paused")
+		}
+		g.mu.Unlock()
+		l.Stop()
+	})
+}
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -162,11 +162,25 @@
 	return sent, send()
 }
 
-// Begin counts a statement or transaction as under way at the primary.
-func (c *Card) Begin(service string) {
+// Begin counts a statement or transaction as under way at the primary, and
+// returns the term in which that leads.
+func (c *Card) Begin(service string) (term int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inside[service]++
+	return c.leads[service].Term
+}
+
+// Covers tells whether a commit that the primary has just acknowledged may be
+// acknowledged to a client: the database leads as when it was begun, the lease
+// runs and this desk has not said that it left. Once every desk has left, or its
+// lease is over, no commit of the old primary counts any more, whatever may still
+// wake the replicas that receive it.
+func (c *Card) Covers(service, id string, term int64) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	l := c.leads[service]
+	return l.ID == id && l.Term == term && !(l.Moving && c.left[service] >= l.Turn) && c.k.Clock.Now()+leaseMargin < c.leaseEnd
 }
 
 // Done ends what Begin began.
