--- /dev/null
+++ b/internal/rpc/fuzz_test.go
@@ -0,0 +1,194 @@
+package rpc_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rpc"
+)
+
+// wire is a network of one connection.
+type wire struct {
+	foundation.Network
+	end net.Conn
+	in  chan net.Conn
+}
+
+func (w wire) Dial(context.Context, string, foundation.Micros) (net.Conn, error) { return w.end, nil }
+func (w wire) Listen(string) (net.Listener, error)                               { return w, nil }
+func (w wire) Addr() net.Addr                                                    { return nil }
+
+func (w wire) Accept() (net.Conn, error) {
+	if c, ok := <-w.in; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (w wire) Close() error { return nil }
+
+// seen is a line as the checks read it, apart from the package's own reading.
+type seen struct {
+	Hello *struct {
+		From, To    string
+		Life, Known int64
+		Old         bool
+	}
+	ID   uint64
+	Op   string
+	Body json.RawMessage
+}
+
+// whole returns the readable lines that have their end, up to the first that can't
+// be read.
+func whole(input []byte) (lines []seen) {
+	for {
+		raw, rest, ok := bytes.Cut(input, []byte{'\n'})
+		var s seen
+		if !ok || json.Unmarshal(raw, &s) != nil {
+			return lines
+		}
+		lines, input = append(lines, s), rest
+	}
+}
+
+// feed writes the input in two pieces and ends the connection.
+func feed(c net.Conn, input []byte, at uint16) {
+	cut := int(at) % (len(input) + 1)
+	for _, piece := range [][]byte{input[:cut], input[cut:]} {
+		if _, err := c.Write(piece); err != nil {
+			break
+		}
+		synctest.Wait()
+	}
+	c.Close()
+}
+
+// Whatever a peer sends, a call gets only the first line of its number, after a
+// greeting of the process that was meant, with nothing unreadable or unasked
+// before it; and the call ends.
+func FuzzAnswers(f *testing.F) {
+	hello, one, two := greeting(other, self, 10)+"\n", `{"id":1,"body":"one"}`+"\n", `{"id":2,"body":"two"}`+"\n"
+	for _, text := range []string{
+		hello + one + two, hello + two + one, one + two, hello + one + one + two, hello + `{"id":3}` + "\n" + two, hello + one + two[:9],
+		greeting(third, self, 10) + "\n" + one, greeting(other, third, 10) + "\n" + one, hello + "\n" + one, hello + hello + one,
+		`{"hello":{"from":"10.0.0.2:7440","to":"10.0.0.1:7441","life":5,"known":9000000000000000000,"old":true}}` + "\n" + one,
+		`{"hello":{"from":"10.0.0.2:7440","to":"10.0.0.1:7441","life":5,"known":1000000000000000,"old":true}}` + "\n" + one,
+		hello + `{"id":1,"err":"no"}` + "\n" + `{"id":2,"op":"x","body":"two"}` + "\n", hello + `{"id":1,"id":2,"body":"one"}` + "\n",
+	} {
+		f.Add([]byte(text), uint16(len(text)/2))
+	}
+	f.Fuzz(func(t *testing.T, input []byte, at uint16) {
+		synctest.Test(t, func(t *testing.T) {
+			mine, theirs := net.Pipe()
+			k := foundation.NewKernel("desk", wire{end: mine}, slog.New(slog.DiscardHandler))
+			e := rpc.NewEndpoint(k, self)
+			go io.Copy(io.Discard, theirs)
+			got := [3]string{}
+			var wg sync.WaitGroup
+			for id := 1; id <= 2; id++ {
+				wg.Go(func() {
+					var body string
+					if e.Call(t.Context(), other, "op", 1, &body, foundation.Second) == nil {
+						got[id] = "=" + body
+					}
+				})
+				synctest.Wait()
+			}
+			feed(theirs, input, at)
+			wg.Wait()
+			e.HangUp()
+			time.Sleep(time.Minute)
+
+			lines := whole(input)
+			answers := map[uint64]bool{}
+			for i, l := range lines {
+				if i == 0 {
+					if h := l.Hello; h == nil || h.From != other || h.To != self || h.Old || h.Life <= 0 {
+						break
+					}
+					continue
+				}
+				if l.Hello != nil || l.Op != "" || l.ID < 1 || l.ID > 2 || answers[l.ID] {
+					break
+				}
+				answers[l.ID] = true
+				var body string
+				if g := got[l.ID]; g != "" && (json.Unmarshal(l.Body, &body) != nil || g != "="+body) {
+					t.Errorf("call %d got %q from %s", l.ID, g, l.Body)
+				}
+			}
+			for id := uint64(1); id <= 2; id++ {
+				if got[id] != "" && !answers[id] {
+					t.Errorf("call %d got %q from nowhere", id, got[id])
+				}
+			}
+		})
+	})
+}
+
+// Whatever a caller sends, only what follows a greeting that means this process
+// runs, in the order of rising numbers and so each number once; and every call
+// that ran is answered or the connection ends.
+func FuzzCalls(f *testing.F) {
+	hello, one, two := greeting(self, other, 10)+"\n", `{"id":1,"op":"op","body":1}`+"\n", `{"id":2,"op":"op","body":2}`+"\n"
+	for _, text := range []string{
+		hello + one + two, hello + two + one, hello + one + one, one + two, greeting(self, third, 10) + "\n" + one, hello + hello + one,
+		`{"hello":{"life":1}}` + "\n" + one, hello + `{"id":1}` + "\n", hello + `{"id":1,"op":"no"}` + "\n" + two, hello + one[:20],
+		`{"hello":{"from":"10.0.0.1:7441","to":"10.0.0.2:7440","life":3,"known":1152921504606846975}}` + "\n" + one, hello + "[1]\n" + one,
+	} {
+		f.Add([]byte(text), uint16(len(text)/2))
+	}
+	f.Fuzz(func(t *testing.T, input []byte, at uint16) {
+		synctest.Test(t, func(t *testing.T) {
+			mine, theirs := net.Pipe()
+			in := make(chan net.Conn, 1)
+			in <- mine
+			k := foundation.NewKernel("archive", wire{in: in}, slog.New(slog.DiscardHandler))
+			e := rpc.NewEndpoint(k, other)
+			var mu sync.Mutex
+			ran := 0
+			e.Handle("op", func(context.Context, json.RawMessage) (any, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				ran++
+				return ran, nil
+			})
+			go e.Serve(t.Context())
+			go io.Copy(io.Discard, theirs)
+			feed(theirs, input, at)
+			close(in)
+			time.Sleep(time.Minute)
+
+			allowed, last := 0, uint64(0)
+			for i, l := range whole(input) {
+				if i == 0 {
+					if h := l.Hello; h == nil || h.From != "" && h.To != other || h.Life <= 0 {
+						break
+					}
+					continue
+				}
+				if l.Hello != nil || l.Op == "" || l.ID <= last {
+					break
+				}
+				if last = l.ID; l.Op == "op" {
+					allowed++
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if ran > allowed {
+				t.Errorf("%d calls ran, %d may", ran, allowed)
+			}
+		})
+	})
+}
