Resets of core machines' connections in the rehearsal

The simulated network can break a host's established connections and leave who listens alone.

A writer of the load whose session is cut waits for the deadline before it writes again: until then the write that was cut may take effect behind the next, which the check of reads took for a stale one.

--- a/internal/rehearsal/client.go
+++ b/internal/rehearsal/client.go
@@ -186,6 +186,9 @@
 	return false
 }
 
+// deadline is that of the routes, after which a statement runs no more.
+const deadline = 2 * time.Second
+
 // writer counts a thing up, sometimes in a transaction.
 func (l *Load) writer(r *rand.Rand, zone int, thing string) {
 	var s *Session
@@ -209,6 +212,9 @@
 		if a.Code == "cut" || s.State != "I" {
 			s.Close()
 			s = nil
+			if a.Code == "cut" {
+				time.Sleep(deadline) // until then it may take effect, and would hide the next
+			}
 		}
 	}
 	if s != nil {
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -354,7 +354,7 @@
 }
 
 // answer gives a line to the call that it answers. One that nobody waits for
-// any more is passed over; false means that there is no such call.
+// any more is passed over, as is all that was read of a link that has ended; false means that there is no such call.
 func (l *link) answer(a line) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -363,7 +363,7 @@
 	if ch != nil {
 		ch <- a
 	}
-	return asked
+	return asked || l.over != nil
 }
 
 // end closes the link and ends every call that waits on it.
