--- a/internal/cart/conn_test.go
+++ b/internal/cart/conn_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +131,54 @@
 		})
 	}
 }
+
+// short is a connection whose first write fails after some bytes.
+type short struct {
+	net.Conn
+	left int
+}
+
+func (c *short) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b[:min(c.left, len(b))])
+	c.left -= n
+	if err == nil && n < len(b) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// A request of which a byte has left may have run; only one of which none has is
+// unsent. Neither connection is used again.
+func TestREQUESTOfWhichAByteHasLeftIsSent(t *testing.T) {
+	for left, unsent := range map[int]bool{0: true, 1: false, 70 << 10: false} {
+		synctest.Test(t, func(t *testing.T) {
+			mine, theirs := net.Pipe()
+			go io.Copy(io.Discard, theirs)
+			d := cart.Dialer{
+				Net: wire{end: mine}, Connect: foundation.Second, Silence: foundation.Second, Wrap: func(c net.Conn) net.Conn { return &short{c, left} },
+			}
+			c, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "d"}, foundation.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			q, err := http.NewRequest(http.MethodPost, "http://d/", strings.NewReader(strings.Repeat("x", 100<<10)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ch, err := c.Send(q, "a", foundation.Second)
+			if errors.Is(err, cart.ErrUnsent) != unsent {
+				t.Errorf("%d bytes have left: %v", left, err)
+			}
+			if !unsent {
+				if _, err := cart.Await(ch, foundation.Second); err == nil || errors.Is(err, cart.ErrQuiet) {
+					t.Errorf("%d bytes have left, then %v", left, err)
+				}
+			}
+			if synctest.Wait(); c.Clean() || c.Alive() {
+				t.Errorf("%d bytes have left, and it may serve others", left)
+			}
+			theirs.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/internal/shelf/conn_test.go
+++ b/internal/shelf/conn_test.go
@@ -1,8 +1,11 @@
 package shelf_test
 
 import (
+	"context"
 	"errors"
 	"io"
+	"net"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,3 +113,70 @@
 		time.Sleep(15 * time.Second)
 	})
 }
+
+// halved is a network whose connections, after the log-in, write half of what they
+// are given and fail.
+type halved struct{ foundation.Network }
+
+type halvedConn struct {
+	net.Conn
+	writes int
+}
+
+func (h halved) Dial(ctx context.Context, addr string, silence foundation.Micros) (net.Conn, error) {
+	c, err := h.Network.Dial(ctx, addr, silence)
+	return &halvedConn{Conn: c}, err
+}
+
+func (c *halvedConn) Write(b []byte) (int, error) {
+	if c.writes++; c.writes == 1 {
+		return c.Conn.Write(b)
+	}
+	n, err := c.Conn.Write(b[:len(b)/2])
+	if err == nil {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
+// A statement that leaves in part counts as unsent, because its end never follows:
+// the connection is closed, and nothing more is sent on it.
+func TestSTATEMENTLeftInPartIsNeverCompleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := rehearsal.NewNet(1)
+		ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines := make(chan int, 1)
+		go func() {
+			db, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			io.WriteString(db, "IDLE I -\r\n")
+			r := folio.NewReader(db)
+			for n := 0; ; n++ {
+				if _, err := r.Line(); err != nil {
+					lines <- n
+					return
+				}
+			}
+		}()
+		d := shelf.Dialer{Net: halved{n.Host("10.0.0.1")}, Who: "w", Connect: foundation.Second, Silence: foundation.Second}
+		conn, err := d.Open(t.Context(), accessions.Database{ID: "d", Service: "s", Address: "10.0.0.2:1"}, foundation.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			if err := conn.Send(folio.AppendMessage(nil, "QUERY", "a", "PUT x y")); !errors.Is(err, stacks.ErrBroken) {
+				t.Errorf("sent in part: %v", err)
+			}
+		}
+		if n := <-lines; n != 1 || conn.Clean() {
+			t.Errorf("%d lines arrived whole, it may serve others: %v", n, conn.Clean())
+		}
+		ln.Close()
+		time.Sleep(15 * time.Second)
+	})
+}
