--- a/internal/catalogue/ledger_test.go
+++ b/internal/catalogue/ledger_test.go
@@ -1,11 +1,13 @@
 package catalogue
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -146,3 +148,35 @@
 		}
 	}
 }
+
+// What is read back says what was sent, also where nobody here knows the fields.
+func TestReadBackIsWhatWasSent(t *testing.T) {
+	c, _ := onMemory(64)
+	exact := func(raw []byte) (v map[string]any) {
+		d := json.NewDecoder(bytes.NewReader(raw))
+		d.UseNumber()
+		if err := d.Decode(&v); err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	const odd = `"odd":{"n":12345678901234567890123,"f":1.0,"text":"<&> \u2028 \ud83d\ude00 ü","none":null}`
+	sent := []byte(`{ "rev":3, "services":[{"name":"s", ` + odd + `}], ` + odd + ` }`)
+	patched := []byte(`{"rev":5,"services":[{"name":"s",` + odd + `},{"name":"t",` + odd + `}],` + odd + `}`)
+	for _, o := range []struct {
+		take       func(context.Context, int64, []byte) error
+		base       int64
+		body, want []byte
+	}{
+		{c.Replace, 0, sent, sent},
+		{c.Update, 3, []byte(`{"rev":5,"upsert":{"services":[{"name":"t",` + odd + `}]}}`), patched},
+	} {
+		if err := o.take(t.Context(), o.base, o.body); err != nil {
+			t.Fatal(err)
+		}
+		got, err := c.Fetch()
+		if err != nil || !reflect.DeepEqual(exact(got), exact(o.want)) {
+			t.Errorf("%s is read back, not %s (%v)", got, o.want, err)
+		}
+	}
+}
