--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -41,10 +41,9 @@
 	for _, addr := range voters {
 		go func() { ch <- vote{addr, v.renewWith(ctx, addr, view)} }()
 	}
-	granted, promised := map[string]bool{}, int64(0)
+	granted := map[string]bool{}
 	for range voters {
 		a := <-ch
-		promised = max(promised, a.Promised)
 		if granted[a.addr] = a.Granted; majorities(view.sets(), func(addr string) bool { return granted[addr] }) {
 			v.renewed(view, start)
 			return
@@ -57,7 +56,6 @@
 	}
 	v.k.Counters.Add("vault.renew_failed", 1)
 	v.renewAt = min(v.renewAt, v.k.Clock.Now()+50*foundation.Millisecond)
-	v.tried = max(v.tried, promised)
 }
 
 func (v *Vault) renewed(view View, start foundation.Micros) {
@@ -95,6 +93,11 @@
 	if err == nil && a.Granted && !a.Stalled {
 		v.members.heard[addr] = v.k.Clock.Now()
 	}
+	if err == nil && !a.Granted && v.active && v.seen.Epoch == view.Epoch {
+		// It promised a later epoch, to a candidate that failed, or has read of
+		// one: it takes part in a view of a later epoch only.
+		v.tried = max(v.tried, a.Promised)
+	}
 	return a
 }
 
@@ -216,6 +219,9 @@
 	now := v.k.Clock.Now()
 	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 	known, wasActive := v.seen, v.active
+	if v.tentative.Epoch > known.Epoch {
+		known = v.tentative
+	}
 	view, sets := v.members.proposal(known, wasActive, epoch, now)
 	v.mu.Unlock()
 
@@ -256,6 +262,9 @@
 	accepted := func(got map[string]renewAnswer) bool {
 		return majorities(sets, func(addr string) bool { return got[addr].Granted })
 	}
+	v.mu.Lock()
+	v.tentative = view
+	v.mu.Unlock()
 	if !accepted(ask(ctx, v, voters, "vault.accept", func(addr string) any { return acceptAsk{view, disks[addr]} }, accepted)) {
 		return errors.New("no majority accepted")
 	}
@@ -264,14 +273,18 @@
 	if v.seen.Epoch > epoch || wasActive && !v.active {
 		return errors.New("no longer primary")
 	}
+	v.leaseEnd, v.renewAt = start+v.lease, start+v.lease/3
 	if !v.active {
 		v.term, v.endTerm = context.WithCancel(context.Background())
 		v.members.since, v.began = v.k.Clock.Now(), epoch
+		v.renewAt = v.members.since // to learn who else takes part
 	}
 	v.active, v.state, v.seen = true, state, view
-	v.leaseEnd = start + v.lease
-	v.seenTill, v.renewAt = v.leaseEnd, start+v.lease/3
+	v.seenTill = v.leaseEnd
 	clear(v.missed)
+	if len(view.Prior) > 0 {
+		v.poke() // the set before is to be let go
+	}
 	v.k.Counters.Add("vault.epochs", 1)
 	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "witnesses", len(view.Witnesses), "prior", len(view.Prior))
 	v.changed.Ring()
@@ -386,9 +399,11 @@
 	if err := v.saveRegister(ctx); err != nil {
 		return nil, err
 	}
-	v.mu.Lock()
-	v.hear(v.k.Clock.Now(), q.View)
-	v.mu.Unlock()
+	if !q.View.Primary.same(v.self) { // its own is in force once a majority has it
+		v.mu.Lock()
+		v.hear(v.k.Clock.Now(), q.View)
+		v.mu.Unlock()
+	}
 	v.k.Recorder.Add(VoteKind, Vote{"accept", q.View.Epoch, q.View.Primary.Name, true})
 	return a, nil
 }
@@ -529,13 +544,20 @@
 	return struct{}{}, nil
 }
 
-// onLeaving has a backup that is about to end replaced, and tells it which view
-// there is.
+// leaveAnswer tells an archive that is about to end which view there is, and
+// whether it may go.
+type leaveAnswer struct {
+	View View `json:"view"`
+	Go   bool `json:"go"`
+}
+
+// onLeaving has a backup that is about to end replaced.
 func (v *Vault) onLeaving(_ context.Context, m Member) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	now := v.k.Clock.Now()
 	if v.active && slices.ContainsFunc(v.seen.Backups, m.same) {
 		v.shun(m.Addr)
 	}
-	return v.seen, nil
+	return leaveAnswer{v.seen, v.leads(now) && v.members.dispensable(v.seen, m, now)}, nil
 }
--- a/internal/vault/membership.go
+++ b/internal/vault/membership.go
@@ -23,7 +23,7 @@
 
 func newMembership(self Member, cfg Config) membership {
 	return membership{
-		self: self, losses: cfg.Losses, lease: cfg.Lease, away: min(cfg.Away, cfg.Catchup/2), catchup: cfg.Catchup,
+		self: self, losses: cfg.Losses, lease: cfg.Lease, away: min(cfg.Away, max(cfg.Lease, cfg.Catchup-2*cfg.Lease)), catchup: cfg.Catchup,
 		heard: map[string]foundation.Micros{}, shunned: map[string]foundation.Micros{},
 	}
 }
@@ -43,14 +43,15 @@
 }
 
 // absent tells whether a witness has been away for so long that another should
-// have its place. One that answered nothing since the primary took over, not
-// even the promises, may have been lost together with the last primary: so that
-// its place is filled before its successor counts as back, it gets a lease.
+// have its place. That is less than catchup by the time that a take-over needs:
+// when its successor counts as back, the exchange is done, even if the primary
+// was lost just before it would have made it. For the same reason one that has
+// answered nothing since the take-over gets no more than a call's time.
 func (m *membership) absent(addr string, now foundation.Micros) bool {
 	if at := m.heard[addr]; at >= m.since {
 		return now-at > m.away
 	}
-	return now-m.since > m.lease
+	return now-m.since >= m.lease/4
 }
 
 // spares are the archives that take part and are not in the set.
@@ -70,7 +71,7 @@
 // archive is there or the others are enough.
 func (m *membership) wantedWitnesses(set []string, now foundation.Micros) []string {
 	set = slices.Clone(set)
-	if m.since == 0 || now-m.since < m.lease/2 {
+	if m.since == 0 {
 		return set
 	}
 	spares := m.spares(set, now)
@@ -162,6 +163,15 @@
 	return now + m.lease + foundation.Micros(max(0, slices.IndexFunc(view.Backups, m.self.same)))*m.lease/4
 }
 
+// dispensable tells whether an archive may end without harm: the view does not
+// keep the state on its disk, and a majority of the witnesses takes part without
+// it.
+func (m *membership) dispensable(view View, leaver Member, now foundation.Micros) bool {
+	return !view.Has(leaver) && majorities(view.sets(), func(addr string) bool {
+		return addr != leaver.Addr && (addr == m.self.Addr || m.fresh(addr, now))
+	})
+}
+
 // candidates lists the archives that a copy is offered to, in turn: those that
 // kept the state in the last view come first, then others that take part, then
 // those that are silent; shunned ones last.
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -141,26 +141,29 @@
 	self     Member
 
 	// mu guards what is in memory; it is never held across disk or network.
-	mu       sync.Mutex
-	witness  witness
-	state    State // on this disk; on the active primary also on the backups'
-	seen     View  // newest view heard of
-	seenTill foundation.Micros
-	active   bool
-	term     context.Context // ends with this archive's time as primary
-	endTerm  context.CancelFunc
-	began    int64 // epoch in which this archive became the primary
-	leaseEnd foundation.Micros
-	renewAt  foundation.Micros
-	members  membership
-	missed   map[string]int // renewals in a row that an archive left unanswered
-	leaving  bool
-	standAt  foundation.Micros
-	toldAt   foundation.Micros
-	voided   int64 // epoch of a view whose primary lost its disk, and with it the lease
-	tried    int64 // highest epoch stood for or heard of
-	queue    []*update
-	small    bool // it was said that the core is smaller than Losses asks
+	mu      sync.Mutex
+	witness witness
+	state   State // on this disk; on the active primary also on the backups'
+	seen    View  // newest view heard of
+	// tentative is the last view that this archive asked to be accepted: some
+	// may have, so its next attempt starts from that one, if none newer is known.
+	tentative View
+	seenTill  foundation.Micros
+	active    bool
+	term      context.Context // ends with this archive's time as primary
+	endTerm   context.CancelFunc
+	began     int64 // epoch in which this archive became the primary
+	leaseEnd  foundation.Micros
+	renewAt   foundation.Micros
+	members   membership
+	missed    map[string]int // renewals in a row that an archive left unanswered
+	leaving   bool
+	standAt   foundation.Micros
+	toldAt    foundation.Micros
+	voided    int64 // epoch of a view whose primary lost its disk, and with it the lease
+	tried     int64 // highest epoch stood for or heard of
+	queue     []*update
+	small     bool // it was said that the core is smaller than Losses asks
 
 	refusing atomic.Bool // the disk refused the last write
 	stalled  atomic.Bool // the disk has not answered for a while
@@ -717,9 +720,10 @@
 	}
 }
 
-// Leave hands over in order: as primary to the backups, as backup by asking to
-// be replaced. It returns once a view is known that does without this archive's
-// disk, or ctx is over: what was acknowledged may be on no other disk.
+// Leave hands over in order: as primary to the backups, as backup or witness by
+// asking to be replaced. It returns once the primary can do without this archive,
+// or ctx is over: till then what was acknowledged may be on no other disk, and its
+// vote may be needed.
 func (v *Vault) Leave(ctx context.Context) {
 	v.mu.Lock()
 	v.leaving = true
@@ -735,14 +739,17 @@
 			}
 			v.handOver("leaving")
 			v.writing.Leave()
-		case !view.Has(v.self):
+		case view.Epoch == 0 || !view.Has(v.self) && !slices.Contains(union(view.sets()...), v.self.Addr):
 			return
 		case view.Primary.Addr != v.self.Addr:
-			var newest View
-			if v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, &newest, callWait) == nil {
+			var a leaveAnswer
+			if v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, &a, callWait) == nil {
 				v.mu.Lock()
-				v.observe(newest)
+				v.observe(a.View)
 				v.mu.Unlock()
+				if a.Go {
+					return
+				}
 			}
 		}
 	}
--- a/internal/vault/witness.go
+++ b/internal/vault/witness.go
@@ -273,7 +273,10 @@
 	for hop := 0; hop < 8; hop++ {
 		from := union(view.Witnesses, view.Prior, v.cfg.Archives(), v.cfg.Seeds())
 		from = slices.DeleteFunc(from, func(addr string) bool { return addr == v.self.Addr })
-		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
+		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(got map[string]registerAnswer) bool {
+			_, newest, err := registerFrom(view, got)
+			return err == nil && newest.Epoch == view.Epoch && len(view.Witnesses) > 0
+		})
 		reg, newest, err := registerFrom(view, answers)
 		if newest.Epoch == view.Epoch && len(view.Witnesses) > 0 || err != nil {
 			return reg, err
