rpc: a peer that takes what is written slowly ends no call that can wait

Cause: a line that did not fit the socket's buffer was written under the sender's time; when that was over the connection ended, and every other call with it. Before the connection had calls of its own, all others waited for that write however little time they had. Chunks of states pass links of 2 Mbit/s.

Change: the line is written whole aside; who waits for its turn or its answer waits for its own time only. A connection on which every call was given up is replaced as before, unless another is waiting to be sent.

Test: TestAWriteThatTakesLongEndsNoCall, which fails on the code before.

--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -136,6 +136,42 @@
 	})
 }
 
+// A peer that takes what is written slowly holds a call up no longer than it waits,
+// and ends none that waits longer.
+func TestAWriteThatTakesLongEndsNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mine, theirs := net.Pipe()
+		e := rpc.NewEndpoint(foundation.NewKernel("desk", wire{end: mine}, slog.New(slog.DiscardHandler)), self)
+		began := time.Now()
+		call := func(wait foundation.Micros) (body string, err error, took time.Duration) {
+			err = e.Call(t.Context(), other, "op", 1, &body, wait)
+			return body, err, time.Since(began)
+		}
+		var wg sync.WaitGroup
+		for n := range 3 {
+			wg.Go(func() {
+				if n == 1 { // between two that wait less
+					if body, err, _ := call(foundation.Second); body != "two" || err != nil {
+						t.Errorf("%q %v", body, err)
+					}
+				} else if _, err, took := call(100 * foundation.Millisecond); err == nil || took > 110*time.Millisecond {
+					t.Errorf("%v after %v", err, took)
+				}
+			})
+			synctest.Wait()
+		}
+		time.Sleep(300 * time.Millisecond)
+		go io.Copy(io.Discard, theirs)
+		theirs.Write([]byte(greeting(other, self, 10) + "\n"))
+		synctest.Wait()
+		theirs.Write([]byte(`{"id":1,"body":"one"}` + "\n" + `{"id":2,"body":"two"}` + "\n"))
+		wg.Wait()
+		e.HangUp()
+		theirs.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Whatever a caller sends, only what follows a greeting that means this process
 // runs, in the order of rising numbers and so each number once; and every call
 // that ran is answered or the connection ends.
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -188,6 +188,7 @@
 	hello   []byte          // until it was sent
 
 	mu     sync.Mutex
+	queued int // calls that wait to be sent
 	lastID uint64
 	calls  map[uint64]chan line // nil for one that was given up
 	over   error                // why it ended
@@ -265,33 +266,50 @@
 	}
 }
 
-// send writes a call. One that could be written in part only ends the link.
+// send writes a call. The caller need not wait for a link that takes it slowly:
+// the line is written whole all the same, for the sake of those that follow. One
+// that could be written in part only ends the link.
 func (l *link) send(ctx context.Context, op string, body json.RawMessage) (uint64, chan line, error) {
+	l.mu.Lock()
+	l.queued++
+	l.mu.Unlock()
 	if err := l.sending.Enter(ctx); err != nil {
+		l.mu.Lock()
+		l.queued--
+		l.mu.Unlock()
+		l.forget(0)
+		return 0, nil, err
+	}
+	id, ch, err := l.enter()
+	if err != nil {
+		l.sending.Leave()
 		return 0, nil, err
 	}
-	defer l.sending.Leave()
+	go func() {
+		defer l.sending.Leave()
+		raw, err := line{ID: id, Op: op, Body: body}.encode()
+		if err == nil {
+			_, err = l.c.Write(append(l.hello, raw...))
+		}
+		if l.hello = nil; err != nil {
+			l.end(err)
+		}
+	}()
+	return id, ch, nil
+}
+
+// enter gives a call its number.
+func (l *link) enter() (uint64, chan line, error) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queued--
 	if l.over != nil {
-		l.mu.Unlock()
 		return 0, nil, l.over
 	}
 	l.lastID++
-	id, ch := l.lastID, make(chan line, 1)
-	l.calls[id] = ch
-	l.mu.Unlock()
-	raw, err := line{ID: id, Op: op, Body: body}.encode()
-	if err == nil {
-		stop := context.AfterFunc(ctx, func() { l.end(ctx.Err()) })
-		_, err = l.c.Write(append(l.hello, raw...))
-		stop()
-	}
-	if err != nil {
-		l.end(err)
-		return 0, nil, l.ended()
-	}
-	l.hello = nil
-	return id, ch, nil
+	ch := make(chan line, 1)
+	l.calls[l.lastID] = ch
+	return l.lastID, ch, nil
 }
 
 // receive hands out the answers that come on a link until it ends.
@@ -389,7 +407,7 @@
 	return l.over
 }
 
-// forget gives up a call; a link on which a call went unanswered may be dead,
+// forget gives up a call, if it was sent; a link on which a call went unanswered may be dead,
 // so it is replaced if no other waits on it.
 func (l *link) forget(id uint64) {
 	l.mu.Lock()
@@ -402,8 +420,9 @@
 			given++
 		}
 	}
+	alone := given > 0 && given == all && l.queued == 0
 	l.mu.Unlock()
-	if given > 0 && given == all || given > maxGivenUp {
+	if alone || given > maxGivenUp {
 		l.end(errUnanswered)
 	}
 }
