Rehearsal: the primary lost while a lost witness's successor gets its place

Cause: the exchange must be done by the time its successor counts as back, also if the primary that would have made it is lost meanwhile.

--- a/internal/rehearsal/replacement_test.go
+++ b/internal/rehearsal/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -149,3 +150,32 @@
 		})
 	}
 }
+
+// MajorityRemains: a witness is lost for good and replaced, and the primary is
+// lost before or while the new machine gets its place. When that one counts as
+// back, the last that may be lost is lost too.
+func TestPrimaryLostBeforeTheExchange(t *testing.T) {
+	for delay := 800 * time.Millisecond; delay <= 3*time.Second; delay += 400 * time.Millisecond {
+		core(t, 5, 2, func(w *World, g *Group) {
+			changed(w, 1, 7)
+			p, kept := vaultPrimary(w), backups(w)
+			var witness int
+			for z := 1; z <= 5; z++ {
+				if z != p && !slices.Contains(kept, z) {
+					witness = z
+				}
+			}
+			w.lose(witness)
+			w.Zones++
+			w.Start("archive", 6, false)
+			time.Sleep(delay)
+			w.lose(p)
+			time.Sleep(catchup - delay)
+			w.lose(kept[1])
+			lasts(w, 7)
+		})
+		if t.Failed() {
+			t.Fatalf("with the primary lost after %v", delay)
+		}
+	}
+}
