--- a/internal/rehearsal/replacement_test.go
+++ b/internal/rehearsal/replacement_test.go
@@ -179,3 +179,25 @@
 		}
 	}
 }
+
+// An archive that leaves while all others are there does not wait.
+func TestLeavingIsQuick(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		for rev := int64(1); rev <= 3; rev++ {
+			z := vaultPrimary(w)
+			if rev > 1 {
+				z = backups(w)[0]
+			}
+			start := time.Now()
+			w.Process("archive", z).Term()
+			if took := time.Since(start); took > 300*time.Millisecond {
+				t.Errorf("went after %v", took)
+			} else {
+				t.Logf("went after %v", took)
+			}
+			changed(w, rev, rev+1)
+			w.Start("archive", z, false)
+			time.Sleep(catchup)
+		}
+	})
+}
--- a/internal/vault/vault_test.go
+++ b/internal/vault/vault_test.go
@@ -282,3 +282,24 @@
 		}
 	}
 }
+
+// A view binds a candidate if it may have a majority, now or later.
+func TestHighestInForce(t *testing.T) {
+	set := []string{"a", "b", "c", "d"}
+	old, next := View{Epoch: 7, Witnesses: set}, View{Epoch: 8, Witnesses: set}
+	promised := func(v View) promiseAnswer { return promiseAnswer{Granted: true, Accepted: v} }
+	for name, c := range map[string]struct {
+		epoch   int64
+		answers map[string]promiseAnswer
+		want    int64
+	}{
+		"one accepted it, one is silent":       {9, map[string]promiseAnswer{"a": promised(next), "b": promised(old), "c": promised(old)}, 7},
+		"one accepted it, two are silent":      {9, map[string]promiseAnswer{"a": promised(next), "b": promised(old)}, 8},
+		"one that promised nothing may accept": {9, map[string]promiseAnswer{"a": promised(next), "b": promised(old), "c": {Accepted: old}}, 8},
+		"it is of a later epoch":               {6, map[string]promiseAnswer{"a": {Accepted: next}, "b": promised(old), "c": promised(old)}, 8},
+	} {
+		if got := highestInForce(c.epoch, c.answers); got.Epoch != c.want {
+			t.Errorf("%s: %d, want %d", name, got.Epoch, c.want)
+		}
+	}
+}
