Vault: who voted at a take-over has taken part

Cause: witnesses whose promise a new primary holds counted as silent until its first renewal. Test: the model and the rehearsals of replacements.

--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -275,6 +275,9 @@
 	if !v.active {
 		v.term, v.endTerm = context.WithCancel(context.Background())
 		v.members.since, v.began = v.k.Clock.Now(), epoch
+		for _, addr := range voters {
+			v.members.heard[addr] = v.members.since
+		}
 		v.renewAt = v.members.since // to learn who else takes part
 	}
 	v.active, v.state, v.seen = true, state, view
--- a/internal/vault/membership.go
+++ b/internal/vault/membership.go
@@ -48,8 +48,9 @@
 // absent tells whether a witness has been away for so long that another should
 // have its place. That is less than catchup by the time that a take-over needs:
 // when its successor counts as back, the exchange is done, even if the primary
-// was lost just before it would have made it. For the same reason one that has
-// answered nothing since the take-over gets no more than a call's time.
+// was lost just before it would have made it. For the same reason one that was
+// not among those that voted, and has answered nothing since the take-over, gets no
+// more than a call's time.
 func (m *membership) absent(addr string, now foundation.Micros) bool {
 	if at := m.heard[addr]; at >= m.since {
 		return now-at > m.away
--- a/internal/vault/membership_model_test.go
+++ b/internal/vault/membership_model_test.go
@@ -343,6 +343,9 @@
 	n.standing = nil
 	if !n.active {
 		n.members.since = w.now
+		for addr := range s.disks {
+			n.members.heard[addr] = w.now
+		}
 	}
 	n.active, n.seen, n.leaseEnd = true, s.view, s.start+modelLease
 	n.seenTill = n.leaseEnd
