A superseded primary is heard; who removes a database's entry records its departure

Cause: forgetting a database that is gone left no record, so that a late beat of it could displace the one at its address. Change: the custodian records it, as every removal does. The stand-in shares its logs instead of copying them at each commit. Test: TestAddressOfADrainingReplica sends such a beat; TestSupersededPrimaryIsHeard.

--- a/internal/accessions/accessions.go
+++ b/internal/accessions/accessions.go
@@ -223,7 +223,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return out, a.record(entries, out, id)
+		return out, a.Record(entries, out, id)
 	}, "database gone", "id", id)
 }
 
@@ -268,7 +268,7 @@
 				removed = append(removed, id)
 			}
 		}
-		return changes, a.record(entries, changes, removed...)
+		return changes, a.Record(entries, changes, removed...)
 	})
 	if err != nil {
 		a.k.Counters.Add("accessions.unavailable", 1)
--- a/internal/accessions/departed.go
+++ b/internal/accessions/departed.go
@@ -33,8 +33,9 @@
 	return false, err
 }
 
-// record adds the entries that note departures to changes; a database has one.
-func (a *Accessions) record(entries, changes map[string]json.RawMessage, ids ...string) error {
+// Record adds the entries that note departures to changes; a database has one.
+// Whoever removes the entry of a database records that.
+func (a *Accessions) Record(entries, changes map[string]json.RawMessage, ids ...string) error {
 	if len(ids) == 0 {
 		return nil
 	}
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -354,7 +354,7 @@
 }
 
 // edit changes the lead of a service and its databases in one step; those that
-// are deleted from the map are removed.
+// are deleted from the map are removed, and recorded as departed.
 func (c *Custodian) edit(ctx context.Context, svc string, change func(*Lead, map[string]accessions.Database) error) error {
 	return c.v.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		all, err := c.databases.Of(entries)
@@ -386,9 +386,11 @@
 		if l != was {
 			put(keyPrefix+svc, l)
 		}
+		var removed []string
 		for id, d := range before {
 			if now, ok := known[id]; !ok {
 				out[accessions.Key(id)] = nil
+				removed = append(removed, id)
 			} else if now != d {
 				put(accessions.Key(id), now)
 			}
@@ -396,7 +398,7 @@
 		if len(out) == 0 {
 			return nil, nil
 		}
-		return out, err
+		return out, errors.Join(err, c.acc.Record(entries, out, removed...))
 	})
 }
 
--- a/internal/rehearsal/database.go
+++ b/internal/rehearsal/database.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,7 +46,7 @@
 	role     string
 	term     int64
 	held     int64
-	log      []entry // received
+	log      []entry // received; clipped when it is shared, so that whoever appends copies
 	deaf     bool
 	alive    bool
 	draining bool
@@ -194,7 +195,7 @@
 func (d *Database) catchUp() {
 	for _, p := range d.g.dbs {
 		if p != d && p.role == "primary" && p.alive && p.term == d.g.term {
-			d.log = append([]entry(nil), p.log...)
+			d.log = slices.Clip(p.log)
 			d.term = p.term
 		}
 	}
@@ -231,7 +232,7 @@
 		received := false
 		for _, r := range g.dbs {
 			if r != d && r.role == "replica" && r.alive && !r.deaf && r.held == 0 && r.term <= d.term && g.w.reach(r, d) {
-				r.log, r.term = append([]entry(nil), d.log...), d.term
+				r.log, r.term = slices.Clip(d.log), d.term
 				received = true
 			}
 		}
@@ -287,7 +288,7 @@
 		d.role, d.term, d.held = "primary", g.term, 0
 		for _, o := range g.dbs {
 			if o.alive && !o.deaf && o != d && o.role == "replica" && g.w.reach(o, d) {
-				o.log, o.term, o.held = append([]entry(nil), d.log...), d.term, 0
+				o.log, o.term, o.held = slices.Clip(d.log), d.term, 0
 			}
 		}
 		go d.beat()
--- a/internal/rehearsal/replicas_test.go
+++ b/internal/rehearsal/replicas_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -144,6 +145,19 @@
 			}
 			lead.Return("ledger-1b") // it alone holds them
 			w.Until("a lead", 3*time.Second, func() bool { return g.Lead() == lead })
+			entry := func(id string) string {
+				raw, err := w.Process("archive", vaultPrimary(w)).vault().Read("database/" + id)
+				if err != nil {
+					t.Error(err)
+				}
+				return string(raw)
+			}
+			w.Until("the old one is forgotten", 5*time.Second, func() bool { return entry("ledger-2") == "" })
+			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(vaultPrimary(w))+":8782", "/Servers.Heartbeat/ledger-2", nil,
+				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":"draining","target_role":"replica","call_seq":999}`, g.DB(1).addr))
+			if entry("ledger-2") != "" || entry("ledger-9") == "" {
+				t.Errorf("a late beat, answered %d, put the old one back", code)
+			}
 		})
 		served(t, l, 9*time.Second)
 	})
@@ -170,3 +184,28 @@
 		}
 	})
 }
+
+// A primary that was cut off while another was promoted, and so still takes
+// itself for the primary, is not waited for when that one is lost.
+func TestSupersededPrimaryIsHeard(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		first := g.Lead()
+		cut := func(cut bool) {
+			for z := 1; z <= 4; z++ {
+				w.Net.Cut(first.Host.IP, ip(z), cut)
+			}
+		}
+		l := under(w, g, func() {
+			cut(true)
+			w.Net.Cut(first.Host.IP, g.DB(1).Host.IP, true)
+			w.Net.Cut(first.Host.IP, g.DB(2).Host.IP, true)
+			second := g.next(first, 5*time.Second)
+			time.Sleep(time.Second)
+			second.Crash(true)
+			time.Sleep(time.Second)
+			cut(false)
+			g.next(second, 3*time.Second)
+		})
+		served(t, l, 6*time.Second)
+	})
+}
