--- a/internal/rehearsal/replicas_test.go
+++ b/internal/rehearsal/replicas_test.go
@@ -34,7 +34,7 @@
 
 // A second loss right after two replacements: a replica and the primary leave,
 // the next lead crashes after two seconds, and the one after that is gone for
-// good before the first is back. While two are away at once nothing says that
+// good before the first is back, just when those that leave were needed. While two are away at once nothing says that
 // the others hold everything; when one is back they do, though those that left
 // are gone.
 func TestSecondLossAfterReplacements(t *testing.T) {
@@ -50,7 +50,15 @@
 			time.Sleep(2 * time.Second)
 			second.Crash(false)
 			third := g.next(second, 3*time.Second)
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Second)
+			for _, d := range g.dbs[1:] {
+				if d != g.DB(2) && d != second && d != third { // it alone stays
+					d.Deaf(true)
+					time.Sleep(1500 * time.Millisecond) // those that leave are let receive
+					d.Deaf(false)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
 			third.Crash(true)
 			time.Sleep(5 * time.Second)
 			if g.Lead() != nil {
@@ -119,11 +127,34 @@
 			if g.next(g.DB(1), 2*time.Second) != g.DB(2) {
 				t.Error("the replica that stays does not lead")
 			}
+			moves := int64(0)
+			for z := 1; z <= 4; z++ {
+				moves += w.Process("archive", z).Kernel.Counters.Snapshot()["custodian.moves"]
+			}
+			if moves != 2 {
+				t.Errorf("%d moves were begun", moves)
+			}
 		})
 		served(t, l, 6*time.Second)
 	})
 }
 
+// Where nobody stays, one that leaves follows a lead that is lost.
+func TestOnlyALeavingReplicaRuns(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		served(t, under(w, g, func() {
+			g.DB(1).Leave(time.Second, true)
+			time.Sleep(3 * time.Second)
+			g.DB(2).Leave(9*time.Second, true)
+			time.Sleep(time.Second)
+			lead := g.Lead()
+			lead.Crash(true)
+			g.next(lead, 3*time.Second)
+			lead.Return("ledger-1b")
+		}), 4*time.Second)
+	})
+}
+
 // A database that is new at the address of one that drained and never said that
 // it left is another one: that one's log is not there.
 func TestAddressOfADrainingReplica(t *testing.T) {
