--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -480,11 +480,6 @@
 	sit := Situation{Sync: s.syncReplicas(l.Service)}
 	sit.Least, _ = folio.ParsePosition(l.Least)
 	newest, held := l.Term, int64(0)
-	// What the desks have under way ends before the replicas stop, and whoever
-	// joins after those were paused is sent no commit.
-	if err := c.awaitLeft(ctx, *l); err != nil {
-		return err
-	}
 	if alive {
 		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
 			sit.Held, newest = &row.received, max(newest, row.term)
