Vault: an answer leaves only in the term in which it was made

Cause: the control address compared epochs before it sent a held answer. A process that was frozen, lost its term and won a later one passed that check with an answer, or a configuration, of the old term. The office checked the epoch of the state, the duty call whatever lease ran; a candidate that had lost its lease between the look and the standing stood all the same, and its old term went on. A term of the readers could be begun again by work of an earlier one, with fewer desks.

Change: vault.Term is one time in which nobody else was primary between; it is taken at the start and asked Valid() (or for its Lease) when something leaves. The control address, the polls' office and the duty call use it; a context of a term finds it (TermOf). A candidate whose term ended, or that is no member of the newest view, does not stand. Known means heard from the primary itself within a lease, and the office waits where that is not so. Terms of the readers only go forward.

--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -202,10 +202,11 @@
 }
 
 func (c *Custodian) reconcile() {
-	ctx, epoch, err := c.v.Term()
+	term, err := c.v.Term()
 	if err != nil {
 		return
 	}
+	ctx := term.Context()
 	s, err := c.look()
 	if err != nil {
 		if !errors.Is(err, vault.ErrNotPrimary) {
@@ -213,7 +214,7 @@
 		}
 		return
 	}
-	c.readers.Term(epoch, s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
+	c.readers.Term(term.Began(), s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
 	if c.cfg.Leadless {
 		c.dismiss(ctx, s)
 		return
@@ -757,10 +758,10 @@
 	return now - c.tried[what]
 }
 
-// call asks the platform, as the holder of the duty and only well within the
-// lease.
+// call asks the platform, as the holder of the duty, only in the term in which
+// the move was looked at, and well within the lease.
 func (c *Custodian) call(ctx context.Context, l Lead) error {
-	epoch, left := c.v.Lease()
+	epoch, left := vault.TermOf(ctx).Lease()
 	wait := min(left-100*foundation.Millisecond, foundation.Second)
 	if wait < 100*foundation.Millisecond {
 		return errNotYet
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -91,11 +91,12 @@
 }
 
 // Term starts a term of the vault's primary, once: any desk that was ever
-// registered may hold a lease of the primary before, until then.
+// registered may hold a lease of the primary before, until then. A term that
+// another has followed is not begun again: it knows fewer desks.
 func (r *Readers) Term(epoch int64, registered map[string]int64, until foundation.Micros) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.epoch == epoch {
+	if epoch <= r.epoch {
 		return
 	}
 	r.epoch, r.desks = epoch, map[string]*reader{}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -1,6 +1,7 @@
 // Package registrar is the archive's HTTP side: databases send their beats
 // here, the operator the configuration. Whoever is not the vault's primary
-// sends callers there.
+// sends callers there, or to a member who knows more. An answer leaves only in
+// the primary's term in which it was made.
 package registrar
 
 import (
@@ -47,16 +48,19 @@
 			if s.ControlAddr == "" {
 				return &charter.Error{Key: "listen.control_addr", Reason: "an archive needs it"}
 			}
-			r := &Registrar{
-				k: k, addr: s.ControlAddr, v: foundation.Need[*vault.Vault](k),
-				acc: foundation.Need[*accessions.Accessions](k), cat: foundation.Need[*catalogue.Catalogue](k),
-			}
+			r := New(k, s.ControlAddr, foundation.Need[*vault.Vault](k),
+				foundation.Need[*accessions.Accessions](k), foundation.Need[*catalogue.Catalogue](k))
 			k.Supervise("registrar", r.Serve)
 			return nil
 		},
 	})
 }
 
+// New returns a registrar that will listen at addr.
+func New(k *foundation.Kernel, addr string, v *vault.Vault, acc *accessions.Accessions, cat *catalogue.Catalogue) *Registrar {
+	return &Registrar{k: k, addr: addr, v: v, acc: acc, cat: cat}
+}
+
 // Serve answers until ctx ends.
 func (r *Registrar) Serve(ctx context.Context) error {
 	ln, err := r.k.Net.Listen(r.addr)
@@ -77,24 +81,25 @@
 	return nil
 }
 
-// primary lets the call through on the vault's primary and sends it there
-// from elsewhere.
+// primary lets the call through on the vault's primary, and sends the caller on
+// from elsewhere: a caller may be able to reach what this archive can't.
 func (r *Registrar) primary(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
-		view, leads := r.v.Primary()
-		if leads {
-			// The answer leaves only if the lease still runs then: a process
-			// that was frozen meanwhile must not speak for its epoch.
+		if term, err := r.v.Term(); err == nil {
+			// The answer leaves only in the term in which it was made: a process
+			// that was frozen meanwhile must not speak for one that is over, also
+			// if it has won another since.
 			held := &heldAnswer{status: http.StatusOK, header: http.Header{}}
 			h(held, q)
-			if epoch, left := r.v.Lease(); left <= 0 || epoch < view.Epoch {
-				r.k.Counters.Add("registrar.lease_ended", 1)
-				r.fail(w, http.StatusServiceUnavailable, "the lease ran out meanwhile")
+			if !term.Valid() {
+				r.k.Counters.Add("registrar.term_ended", 1)
+				r.fail(w, http.StatusServiceUnavailable, "the term ended meanwhile")
 				return
 			}
 			held.send(w, r.k)
 			return
 		}
+		view, _ := r.v.Primary()
 		to := r.control(view.Primary.Addr)
 		if to == "" || to == r.addr {
 			r.fail(w, http.StatusServiceUnavailable, "no primary is known now")
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -203,6 +204,16 @@
 	p.Kill()
 }
 
+// Isolate cuts a zone's machine off from those of other zones, all if none are
+// named, and from nothing else, or joins it to them again.
+func (w *World) Isolate(zone int, cut bool, from ...int) {
+	for z := 1; z <= w.Zones; z++ {
+		if z != zone && (len(from) == 0 || slices.Contains(from, z)) {
+			w.Net.Cut(ip(zone), ip(z), cut)
+		}
+	}
+}
+
 // Wipe empties the process's disk.
 func (p *Process) Wipe() {
 	if err := os.RemoveAll(p.dir); err != nil {
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -133,14 +133,11 @@
 		o.k.Counters.Add("subscription.malformed", 1)
 		return nil, errors.New("malformed")
 	}
-	if _, leads := o.v.Primary(); !leads && !o.awaitPrimary(ctx) {
-		addr, known := o.v.Known()
-		if !known || addr == o.v.Self().Addr {
-			addr = ""
-		}
-		return pollAnswer{Elsewhere: addr}, nil
+	term, elsewhere := o.awaitTerm(ctx)
+	if term == nil {
+		return pollAnswer{Elsewhere: elsewhere}, nil
 	}
-	if err := o.register(ctx, q); err != nil {
+	if err := o.register(ctx, q, term); err != nil {
 		return nil, err
 	}
 	if newest, ok := o.readers.Heard(q.Desk, q.Life, q.Left); !ok {
@@ -155,14 +152,10 @@
 	for mine := false; ; {
 		changed := o.v.Changed()
 		state, err := o.v.Durable()
-		if err != nil {
-			return pollAnswer{}, nil
-		}
-		_, began, err := o.v.Term()
-		if err != nil {
+		if err != nil || !term.Valid() {
 			return pollAnswer{}, nil
 		}
-		edition, tally := o.inTerm(began)
+		edition, tally := o.inTerm(term.Began())
 		if q.Seen != nil {
 			tally.add(q.Seen)
 			q.Seen = nil
@@ -202,7 +195,7 @@
 			foundation.Sleep(ctx, gather)
 			continue
 		}
-		return o.answer(q, state, news, tally, began)
+		return o.answer(q, state, news, tally, term)
 	}
 }
 
@@ -215,21 +208,17 @@
 
 // register enters the desk's life in the control state before it is granted a
 // lease, and starts the term if this is its first poll.
-func (o *Office) register(ctx context.Context, q pollAsk) error {
+func (o *Office) register(ctx context.Context, q pollAsk, term *vault.Term) error {
 	state, err := o.v.Durable()
 	if err != nil {
 		return err
 	}
-	_, began, err := o.v.Term()
-	if err != nil {
-		return err
-	}
-	if !o.readers.InTerm(began) {
+	if !o.readers.InTerm(term.Began()) {
 		desks, err := custodian.Registered(state.Entries)
 		if err != nil {
 			return err
 		}
-		o.readers.Term(began, desks, o.k.Clock.Now()+o.lease)
+		o.readers.Term(term.Began(), desks, o.k.Clock.Now()+o.lease)
 	}
 	if custodian.IsRegistered(state.Entries, q.Desk, q.Life) {
 		return nil
@@ -239,44 +228,43 @@
 	})
 }
 
-// awaitPrimary waits, where no primary is known, until there is one; it
-// reports whether it is this archive.
-func (o *Office) awaitPrimary(ctx context.Context) bool {
-	t := time.NewTimer(o.hold().Duration())
-	defer t.Stop()
+// awaitTerm returns the term if this archive leads, else who does; where no
+// primary is known it waits for one.
+func (o *Office) awaitTerm(ctx context.Context) (term *vault.Term, elsewhere string) {
+	ctx, cancel := context.WithTimeout(ctx, o.hold().Duration())
+	defer cancel()
 	for {
 		changed := o.v.Changed()
-		if _, leads := o.v.Primary(); leads {
-			return true
+		if term, err := o.v.Term(); err == nil {
+			return term, ""
 		}
-		if _, known := o.v.Known(); known {
-			return false
+		if addr, known := o.v.Known(); known {
+			return nil, addr
 		}
 		select {
 		case <-ctx.Done():
-			return false
+			return nil, ""
 		case <-changed:
-		case <-t.C:
-			return false
 		}
 	}
 }
 
-func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage, tally *tally, began int64) (any, error) {
-	// The lease is noted before it is granted, and only while this archive's
-	// own lease runs.
+func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage, tally *tally, term *vault.Term) (any, error) {
+	// The lease is noted before it is granted, and only in the term in which the
+	// state was read.
 	if !o.readers.Grant(q.Desk, q.Life, o.k.Clock.Now()+o.lease) {
 		return nil, errors.New("an earlier life of that desk")
 	}
-	if epoch, left := o.v.Lease(); left <= 0 || epoch != state.Epoch {
+	if !term.Valid() {
+		o.k.Counters.Add("subscription.term_ended", 1)
 		return pollAnswer{}, nil
 	}
 	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Desks: o.readers.Count(o.k.Clock.Now() - ofLate)}
-	if q.Term != began {
+	if q.Term != term.Began() {
 		q.Told = 0
 	}
 	if a.Paces, a.Told = tally.since(q.Told); a.Told > 0 {
-		a.Term = began
+		a.Term = term.Began()
 	}
 	raw, err := json.Marshal(a)
 	if err != nil || news == nil {
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -215,6 +215,12 @@
 func (v *Vault) tryStand(ctx context.Context) error {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
+	if v.active && !v.leads(now) || !v.mayStand() {
+		// Its term ended since the caller looked: others may have led meanwhile,
+		// and what it has is not for sure the state.
+		v.mu.Unlock()
+		return ErrNotPrimary
+	}
 	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 	known, wasActive := v.seen, v.active
 	if v.tentative.Epoch > known.Epoch {
@@ -273,8 +279,7 @@
 	}
 	v.leaseEnd, v.renewAt = start+v.lease, start+v.lease/3
 	if !v.active {
-		v.term, v.endTerm = context.WithCancel(context.Background())
-		v.members.since, v.began = v.k.Clock.Now(), epoch
+		v.begin(epoch)
 		for _, addr := range voters {
 			v.members.heard[addr] = v.members.since
 		}
@@ -344,7 +349,7 @@
 		if v.active && view.Epoch > v.seen.Epoch {
 			v.leaseEnd = 0
 		}
-		v.seen = view
+		v.seen, v.heardTill = view, 0
 		v.seenTill = max(v.seenTill, v.members.takeover(view, v.k.Clock.Now()))
 		v.changed.Ring()
 	}
@@ -441,6 +446,10 @@
 func (v *Vault) hear(now foundation.Micros, view View) {
 	v.observe(view)
 	if view.Epoch == v.seen.Epoch && !v.active {
+		if now >= v.heardTill {
+			v.changed.Ring() // there is somebody to send callers to
+		}
+		v.heardTill = now + v.lease
 		v.seenTill = max(v.seenTill, v.members.takeover(view, now))
 	}
 }
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -149,10 +149,10 @@
 	// may have, so its next attempt starts from that one, if none newer is known.
 	tentative View
 	seenTill  foundation.Micros
+	heardTill foundation.Micros // until when the word of the newest view's primary stands
 	active    bool
-	term      context.Context // ends with this archive's time as primary
+	term      *Term // the last one of this archive
 	endTerm   context.CancelFunc
-	began     int64 // epoch in which this archive became the primary
 	leaseEnd  foundation.Micros
 	renewAt   foundation.Micros
 	members   membership
@@ -265,12 +265,14 @@
 	return v.seen, v.leads(v.k.Clock.Now())
 }
 
-// Known returns the primary's inner address, if one has been heard of within
-// its lease.
+// Known returns the inner address of another archive that leads: the newest
+// view's primary, if it was itself heard within a lease. One that was known
+// once, or that others told of, may be gone or superseded.
 func (v *Vault) Known() (string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.seen.Primary.Addr, v.seen.Epoch > 0 && v.k.Clock.Now() < v.seenTill
+	addr := v.seen.Primary.Addr
+	return addr, addr != v.self.Addr && v.k.Clock.Now() < v.heardTill
 }
 
 func (v *Vault) leads(now foundation.Micros) bool { return v.active && now < v.leaseEnd }
@@ -280,6 +282,10 @@
 func (v *Vault) Lease() (epoch int64, left foundation.Micros) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.leaseLeft()
+}
+
+func (v *Vault) leaseLeft() (epoch int64, left foundation.Micros) {
 	now := v.k.Clock.Now()
 	if !v.leads(now) {
 		return 0, 0
@@ -287,16 +293,67 @@
 	return v.seen.Epoch, v.leaseEnd - now
 }
 
-// Term returns a context that lasts while this archive is the primary, and the
-// epoch in which it became that. Later views of its own do not begin a term:
-// nobody else led between.
-func (v *Vault) Term() (context.Context, int64, error) {
+// Term is a time in which this archive is the primary and nobody else was
+// between: it lasts through later views of its own. What was read or decided
+// in a term may leave the process only while that term is valid. That this
+// archive leads is not enough: it may have lost the term, while it was frozen,
+// and won another.
+type Term struct {
+	v     *Vault
+	began int64 // epoch of its first view
+	ctx   context.Context
+}
+
+// Term returns the term that runs.
+func (v *Vault) Term() (*Term, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.leads(v.k.Clock.Now()) {
-		return nil, 0, ErrNotPrimary
+		return nil, ErrNotPrimary
+	}
+	return v.term, nil
+}
+
+type termKey struct{}
+
+// TermOf returns the term whose context ctx is, or derives from; if there is
+// none, nil, which is a term that is over.
+func TermOf(ctx context.Context) *Term {
+	t, _ := ctx.Value(termKey{}).(*Term)
+	return t
+}
+
+// begin starts a term. The caller holds the lock.
+func (v *Vault) begin(epoch int64) {
+	v.term = &Term{v: v, began: epoch}
+	v.term.ctx, v.endTerm = context.WithCancel(context.WithValue(context.Background(), termKey{}, v.term))
+	v.members.since = v.k.Clock.Now()
+}
+
+// Context ends with the term, at the latest before another one begins.
+func (t *Term) Context() context.Context { return t.ctx }
+
+// Began is the epoch in which the term began; terms are known by it.
+func (t *Term) Began() int64 { return t.began }
+
+// Lease returns the epoch and how long the lease runs yet, 0 if the term is
+// over.
+func (t *Term) Lease() (epoch int64, left foundation.Micros) {
+	if t == nil {
+		return 0, 0
 	}
-	return v.term, v.began, nil
+	t.v.mu.Lock()
+	defer t.v.mu.Unlock()
+	if t.v.term != t {
+		return 0, 0
+	}
+	return t.v.leaseLeft()
+}
+
+// Valid tells whether the term runs.
+func (t *Term) Valid() bool {
+	_, left := t.Lease()
+	return left > 0
 }
 
 // Changed closes at the next change of state or of who is primary.
@@ -690,6 +747,11 @@
 	return at
 }
 
+// mayStand tells whether this archive has what the newest view keeps.
+func (v *Vault) mayStand() bool {
+	return v.members.mayStand(v.seen, v.cfg.Bootstrap && !v.witness.abstains)
+}
+
 // step does what is due: what is wanted is one primary with a running lease,
 // backups that answer, and witnesses that take part.
 func (v *Vault) step(ctx context.Context) {
@@ -698,7 +760,7 @@
 	active, leads := v.active, v.leads(now)
 	renew := active && now >= v.renewAt
 	idle := !active && now >= v.standsAt()
-	may := v.members.mayStand(v.seen, v.cfg.Bootstrap && !v.witness.abstains) && !v.stalled.Load()
+	may := v.mayStand() && !v.stalled.Load()
 	another := leads && now >= v.standAt && (max(v.tried, v.state.Epoch) > v.seen.Epoch || v.members.wantsAnother(v.seen, now))
 	tell := idle && !may && v.seen.Epoch > 0 && now >= v.toldAt
 	if tell {
