Control address: a member that hears nothing sends callers to one that knows more

Cause: a member that had heard nothing within the lease sent callers by 307 to the primary that it once knew, where they waited a second in silence, or answered 503 if that was itself.

Change: vault.Referral: the primary, if it was heard within a lease, else another member of the newest view, drawn at random, but the primary that fell silent. If this archive is cut off, that member knows the primary; if the primary is gone, its successor is among them.

Any member but the silent one rather than a backup: with one backup, which may be lost as well, callers would be sent there again and again.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -99,9 +99,8 @@
 			held.send(w, r.k)
 			return
 		}
-		view, _ := r.v.Primary()
-		to := r.control(view.Primary.Addr)
-		if to == "" || to == r.addr {
+		to := r.control(r.v.Referral())
+		if to == "" {
 			r.fail(w, http.StatusServiceUnavailable, "no primary is known now")
 			return
 		}
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -275,6 +276,26 @@
 	return addr, addr != v.self.Addr && v.k.Clock.Now() < v.heardTill
 }
 
+// Referral returns the inner address of the archive that a caller does best to
+// ask instead of this one: the primary, if it is known, else any member of the
+// newest view but the primary that fell silent. If this archive is cut off, that
+// member knows the primary; if the primary is gone, its successor is one of them.
+// It is "" if there is none.
+func (v *Vault) Referral() string {
+	if addr, known := v.Known(); known {
+		return addr
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	others := slices.DeleteFunc(union(backupAddrs(v.seen), v.seen.Witnesses), func(addr string) bool {
+		return addr == v.self.Addr || addr == v.seen.Primary.Addr
+	})
+	if len(others) == 0 {
+		return ""
+	}
+	return others[rand.IntN(len(others))]
+}
+
 func (v *Vault) leads(now foundation.Micros) bool { return v.active && now < v.leaseEnd }
 
 // Lease returns how long the lease runs yet; nothing may be answered or done
