--- a/internal/vault/export_test.go
+++ b/internal/vault/export_test.go
@@ -1,9 +1,15 @@
 package vault
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 // StallDisk has the disk answer nothing until the returned function is called.
 func (v *Vault) StallDisk() (release func()) {
 	v.store.lock()
 	return sync.OnceFunc(v.store.unlock)
 }
+
+// TryStand stands as a step would that looked before.
+func (v *Vault) TryStand(ctx context.Context) error { return v.tryStand(ctx) }
