Read leases: a peer passes on the polls of a carrier that is cut off from the core

Cause: the carrier of a core machine that is cut off from the others of the core reaches its clients, databases and other carriers, but no archive that knows the primary. It had no lease, heard of no change, and refused what its sessions asked of a lead as long as the cut lasted.

Change: a carrier that two archives in a row left unanswered, and whose last lease is half over, asks other carriers in turn to pass its polls on: 12 in a cut at most, 3 between two polls of its own, and an archive itself once a second. A peer does so only while it is in touch with the primary itself, 8 at a time, and hands the poll to that archive, so nothing is passed on twice. The primary counts lease and acknowledgement as ever; the lease is measured from before the carrier asked.

TestPassedOnOnce: fails if a lease is measured from its answer, or a carrier that is not in touch passes on.

--- a/internal/rehearsal/client.go
+++ b/internal/rehearsal/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -120,10 +121,14 @@
 	at time.Time
 }
 
-// NewLoad starts writers and readers of the group at every desk.
-func (w *World) NewLoad(g *Group, seed uint64) *Load {
+// NewLoad starts writers and readers of the group at the desks of these zones,
+// of all if none are named.
+func (w *World) NewLoad(g *Group, seed uint64, zones ...int) *Load {
 	l := &Load{w: w, g: g, acks: map[string][]ack{}, promised: map[string]bool{}, stop: make(chan struct{}), lastServed: time.Now()}
 	for z := 1; z <= w.Zones; z++ {
+		if len(zones) > 0 && !slices.Contains(zones, z) {
+			continue
+		}
 		for i := range 2 {
 			thing := fmt.Sprintf("t%d.%d", z, i)
 			l.start(seed, z, func(r *rand.Rand) { l.writer(r, z, thing) })
@@ -243,6 +248,21 @@
 	}
 }
 
+// longestGap is the longest time between two writes served at a zone's desk.
+func (l *Load) longestGap(zone int) (longest time.Duration) {
+	var at []time.Time
+	for i := range 2 {
+		for _, a := range l.acks[fmt.Sprintf("t%d.%d", zone, i)] {
+			at = append(at, a.at)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	for i := 1; i < len(at); i++ {
+		longest = max(longest, at[i].Sub(at[i-1]))
+	}
+	return longest
+}
+
 // expect is the lowest counter that a read begun now may show.
 func (l *Load) expect(thing string, kind string) int {
 	l.mu.Lock()
--- a/internal/rehearsal/cutoff_test.go
+++ b/internal/rehearsal/cutoff_test.go
@@ -1,10 +1,151 @@
 package rehearsal
 
 import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rpc"
+	"indigowalk/internal/subscription"
 )
 
+// cutFromCore runs a scenario on a cluster of six zones, four with an archive,
+// under a little load, with one machine of the core cut off from the others of the core
+// while f runs, and from nothing else. It returns the longest time for which no
+// write was served there.
+func cutFromCore(t *testing.T, leads bool, f func(w *World, g *Group, cut int)) (longest time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 6)
+		w.Archives = 4
+		defer w.Close()
+		g := w.Group("ledger")
+		w.Boot()
+		w.Configure()
+		cut := vaultPrimary(w)
+		if !leads {
+			cut = 1 + cut%4
+		}
+		l := w.NewLoad(g, 7, cut, 6)
+		time.Sleep(2 * time.Second)
+		w.Isolate(cut, true, 1, 2, 3, 4)
+		f(w, g, cut)
+		w.Isolate(cut, false, 1, 2, 3, 4)
+		time.Sleep(3 * time.Second)
+		l.Stop()
+		longest = l.longestGap(cut)
+	})
+	return longest
+}
+
+// CutOffCarrierIsHelped: a carrier that reaches no archive but the one beside
+// it, cut off as well, has its polls passed on by a peer. Its clients are served
+// on, it hears of a new configuration and of a new lead, and a move of a lead
+// does not wait for its lease.
+func TestCutOffCarrierIsHelped(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		span := 20 * time.Second
+		if leads {
+			span = 10 * time.Second
+		}
+		longest := cutFromCore(t, leads, func(w *World, g *Group, cut int) {
+			end := time.Now().Add(span)
+			time.Sleep(4 * time.Second)
+			card := foundation.Need[*subscription.Card](w.Process("desk", cut).Kernel)
+			rev := func() int64 { _, _, rev, _ := card.Version(); return rev }
+			w.Until("a change is taken", 2*time.Second, func() bool { return w.Replace(1+cut%4, 1, w.Configuration(2)) == 200 })
+			if took := w.Until("the change is known there", 3*time.Second, func() bool { return rev() == 2 }); took > time.Second {
+				t.Errorf("a change was known after %v", took)
+			}
+			time.Sleep(2 * time.Second)
+			lead := g.Lead()
+			lead.Crash(false)
+			if took := w.Until("the next lead", 5*time.Second, func() bool { l := g.Lead(); return l != nil && l != lead }); took > 2*time.Second {
+				t.Errorf("a lead moved after %v", took)
+			}
+			time.Sleep(time.Until(end))
+			if _, _, _, left := card.Version(); left <= 0 {
+				t.Error("no lease")
+			}
+		})
+		t.Logf("primary cut off %v: no write was served at the machine for %v at most", leads, longest)
+		if longest > 2500*time.Millisecond {
+			t.Errorf("primary cut off %v: no write was served at the machine for %v", leads, longest)
+		}
+	}
+}
+
+// PassedOnOnce: of three carriers the second reaches the archive through the
+// first only, and the third the second only. The second has a lease, measured from
+// before it asked; the third has none, since what was passed on once is not passed
+// on again, and it asks in moderation.
+func TestPassedOnOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late, lease = 200 * time.Millisecond, 2500 * foundation.Millisecond
+		n := NewNet(1)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		endpoint := func(host, addr string) (*foundation.Kernel, *rpc.Endpoint) {
+			k := foundation.NewKernel("desk", n.Host(host), slog.New(slog.DiscardHandler))
+			return k, rpc.NewEndpoint(k, addr)
+		}
+		_, archive := endpoint("10.0.0.9", "10.0.0.9:7440")
+		archive.Handle("subscription.poll", func(context.Context, json.RawMessage) (any, error) {
+			time.Sleep(late)
+			return map[string]any{"epoch": 1, "seq": 1, "lease_us": lease}, nil
+		})
+		go archive.Serve(ctx)
+		hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
+		n.Cut(hosts[1], "10.0.0.9", true)
+		n.Cut(hosts[2], "10.0.0.9", true)
+		n.Cut(hosts[2], hosts[0], true)
+		cards, kernels := make([]*subscription.Card, 3), make([]*foundation.Kernel, 3)
+		for i, host := range hosts {
+			k, b := endpoint(host, host+":7441")
+			peers := slices.DeleteFunc([]string{"10.0.0.1:7441", "10.0.0.2:7441", "10.0.0.3:7441"}, func(a string) bool { return a == host+":7441" })
+			cards[i], kernels[i] = subscription.NewCard(k, b, subscription.CardConfig{
+				Desk: host, Lease: lease, Poll: func() foundation.Micros { return 600 * foundation.Millisecond },
+				Archives: func() []string { return []string{"10.0.0.9:7440"} },
+				Peers:    func() []string { return peers },
+				Down:     func() map[string]int64 { return nil },
+				Applied:  func(map[string]accessions.Database) {},
+			}), k
+			go b.Serve(ctx)
+			go cards[i].Serve(ctx)
+		}
+		time.Sleep(4 * time.Second)
+		most := foundation.Micros(0)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			_, _, _, left := cards[1].Version()
+			if most = max(most, left); left <= 0 {
+				t.Fatal("the second has no lease")
+			}
+			if _, _, _, left := cards[2].Version(); left > 0 {
+				t.Fatal("a poll was passed on twice")
+			}
+		}
+		if most > lease-foundation.Micros(late.Microseconds()) {
+			t.Errorf("a lease ran for %d us after its answer", most)
+		}
+		asked, refused := kernels[0].Counters.Snapshot(), kernels[2].Counters.Snapshot()
+		if asked["subscription.passed_on"] == 0 || asked["subscription.relayed"] != 0 || refused["subscription.relay_failed"] > 14*12 {
+			t.Errorf("the first: %v, the third: %v", asked, refused)
+		}
+		cancel()
+		for _, host := range append(hosts, "10.0.0.9") {
+			n.Reset(host)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
 // MemberThatHearsNothingSendsOn: a member of the core that is cut off sends
 // callers on to one that knows more, not to a primary that it only once knew: to
 // wait for a silent one costs them a second each time.
--- a/internal/rehearsal/poll_test.go
+++ b/internal/rehearsal/poll_test.go
@@ -44,6 +44,8 @@
 		card := subscription.NewCard(k, b, subscription.CardConfig{
 			Desk: "d", Poll: func() foundation.Micros { return 600 * foundation.Millisecond },
 			Archives: func() []string { return []string{other} },
+			Peers:    func() []string { return nil },
+			Lease:    2500 * foundation.Millisecond,
 			Down:     func() map[string]int64 { return nil },
 			Applied:  func(map[string]accessions.Database) {},
 		})
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -8,6 +8,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigowalk/internal/accessions"
@@ -49,6 +50,8 @@
 	Desk     string
 	Poll     func() foundation.Micros // longest wait of a poll at the archive
 	Archives func() []string
+	Peers    func() []string         // other carriers, who may pass polls on
+	Lease    foundation.Micros       // span of a read lease
 	Down     func() map[string]int64 // databases that the health coordinator holds as down
 	Applied  func(map[string]accessions.Database)
 	Observed func(service string, sent foundation.Micros, pos folio.Position)
@@ -71,23 +74,29 @@
 	byService map[string][]accessions.Database
 	leads     map[string]custodian.Lead
 	leaseEnd  foundation.Micros
-	desks     int            // that the archive knows
-	term      int64          // of the tally that was told last,
-	told      int64          // and up to which change
-	inside    map[string]int // statements and transactions at a primary, by service
+	touched   foundation.Micros // when a poll was sent that an archive answered with a lease
+	archive   string            // which one that was
+	heardAt   foundation.Micros // when its answer came
+	desks     int               // that the archive knows
+	term      int64             // of the tally that was told last,
+	told      int64             // and up to which change
+	inside    map[string]int    // statements and transactions at a primary, by service
 	left      map[string]int64
 	learnt    map[string]foundation.Micros // when a move was learnt of
 
 	bell    foundation.Bell
 	outside foundation.Bell
+	passing atomic.Int32 // polls of others that are being passed on
 }
 
 // NewCard returns a card that knows nothing yet.
 func NewCard(k *foundation.Kernel, b *rpc.Endpoint, cfg CardConfig) *Card {
-	return &Card{
+	c := &Card{
 		k: k, b: b, cfg: cfg, life: time.Now().UnixMicro(), inside: map[string]int{},
-		left: map[string]int64{}, learnt: map[string]foundation.Micros{},
+		left: map[string]int64{}, learnt: map[string]foundation.Micros{}, touched: k.Clock.Now(),
 	}
+	b.Handle(relayOp, c.onRelay)
+	return c
 }
 
 // Config returns the newest configuration, nil before the first.
@@ -196,7 +205,13 @@
 func (c *Card) Serve(ctx context.Context) error {
 	addr, failed := "", ""
 	heard, lost, failedAt := c.k.Clock.Now(), false, foundation.Micros(0)
+	unanswered := 0 // polls of other machines' archives in a row
+	var r relays
 	for turn := 0; ctx.Err() == nil; {
+		cut := c.cutOff(unanswered)
+		if cut && c.throughPeers(ctx, &r) {
+			heard = c.k.Clock.Now()
+		}
 		if addr == "" {
 			known := c.cfg.Archives()
 			if len(known) == 0 {
@@ -206,7 +221,7 @@
 			addr = known[turn%len(known)]
 			turn++
 		}
-		next, err := c.poll(ctx, addr)
+		next, err := c.poll(ctx, addr, pollOp, cut)
 		switch now := c.k.Clock.Now(); {
 		case err == nil && next == addr:
 			if heard = now; lost {
@@ -221,10 +236,16 @@
 		case err != nil:
 			c.k.Counters.Add("subscription.poll_failed", 1)
 			failed, failedAt = addr, c.k.Clock.Now()
+			unanswered++
 		case next == addr:
-			failed = ""
-		case next == failed && c.k.Clock.Now()-failedAt < others:
-			next = "" // others may not have noticed yet
+			failed, unanswered, r = "", 0, relays{}
+		case !sameHost(addr, c.b.Addr()):
+			unanswered = 0
+			fallthrough
+		default:
+			if next == failed && c.k.Clock.Now()-failedAt < others {
+				next = "" // others may not have noticed yet
+			}
 		}
 		if next == "" {
 			foundation.Sleep(ctx, 50*foundation.Millisecond)
@@ -234,14 +255,16 @@
 	return nil
 }
 
-// poll returns the archive to ask next, "" if that is not known.
-func (c *Card) poll(ctx context.Context, addr string) (string, error) {
+// poll asks an archive, or a peer who passes it on, and returns whom to ask
+// next, "" if that is not known. One that is short is answered at once, and not
+// waited for.
+func (c *Card) poll(ctx context.Context, addr, op string, short bool) (string, error) {
 	down := c.cfg.Down()
 	wait := c.leaving(down)
 	c.mu.RLock()
 	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
 	q.Term, q.Told = c.term, c.told
-	q.Now = c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
+	q.Now = short || c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
 		q.Down = append(q.Down, id)
 	}
@@ -259,18 +282,21 @@
 		case <-c.outside.Wait():
 		}
 		cancel()
-		return c.poll(ctx, addr)
+		return c.poll(ctx, addr, op, short)
 	}
 	start := c.k.Clock.Now()
 	if c.cfg.Seen != nil {
 		q.Seen = c.cfg.Seen()
 	}
 	var a pollAnswer
-	span := c.cfg.Poll() + 300*foundation.Millisecond
-	if q.Seq == 0 {
+	span := c.pollSpan()
+	switch {
+	case q.Seq == 0:
 		span += wholeWait // there is nothing to lose, and a turn to wait for
+	case short:
+		span = shortWait
 	}
-	if err := c.b.Call(ctx, addr, pollOp, q, &a, span); err != nil {
+	if err := c.b.Call(ctx, addr, op, q, &a, span); err != nil {
 		return "", err
 	}
 	if a.Newest >= q.Life {
@@ -291,9 +317,17 @@
 		c.k.Counters.Add("subscription.unreadable", 1)
 		return "", err
 	}
+	if op == pollOp {
+		c.mu.Lock()
+		c.touched, c.archive, c.heardAt = start, addr, c.k.Clock.Now()
+		c.mu.Unlock()
+	}
 	return addr, nil
 }
 
+// pollSpan is how long the answer to a poll is waited for.
+func (c *Card) pollSpan() foundation.Micros { return c.cfg.Poll() + 300*foundation.Millisecond }
+
 // leaving acknowledges moves that nothing stands against, and returns how
 // long to wait for what is still under way.
 func (c *Card) leaving(down map[string]int64) (wait foundation.Micros) {
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -44,6 +44,8 @@
 					}
 					return known
 				},
+				Peers:    func() []string { return ring.Peers(k.Role) },
+				Lease:    charter.Span(book.Now().ReaderLeaseMs),
 				Down:     foundation.Need[*conservator.Conservator](k).Down,
 				Applied:  foundation.Need[stacks.Stocker](k),
 				Observed: func(string, foundation.Micros, folio.Position) {},
