--- a/internal/subscription/office_test.go
+++ b/internal/subscription/office_test.go
@@ -1,11 +1,15 @@
 package subscription
 
 import (
+	"encoding/json"
 	"fmt"
+	"log/slog"
 	"testing"
 
 	"indigowalk/internal/catalogue"
+	"indigowalk/internal/custodian"
 	"indigowalk/internal/foundation"
+	"indigowalk/internal/vault"
 )
 
 // Large news for many desks leave one after another, at a share of the link. A
@@ -53,3 +57,18 @@
 		t.Errorf("%d connections among 540 members", n)
 	}
 }
+
+// LeaseInItsTerm: a poll that was worked on in a term that is over grants no
+// lease and tells nothing; the lease is noted all the same, for whoever waits.
+func TestLeaseInItsTerm(t *testing.T) {
+	o := &Office{k: foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), readers: custodian.NewReaders(), lease: foundation.Second}
+	o.readers.Term(3, nil, 0)
+	o.readers.Heard("d", 1, nil)
+	a, err := o.answer(pollAsk{Desk: "d", Life: 1}, vault.State{Epoch: 2, Seq: 9}, json.RawMessage(`{}`), newTally(o.k.Clock), nil)
+	if got, ok := a.(pollAnswer); err != nil || !ok || got.Lease != 0 || got.Seq != 0 || got.News != nil {
+		t.Errorf("answered %s %v", a, err)
+	}
+	if o.readers.Term(2, map[string]int64{}, 0); o.readers.InTerm(2) || o.readers.Count(o.k.Clock.Now()) != 1 {
+		t.Error("an earlier term was begun again, and forgot a lease")
+	}
+}
