status, plan: what an archive tells that does not lead is not shown as current

Cause: the report put the lease, the view and the state together one after another, so that a process whose term ended between told a state under another's lease; the first archive with a lease counted as the primary, also if another knew a later epoch; an archive that heard of no primary looked like any other.

Change: a report of the primary is of one term, or without the state. `unsure` marks an archive that neither leads nor heard the primary within a lease. The primary is the one of the newest epoch; `not current` says that none was asked, or that an archive knows a later epoch, in plans as a warning.

Test: TestUnsureIsNotCurrent; with the tools as before it fails.

--- a/internal/rehearsal/cutoff_test.go
+++ b/internal/rehearsal/cutoff_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/rpc"
 	"indigowalk/internal/subscription"
+	"indigowalk/internal/toolbox"
 )
 
 // cutFromCore runs a scenario on a cluster of six zones, four with an archive,
@@ -183,3 +186,40 @@
 		})
 	}
 }
+
+// UnsureIsNotCurrent: what an archive tells that does not lead is not shown as
+// the current state, nor planned on.
+func TestUnsureIsNotCurrent(t *testing.T) {
+	core(t, 4, 1, func(w *World, g *Group) {
+		cut := vaultPrimary(w)
+		host, addr := w.Net.Host("10.250.0.9"), func(z int) string { return ip(z) + ":7440" }
+		before := toolbox.Ask(context.Background(), host, []string{addr(cut)}, false)
+		w.Isolate(cut, true)
+		time.Sleep(4 * time.Second)
+		says := func(sys *toolbox.System) string {
+			var text strings.Builder
+			sys.Print(&text, false, "")
+			return text.String()
+		}
+		alone := toolbox.Ask(context.Background(), host, []string{addr(cut)}, false)
+		name := fmt.Sprintf("archive-%d", cut)
+		if text := says(alone); !strings.Contains(text, "not current, no primary among those asked; the last that "+name+" heard of is epoch") ||
+			!strings.Contains(text, "hears no primary") || strings.Contains(text, "configuration: version") {
+			t.Errorf("the one that is cut off says:\n%s", text)
+		}
+		if _, err := alone.Make("restart", "", nil); err == nil {
+			t.Error("planned on what a member says that does not lead")
+		}
+		all := toolbox.Ask(context.Background(), host, []string{addr(1), addr(2), addr(3), addr(4)}, false)
+		if p := all.Primary(); p == nil || p.Node == name || strings.Contains(says(all), "not current") || !strings.Contains(says(all), name+" in") {
+			t.Errorf("all say:\n%s", says(all))
+		}
+		// What was asked before the cut, beside what others have heard since.
+		mixed := &toolbox.System{Reports: append(before.Reports, toolbox.Ask(context.Background(), host, []string{addr(1 + cut%4)}, false).Reports...)}
+		mixed.Reports[1].LeaseUs = 0
+		plan, err := mixed.Make("restart", "", nil)
+		if !strings.Contains(says(mixed), "not current: archive-") || err != nil || len(plan.Warnings) != 1 {
+			t.Errorf("mixed, %v, %v:\n%s", plan, err, says(mixed))
+		}
+	})
+}
--- a/internal/toolbox/plan.go
+++ b/internal/toolbox/plan.go
@@ -91,6 +91,9 @@
 	}
 	plan.count(p, conf, desks, lost)
 	plan.Restart = s.restartOrder(p)
+	if why := s.outdated(p); why != "" {
+		plan.warn("%s", why)
+	}
 	if len(s.Missing) > 0 {
 		plan.Warnings = append(plan.Warnings, fmt.Sprintf("%d members gave no report; the plan leaves them out", len(s.Missing)))
 	}
--- a/internal/toolbox/report.go
+++ b/internal/toolbox/report.go
@@ -34,6 +34,7 @@
 	View      *vault.View                    `json:"view,omitempty"`
 	Witnesses []string                       `json:"witnesses,omitempty"`
 	Abstains  bool                           `json:"abstains,omitempty"` // as a witness
+	Unsure    bool                           `json:"unsure,omitempty"`   // an archive that neither leads nor heard the primary within a lease: its view may be old
 	HeardUs   map[string]foundation.Micros   `json:"heard_us,omitempty"` // since each archive last took part, on the primary
 	Config    *catalogue.Configuration       `json:"config,omitempty"`
 	Databases map[string]accessions.Database `json:"databases,omitempty"`
@@ -69,32 +70,46 @@
 		return r, nil
 	}
 	v := foundation.Need[*vault.Vault](k)
+	term, err := v.Term()
+	if err == nil {
+		if err := r.lead(k, v); err != nil {
+			return nil, err
+		}
+	}
 	view, _ := v.Primary()
 	r.View, r.Epoch, r.Witnesses, r.Abstains = &view, view.Epoch, v.Witnesses(), v.Abstains()
-	if _, r.LeaseUs = v.Lease(); r.LeaseUs == 0 {
-		return r, nil
+	if _, r.LeaseUs = term.Lease(); r.LeaseUs == 0 {
+		// What was read in a term that is over is not told.
+		r.HeardUs, r.Config, r.Rev, r.Databases, r.Leads, r.Roles = nil, nil, 0, nil, nil, nil
+		_, known := v.Known()
+		r.Unsure = !known
 	}
+	return r, nil
+}
+
+// lead adds what only the vault's primary knows.
+func (r *Report) lead(k *foundation.Kernel, v *vault.Vault) error {
 	r.HeardUs = v.Heard()
 	state, err := v.Durable()
 	if err != nil {
-		return r, nil // it has just ceased to be the primary
+		return nil // it has just ceased to be the primary
 	}
 	if _, r.Config, err = catalogue.Decode(state.Entries[catalogue.Key]); err != nil {
-		return nil, err
+		return err
 	}
 	if r.Config != nil {
 		r.Rev = r.Config.Rev
 	}
 	if r.Databases, err = accessions.Decode(state.Entries); err != nil {
-		return nil, err
+		return err
 	}
 	if r.Leads, err = custodian.Decode(state.Entries); err != nil {
-		return nil, err
+		return err
 	}
 	r.Waits = foundation.Need[*custodian.Custodian](k).Waits()
 	r.Roles = map[string]string{}
 	for id, soft := range foundation.Need[*accessions.Accessions](k).Soft() {
 		r.Roles[id] = soft.Role
 	}
-	return r, nil
+	return nil
 }
--- a/internal/toolbox/status.go
+++ b/internal/toolbox/status.go
@@ -68,14 +68,35 @@
 	return sys
 }
 
-// Primary is the report of the archive that holds the lease, nil if none does.
-func (s *System) Primary() *Report {
+// Primary is the report of the archive that holds the lease, the newest if
+// several held one when they were asked; nil if none does.
+func (s *System) Primary() (p *Report) {
 	for _, r := range s.Reports {
-		if r.Role == "archive" && r.LeaseUs > 0 {
-			return r
+		if r.Role == "archive" && r.LeaseUs > 0 && (p == nil || r.Epoch > p.Epoch) {
+			p = r
 		}
 	}
-	return nil
+	return p
+}
+
+// newest is the report of an archive that knows the newest view, nil if no
+// archive gave one.
+func (s *System) newest() (n *Report) {
+	for _, r := range s.nodes("archive") {
+		if n == nil || r.Epoch > n.Epoch {
+			n = r
+		}
+	}
+	return n
+}
+
+// outdated says why what p told may not be current, "" if nothing speaks for
+// that.
+func (s *System) outdated(p *Report) string {
+	if n := s.newest(); n.Epoch > p.Epoch {
+		return fmt.Sprintf("not current: %s knows epoch %d", n.Node, n.Epoch)
+	}
+	return ""
 }
 
 // Print writes the system's state for people: how many there are of what, and
@@ -84,8 +105,15 @@
 func (s *System) Print(w io.Writer, all bool, only string) {
 	p := s.Primary()
 	if p == nil {
-		fmt.Fprintln(w, "control state: no primary among those asked")
+		fmt.Fprint(w, "control state: not current, no primary among those asked")
+		if n := s.newest(); n != nil {
+			fmt.Fprintf(w, "; the last that %s heard of is epoch %d of %s", n.Node, n.Epoch, n.View.Primary.Name)
+		}
+		fmt.Fprintln(w)
 	} else {
+		if why := s.outdated(p); why != "" {
+			fmt.Fprintln(w, why)
+		}
 		var backups []string
 		for _, b := range p.View.Backups {
 			backups = append(backups, b.Name)
@@ -190,6 +218,9 @@
 	if carries(r.Role) && len(r.Down) != usual(peers, func(r *Report) int { return len(r.Down) }) {
 		points = append(points, "other databases down")
 	}
+	if r.Unsure {
+		points = append(points, "hears no primary")
+	}
 	if r.Abstains {
 		points = append(points, "abstains")
 	}
