--- a/internal/foundation/kernel.go
+++ b/internal/foundation/kernel.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
 	"reflect"
 	"slices"
 
@@ -33,6 +34,7 @@
 	Role     string
 	Clock    Clock
 	Net      Network
+	Sync     Sync
 	Counters *Counters
 	Log      *slog.Logger
 	Recorder *Recorder // nil unless the settings ask for one
@@ -46,7 +48,7 @@
 // NewKernel returns a kernel for one process of the role.
 func NewKernel(role string, net Network, log *slog.Logger) *Kernel {
 	k := &Kernel{
-		Role: role, Clock: SteadyClock(), Net: net, Counters: NewCounters(), Log: log,
+		Role: role, Clock: SteadyClock(), Net: net, Sync: (*os.File).Sync, Counters: NewCounters(), Log: log,
 		offered: map[reflect.Type]any{},
 	}
 	k.tree = suture.New("indigowalk-"+role, suture.Spec{
--- a/internal/foundation/seams.go
+++ b/internal/foundation/seams.go
@@ -37,6 +37,10 @@
 
 func (s steady) Now() Micros { return Micros(time.Since(s.start) / time.Microsecond) }
 
+// Sync is the seam to the disk: it returns once a file is on it as it is now,
+// or the names in a folder.
+type Sync func(*os.File) error
+
 // Sleep waits for the span, or less if ctx ends; it reports whether the whole
 // span went by.
 func Sleep(ctx context.Context, m Micros) bool {
--- /dev/null
+++ b/internal/rehearsal/catchup_test.go
@@ -0,0 +1,206 @@
+package rehearsal
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/vault"
+)
+
+// members returns the zones whose archives keep the control state.
+func members(w *World) (zones []int) {
+	z := vaultPrimary(w)
+	if z == 0 {
+		return nil
+	}
+	view, _ := w.Process("archive", z).vault().Primary()
+	for z := 1; z <= w.Zones; z++ {
+		if p := w.Process("archive", z); p != nil && view.Has(p.vault().Self()) {
+			zones = append(zones, z)
+		}
+	}
+	return zones
+}
+
+// other returns the zone of a running archive that is none of those.
+func other(w *World, zones ...int) int {
+next:
+	for z := 1; z <= w.Zones; z++ {
+		for _, not := range zones {
+			if z == not {
+				continue next
+			}
+		}
+		if w.Process("archive", z) != nil {
+			return z
+		}
+	}
+	return 0
+}
+
+// change sets entries at the primary, and reports whether that was acknowledged.
+func change(w *World, entries map[string]string) bool {
+	z := vaultPrimary(w)
+	if z == 0 {
+		return false
+	}
+	return w.Process("archive", z).vault().Update(context.Background(), func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		out := map[string]json.RawMessage{}
+		for key, text := range entries {
+			raw, err := json.Marshal(text)
+			if err != nil {
+				return nil, err
+			}
+			out[key] = raw
+		}
+		return out, nil
+	}) == nil
+}
+
+// durable returns the state at the primary.
+func durable(w *World) vault.State {
+	if z := vaultPrimary(w); z != 0 {
+		if s, err := w.Process("archive", z).vault().Durable(); err == nil {
+			return s
+		}
+	}
+	return vault.State{}
+}
+
+// A state of 5 MB, with single entries far above a chunk, travels over links of
+// 100 Mbit/s: the primary keeps its lease and serves reads while it is brought
+// to another backup, and a backup that takes over does so in time.
+func TestLargeStateTravelsWhileTheLeaseRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 4)
+		defer w.Close()
+		w.Group("ledger")
+		w.Boot()
+		w.Configure()
+		w.Net.Rate(100_000_000 / 8)
+		big := strings.Repeat("x", 1<<20)
+		for i := range 5 {
+			w.Until("a large entry is taken", 3*time.Second, func() bool { return change(w, map[string]string{fmt.Sprint("large/", i): big}) })
+		}
+		p := vaultPrimary(w)
+		backup := members(w)[0] + members(w)[1] - p
+
+		w.Process("archive", backup).Kill()
+		took := w.Until("another backup", 10*time.Second, func() bool {
+			if vaultPrimary(w) != p || len(durable(w).Entries) == 0 {
+				t.Fatal("the primary lost its lease")
+			}
+			return len(members(w)) == 2
+		})
+		t.Logf("another backup after %v", took)
+		w.Until("a change is taken", time.Second, func() bool { return change(w, map[string]string{"small": "1"}) })
+		w.Start("archive", backup, false)
+		time.Sleep(3 * time.Second)
+
+		w.Process("archive", p).Kill()
+		took = w.Until("the backup leads", 10*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		t.Logf("taken over after %v", took)
+		w.Until("a change is taken", 3*time.Second, func() bool { return change(w, map[string]string{"small": "2"}) })
+		if s := durable(w); len(s.Entries["large/4"]) != len(big)+2 || string(s.Entries["small"]) != `"2"` {
+			t.Errorf("%d entries after the take-over", len(s.Entries))
+		}
+	})
+}
+
+// An archive that was away for some changes is needed again as a backup, while
+// others change the state all the time: it is sent little more than what
+// changed, it has that within a second, and with its old state it never leads.
+func TestMemberCatchesUp(t *testing.T) {
+	const entries, size = 1000, 300 // 300 KB
+	for _, c := range []struct {
+		away    int
+		storm   bool
+		primary bool // the primary is lost meanwhile
+		bytes   int  // that it is sent at most
+	}{
+		{10, false, false, 20_000},
+		{10, true, true, 30_000},
+		{300, true, false, 160_000},
+		{300, false, true, 160_000},
+		{2000, true, true, 450_000},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWorld(t, 1, 3)
+				defer w.Close()
+				w.Group("ledger")
+				w.Boot()
+				w.Configure()
+				w.Net.Rate(100_000_000 / 8)
+				text := strings.Repeat("x", size)
+				all := map[string]string{}
+				for i := range entries {
+					all[fmt.Sprint("entry/", i)] = text
+				}
+				w.Until("the entries are taken", time.Second, func() bool { return change(w, all) })
+				w.Until("a change is taken", time.Second, func() bool { return change(w, map[string]string{"entry/0": text}) })
+				p := vaultPrimary(w)
+				away := members(w)[0] + members(w)[1] - p
+				w.Process("archive", away).Kill()
+				w.Until("another backup", 5*time.Second, func() bool { return len(members(w)) == 2 })
+				last := 0
+				next := func() bool {
+					last++
+					return change(w, map[string]string{fmt.Sprint("entry/", last%entries): text + fmt.Sprint(last)})
+				}
+				for range c.away {
+					if !next() {
+						t.Fatal("a change is refused in a calm time")
+					}
+				}
+				stop := make(chan struct{})
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					for c.storm {
+						select {
+						case <-stop:
+							return
+						case <-time.After(5 * time.Millisecond):
+							next()
+						}
+					}
+				}()
+				before, _ := w.Net.Sent(ip(away))
+				w.Start("archive", away, false)
+				lost := other(w, away, p)
+				if c.primary {
+					lost, p = p, lost
+				}
+				w.Process("archive", lost).Kill()
+				took := w.Until("it is a backup again", 5*time.Second, func() bool {
+					if vaultPrimary(w) == away {
+						t.Fatal("it leads with old state")
+					}
+					return len(members(w)) == 2
+				})
+				sent, _ := w.Net.Sent(ip(away))
+				t.Logf("%d bytes, backup again after %v", sent-before, took)
+				if sent-before > c.bytes || took > 3500*time.Millisecond {
+					t.Errorf("%d bytes, backup again after %v", sent-before, took)
+				}
+				close(stop)
+				<-stopped
+				w.Start("archive", lost, false)
+				time.Sleep(3 * time.Second) // until its register may vote again
+				w.Until("a change is taken", time.Second, next)
+				want := durable(w)
+				w.Process("archive", p).Kill()
+				w.Until("it leads", 5*time.Second, func() bool { return vaultPrimary(w) == away })
+				if got, err := w.Process("archive", away).vault().Read(fmt.Sprint("entry/", last%entries)); err != nil || string(got) != string(want.Entries[fmt.Sprint("entry/", last%entries)]) {
+					t.Errorf("it leads with %.40s, %v", got, err)
+				}
+			})
+		})
+	}
+}
--- a/internal/rehearsal/net.go
+++ b/internal/rehearsal/net.go
@@ -34,6 +34,8 @@
 	port      int
 	bytes     map[string]int // sent to each host
 	datagrams map[string]int
+	rate      int // bytes a second that a host can send over its connections; 0 for no bound
+	busy      map[string]time.Time
 }
 
 // NewNet returns a network with half a millisecond of delay.
@@ -42,7 +44,7 @@
 		rng: rand.New(rand.NewPCG(seed, 1)), delay: 500 * time.Microsecond,
 		dark: map[string]bool{}, cuts: map[[2]string]bool{},
 		listeners: map[string]*listener{}, packets: map[string]*packetConn{}, conns: map[*conn]bool{}, port: 40000,
-		bytes: map[string]int{}, datagrams: map[string]int{},
+		bytes: map[string]int{}, datagrams: map[string]int{}, busy: map[string]time.Time{},
 	}
 }
 
@@ -66,6 +68,28 @@
 	n.loss, n.dup = loss, dup
 }
 
+// Rate bounds what each host can send over its connections, in bytes a second.
+func (n *Net) Rate(rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rate = rate
+}
+
+// leaves is when that much has left a host. The caller holds the lock.
+func (n *Net) leaves(from, to string, size int) time.Time {
+	now := time.Now()
+	a, _, _ := net.SplitHostPort(from)
+	b, _, _ := net.SplitHostPort(to)
+	if n.rate == 0 || a == b {
+		return now
+	}
+	if n.busy[a].Before(now) {
+		n.busy[a] = now
+	}
+	n.busy[a] = n.busy[a].Add(time.Duration(size) * time.Second / time.Duration(n.rate))
+	return n.busy[a]
+}
+
 // Dark makes a host silent, or heard again.
 func (n *Net) Dark(ip string, dark bool) {
 	n.mu.Lock()
@@ -313,7 +337,7 @@
 func (c *conn) send(b []byte, eof bool) {
 	c.n.mu.Lock()
 	c.n.count(c.remote, len(b))
-	at := time.Now().Add(c.n.delay)
+	at := c.n.leaves(c.local, c.remote, len(b)).Add(c.n.delay)
 	for c.local != c.remote && c.n.rng.Float64() < c.n.loss {
 		at = at.Add(200 * time.Millisecond)
 	}
--- a/internal/subscription/edition.go
+++ b/internal/subscription/edition.go
@@ -202,7 +202,7 @@
 		}
 	}
 	newer := !e.read
-	for _, key := range state.Since(e.newest) {
+	for _, key := range state.Since(e.state.Seq) {
 		if concerns(key) {
 			e.newest, newer = state.Seq, true
 		}
--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math/rand/v2"
 	"slices"
 
@@ -11,10 +10,6 @@
 	"indigowalk/internal/rpc"
 )
 
-type copyAnswer struct {
-	Member Member `json:"member"`
-}
-
 type epochAsk struct {
 	Epoch int64 `json:"epoch"`
 }
@@ -212,6 +207,11 @@
 	return 0
 }
 
+// nextEpoch is above all that this archive has heard of.
+func (v *Vault) nextEpoch() int64 {
+	return max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
+}
+
 func (v *Vault) tryStand(ctx context.Context) error {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
@@ -221,7 +221,7 @@
 		v.mu.Unlock()
 		return ErrNotPrimary
 	}
-	epoch := max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
+	epoch := v.nextEpoch()
 	known, wasActive := v.seen, v.active
 	if v.tentative.Epoch > known.Epoch {
 		known = v.tentative
@@ -305,44 +305,6 @@
 	return out
 }
 
-// copyToBackups hands the whole state to as many archives as may be lost, and
-// one at least. Archives that do not answer count as lost already: if there are
-// too few others, these will do; not so if others answered a moment ago.
-func (v *Vault) copyToBackups(ctx context.Context, state State, last View, disks map[string]string) ([]Member, error) {
-	alive := v.cfg.Archives()
-	v.mu.Lock()
-	order := v.members.candidates(last, alive, has(disks), v.k.Clock.Now())
-	v.mu.Unlock()
-
-	want := v.members.copies()
-	var got []Member
-	for len(order) > 0 && len(got) < want {
-		n := min(want-len(got), len(order))
-		answers := ask(ctx, v, order[:n], "vault.copy", func(string) any { return state },
-			func(got map[string]copyAnswer) bool { return len(got) == n })
-		v.mu.Lock()
-		for _, addr := range order[:n] {
-			if a, ok := answers[addr]; ok && a.Member.Disk != "" {
-				got = append(got, a.Member)
-				v.members.took(addr)
-			} else {
-				v.members.failed(addr, v.k.Clock.Now())
-			}
-		}
-		v.mu.Unlock()
-		order = order[n:]
-	}
-	if len(got) == 0 {
-		return nil, errors.New("no archive took the copy")
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.members.enoughCopies(backupAddrs(View{Backups: got}), slices.Collect(maps.Keys(disks)), has(disks), v.k.Clock.Now()) {
-		return nil, errors.New("too few archives took the copy")
-	}
-	return got, nil
-}
-
 // observe notes a view, if it is newer than those heard of.
 func (v *Vault) observe(view View) {
 	if view.Epoch > v.seen.Epoch || len(v.seen.Witnesses) == 0 {
@@ -469,51 +431,6 @@
 
 var errOldEpoch = errors.New("old epoch")
 
-// onCopy takes the whole state from a candidate, or from a primary that needs
-// another backup.
-func (v *Vault) onCopy(ctx context.Context, s State) (any, error) {
-	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
-	defer cancel()
-	err := v.onDisk(ctx, func() error {
-		v.mu.Lock()
-		old := s.Epoch <= v.state.Epoch || v.leads(v.k.Clock.Now()) || v.leaving
-		v.mu.Unlock()
-		if old {
-			return errOldEpoch
-		}
-		if err := v.store.SaveState(s); err != nil {
-			return err
-		}
-		v.mu.Lock()
-		have := v.state
-		v.mu.Unlock()
-		return v.replace(s.follows(have))
-	})
-	if err != nil {
-		return nil, v.refused(err)
-	}
-	return copyAnswer{v.self}, nil
-}
-
-// replace puts a state that is on disk in place, unless this archive has
-// meanwhile begun to stand for a later epoch.
-func (v *Vault) replace(s State) error {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.state.Epoch > s.Epoch {
-		return errOldEpoch
-	}
-	v.state = s
-	return nil
-}
-
-func (v *Vault) refused(err error) error {
-	if errors.Is(err, errOldEpoch) {
-		v.k.Counters.Add("vault.old_epoch_refused", 1)
-	}
-	return err
-}
-
 func (v *Vault) onWrite(ctx context.Context, c Change) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
--- a/internal/vault/revisions.go
+++ b/internal/vault/revisions.go
@@ -1,18 +1,28 @@
 package vault
 
-import (
-	"bytes"
-	"encoding/json"
-	"maps"
-)
+import "bytes"
+
+// keepRevisions is how many of the newest changes are known at least; twice as
+// many at most.
+const keepRevisions = 4096
 
 // revisions is what a member knows of when the entries of its state last changed. It
 // is not written to disk by itself: whoever opens a store, or is a backup for a
-// while, has seen the changes.
+// while, has seen the changes. What it costs to add a change does not grow with
+// those before it.
 type revisions struct {
-	from   int64            // changes after this sequence are known
-	at     map[string]int64 // when an entry last changed, or went
-	lo, hi int64            // but not what happened from lo on before hi
+	from   int64     // changes after this sequence are known
+	newest *revision // of the changes that are known
+	known  int       // how many those are
+	lo, hi int64     // but not what happened from lo on before hi
+}
+
+// revision is one change of the state: the entries that changed, or went. States
+// share the older ones, so none is ever modified.
+type revision struct {
+	seq  int64
+	keys []string
+	prev *revision // with the same sequence or an older one
 }
 
 // WithoutRevisions is the state where nothing is known of before.
@@ -28,22 +38,34 @@
 
 // Since lists the entries that changed, or went, after a sequence that is known.
 func (s State) Since(seq int64) (keys []string) {
-	for key, at := range s.revisions.at {
-		if at > seq {
-			keys = append(keys, key)
+	listed := map[string]bool{}
+	for r := s.revisions.newest; r != nil && r.seq > seq; r = r.prev {
+		for _, key := range r.keys {
+			if !listed[key] {
+				listed[key] = true
+				keys = append(keys, key)
+			}
 		}
 	}
 	return keys
 }
 
-// changed is the revisions after a change that makes sequence seq.
-func (p revisions) changed(changes map[string]json.RawMessage, seq int64) revisions {
-	if p.at = maps.Clone(p.at); p.at == nil {
-		p.at = map[string]int64{}
+// changed is the revisions after a change of these entries that makes sequence seq.
+func (p revisions) changed(keys []string, seq int64) revisions {
+	p.newest, p.known = &revision{seq, keys, p.newest}, p.known+1
+	if p.known <= 2*keepRevisions {
+		return p
 	}
-	for key := range changes {
-		p.at[key] = seq
+	kept := make([]revision, keepRevisions)
+	r := p.newest
+	for i := range kept {
+		kept[i] = revision{seq: r.seq, keys: r.keys}
+		if i > 0 {
+			kept[i-1].prev = &kept[i]
+		}
+		r = r.prev
 	}
+	p.from, p.newest, p.known = max(p.from, r.seq), &kept[0], keepRevisions
 	return p
 }
 
@@ -56,17 +78,18 @@
 	if old.Epoch == 0 || s.Seq < old.Seq {
 		return s.WithoutRevisions()
 	}
-	s.revisions = old.revisions.changed(nil, 0)
+	var differ []string
 	for key, raw := range s.Entries {
 		if was, there := old.Entries[key]; !there || !bytes.Equal(was, raw) {
-			s.revisions.at[key] = s.Seq
+			differ = append(differ, key)
 		}
 	}
 	for key := range old.Entries {
 		if _, there := s.Entries[key]; !there {
-			s.revisions.at[key] = s.Seq
+			differ = append(differ, key)
 		}
 	}
+	s.revisions = old.revisions.changed(differ, s.Seq)
 	if s.Seq > old.Seq {
 		if s.revisions.hi == 0 {
 			s.revisions.lo = old.Seq
--- /dev/null
+++ b/internal/vault/snapshot.go
@@ -0,0 +1,578 @@
+package vault
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+
+	"indigowalk/internal/foundation"
+	"indigowalk/internal/rpc"
+)
+
+// A whole state travels as a snapshot: its entries, or those in which it
+// differs from the state that the receiver has, encoded once and cut into
+// chunks. Both ends know the digest of all entries, so whatever the receiver
+// puts together is the sender's state or is not taken.
+const (
+	// chunkBytes bounds a chunk; a state of that size takes one call. A chunk
+	// passes a link of 2 Mbit/s within chunkWait.
+	chunkBytes = 64 << 10
+	chunkWait  = 900 * foundation.Millisecond
+	// chunkTries is how many calls in a row may go wrong.
+	chunkTries = 3
+	// stageAbove is how much may be copied while a view is being formed: the
+	// witnesses have promised the next epoch, and the lease of the one before
+	// can't be renewed. What is larger is staged before.
+	stageAbove = 1 << 20
+	// diskRate is what a disk writes in a microsecond at least, in bytes.
+	diskRate = 10
+	// transferIdle is when an unfinished transfer that nobody goes on with gives
+	// way to any other.
+	transferIdle = foundation.Second
+)
+
+// encodeEntries writes entries in the order of their keys: the sizes of key and
+// value, and both. A value of size -1 is an entry that is no more.
+func encodeEntries(entries map[string]json.RawMessage) []byte {
+	size := 0
+	for key, raw := range entries {
+		size += len(key) + len(raw) + 16
+	}
+	out := make([]byte, 0, size)
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		raw := entries[key]
+		n := len(raw)
+		if raw == nil {
+			n = -1
+		}
+		out = append(strconv.AppendInt(out, int64(len(key)), 10), ' ')
+		out = append(strconv.AppendInt(out, int64(n), 10), '\n')
+		out = append(append(out, key...), raw...)
+	}
+	return out
+}
+
+var errEncoding = errors.New("unreadable snapshot")
+
+func decodeEntries(raw []byte) (map[string]json.RawMessage, error) {
+	entries := map[string]json.RawMessage{}
+	for len(raw) > 0 {
+		head, rest, _ := bytes.Cut(raw, []byte("\n"))
+		key, value, _ := bytes.Cut(head, []byte(" "))
+		k, err := strconv.Atoi(string(key))
+		n, verr := strconv.Atoi(string(value))
+		if err != nil || verr != nil || k < 0 || n < -1 || k > len(rest) || n > len(rest)-k {
+			return nil, errEncoding
+		}
+		entries[string(rest[:k])] = nil
+		if n >= 0 {
+			value := bytes.Clone(rest[k : k+n])
+			if !json.Valid(value) {
+				return nil, errEncoding
+			}
+			entries[string(rest[:k])] = value
+		}
+		raw = rest[k+max(0, n):]
+	}
+	return entries, nil
+}
+
+func digest(encoded []byte) string {
+	sum := sha256.Sum256(encoded)
+	return hex.EncodeToString(sum[:16])
+}
+
+// entriesSize is about what the entries are when encoded.
+func entriesSize(entries map[string]json.RawMessage) (size int) {
+	for key, raw := range entries {
+		size += len(key) + len(raw)
+	}
+	return size
+}
+
+// snapshotID names a snapshot by whom it is for and by what it holds, so that
+// chunks of two never mix.
+type snapshotID struct {
+	Epoch int64  `json:"epoch"` // the state will be that of this epoch
+	Seq   int64  `json:"seq"`
+	Sum   string `json:"sum"`             // digest of all entries
+	Since int64  `json:"since,omitempty"` // sequence of the state that it is a difference from; a whole one if 0
+	Stage bool   `json:"stage,omitempty"` // it is only to be kept for a copy that follows
+}
+
+// chunk is one part of a snapshot.
+type chunk struct {
+	snapshotID
+	Index int    `json:"index"`
+	Count int    `json:"count"` // of chunks
+	Check uint32 `json:"check"` // CRC-32 of the data
+	Data  []byte `json:"data"`
+}
+
+type copyAnswer struct {
+	Member Member `json:"member"` // once the state is on this disk
+	Next   int    `json:"next"`   // the chunk that is to come; their number, if none is
+}
+
+// offerAnswer is what an archive has to which a snapshot is offered.
+type offerAnswer struct {
+	Epoch int64    `json:"epoch"` // that its own state is of
+	Seq   int64    `json:"seq"`   // of the state that a difference may build on
+	Sum   string   `json:"sum"`
+	Last  []string `json:"last,omitempty"` // entries that its last change touched: nobody may have acknowledged it
+	Next  int      `json:"next"`           // of the snapshot's chunks
+}
+
+// Errors of the receiving side.
+var (
+	errChunk    = errors.New("a chunk fails its checksum, or its bounds")
+	errTransfer = errors.New("a chunk of another transfer, or out of order")
+	errDiffers  = errors.New("the snapshot does not fit the state here, or its checksum")
+)
+
+// intake is the receiving side: one snapshot at a time. Whoever holds its gate
+// uses it.
+type intake struct {
+	gate  foundation.Gate
+	id    snapshotID
+	count int // of chunks
+	next  int // the chunk that is to come
+	data  []byte
+	at    foundation.Micros // of the last chunk
+	done  snapshotID        // the last that was put in place
+
+	// staged is a state that came whole and was checked, and that no member's
+	// word rests on: a copy that follows may be sent as what differs from it.
+	staged    State
+	stagedSum string
+}
+
+// take adds a chunk to the snapshot and tells whether that is whole now.
+func (in *intake) take(p chunk, now foundation.Micros) (whole bool, err error) {
+	if p.Count < 1 || p.Index < 0 || p.Index >= p.Count || len(p.Data) > chunkBytes || crc32.ChecksumIEEE(p.Data) != p.Check {
+		return false, errChunk
+	}
+	if in.id != p.snapshotID || in.count != p.Count {
+		unfinished := in.next < in.count && now-in.at < transferIdle
+		newer := p.Epoch > in.id.Epoch || p.Epoch == in.id.Epoch && (p.Seq > in.id.Seq || in.id.Stage && !p.Stage)
+		if p.Index != 0 || unfinished && !newer {
+			return false, errTransfer
+		}
+		in.id, in.count, in.next, in.data = p.snapshotID, p.Count, 0, nil
+	}
+	in.at = now
+	switch {
+	case p.Index > in.next:
+		return false, errTransfer
+	case p.Index == in.next:
+		in.data = append(in.data, p.Data...)
+		in.next++
+	}
+	return in.next == in.count, nil
+}
+
+func (in *intake) clear() { in.id, in.count, in.next, in.data = snapshotID{}, 0, 0, nil }
+
+// entries puts the state together, from the chunks and one of those that it may
+// be a difference from.
+func (in *intake) entries(own State) (map[string]json.RawMessage, error) {
+	parts, err := decodeEntries(in.data)
+	if err != nil {
+		return nil, err
+	}
+	if in.id.Since == 0 {
+		if digest(in.data) != in.id.Sum {
+			return nil, errDiffers
+		}
+		return parts, nil
+	}
+	for _, base := range []State{in.staged, own} {
+		if base.Seq != in.id.Since {
+			continue
+		}
+		entries := maps.Clone(base.Entries)
+		if entries == nil {
+			entries = map[string]json.RawMessage{}
+		}
+		put(entries, parts)
+		if digest(encodeEntries(entries)) == in.id.Sum {
+			return entries, nil
+		}
+	}
+	return nil, errDiffers
+}
+
+// onOffer tells a sender what this archive lacks of a snapshot.
+func (v *Vault) onOffer(ctx context.Context, id snapshotID) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
+	defer cancel()
+	in := &v.intake
+	if err := in.gate.Enter(ctx); err != nil {
+		return nil, err
+	}
+	defer in.gate.Leave()
+	v.mu.Lock()
+	own := v.state
+	v.mu.Unlock()
+	a := offerAnswer{Epoch: own.Epoch}
+	if in.id == id {
+		a.Next = in.next
+	}
+	if in.staged.Epoch > own.Epoch {
+		a.Seq, a.Sum = in.staged.Seq, in.stagedSum
+	} else {
+		a.Seq, a.Sum, a.Last = own.Seq, digest(encodeEntries(own.Entries)), own.Since(own.Seq-1)
+	}
+	return a, nil
+}
+
+// onCopy takes a chunk of a state from a candidate, or from a primary that needs
+// another backup. The state is put in place, and this archive's word given, only
+// when all of it is there and on disk; one of an epoch that is not above this
+// archive's own is refused.
+func (v *Vault) onCopy(ctx context.Context, p chunk) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
+	defer cancel()
+	in := &v.intake
+	if err := in.gate.Enter(ctx); err != nil {
+		return nil, err
+	}
+	defer in.gate.Leave()
+	v.mu.Lock()
+	own := v.state
+	v.mu.Unlock()
+	if a := (copyAnswer{Next: p.Count}); p.snapshotID == in.done && p.Stage {
+		return a, nil // the answer was lost
+	} else if p.snapshotID == in.done && own.Epoch == p.Epoch {
+		a.Member = v.self
+		return a, nil
+	}
+	if v.tooOld(p.Epoch) {
+		return nil, v.refused(errOldEpoch)
+	}
+	whole, err := in.take(p, v.k.Clock.Now())
+	if err != nil {
+		return nil, v.refused(err)
+	}
+	if !whole {
+		return copyAnswer{Next: in.next}, nil
+	}
+	if err := v.install(ctx, own); err != nil {
+		return nil, v.refused(err)
+	}
+	a := copyAnswer{Next: in.count}
+	if !in.id.Stage {
+		a.Member = v.self
+	}
+	in.done = in.id
+	in.clear()
+	return a, nil
+}
+
+// tooOld tells whether a state for that epoch may not replace this archive's.
+func (v *Vault) tooOld(epoch int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return epoch <= v.state.Epoch || v.leads(v.k.Clock.Now()) || v.leaving
+}
+
+// install does with a whole snapshot what it was sent for.
+func (v *Vault) install(ctx context.Context, own State) error {
+	in := &v.intake
+	entries, err := in.entries(own)
+	if err != nil {
+		in.clear()
+		return err
+	}
+	s := State{Epoch: in.id.Epoch, Seq: in.id.Seq, Entries: entries}
+	if in.id.Stage {
+		in.staged, in.stagedSum = s, in.id.Sum
+		return nil
+	}
+	err = v.onDisk(ctx, func() error {
+		if v.tooOld(s.Epoch) {
+			return errOldEpoch
+		}
+		if err := v.store.SaveState(s); err != nil {
+			return err
+		}
+		v.mu.Lock()
+		have := v.state
+		v.mu.Unlock()
+		return v.replace(s.follows(have))
+	})
+	if err == nil {
+		in.staged, in.stagedSum = State{}, ""
+	}
+	return err
+}
+
+// replace puts a state that is on disk in place, unless this archive has
+// meanwhile begun to stand for a later epoch.
+func (v *Vault) replace(s State) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.state.Epoch > s.Epoch {
+		return errOldEpoch
+	}
+	v.state = s
+	return nil
+}
+
+// refused counts what is refused as not fitting.
+func (v *Vault) refused(err error) error {
+	switch {
+	case errors.Is(err, errOldEpoch):
+		v.k.Counters.Add("vault.old_epoch_refused", 1)
+	case errors.Is(err, errChunk), errors.Is(err, errTransfer), errors.Is(err, errEncoding), errors.Is(err, errDiffers):
+		v.k.Counters.Add("vault.chunk_refused", 1)
+	}
+	return err
+}
+
+// snapshot is a state on its way to other archives.
+type snapshot struct {
+	state State // of the epoch that it is for
+	whole []byte
+	sum   string
+}
+
+func newSnapshot(state State) *snapshot {
+	whole := encodeEntries(state.Entries)
+	return &snapshot{state, whole, digest(whole)}
+}
+
+// lacks is what an archive lacks that has the state which it says; nil if that
+// is not known. The last change there may be one that nobody acknowledged, so
+// what it touched is among it.
+func (s *snapshot) lacks(have offerAnswer) []byte {
+	if have.Sum == s.sum {
+		return []byte{}
+	}
+	since := have.Seq - 1
+	if !s.state.Knows(since) {
+		since = have.Seq
+	}
+	if have.Seq == 0 || !s.state.Knows(since) {
+		return nil
+	}
+	parts := map[string]json.RawMessage{}
+	for _, key := range append(s.state.Since(since), have.Last...) {
+		parts[key] = s.state.Entries[key]
+	}
+	return encodeEntries(parts)
+}
+
+var errLarge = errors.New("too much is to be copied while a view is formed")
+
+// send brings a snapshot to an archive: as a difference from what that has, if
+// it has something that is known here, and else whole.
+func (v *Vault) send(ctx context.Context, addr string, s *snapshot, stage bool) (Member, error) {
+	id := snapshotID{Epoch: s.state.Epoch, Seq: s.state.Seq, Sum: s.sum, Stage: stage}
+	if len(s.whole) <= chunkBytes {
+		return v.sendChunks(ctx, addr, id, s.whole, len(s.whole))
+	}
+	var have offerAnswer
+	if err := v.endpoint.Call(ctx, addr, "vault.offer", id, &have, callWait); err != nil {
+		return Member{}, err
+	}
+	if have.Epoch >= id.Epoch {
+		v.mu.Lock()
+		v.tried = max(v.tried, have.Epoch)
+		v.mu.Unlock()
+		return Member{}, errOldEpoch
+	}
+	if less := s.lacks(have); less != nil && have.Seq > 0 && len(less) < len(s.whole)/2 {
+		if stage && len(less) <= chunkBytes {
+			return Member{}, nil // that little need not be there before
+		}
+		id.Since = have.Seq
+		m, err := v.sendChunks(ctx, addr, id, less, len(s.whole))
+		if err == nil || !errors.As(err, new(*rpc.Refused)) {
+			return m, err
+		}
+		id.Since = 0
+	}
+	if !stage && len(s.whole) > stageAbove {
+		return Member{}, errLarge
+	}
+	return v.sendChunks(ctx, addr, id, s.whole, len(s.whole))
+}
+
+// sendChunks sends the chunks one after another. After a call that went wrong
+// it asks which chunk is wanted.
+func (v *Vault) sendChunks(ctx context.Context, addr string, id snapshotID, data []byte, size int) (Member, error) {
+	count := max(1, (len(data)+chunkBytes-1)/chunkBytes)
+	for next, failed := 0, 0; ; {
+		part := data[next*chunkBytes : min(len(data), (next+1)*chunkBytes)]
+		p := chunk{id, next, count, crc32.ChecksumIEEE(part), part}
+		wait, start := chunkWait, v.k.Clock.Now()
+		if count == 1 {
+			wait = callWait
+		}
+		if next == count-1 {
+			wait += foundation.Micros(size) / diskRate // the state goes to the disk there
+		}
+		var a copyAnswer
+		err := v.endpoint.Call(ctx, addr, "vault.copy", p, &a, wait)
+		v.k.Counters.Add("vault.copied_bytes", int64(len(part)))
+		switch {
+		case errors.As(err, new(*rpc.Refused)):
+			return Member{}, err
+		case err == nil && (a.Member.Disk != "" || id.Stage && a.Next == count):
+			return a.Member, nil
+		case err == nil && a.Next == next+1 && a.Next < count:
+			next, failed = a.Next, 0
+			if id.Stage {
+				// Other calls on the link come between.
+				foundation.Sleep(ctx, (v.k.Clock.Now()-start)/4)
+			}
+			continue
+		}
+		if failed++; failed == chunkTries || count == 1 {
+			return Member{}, fmt.Errorf("vault: chunk %d of %d was not taken: %w", next, count, errors.Join(err, ctx.Err()))
+		}
+		var have offerAnswer
+		if v.endpoint.Call(ctx, addr, "vault.offer", id, &have, callWait) == nil && have.Next >= 0 && have.Next < count {
+			next = have.Next
+		}
+	}
+}
+
+// backupOrder lists the archives that a copy is offered to, in turn; if the
+// state was staged, those that have it come first.
+func (v *Vault) backupOrder(last View, answered func(addr string) bool) []string {
+	alive := v.cfg.Archives()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.k.Clock.Now()
+	order := v.members.candidates(last, alive, answered, now)
+	if now < v.stagedTill {
+		rank := func(addr string) int {
+			if slices.Contains(v.stagedAt, addr) {
+				return 0
+			}
+			return 1
+		}
+		slices.SortStableFunc(order, func(a, b string) int { return rank(a) - rank(b) })
+	}
+	return order
+}
+
+// copyToBackups hands the whole state to as many archives as may be lost, and
+// one at least. Archives that do not answer count as lost already: if there are
+// too few others, these will do; not so if others answered a moment ago.
+func (v *Vault) copyToBackups(ctx context.Context, state State, last View, disks map[string]string) ([]Member, error) {
+	got := v.sendToSome(ctx, newSnapshot(state), v.backupOrder(last, has(disks)), false)
+	backups := make([]Member, 0, len(got))
+	for _, r := range got {
+		backups = append(backups, r.member)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(backups) == 0 || !v.members.enoughCopies(backupAddrs(View{Backups: backups}), slices.Collect(maps.Keys(disks)), has(disks), v.k.Clock.Now()) {
+		v.stagedTill = 0 // what was staged does not do
+		return nil, errors.New("too few archives took the copy")
+	}
+	return backups, nil
+}
+
+// sent is an archive that took a snapshot.
+type sent struct {
+	addr   string
+	member Member // if it is on its disk
+}
+
+// sendToSome sends a snapshot to the first archives that take it, as many as
+// there should be backups.
+func (v *Vault) sendToSome(ctx context.Context, s *snapshot, order []string, stage bool) (got []sent) {
+	want := v.members.copies()
+	for len(order) > 0 && len(got) < want && ctx.Err() == nil {
+		n := min(want-len(got), len(order))
+		took := make([]*sent, n)
+		done := make(chan struct{}, n)
+		for i, addr := range order[:n] {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				m, err := v.send(ctx, addr, s, stage)
+				if err == nil && (stage || m.Disk != "") {
+					took[i] = &sent{addr, m}
+				}
+				v.noteCopy(addr, stage, err)
+			}()
+		}
+		for range n {
+			<-done
+		}
+		for _, r := range took {
+			if r != nil {
+				got = append(got, *r)
+			}
+		}
+		order = order[n:]
+	}
+	return got
+}
+
+// noteCopy has an archive that failed to take a copy come after the others for
+// a while.
+func (v *Vault) noteCopy(addr string, stage bool, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case err == nil && !stage:
+		v.members.took(addr)
+	case err != nil && !errors.Is(err, errLarge):
+		v.members.failed(addr, v.k.Clock.Now())
+	}
+}
+
+// staged tells whether a view can be formed without copying much meanwhile. If
+// not, the state is brought to those who shall be backups first: the lease runs
+// and is renewed, reads and changes go on, and nobody has promised anything.
+func (v *Vault) staged() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return entriesSize(v.state.Entries) <= stageAbove || v.k.Clock.Now() < v.stagedTill
+}
+
+// stageSoon has the state brought there, unless that is under way.
+func (v *Vault) stageSoon(ctx context.Context) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.staging {
+		v.staging = true
+		go v.stage(ctx)
+	}
+}
+
+func (v *Vault) stage(ctx context.Context) {
+	v.mu.Lock()
+	state, last := v.state, v.seen
+	state.Epoch = v.nextEpoch()
+	v.mu.Unlock()
+	v.k.Counters.Add("vault.staged", 1)
+	got := v.sendToSome(ctx, newSnapshot(state), v.backupOrder(last, func(string) bool { return false }), true)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.staging, v.stagedAt = false, nil
+	if len(got) == 0 {
+		v.k.Counters.Add("vault.staged_in_vain", 1)
+		v.standAt = v.k.Clock.Now() + v.lease/24 + rand.N(v.lease/12)
+		return
+	}
+	for _, r := range got {
+		v.stagedAt = append(v.stagedAt, r.addr)
+	}
+	v.stagedTill = v.k.Clock.Now() + 2*v.lease
+	v.poke()
+}
--- a/internal/vault/store.go
+++ b/internal/vault/store.go
@@ -13,6 +13,8 @@
 	"path/filepath"
 
 	"github.com/tidwall/buntdb"
+
+	"indigowalk/internal/foundation"
 )
 
 // Errors of the store.
@@ -27,6 +29,10 @@
 // StoreFile is the name of the store in the data folder.
 const StoreFile = "vault.db"
 
+// nextSuffix ends the name of the file that a rewritten store is made in. It is
+// never read under that name.
+const nextSuffix = ".next"
+
 // storeFormat is the version of the records written here.
 const storeFormat = 3
 
@@ -62,23 +68,30 @@
 	turn   chan struct{} // held while the store is used; a disk may stall meanwhile
 	db     *buntdb.DB
 	file   *os.File // for syncing: buntdb keeps the result of its own to itself
-	size   int64    // of the file, about
-	least  int64    // of the file when it was last rewritten
-	unsure bool     // a sync failed: only a rewritten file is known to be whole
+	sync   foundation.Sync
+	size   int64 // of the file
+	least  int64 // that a rewritten file would have had when it was opened, or has had
+	unsure bool  // a sync failed: only a rewritten file is known to be whole
 	closed bool
 }
 
-func newStore(path string) *Store { return &Store{path: path, turn: make(chan struct{}, 1)} }
+func newStore(path string, sync foundation.Sync) *Store {
+	return &Store{path: path, turn: make(chan struct{}, 1), sync: sync}
+}
 
 func (s *Store) lock()   { s.turn <- struct{}{} }
 func (s *Store) unlock() { <-s.turn }
 
-// OpenStore opens or makes the store in dir.
-func OpenStore(dir string) (*Store, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
+// OpenStore opens or makes the store in dir. What it holds is on disk, under
+// its name, when this returns: the life before may have ended between a write
+// and its sync.
+func OpenStore(dir string) (*Store, error) { return openStore(dir, (*os.File).Sync) }
+
+func openStore(dir string, sync foundation.Sync) (*Store, error) {
+	if err := makeDir(dir, sync); err != nil {
 		return nil, fmt.Errorf("vault: %w", err)
 	}
-	s := newStore(filepath.Join(dir, StoreFile))
+	s := newStore(filepath.Join(dir, StoreFile), sync)
 	raw, err := os.ReadFile(s.path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("vault: %w", err)
@@ -92,34 +105,79 @@
 			return nil, fmt.Errorf("vault: %w", err)
 		}
 	}
+	// Power, or the process, went while the store was rewritten.
+	if err := os.Remove(s.path + nextSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("vault: %w", err)
+	}
 	if err := s.open(s.path); err != nil {
 		return nil, err
 	}
 	s.size = int64(whole)
-	s.least = s.size
+	if err := s.identify(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	if err := errors.Join(sync(s.file), syncDir(dir, sync)); err != nil {
+		s.Close()
+		return nil, fmt.Errorf("vault: %w", err)
+	}
+	return s, nil
+}
+
+// identify reads the identity of the disk, or draws one for a new store.
+func (s *Store) identify() error {
 	var d diskRecord
 	found, err := s.Load(diskKey, &d)
 	switch {
 	case errors.As(err, new(*json.UnmarshalTypeError)) || found && d.Format != storeFormat:
-		s.Close()
-		return nil, fmt.Errorf("%w: %s; this program reads format %d", ErrFormat, s.path, storeFormat)
+		return fmt.Errorf("%w: %s; this program reads format %d", ErrFormat, s.path, storeFormat)
 	case err != nil:
-		s.Close()
-		return nil, fmt.Errorf("%w (%s)", err, s.path)
+		return fmt.Errorf("%w (%s)", err, s.path)
 	case found:
 		s.Disk = d.ID
-		return s, nil
+		s.least, err = s.live()
+		return err
 	}
 	s.Fresh, s.Disk = true, rand.Text()[:12]
-	if err := s.Save(diskKey, diskRecord{storeFormat, s.Disk}); err != nil {
-		s.Close()
-		return nil, err
+	return s.Save(diskKey, diskRecord{storeFormat, s.Disk})
+}
+
+// live is about how large a rewritten file would be.
+func (s *Store) live() (size int64, err error) {
+	err = s.db.View(func(tx *buntdb.Tx) error {
+		for _, key := range []string{diskKey, registerKey, stateKey} {
+			text, err := tx.Get(key, true)
+			if err != nil && !errors.Is(err, buntdb.ErrNotFound) {
+				return err
+			}
+			size += int64(len(text))
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, fmt.Errorf("vault: %w", err)
 	}
-	if err := syncDir(dir); err != nil {
-		s.Close()
-		return nil, err
+	return size, nil
+}
+
+// makeDir makes the folder, and has its name last, and those of the folders
+// above it that had to be made too.
+func makeDir(dir string, sync foundation.Sync) error {
+	above := filepath.Dir(dir)
+	if _, err := os.Stat(above); errors.Is(err, os.ErrNotExist) && above != dir {
+		if err := makeDir(above, sync); err != nil {
+			return err
+		}
 	}
-	return s, nil
+	if err := os.Mkdir(dir, 0o755); err != nil && !errors.Is(err, os.ErrExist) {
+		return err
+	}
+	// A life before may have made it and ended here. A folder above that this
+	// process may not read was there before it.
+	if err := syncDir(above, sync); err != nil && !errors.Is(err, os.ErrPermission) {
+		return err
+	}
+	return nil
 }
 
 // open opens the database at path; syncing is done here, not by buntdb.
@@ -141,20 +199,17 @@
 	return nil
 }
 
-func syncDir(dir string) error {
+func syncDir(dir string, sync foundation.Sync) error {
 	d, err := os.Open(dir)
 	if err != nil {
-		return fmt.Errorf("vault: %w", err)
+		return err
 	}
 	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return fmt.Errorf("vault: %w", err)
-	}
-	return nil
+	return sync(d)
 }
 
 // cutTail shortens the file to its whole records and keeps what was cut off
-// beside it, if there is room.
+// beside it, if there is room. The caller syncs the file.
 func cutTail(path string, raw []byte, whole int64) error {
 	if os.WriteFile(path+".torn", raw[whole:], 0o644) != nil {
 		os.Remove(path + ".torn")
@@ -164,10 +219,7 @@
 		return err
 	}
 	defer f.Close()
-	if err := f.Truncate(whole); err != nil {
-		return err
-	}
-	return f.Sync()
+	return f.Truncate(whole)
 }
 
 // Save writes one record and returns once it is on disk.
@@ -191,19 +243,27 @@
 			return err
 		}
 	}
-	err := s.db.Update(func(tx *buntdb.Tx) error {
+	return s.update(func(tx *buntdb.Tx) error {
 		_, _, err := tx.Set(key, text, nil)
 		return err
 	})
-	if err != nil {
+}
+
+// update carries one transaction out and syncs the file.
+func (s *Store) update(change func(*buntdb.Tx) error) error {
+	if err := s.db.Update(change); err != nil {
 		return fmt.Errorf("vault: %w", err)
 	}
-	if err := s.file.Sync(); err != nil {
-		s.unsure = true
-		return fmt.Errorf("vault: %w", err)
+	err := s.sync(s.file)
+	if err == nil {
+		var fi os.FileInfo
+		if fi, err = s.file.Stat(); err == nil {
+			s.size = fi.Size()
+			return nil
+		}
 	}
-	s.size += int64(len(text) + len(key) + 64)
-	return nil
+	s.unsure = true
+	return fmt.Errorf("vault: %w", err)
 }
 
 // SaveState writes the whole state, which replaces all changes before it.
@@ -218,33 +278,26 @@
 		return err
 	}
 	// The changes before it are not read any more, whether they go or not.
-	if err := s.dropChanges(); err != nil {
+	if err := s.update(dropChanges); err != nil {
 		s.unsure = true
 	}
 	return nil
 }
 
-func (s *Store) dropChanges() error {
-	err := s.db.Update(func(tx *buntdb.Tx) error {
-		var old []string
-		if err := tx.AscendKeys(changeKey+"*", func(key, _ string) bool {
-			old = append(old, key)
-			return true
-		}); err != nil {
+func dropChanges(tx *buntdb.Tx) error {
+	var old []string
+	if err := tx.AscendKeys(changeKey+"*", func(key, _ string) bool {
+		old = append(old, key)
+		return true
+	}); err != nil {
+		return err
+	}
+	for _, key := range old {
+		if _, err := tx.Delete(key); err != nil {
 			return err
 		}
-		for _, key := range old {
-			if _, err := tx.Delete(key); err != nil {
-				return err
-			}
-			s.size += int64(len(key) + 32)
-		}
-		return nil
-	})
-	if err != nil {
-		return fmt.Errorf("vault: %w", err)
 	}
-	return s.file.Sync()
+	return nil
 }
 
 // Append writes a change as one unit: after a loss of power it is there in
@@ -267,6 +320,9 @@
 		return st, err
 	}
 	st = st.WithoutRevisions()
+	if st.Entries == nil {
+		st.Entries = map[string]json.RawMessage{}
+	}
 	var texts []string
 	err = s.db.View(func(tx *buntdb.Tx) error {
 		return tx.AscendKeys(changeKey+"*", func(_, text string) bool {
@@ -283,7 +339,8 @@
 			return st, fmt.Errorf("%w: a change of the state: %v", ErrDamaged, err)
 		}
 		if c.Epoch == st.Epoch && c.Seq == st.Seq+1 {
-			st = st.With(c.Entries)
+			put(st.Entries, c.Entries)
+			st.Seq, st.revisions = c.Seq, st.revisions.changed(keysOf(c.Entries), c.Seq)
 		}
 	}
 	return st, nil
@@ -316,29 +373,31 @@
 			return err
 		}
 	}
-	next := s.path + ".next"
+	next := s.path + nextSuffix
 	if err := os.Remove(next); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("vault: %w", err)
 	}
-	n := newStore(next)
+	n := newStore(next, s.sync)
 	n.least = math.MaxInt64 / compactTimes
 	if err := n.open(next); err != nil {
 		return err
 	}
 	err = n.write(diskKey, d)
 	for key, text := range records {
-		err = errors.Join(err, n.write(key, text))
+		if err == nil {
+			err = n.write(key, text)
+		}
 	}
-	err = errors.Join(err, n.Close())
-	if err != nil {
-		return fmt.Errorf("vault: %w", err)
+	if err = errors.Join(err, n.Close()); err != nil {
+		os.Remove(next) // a full disk needs the room
+		return err
 	}
 	if err := os.Rename(next, s.path); err != nil {
 		return fmt.Errorf("vault: %w", err)
 	}
-	if err := syncDir(filepath.Dir(s.path)); err != nil {
+	if err := syncDir(filepath.Dir(s.path), s.sync); err != nil {
 		s.unsure = true // which of the two files has the name is not known
-		return err
+		return fmt.Errorf("vault: %w", err)
 	}
 	old, oldFile := s.db, s.file
 	if err := s.open(s.path); err != nil {
--- a/internal/vault/vault.go
+++ b/internal/vault/vault.go
@@ -43,7 +43,7 @@
 
 // With is the state after one more change.
 func (s State) With(changes map[string]json.RawMessage) State {
-	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries), revisions: s.revisions.changed(changes, s.Seq+1)}
+	n := State{Epoch: s.Epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries), revisions: s.revisions.changed(keysOf(changes), s.Seq+1)}
 	if n.Entries == nil {
 		n.Entries = map[string]json.RawMessage{}
 	}
@@ -51,6 +51,8 @@
 	return n
 }
 
+func keysOf(entries map[string]json.RawMessage) []string { return slices.Collect(maps.Keys(entries)) }
+
 // put carries changes out on entries.
 func put(entries, changes map[string]json.RawMessage) {
 	for k, v := range changes {
@@ -164,7 +166,11 @@
 	voided    int64 // epoch of a view whose primary lost its disk, and with it the lease
 	tried     int64 // highest epoch stood for or heard of
 	queue     []*update
-	small     bool // it was said that the core is smaller than Losses asks
+	// A large state is staged before a view is formed.
+	staging    bool
+	stagedAt   []string // the archives that have it, or nearly
+	stagedTill foundation.Micros
+	small      bool // it was said that the core is smaller than Losses asks
 
 	refusing atomic.Bool // the disk refused the last write
 	stalled  atomic.Bool // the disk has not answered for a while
@@ -172,13 +178,14 @@
 	writing foundation.Gate // one write or change of view at a time
 	stating foundation.Gate // one write of the state to the disk at a time
 	voting  foundation.Gate // one write of the register at a time
+	intake  intake
 	changed foundation.Bell
 	wake    chan struct{}
 }
 
 // Open opens the store and takes part in the elections through the endpoint.
 func Open(k *foundation.Kernel, b *rpc.Endpoint, cfg Config) (*Vault, error) {
-	st, err := OpenStore(cfg.Dir)
+	st, err := openStore(cfg.Dir, k.Sync)
 	if err != nil {
 		return nil, err
 	}
@@ -187,6 +194,7 @@
 		k: k, endpoint: b, cfg: cfg, lease: cfg.Lease, store: st,
 		self: self, members: newMembership(self, cfg), missed: map[string]int{},
 		wake: make(chan struct{}, 1), writing: foundation.NewGate(), stating: foundation.NewGate(), voting: foundation.NewGate(),
+		intake: intake{gate: foundation.NewGate()},
 	}
 	now := k.Clock.Now()
 	v.witness = witness{lease: cfg.Lease}
@@ -221,6 +229,7 @@
 	rpc.On(b, "vault.renew", v.onRenew)
 	rpc.On(b, "vault.release", v.onRelease)
 	rpc.On(b, "vault.register", v.onRegister)
+	rpc.On(b, "vault.offer", v.onOffer)
 	rpc.On(b, "vault.copy", v.onCopy)
 	rpc.On(b, "vault.write", v.onWrite)
 	rpc.On(b, "vault.succeed", v.onSucceed)
@@ -443,7 +452,7 @@
 func (v *Vault) commit(ctx context.Context, batch []*update) {
 	own := make([]error, len(batch))
 	err := v.write(ctx, batch, own)
-	if errors.Is(err, errBackup) && v.tryStand(ctx) == nil {
+	if errors.Is(err, errBackup) && v.staged() && v.tryStand(ctx) == nil {
 		err = v.write(ctx, batch, own)
 	}
 	for i, u := range batch {
@@ -500,7 +509,7 @@
 	if len(changes) == 0 {
 		return nil
 	}
-	next.revisions = old.revisions.changed(changes, next.Seq)
+	next.revisions = old.revisions.changed(keysOf(changes), next.Seq)
 	local := make(chan error, 1)
 	c := Change{view.Epoch, next.Seq, changes}
 	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
@@ -795,9 +804,11 @@
 	if renew {
 		v.renew(ctx)
 	}
-	switch {
-	case another, idle && may:
+	switch wanted := another || idle && may; {
+	case wanted && v.staged():
 		v.stand(ctx)
+	case wanted:
+		v.stageSoon(ctx)
 	case tell:
 		v.tell(ctx)
 	}
