--- a/internal/vault/records.go
+++ b/internal/vault/records.go
@@ -85,6 +85,9 @@
 	return rest, nil
 }
 
+// firstRecord is what the first record of a store takes at most.
+const firstRecord = 256
+
 // lastWhole returns how much of a store's file is whole records. What follows
 // may be one unfinished write; anything else is damage: every write is synced
 // before the next, so a whole record can't stand behind one that is not.
@@ -100,7 +103,8 @@
 		}
 		at = len(raw) - len(rest)
 	}
-	if at == 0 && !strings.HasPrefix(setCommand, string(raw[:min(len(raw), len(setCommand))])) {
+	neverWritten := len(raw) <= firstRecord && bytes.IndexByte(raw, 0) >= 0 // power went before the first sync
+	if at == 0 && !neverWritten && !strings.HasPrefix(setCommand, string(raw[:min(len(raw), len(setCommand))])) {
 		return 0, errors.New("is not a store of an archive")
 	}
 	for next := at + 1; next < len(raw); next++ {
