--- a/internal/vault/crash_test.go
+++ b/internal/vault/crash_test.go
@@ -45,17 +45,24 @@
 type endOfLife struct{}
 
 func newVolatile(t *testing.T, killAt, cuts int) *volatile {
-	base := t.TempDir()
-	if shm, err := os.MkdirTemp("/dev/shm", "indigowalk"); err == nil {
-		t.Cleanup(func() { os.RemoveAll(shm) })
-		base = shm // a thousand stores are opened, where syncs cost nothing
-	}
+	base := memoryDir(t)
 	return &volatile{
 		t: t, dir: filepath.Join(base, "a", "data"), images: filepath.Join(base, "images"), killAt: killAt, cuts: cuts,
 		names: map[string]uint64{}, synced: map[uint64][]byte{}, files: map[uint64]*os.File{}, tested: map[string]bool{},
 	}
 }
 
+// memoryDir is a folder where syncs cost nothing, if there is such a one: a
+// thousand stores are opened there.
+func memoryDir(t testing.TB) string {
+	dir, err := os.MkdirTemp("/dev/shm", "indigowalk")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	return dir
+}
+
 // sync stands in for the real one.
 func (d *volatile) sync(f *os.File) error {
 	d.tryAll()
