--- a/internal/vault/election.go
+++ b/internal/vault/election.go
@@ -247,13 +247,16 @@
 	state := v.state
 	v.mu.Unlock()
 
-	if err := v.onDisk(ctx, func() error { return v.store.SaveState(state) }); err != nil {
+	// Own disk and backups side by side: the lease before can't be renewed now.
+	saved := make(chan error, 1)
+	go func() { saved <- v.onDisk(ctx, func() error { return v.store.SaveState(state) }) }()
+	backups, err := v.copyToBackups(ctx, state, known, disks)
+	if err := <-saved; err != nil {
 		if wasActive {
 			go v.handOver("own disk fails")
 		}
 		return err
 	}
-	backups, err := v.copyToBackups(ctx, state, known, disks)
 	if err != nil {
 		return err
 	}
