Vault: a witness is let go only after the whole span of absence

Cause: after a take-over one that was silent for a call's time was let go, though no spare was there to have its place, and taken in again. Change: the short span holds for exchanges only. Test: TestMembershipModel, TestPrimaryLostBeforeTheExchange.

--- a/internal/vault/membership.go
+++ b/internal/vault/membership.go
@@ -12,21 +12,21 @@
 // present one bears the losses that are to be borne. It asks nobody and changes
 // nothing but its notes. docs/hardening.md names the invariants that rest on it.
 type membership struct {
-	self    Member
-	losses  int // archives that may be lost at once, with their disks
-	lease   foundation.Micros
-	away    foundation.Micros            // a witness that is away for longer is exchanged
-	catchup foundation.Micros            // how long to wait for the archives that losses asks for
-	since   foundation.Micros            // when this archive became the primary; 0 while it is not
-	heard   map[string]foundation.Micros // archives by when they last took part
-	shunned map[string]foundation.Micros // archives that failed as backups or leave, until when
-	leaving map[string]foundation.Micros // archives that said that they are about to end, when
-	failing map[string]foundation.Micros // archives that fail to take copies, since when
+	self     Member
+	losses   int // archives that may be lost at once, with their disks
+	lease    foundation.Micros
+	patience foundation.Micros            // a witness that is silent for longer is exchanged
+	catchup  foundation.Micros            // how long to wait for the archives that losses asks for
+	since    foundation.Micros            // when this archive became the primary; 0 while it is not
+	heard    map[string]foundation.Micros // archives by when they last took part
+	shunned  map[string]foundation.Micros // archives that failed as backups or leave, until when
+	leaving  map[string]foundation.Micros // archives that said that they are about to end, when
+	failing  map[string]foundation.Micros // archives that fail to take copies, since when
 }
 
 func newMembership(self Member, cfg Config) membership {
 	return membership{
-		self: self, losses: cfg.Losses, lease: cfg.Lease, away: min(cfg.Away, max(cfg.Lease, cfg.Catchup-2*cfg.Lease)), catchup: cfg.Catchup,
+		self: self, losses: cfg.Losses, lease: cfg.Lease, patience: min(cfg.Away, max(cfg.Lease, cfg.Catchup-2*cfg.Lease)), catchup: cfg.Catchup,
 		heard: map[string]foundation.Micros{}, shunned: map[string]foundation.Micros{}, leaving: map[string]foundation.Micros{}, failing: map[string]foundation.Micros{},
 	}
 }
@@ -45,17 +45,19 @@
 	return ok && now-at < m.lease
 }
 
-// absent tells whether a witness has been away for so long that another should
+// away tells whether a witness has been silent for so long that another should
 // have its place. That is less than catchup by the time that a take-over needs:
 // when its successor counts as back, the exchange is done, even if the primary
-// was lost just before it would have made it. For the same reason one that was
-// not among those that voted, and has answered nothing since the take-over, gets no
-// more than a call's time.
-func (m *membership) absent(addr string, now foundation.Micros) bool {
-	if at := m.heard[addr]; at >= m.since {
-		return now-at > m.away
-	}
-	return now-m.since >= m.lease/4
+// was lost just before it would have made it.
+func (m *membership) away(addr string, now foundation.Micros) bool {
+	return now-max(m.heard[addr], m.since) > m.patience
+}
+
+// unheard tells whether a witness was not among those that voted, and has
+// answered nothing since the take-over for a call's time: it may have been lost
+// with the last primary, or before.
+func (m *membership) unheard(addr string, now foundation.Micros) bool {
+	return m.heard[addr] < m.since && now-m.since >= m.lease/4
 }
 
 // spares are the archives that take part and are not in the set.
@@ -80,12 +82,11 @@
 	}
 	spares := m.spares(set, now)
 	for i, addr := range set {
-		if addr == m.self.Addr || !m.absent(addr, now) {
-			continue
-		}
-		if len(spares) > 0 {
+		switch away := m.away(addr, now); {
+		case addr == m.self.Addr:
+		case (away || m.unheard(addr, now)) && len(spares) > 0:
 			set[i], spares = spares[0], spares[1:]
-		} else if len(set) > max(3, 2*m.losses) {
+		case away && len(set) > max(3, 2*m.losses):
 			// Without it the losses can be borne just as well; with it, gone for
 			// good, the losses of others would leave too few registers.
 			return slices.Delete(set, i, i+1)
