A replica that was promoted unheard, or superseded, is found though PAUSE answers

Cause: PAUSE answers at a primary too, and does not pause it, so who answered as a primary was not looked at. Change: whoever is not paused by the first PAUSE is asked STAT.

--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -490,13 +490,16 @@
 	replicas = slices.DeleteFunc(replicas, func(d accessions.Database) bool { return d.ID == old.ID })
 	conns := c.openAll(ctx, running(replicas))
 	defer closeAll(conns)
-	// PAUSE takes no slot and answers what STAT does; the positions told at
-	// log-in name the terms. STAT, for which an overloaded replica has no
-	// slot, is asked only if one is paused at a higher term already.
+	// PAUSE takes no slot and answers what STAT does, also at a primary, which it
+	// does not pause; the positions told at log-in name the terms. STAT, for which
+	// an overloaded replica has no slot, is asked only of those that are not paused
+	// then.
 	hold := max(newest, l.Hold, loginTerm(conns)) + 1
 	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
-	if len(rows) < len(conns) {
-		for id, row := range c.sayAll(conns, "STAT") {
+	rest := maps.Clone(conns)
+	maps.DeleteFunc(rest, func(id string, _ *shelf.Conn) bool { return rows[id].held == hold })
+	if len(rest) > 0 {
+		for id, row := range c.sayAll(rest, "STAT") {
 			if row.primary && l.Called && row.term > l.Term {
 				// It was promoted in this turn, and ended before that was known.
 				return c.settleOn(ctx, s, l, id, l.Term, hold, row.received)
--- a/internal/rehearsal/database.go
+++ b/internal/rehearsal/database.go
@@ -536,10 +536,12 @@
 	term, _ := strconv.ParseInt(arg, 10, 64)
 	switch verb {
 	case "PAUSE":
-		if term <= max(d.term, d.held) || d.role != "replica" {
-			return fail(folio.Malformed, "term")
+		if d.role == "replica" { // a primary answers, and is not paused
+			if term <= d.term || term < d.held {
+				return fail(folio.Malformed, "term")
+			}
+			d.held = term
 		}
-		d.held = term
 	case "CONTINUE":
 		d.held = 0
 	case "STEPDOWN":
--- a/internal/rehearsal/replicas_test.go
+++ b/internal/rehearsal/replicas_test.go
@@ -240,3 +240,27 @@
 		served(t, l, 6*time.Second)
 	})
 }
+
+// The chosen replica is promoted while the archive that chose it is lost, crashes
+// before anyone has heard of it, and returns as the primary that it was made.
+func TestPromotedUnheardAndCrashed(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		first := g.Lead()
+		l := under(w, g, func() {
+			first.Crash(true)
+			w.Until("the platform is called", 4*time.Second, func() bool { return w.Calls() == 1 })
+			w.Process("archive", vaultPrimary(w)).Kill()
+			second := g.next(first, time.Second)
+			second.Crash(false)
+			time.Sleep(5 * time.Second)
+			second.Return(second.ID + "b")
+			time.Sleep(time.Second)
+			before := g.commits()
+			time.Sleep(time.Second)
+			if n := g.commits() - before; n < 20 {
+				t.Errorf("%d commits in a second", n)
+			}
+		})
+		served(t, l, 9*time.Second)
+	})
+}
