Once a replica was chosen, another that has received as much will do in its place

Cause: a chosen replica that crashed before it was known to lead was waited for, since it might hold more than the others. It does not: from the choice on nobody writes, at the old lead or at it, until it is known to lead. Change: its position (Lead.Floor) lasts for the turn, and whoever has reached it may be chosen without hearing the rest. Test: TestPromotedUnheardAndCrashed in both ways, each failing with its mend taken out; TestChoose; TestConfined, where databases may now join and return in the middle of a move.

--- a/internal/custodian/choose.go
+++ b/internal/custodian/choose.go
@@ -31,6 +31,9 @@
 	// Held is the old primary's own position, asked after every desk had left
 	// it; nil if it did not answer.
 	Held *folio.Position `json:"held,omitempty"`
+	// Floor is what the one held that was chosen before in this turn, and could
+	// not be promoted; nil if none was.
+	Floor *folio.Position `json:"floor,omitempty"`
 	// Least is what databases that are forgotten by now may have held.
 	Least folio.Position `json:"least"`
 }
@@ -60,7 +63,9 @@
 // A commit that was acknowledged is on Sync replicas at least. The furthest of
 // those that answered holds it unless Sync others may hold more: replicas that
 // are absent, but for those whose limit it has reached. What forgotten
-// databases may have held it must hold too. If the old primary answered, a
+// databases may have held it must hold too. Once somebody was chosen in this turn,
+// whoever has received as much will do: the desks have left the old primary, and
+// nobody writes at the chosen one before it is known to lead. If the old primary answered, a
 // replica that stays and has all that it holds will do alone.
 func Choose(s Situation) (id, refusal string) {
 	copies := slices.Clone(s.Copies)
@@ -89,6 +94,9 @@
 		}
 		return copies[0].ID, ""
 	}
+	if s.Floor != nil && !best.Less(*s.Floor) {
+		return copies[0].ID, ""
+	}
 	ahead := s.ahead(best)
 	gone := len(slices.DeleteFunc(slices.Clone(ahead), func(a Absent) bool { return !a.Gone }))
 	switch sync := max(s.Sync, 1); {
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -37,7 +37,7 @@
 	To      string `json:"to,omitempty"`
 	Called  bool   `json:"called,omitempty"` // the platform may have been called in this turn
 	Hold    int64  `json:"hold,omitempty"`   // term at which the replicas are paused
-	Floor   string `json:"floor,omitempty"`  // while To is set: covers every acknowledged commit
+	Floor   string `json:"floor,omitempty"`  // of a turn in which a choice was made: covers every acknowledged commit
 	Least   string `json:"least,omitempty"`  // whoever is promoted holds this: databases that are gone may have
 }
 
@@ -425,7 +425,7 @@
 			}
 		}
 		err := c.save(ctx, svc, func(l *Lead) error {
-			l.Moving, l.Failed, l.To, l.Called, l.Turn = true, failed, "", false, l.Turn+1
+			l.Moving, l.Failed, l.To, l.Floor, l.Called, l.Turn = true, failed, "", "", false, l.Turn+1
 			return nil
 		})
 		if err != nil {
@@ -480,6 +480,9 @@
 	alive := there && !old.Gone && c.health.Up(old.ID)
 	sit := Situation{Sync: s.syncReplicas(l.Service)}
 	sit.Least, _ = folio.ParsePosition(l.Least)
+	if floor, ok := folio.ParsePosition(l.Floor); ok {
+		sit.Floor = &floor
+	}
 	newest, held := l.Term, int64(0)
 	if alive {
 		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
@@ -653,7 +656,7 @@
 	if errors.Is(err, errNotRunning) {
 		return c.save(ctx, l.Service, func(now *Lead) error {
 			if now.Turn == l.Turn && now.To == l.To {
-				now.To, now.Floor = "", ""
+				now.To = ""
 			}
 			return nil
 		})
