A leaving replica may follow in a turn that can't be called off any more

Cause: with a choice made, the chosen one lost and nobody else that stays, a draining lead that still answers was not followed by a leaving one, nor could the move be called off: no lead until the old one had ended. Change: who has reached the floor is taken before the living lead is looked at. Test: TestChoose; TestConfined.

--- a/internal/custodian/choose.go
+++ b/internal/custodian/choose.go
@@ -87,6 +87,9 @@
 		return "", nobodyAnswers
 	}
 	best := copies[0].Received
+	if s.Floor != nil && !best.Less(*s.Floor) {
+		return copies[0].ID, ""
+	}
 	if s.Held != nil {
 		// Of equals, one that stays comes first.
 		if best.Less(*s.Held) || copies[0].Draining {
@@ -94,9 +97,6 @@
 		}
 		return copies[0].ID, ""
 	}
-	if s.Floor != nil && !best.Less(*s.Floor) {
-		return copies[0].ID, ""
-	}
 	ahead := s.ahead(best)
 	gone := len(slices.DeleteFunc(slices.Clone(ahead), func(a Absent) bool { return !a.Gone }))
 	switch sync := max(s.Sync, 1); {
--- a/internal/custodian/choose_test.go
+++ b/internal/custodian/choose_test.go
@@ -32,6 +32,7 @@
 		{"less than a forgotten one held", Situation{Sync: 1, Least: at(6), Copies: []Copy{{"a", at(5), false}}}, ""},
 		{"as much as a forgotten one held", Situation{Sync: 1, Least: at(6), Copies: []Copy{{"a", at(6), false}}}, "a"},
 		{"as much as the one chosen before", Situation{Sync: 1, Floor: pos(5), Absent: silent, Copies: []Copy{{"a", at(5), false}}}, "a"},
+		{"as much, but it leaves, and the primary lives", Situation{Sync: 1, Floor: pos(9), Held: &held, Copies: []Copy{{"a", at(9), true}}}, "a"},
 		{"less than the one chosen before", Situation{Sync: 1, Floor: pos(6), Absent: silent, Copies: []Copy{{"a", at(5), false}}}, ""},
 		{"rather one that stays", Situation{Sync: 1, Copies: []Copy{{"a", at(7), true}, {"b", at(7), false}}}, "b"},
 		{"a later term counts more", Situation{Sync: 1, Copies: []Copy{{"a", at(9), false}, {"b", folio.Position{Term: 2, Number: 1}, false}}}, "b"},
