A leaving replica that receives again past its limit is paused anew

Cause: a limit, once noted, was not asked again; a CONTINUE that was under way when the replica began to drain let it receive past that, until no staying one received.

Test: TestConfinedAgain fails without the change.

--- a/internal/custodian/leaving.go
+++ b/internal/custodian/leaving.go
@@ -158,7 +158,13 @@
 	if !ok {
 		return c.letReceive(ctx, l, leaving)
 	}
-	return c.pause(ctx, l, pick(leaving, func(d accessions.Database) bool { return d.Limit == "" }))
+	// One with a limit receives again if a CONTINUE of before its draining came
+	// late, or it restarted: it is paused anew.
+	rows := c.askAll(ctx, pick(leaving, func(d accessions.Database) bool { return d.Limit != "" }), "STAT")
+	return c.pause(ctx, l, pick(leaving, func(d accessions.Database) bool {
+		r, answered := rows[d.ID]
+		return d.Limit == "" || answered && r.held == 0
+	}))
 }
 
 // pause has replicas stop receiving and notes how far they got.
--- a/internal/rehearsal/replicas_test.go
+++ b/internal/rehearsal/replicas_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"indigowalk/internal/accessions"
+	"indigowalk/internal/folio"
 	"indigowalk/internal/toolbox"
 )
 
@@ -271,3 +273,40 @@
 		})
 	}
 }
+
+// A CONTINUE of before its draining that comes late has a confined replica receive
+// past its limit: it is paused anew, and the limit covers what it has received.
+func TestConfinedAgain(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		under(w, g, func() {
+			d := g.DB(2)
+			d.Leave(8*time.Second, true)
+			state := func() (held int64, received, limit folio.Position) {
+				s, err := w.Process("archive", vaultPrimary(w)).vault().Durable()
+				if err != nil {
+					t.Fatal(err)
+				}
+				known, err := accessions.Decode(s.Entries)
+				if err != nil {
+					t.Fatal(err)
+				}
+				limit, _ = folio.ParsePosition(known[d.ID].Limit)
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				return d.held, d.pos(), limit
+			}
+			confined := func() bool {
+				held, received, limit := state()
+				return held != 0 && limit.Term != 0 && !limit.Less(received)
+			}
+			w.Until("the leaving replica is confined", 3*time.Second, confined)
+			_, _, before := state()
+			d.control("CONTINUE", "")
+			time.Sleep(100 * time.Millisecond) // the load writes
+			w.Until("it is confined again", 2*time.Second, confined)
+			if _, _, limit := state(); !before.Less(limit) {
+				t.Errorf("limit %v, before the late CONTINUE %v", limit, before)
+			}
+		})
+	})
+}
