--- a/internal/rehearsal/gateway_test.go
+++ b/internal/rehearsal/gateway_test.go
@@ -96,7 +96,8 @@
 }
 
 // At databases that shed, requests are refused now and then by chance: in one play
-// of fifty over six of some 1,160. So the median of three plays counts.
+// of fifty over six of some 1,160, eleven at most in 120. So the median of three plays
+// counts, and no play may be far off.
 func TestRequestsAtSheddingDatabases(t *testing.T) {
 	var refused []int
 	for range 3 {
@@ -107,7 +108,7 @@
 			most(t, l, bad)
 		})
 	}
-	if slices.Sort(refused); refused[1] > 5 {
+	if slices.Sort(refused); refused[1] > 5 || refused[2] > 16 {
 		t.Errorf("in three plays %v requests were refused", refused)
 	}
 }
