Nothing that begins is sent to a database past its drain

Cause: a replica that leaves and alone holds the newest commits may be promoted past its time; carriers then sent it first statements, 7.37 s after its leaving was acknowledged (bound 7 s).

Change: each carrier holds, for a database that leaves, the time of a poll whose answer still showed it serving, and sends it nothing that begins there from drain_ms (less 250 ms) after that. Of one that it never knew as serving it holds the time from its own start, contact_ms. Both tiers ask at the send.

TestNothingPastItsDrain fails without the check.

--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = own.run(conn, choice, t.b, t.begin.Text, false)
+		a, err = own.run(conn, choice, t.b, t.begin.Text, opening)
 	}
 	if err == nil && a.Code == "" && a.State == 'T' {
 		return false, nil
@@ -203,7 +203,11 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = j.run(t.conn, t.choice, t.b, text, true)
+		at := later
+		if t.ran == 0 {
+			at = first
+		}
+		a, err = j.run(t.conn, t.choice, t.b, text, at)
 	}
 	if errors.Is(err, shelf.ErrQuiet) {
 		left := *t
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -189,23 +189,38 @@
 // errUnsent marks a failure before the statement was sent in full.
 var errUnsent = errors.New("desk: not sent")
 
+// phase is where a statement stands in a transaction.
+type phase int
+
+const (
+	opening phase = iota // outside, or a BEGIN: it needs what the choice rests on
+	first                // the first statement after BEGIN
+	later
+)
+
 // run sends the text on a borrowed connection and waits for the answer. At a
 // primary it is sent only under the read lease, unless it goes on with a
-// transaction that was begun under it.
-func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, b *conservator.Binding, text string, leased bool) (*folio.Answer, error) {
+// transaction that was begun under it; a database that leaves is sent nothing
+// that begins there once its time is over.
+func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, b *conservator.Binding, text string, at phase) (*folio.Answer, error) {
 	d := j.s.d
-	if !choice.Primary && !leased && choice.After != (folio.Position{}) {
+	if !choice.Primary && at == opening && choice.After != (folio.Position{}) {
 		text = "WAITPOS " + choice.After.String() + " " + text
 	}
 	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
 	send := func() error { return conn.Send(msg) }
 	sent := j.now()
 	var err error
-	gated := choice.Primary && !leased
-	if gated {
+	gated := choice.Primary && at == opening
+	switch {
+	case gated:
 		sent, err = d.card.Send(j.route.Service, choice.Database.ID, send)
-	} else {
+	case at == later:
 		err = send()
+	default:
+		if err = d.card.MaySend(choice.Database.ID); err == nil {
+			err = send()
+		}
 	}
 	if err != nil {
 		return nil, errors.Join(errUnsent, err)
@@ -281,7 +296,7 @@
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
-		a, err = j.run(conn, choice, b, text, false)
+		a, err = j.run(conn, choice, b, text, opening)
 	}
 	if errors.Is(err, shelf.ErrQuiet) {
 		j.leaveBehind(conn, choice, release)
--- a/internal/rehearsal/cutoff_test.go
+++ b/internal/rehearsal/cutoff_test.go
@@ -118,6 +118,7 @@
 				Peers:    func() []string { return peers },
 				Down:     func() map[string]int64 { return nil },
 				Applied:  func(map[string]accessions.Database) {},
+				Bounds:   func() subscription.DrainBounds { return subscription.DrainBounds{} },
 			}), k
 			go b.Serve(ctx)
 			go cards[i].Serve(ctx)
--- a/internal/rehearsal/database.go
+++ b/internal/rehearsal/database.go
@@ -50,6 +50,7 @@
 	deaf     bool
 	alive    bool
 	draining bool
+	leftAt   time.Time // when an archive first acknowledged that it drains
 	seq      int64
 	beatAddr string
 	stop     chan struct{}
@@ -144,6 +145,7 @@
 func (d *Database) Return(id string) {
 	d.g.mu.Lock()
 	d.ID, d.seq, d.held, d.beatAddr = id, 0, 0, ""
+	d.leftAt = time.Time{}
 	if d.role == "primary" && d.g.term > d.term {
 		d.role = "replica"
 	}
@@ -322,18 +324,39 @@
 		"svc": d.g.Service, "address": d.addr, "zone": d.zone, "rev": "v1", "slots": 7,
 		"status": status, "call_seq": d.seq, "target_role": d.role,
 	})
-	path := "/Servers.Heartbeat/" + d.ID
+	path, drains := "/Servers.Heartbeat/"+d.ID, d.draining
 	d.g.mu.Unlock()
-	d.call(path, body)
+	if !d.call(path, body) || !drains {
+		return
+	}
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.leftAt.IsZero() {
+		d.leftAt = time.Now()
+	}
 }
 
-// call makes a call to the first archive that acknowledges it.
-func (d *Database) call(path string, body []byte) {
+// call makes a call to the first archive that acknowledges it, if any does.
+func (d *Database) call(path string, body []byte) bool {
 	for _, a := range d.g.w.ControlAddrs() {
 		if code, _ := d.g.w.Call(d.Host, "POST", a, path, nil, body); code == 200 {
-			return
+			return true
 		}
 	}
+	return false
+}
+
+// drainBound is bounds.drain_ms of the worlds here.
+const drainBound = 7 * time.Second
+
+// late notes a client's request that begins at the database later than its
+// leaving allows.
+func (d *Database) late(id string) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if after := time.Since(d.leftAt); !d.leftAt.IsZero() && after > drainBound {
+		d.g.broke("DRAIN: %s begins at %s %v after its leaving was acknowledged", id, d.ID, after)
+	}
 }
 
 // serve speaks the wire with one caller.
@@ -395,6 +418,7 @@
 	values map[string]string
 	names  map[string]string
 	writes []entry
+	begun  bool // a transaction, in which nothing has run yet
 }
 
 func fail(code, text string) *folio.Answer { return &folio.Answer{Code: code, Text: text} }
@@ -433,7 +457,7 @@
 		if rest == "" && d.Role() != "primary" {
 			return fail(folio.ReadOnly, d.ID)
 		}
-		s.state, s.writes = 'T', nil
+		s.state, s.writes, s.begun = 'T', nil, true
 		return done
 	case "ABORT":
 		s.state, s.writes = 'I', nil
@@ -452,6 +476,10 @@
 		g.broke("UNASKED: %q without a client's id", text)
 		g.mu.Unlock()
 	}
+	if s.state == 'I' || s.begun {
+		d.late(id)
+	}
+	s.begun = false
 	d.work(3 * time.Millisecond)
 	switch verb {
 	case "FETCH":
--- /dev/null
+++ b/internal/rehearsal/drain_test.go
@@ -0,0 +1,33 @@
+package rehearsal
+
+import (
+	"testing"
+	"time"
+)
+
+// NothingPastItsDrain: a replica that leaves alone holds the newest commits when
+// the lead crashes, and is promoted when its time is nearly over. It may hand on
+// its log; no statement of a client begins there once the time is over, however
+// long it goes on running, and clients are served again once another leads.
+func TestNothingPastItsDrain(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.DB(2).Deaf(true)
+			time.Sleep(time.Second)
+			g.DB(1).Leave(20*time.Second, true)
+			time.Sleep(5 * time.Second)
+			lead := g.Lead()
+			lead.Crash(true)
+			if g.next(lead, 2*time.Second) != g.DB(1) {
+				t.Error("the replica that holds everything does not lead")
+			}
+			time.Sleep(4 * time.Second) // it leads, and no one follows yet
+			if g.Lead() != g.DB(1) {
+				t.Error("the lead left before anyone could follow")
+			}
+			g.DB(2).Deaf(false)
+			g.next(g.DB(1), 2*time.Second)
+		})
+		served(t, l, 8*time.Second)
+	})
+}
--- a/internal/rehearsal/poll_test.go
+++ b/internal/rehearsal/poll_test.go
@@ -48,6 +48,7 @@
 			Lease:    2500 * foundation.Millisecond,
 			Down:     func() map[string]int64 { return nil },
 			Applied:  func(map[string]accessions.Database) {},
+			Bounds:   func() subscription.DrainBounds { return subscription.DrainBounds{} },
 		})
 		go p.Serve(ctx)
 		go o.Serve(ctx)
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -23,6 +23,9 @@
 // is being replaced, or this desk's read lease has run out.
 var ErrNoLease = errors.New("subscription: no read lease on a primary")
 
+// ErrLeft says that a database has left, or leaves and may not be sent any more.
+var ErrLeft = errors.New("subscription: the database has left")
+
 // leaseMargin is kept between the check of the lease and its end.
 const leaseMargin = 50 * foundation.Millisecond
 
@@ -57,6 +60,7 @@
 	Observed func(service string, sent foundation.Micros, pos folio.Position)
 	Seen     func() map[string]Seen     // what requests showed since it was last asked, nil if nothing
 	Paces    func(paces map[string]int) // what all carriers together saw
+	Bounds   func() DrainBounds
 }
 
 // Card is the desk's side: the newest control state it has, and its lease.
@@ -74,6 +78,8 @@
 	byService map[string][]accessions.Database
 	leads     map[string]custodian.Lead
 	leaseEnd  foundation.Micros
+	confirmed foundation.Micros // when the poll was sent whose answer was taken in last
+	drains    drainLimits
 	touched   foundation.Micros // when a poll was sent that an archive answered with a lease
 	archive   string            // which one that was
 	heardAt   foundation.Micros // when its answer came
@@ -94,6 +100,7 @@
 	c := &Card{
 		k: k, b: b, cfg: cfg, life: time.Now().UnixMicro(), inside: map[string]int{},
 		left: map[string]int64{}, learnt: map[string]foundation.Micros{}, touched: k.Clock.Now(),
+		drains: drainLimits{began: k.Clock.Now()},
 	}
 	b.Handle(relayOp, c.onRelay)
 	return c
@@ -152,7 +159,7 @@
 
 func (c *Card) primary(service string) (string, error) {
 	l, ok := c.leads[service]
-	if !ok || l.Moving || c.k.Clock.Now()+leaseMargin >= c.leaseEnd {
+	if !ok || l.Moving || c.k.Clock.Now()+leaseMargin >= c.leaseEnd || !c.serves(l.ID) {
 		return "", ErrNoLease
 	}
 	return l.ID, nil
@@ -378,7 +385,7 @@
 	}
 	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
 	c.term, c.told = a.Term, a.Told
-	c.leaseEnd = max(c.leaseEnd, start+a.Lease)
+	c.leaseEnd, c.confirmed = max(c.leaseEnd, start+a.Lease), start
 	databases := c.databases
 	var floors []custodian.Lead
 	for _, l := range c.leads {
@@ -421,6 +428,7 @@
 	for _, id := range n.Gone {
 		delete(databases, id)
 	}
+	c.drains.update(c.databases, databases, c.confirmed, c.cfg.Bounds())
 	c.leads, c.databases, c.byService = leads, databases, map[string][]accessions.Database{}
 	for _, id := range slices.Sorted(maps.Keys(databases)) {
 		d := databases[id]
--- a/internal/subscription/plugin.go
+++ b/internal/subscription/plugin.go
@@ -49,6 +49,10 @@
 				Down:     foundation.Need[*conservator.Conservator](k).Down,
 				Applied:  foundation.Need[stacks.Stocker](k),
 				Observed: func(string, foundation.Micros, folio.Position) {},
+				Bounds: func() DrainBounds {
+					now := book.Now()
+					return DrainBounds{Drain: charter.Span(now.DrainMs), Contact: charter.Span(now.ContactMs)}
+				},
 			}
 			switch k.Role {
 			case "desk":
--- a/internal/turnstile/job.go
+++ b/internal/turnstile/job.go
@@ -367,7 +367,10 @@
 		t.rota.End("", db.ID, began, rota.Full)
 		return nil, err
 	}
-	ch, err := conn.Send(j.request(db.ID), j.id, j.left())
+	var ch <-chan cart.Result
+	if err = t.card.MaySend(db.ID); err == nil {
+		ch, err = conn.Send(j.request(db.ID), j.id, j.left())
+	}
 	if err != nil {
 		t.conns.Return(conn)
 		t.rota.End("", db.ID, began, rota.Unused)
--- a/internal/turnstile/turnstile.go
+++ b/internal/turnstile/turnstile.go
@@ -31,6 +31,7 @@
 	Config() *catalogue.Index
 	Changed() <-chan struct{}
 	Serving(service string) []accessions.Database
+	MaySend(database string) error
 }
 
 // Config is what a turnstile is built from.
