A primary is followed as soon as a replica holds all that clients were told of

Cause: whoever may have received more than those that answer was waited for, also where no client had heard of it.

Change: carriers note how far the commits reach that they acknowledge, and tell it as they leave a primary. What a carrier acknowledged that is lost is covered by a position seen at the primary later; the archive asks for such sightings while there is anything uncovered. Acknowledging and noting are one step.

--- a/internal/custodian/choose.go
+++ b/internal/custodian/choose.go
@@ -36,6 +36,9 @@
 	Floor *folio.Position `json:"floor,omitempty"`
 	// Least is what databases that are forgotten by now may have held.
 	Least folio.Position `json:"least"`
+	// Acked covers every commit that a client was told of; nil if that is not
+	// known.
+	Acked *folio.Position `json:"acked,omitempty"`
 }
 
 // ChoiceKind is the kind of record of a choice.
@@ -63,7 +66,9 @@
 // A commit that was acknowledged is on Sync replicas at least. The furthest of
 // those that answered holds it unless Sync others may hold more: replicas that
 // are absent, but for those whose limit it has reached. What forgotten
-// databases may have held it must hold too. Once somebody was chosen in this turn,
+// databases may have held it must hold too. Where it is known how far the commits
+// reach that clients were told of, whoever has received as much will do, rather
+// one that stays. Once somebody was chosen in this turn,
 // whoever has received as much will do: the desks have left the old primary, and
 // nobody writes at the chosen one before it is known to lead. If the old primary answered, a
 // replica that stays and has all that it holds will do alone.
@@ -97,6 +102,11 @@
 		}
 		return copies[0].ID, ""
 	}
+	if s.Acked != nil {
+		if id := furthestPast(copies, *s.Acked); id != "" {
+			return id, ""
+		}
+	}
 	ahead := s.ahead(best)
 	gone := len(slices.DeleteFunc(slices.Clone(ahead), func(a Absent) bool { return !a.Gone }))
 	switch sync := max(s.Sync, 1); {
@@ -108,6 +118,30 @@
 	return copies[0].ID, ""
 }
 
+// furthestPast returns the first of the copies, the furthest first, that has
+// reached a position, one that stays before any that leaves; "" if none has.
+func furthestPast(copies []Copy, position folio.Position) (id string) {
+	for _, c := range copies {
+		switch {
+		case c.Received.Less(position):
+			return id
+		case !c.Draining:
+			return c.ID
+		case id == "":
+			id = c.ID
+		}
+	}
+	return id
+}
+
+// ackedText is how far acknowledged commits reach, as it is logged.
+func (s Situation) ackedText() string {
+	if s.Acked == nil {
+		return "not known"
+	}
+	return s.Acked.String()
+}
+
 // ahead lists the absent replicas that may hold commits past a position.
 func (s Situation) ahead(of folio.Position) []Absent {
 	return slices.DeleteFunc(slices.Clone(s.Absent), func(a Absent) bool { return a.Limit != nil && !of.Less(*a.Limit) })
--- a/internal/custodian/choose_test.go
+++ b/internal/custodian/choose_test.go
@@ -46,30 +46,31 @@
 func TestReadersHoldAPromotionUpUntilTheyLeaveOrTheirLeaseEnds(t *testing.T) {
 	r := NewReaders()
 	now := foundation.Second
-	r.Heard("d1", 10, nil)
+	leftAt := func(turn int64) Report { return Report{Left: map[string]int64{"svc": turn}} }
+	r.Heard("d1", 10, Report{}, now)
 	r.Grant("d1", 10, now+5)
-	r.Heard("d2", 10, nil)
+	r.Heard("d2", 10, Report{}, now)
 	r.Grant("d2", 10, now+9)
 	if ok, wait := r.Left("svc", 1, now); ok || wait != 9 {
 		t.Errorf("left %v, wait %d", ok, wait)
 	}
-	r.Heard("d2", 10, map[string]int64{"svc": 1})
+	r.Heard("d2", 10, leftAt(1), now)
 	if ok, _ := r.Left("svc", 1, now+4); ok {
 		t.Error("d1's lease runs still")
 	}
 	if ok, _ := r.Left("svc", 1, now+5); !ok {
 		t.Error("d1's lease has run out")
 	}
-	if newest, ok := r.Heard("d1", 9, map[string]int64{"svc": 5}); ok || newest != 10 || r.Grant("d1", 9, now+99) {
+	if newest, ok := r.Heard("d1", 9, leftAt(5), now); ok || newest != 10 || r.Grant("d1", 9, now+99) {
 		t.Error("an earlier life of a desk was heard, or not told of the newest")
 	}
-	r.Term(2, map[string]int64{"d1": 10, "d3": 4}, now+50)
-	r.Term(2, nil, 0) // the same term again changes nothing
+	r.Term(2, map[string]int64{"d1": 10, "d3": 4}, now, 50)
+	r.Term(2, nil, 0, 0) // the same term again changes nothing
 	if ok, wait := r.Left("svc", 1, now); ok || wait != 50 {
 		t.Errorf("in a new term: left %v, wait %d", ok, wait)
 	}
-	r.Heard("d3", 4, map[string]int64{"svc": 1})
-	if r.Heard("d1", 11, nil); !func() bool { ok, _ := r.Left("svc", 1, now); return ok }() {
+	r.Heard("d3", 4, leftAt(1), now)
+	if r.Heard("d1", 11, Report{}, now); !func() bool { ok, _ := r.Left("svc", 1, now); return ok }() {
 		t.Error("a new life holds the lease of the one before")
 	}
 }
--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -214,11 +214,12 @@
 		}
 		return
 	}
-	c.readers.Term(term.Began(), s.desks, c.k.Clock.Now()+c.cfg.ReaderLease)
+	c.readers.Term(term.Began(), s.desks, c.k.Clock.Now(), c.cfg.ReaderLease)
 	if c.cfg.Leadless {
 		c.dismiss(ctx, s)
 		return
 	}
+	c.readers.Led(slices.Collect(maps.Keys(s.leads)))
 	for svc := range s.services {
 		lead, known := s.leads[svc]
 		switch back := s.returned(lead); {
@@ -483,6 +484,9 @@
 	if floor, ok := folio.ParsePosition(l.Floor); ok {
 		sit.Floor = &floor
 	}
+	if acked, known := c.readers.Acknowledged(l.Service, l.Turn); known {
+		sit.Acked = &acked
+	}
 	newest, held := l.Term, int64(0)
 	if alive {
 		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
@@ -611,7 +615,7 @@
 	c.waits[svc] = text
 	c.mu.Unlock()
 	if !said {
-		c.k.Log.Info("move waits", "service", svc, "why", reason, "answered", sit.Copies, "absent", sit.Absent, "least", sit.Least.String())
+		c.k.Log.Info("move waits", "service", svc, "why", reason, "answered", sit.Copies, "absent", sit.Absent, "least", sit.Least.String(), "acked", sit.ackedText())
 	}
 }
 
--- a/internal/custodian/model_test.go
+++ b/internal/custodian/model_test.go
@@ -23,12 +23,7 @@
 	ends                  bool // its leaving is over
 }
 
-func (n *node) pos() folio.Position {
-	if len(n.log) == 0 {
-		return folio.Position{}
-	}
-	return n.log[len(n.log)-1]
-}
+func (n *node) pos() folio.Position { return newestOf(n.log) }
 
 // model is one service, its databases and its custodian, of which one step is
 // taken at a time; any other thing may happen between two.
@@ -42,6 +37,7 @@
 	term    int64
 	count   int
 	quiet   bool // no desk writes: all have left the old primary
+	bounds  bool // how far acknowledged commits reach may be known
 	calm    bool // nothing but the custodian moves
 
 	acked []folio.Position
@@ -51,12 +47,14 @@
 	choose func(Situation) (string, string)
 	free   func(map[string]accessions.Database)
 	keeps  func(old accessions.Database) bool // a database at its address is the same one
+	bound  func(acked []folio.Position) folio.Position
 }
 
 func newModel(seed uint64, kind bool) *model {
 	m := &model{
 		r: rand.New(rand.NewPCG(seed, 1)), kind: kind, known: map[string]accessions.Database{}, term: 1,
 		choose: Choose, free: free, keeps: func(old accessions.Database) bool { return !old.Draining },
+		bounds: seed/2%2 == 0, bound: newestOf,
 	}
 	for range 3 {
 		m.add(m.count, nil)
@@ -66,6 +64,13 @@
 	return m
 }
 
+func newestOf(log []folio.Position) folio.Position {
+	if len(log) == 0 {
+		return folio.Position{}
+	}
+	return log[len(log)-1]
+}
+
 func (m *model) add(addr int, log []folio.Position) *node {
 	m.count++
 	n := &node{id: fmt.Sprint("d", m.count), addr: addr, log: log, runs: true, control: true, linked: true}
@@ -356,6 +361,10 @@
 		held := n.pos()
 		sit.Held = &held
 	}
+	if m.bounds && (m.calm || m.r.IntN(2) == 0) {
+		acked := m.bound(m.acked)
+		sit.Acked = &acked
+	}
 	replicas := pick(m.replicas(m.lead.ID), func(d accessions.Database) bool { return d.ID != old })
 	for _, d := range replicas {
 		if n := m.node(d.ID); m.up(d.ID) && n.primary && m.lead.Called && n.term > m.lead.Term {
@@ -433,14 +442,24 @@
 	if p := m.node(m.lead.ID); m.wrong == "" && m.kind && (m.lead.Moving || !p.runs || !p.primary) {
 		return fmt.Sprintf("no lead is found: %+v of %+v", m.lead, m.list())
 	}
+	if m.wrong == "" && m.bounds && m.left() && !m.node(m.lead.ID).primary {
+		return fmt.Sprintf("no lead is found, though one that holds everything runs: %+v of %+v", m.lead, m.list())
+	}
 	return m.wrong
 }
 
-const schedules, steps = 1000, 120
+// left tells whether a database that runs holds every acknowledged commit.
+func (m *model) left() bool {
+	return slices.ContainsFunc(m.nodes, func(n *node) bool { return n.runs && m.up(n.id) && m.holds(n.log) && !m.known[n.id].Gone })
+}
+
+const schedules, steps = 2000, 120
 
 // CONFINED: however databases leave, crash and return, and wherever the
 // custodian is interrupted, nobody is promoted who lacks an acknowledged commit.
-// Where every loss can be known to be borne, a lead is found in the end.
+// Where every loss can be known to be borne, a lead is found in the end, and so it
+// is where it is known how far acknowledged commits reach and a database that holds
+// them runs.
 func TestConfined(t *testing.T) {
 	moves := int64(0)
 	for seed := range uint64(schedules) {
@@ -475,6 +494,9 @@
 				s.Absent[i].Limit = nil
 			}
 		}),
+		"acknowledged commits are bounded too low": func(m *model) {
+			m.bounds, m.bound = true, func(acked []folio.Position) folio.Position { return newestOf(acked[:max(0, len(acked)-1)]) }
+		},
 		"limits outlast their pause":       func(m *model) { m.free = func(map[string]accessions.Database) {} },
 		"who leaves does not take its log": func(m *model) { m.keeps = func(accessions.Database) bool { return true } },
 	} {
--- a/internal/custodian/readers.go
+++ b/internal/custodian/readers.go
@@ -6,6 +6,7 @@
 	"maps"
 	"sync"
 
+	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/vault"
 )
@@ -13,25 +14,35 @@
 type reader struct {
 	life  int64
 	until foundation.Micros
-	left  map[string]int64
+	Report
 }
 
 // Readers knows which desks may still read at a primary: those that hold a
 // read lease and have not acknowledged leaving.
 type Readers struct {
-	mu    sync.Mutex
-	epoch int64
-	desks map[string]*reader
-	bell  foundation.Bell
+	mu           sync.Mutex
+	epoch        int64
+	desks        map[string]*reader
+	acknowledged acknowledged
+	bell         foundation.Bell
+}
+
+// Report is what a desk tells of the primaries with a poll.
+type Report struct {
+	// Left holds, by service, the turn at which the desk has left the old
+	// primary: it acknowledges none of that one's commits any more.
+	Left map[string]int64
+	// Acked holds, by service that it has left, a position that covers every
+	// commit that it has acknowledged to a client.
+	Acked map[string]folio.Position
 }
 
 // NewReaders returns an empty set.
 func NewReaders() *Readers { return &Readers{desks: map[string]*reader{}} }
 
-// Heard notes what a desk acknowledged: left holds, by service, the turn at
-// which it has left the old primary. An earlier life of the desk is refused,
-// and the newest returned.
-func (r *Readers) Heard(desk string, life int64, left map[string]int64) (newest int64, ok bool) {
+// Heard notes what a desk reports, at that time. An earlier life of the desk is
+// refused, and the newest returned.
+func (r *Readers) Heard(desk string, life int64, report Report, now foundation.Micros) (newest int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.desks[desk]
@@ -40,14 +51,16 @@
 	}
 	fresh := d == nil || life > d.life
 	if fresh {
-		// A new life holds no lease of the one before.
+		// A new life holds no lease of the one before, whose last
+		// acknowledgements nobody reports any more.
 		d = &reader{life: life}
 		r.desks[desk] = d
+		r.acknowledged.lost = max(r.acknowledged.lost, now)
 	}
-	if fresh || !maps.Equal(d.left, left) {
-		d.left = left
+	if changed := fresh || !maps.Equal(d.Left, report.Left); changed {
 		r.bell.Ring()
 	}
+	d.Report = report
 	return life, true
 }
 
@@ -83,7 +96,7 @@
 	defer r.mu.Unlock()
 	var wait foundation.Micros
 	for _, d := range r.desks {
-		if d.until > now && d.left[service] < turn {
+		if d.until > now && d.Left[service] < turn {
 			wait = max(wait, d.until-now)
 		}
 	}
@@ -91,17 +104,17 @@
 }
 
 // Term starts a term of the vault's primary, once: any desk that was ever
-// registered may hold a lease of the primary before, until then. A term that
+// registered may hold a lease of the primary before, for that span. A term that
 // another has followed is not begun again: it knows fewer desks.
-func (r *Readers) Term(epoch int64, registered map[string]int64, until foundation.Micros) {
+func (r *Readers) Term(epoch int64, registered map[string]int64, now, lease foundation.Micros) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if epoch <= r.epoch {
 		return
 	}
-	r.epoch, r.desks = epoch, map[string]*reader{}
+	r.epoch, r.desks, r.acknowledged = epoch, map[string]*reader{}, acknowledged{lost: now}
 	for desk, life := range registered {
-		r.desks[desk] = &reader{life: life, until: until}
+		r.desks[desk] = &reader{life: life, until: now + lease}
 	}
 }
 
--- a/internal/desk/transaction.go
+++ b/internal/desk/transaction.go
@@ -239,7 +239,7 @@
 		t.wrote = t.wrote || j.write
 		if a.State != 'T' {
 			s.tx = nil
-			if commit && t.wrote && !s.d.card.Covers(t.service, t.conn.DB.ID, t.term) {
+			if commit && t.wrote && !s.d.card.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
 				a = s.d.leftMeanwhile(t.conn.DB.ID)
 			} else if commit && t.wrote {
 				if pos, ok := folio.ParsePosition(a.Pos); ok && s.last.Less(pos) {
--- a/internal/desk/work.go
+++ b/internal/desk/work.go
@@ -245,6 +245,7 @@
 	if gated && a.Code == "" {
 		if pos, ok := folio.ParsePosition(a.Pos); ok {
 			d.aid.Observe(j.route.Service, sent, pos)
+			d.card.Observe(j.route.Service, sent, pos)
 		}
 	}
 	return a, nil
@@ -306,7 +307,7 @@
 	if err != nil {
 		return j.failed(conn, b, err)
 	}
-	if j.write && a.Code == "" && !d.card.Covers(j.route.Service, id, term) {
+	if j.write && a.Code == "" && !d.card.Acknowledge(j.route.Service, id, term, a.Pos) {
 		return d.leftMeanwhile(id), false
 	}
 	return j.judge(conn, choice, a)
--- a/internal/rehearsal/replicas_test.go
+++ b/internal/rehearsal/replicas_test.go
@@ -142,6 +142,93 @@
 	})
 }
 
+// AcknowledgedIsKnown: the replica that stays is dark, one that leaves ends without
+// a limit, and right after that the lead is gone for good. The other one that
+// leaves has received all that carriers acknowledged, so it leads, for the time that
+// it has left; nobody waits for those that may have held more.
+func TestLeadLostRightAfterALeavingReplica(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		l := under(w, g, func() {
+			g.Add("ledger-4", "10.4.64.9", "z4", "replica")
+			time.Sleep(time.Second)
+			g.DB(2).Crash(true)
+			time.Sleep(time.Second)
+			g.DB(1).Leave(20*time.Second, true)
+			g.DB(3).Leave(3*time.Second, true)
+			time.Sleep(3*time.Second + 100*time.Millisecond)
+			lead := g.Lead()
+			lead.Crash(true)
+			if g.next(lead, 2*time.Second) != g.DB(1) {
+				t.Error("the replica that had received everything does not lead")
+			}
+			time.Sleep(time.Second)
+			g.DB(2).Return("ledger-3b")
+			g.next(g.DB(1), 3*time.Second)
+		})
+		served(t, l, 4*time.Second)
+	})
+}
+
+// AcknowledgedIsKnown: two databases that do not leave are gone for good, the lead
+// while the other was dark already, and a third has received all that carriers
+// acknowledged.
+func TestTwoGoneForGood(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		served(t, under(w, g, func() {
+			g.DB(2).Crash(true)
+			time.Sleep(2 * time.Second)
+			lead := g.Lead()
+			lead.Crash(true)
+			if g.next(lead, 2*time.Second) != g.DB(1) {
+				t.Error("the replica that had received everything does not lead")
+			}
+			time.Sleep(time.Second)
+			g.Add("ledger-4", "10.4.64.9", "z4", "replica")
+		}), 4*time.Second)
+	})
+}
+
+// AcknowledgedIsKnown: a desk is lost just before the lead is. What it acknowledged
+// last is not known, so the lead is followed only once the silent replica is back.
+func TestADeskIsLostWithTheLead(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		served(t, under(w, g, func() {
+			g.DB(2).Crash(false)
+			time.Sleep(2 * time.Second)
+			lead := g.Lead()
+			w.Process("desk", 2).Kill()
+			lead.Crash(false)
+			time.Sleep(5 * time.Second)
+			if g.Lead() != nil {
+				t.Error("a database was promoted, though the lost desk may have acknowledged more")
+			}
+			g.DB(2).Return("ledger-3b")
+			g.next(lead, 2*time.Second)
+			w.Start("desk", 2, false)
+		}), 9*time.Second)
+	})
+}
+
+// AcknowledgedIsKnown: a desk is lost, and the lead some seconds later. By then
+// other desks have seen positions that cover all that the lost one acknowledged.
+func TestADeskIsLostBeforeTheLead(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		served(t, under(w, g, func() {
+			g.DB(2).Crash(true)
+			time.Sleep(2 * time.Second)
+			w.Process("desk", 2).Kill()
+			time.Sleep(4 * time.Second)
+			lead := g.Lead()
+			lead.Crash(true)
+			if g.next(lead, 2*time.Second) != g.DB(1) {
+				t.Error("the replica that had received everything does not lead")
+			}
+			g.Add("ledger-4", "10.4.64.9", "z4", "replica")
+			w.Start("desk", 2, false)
+		}), 5*time.Second)
+	})
+}
+
 // Where nobody stays, one that leaves follows a lead that is lost.
 func TestOnlyALeavingReplicaRuns(t *testing.T) {
 	play(t, func(w *World, g *Group) {
--- a/internal/subscription/card.go
+++ b/internal/subscription/card.go
@@ -88,6 +88,7 @@
 	told      int64             // and up to which change
 	inside    map[string]int    // statements and transactions at a primary, by service
 	left      map[string]int64
+	commits   commits
 	learnt    map[string]foundation.Micros // when a move was learnt of
 
 	bell    foundation.Bell
@@ -187,18 +188,6 @@
 	return c.leads[service].Term
 }
 
-// Covers tells whether a commit that the primary has just acknowledged may be
-// acknowledged to a client: the database leads as when it was begun, the lease
-// runs and this desk has not said that it left. Once every desk has left, or its
-// lease is over, no commit of the old primary counts any more, whatever may still
-// wake the replicas that receive it.
-func (c *Card) Covers(service, id string, term int64) bool {
-	c.mu.RLock()
-	defer c.mu.RUnlock()
-	l := c.leads[service]
-	return l.ID == id && l.Term == term && !(l.Moving && c.left[service] >= l.Turn) && c.k.Clock.Now()+leaseMargin < c.leaseEnd
-}
-
 // Done ends what Begin began.
 func (c *Card) Done(service string) {
 	c.mu.Lock()
@@ -270,7 +259,7 @@
 	wait := c.leaving(down)
 	c.mu.RLock()
 	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
-	q.Term, q.Told = c.term, c.told
+	q.Term, q.Told, q.Saw = c.term, c.told, c.commits.seen()
 	q.Now = short || c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
 		q.Down = append(q.Down, id)
@@ -280,6 +269,7 @@
 			q.Left[svc] = turn
 		}
 	}
+	q.Acked = c.commits.of(q.Left)
 	c.mu.RUnlock()
 	if wait > 0 {
 		// Something to acknowledge soon: do not sit in a long poll.
@@ -320,7 +310,7 @@
 	if a.Lease <= 0 {
 		return a.Elsewhere, nil
 	}
-	if err := c.apply(start, a); err != nil {
+	if err := c.apply(start, a, q.Saw); err != nil {
 		c.k.Counters.Add("subscription.unreadable", 1)
 		return "", err
 	}
@@ -355,8 +345,8 @@
 	return wait
 }
 
-// apply takes an answer in.
-func (c *Card) apply(start foundation.Micros, a pollAnswer) error {
+// apply takes an answer in, to a poll that told that.
+func (c *Card) apply(start foundation.Micros, a pollAnswer, told *saw) error {
 	var n news
 	if a.News != nil {
 		if err := json.Unmarshal(a.News, &n); err != nil {
@@ -385,6 +375,7 @@
 	}
 	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
 	c.term, c.told = a.Term, a.Told
+	c.commits.lookFrom(a.Look, told, c.k.Clock.Now())
 	c.leaseEnd, c.confirmed = max(c.leaseEnd, start+a.Lease), start
 	databases := c.databases
 	var floors []custodian.Lead
--- a/internal/subscription/office.go
+++ b/internal/subscription/office.go
@@ -7,11 +7,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"sync"
 	"time"
 
 	"indigowalk/internal/custodian"
+	"indigowalk/internal/folio"
 	"indigowalk/internal/foundation"
 	"indigowalk/internal/rpc"
 	"indigowalk/internal/vault"
@@ -24,11 +26,15 @@
 	Life int64            `json:"life"`
 	Seq  int64            `json:"seq"`
 	Left map[string]int64 `json:"left,omitempty"`
-	Down []string         `json:"down,omitempty"` // databases the desk holds as down
-	Now  bool             `json:"now,omitempty"`  // the desk's lease can't wait for the next change
-	Seen map[string]Seen  `json:"seen,omitempty"` // what requests showed of databases
-	Term int64            `json:"term,omitempty"` // of the tally that the carrier was told last,
-	Told int64            `json:"told,omitempty"` // and up to which change
+	// Acked bounds, for each service that was left, the commits that clients were
+	// told of.
+	Acked positions       `json:"acked,omitempty"`
+	Saw   *saw            `json:"saw,omitempty"`
+	Down  []string        `json:"down,omitempty"` // databases the desk holds as down
+	Now   bool            `json:"now,omitempty"`  // the desk's lease can't wait for the next change
+	Seen  map[string]Seen `json:"seen,omitempty"` // what requests showed of databases
+	Term  int64           `json:"term,omitempty"` // of the tally that the carrier was told last,
+	Told  int64           `json:"told,omitempty"` // and up to which change
 }
 
 type pollAnswer struct {
@@ -43,6 +49,51 @@
 	Told      int64             `json:"told,omitempty"`     // the newest change of it
 	Paces     map[string]int    `json:"paces,omitempty"`    // what changed in it
 	News      json.RawMessage   `json:"news,omitempty"`     // of type news; none if nothing changed since the desk's seq
+	Look      *look             `json:"look,omitempty"`
+}
+
+// look asks a carrier for the positions in answers of some services' primaries
+// to statements that it sends after it has this, and saw brings them with the
+// next poll.
+type look struct {
+	Term     int64             `json:"term"`
+	Stamp    foundation.Micros `json:"stamp_us"`
+	Services []string          `json:"services"`
+}
+
+type saw struct {
+	Term  int64             `json:"term"`
+	Stamp foundation.Micros `json:"stamp_us"`
+	At    positions         `json:"at"`
+}
+
+// positions are places in databases' logs, by service.
+type positions map[string]folio.Position
+
+// MarshalJSON implements json.Marshaler.
+func (p positions) MarshalJSON() ([]byte, error) {
+	texts := make(map[string]string, len(p))
+	for service, position := range p {
+		texts[service] = position.String()
+	}
+	return json.Marshal(texts)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *positions) UnmarshalJSON(raw []byte) error {
+	var texts map[string]string
+	if err := json.Unmarshal(raw, &texts); err != nil {
+		return err
+	}
+	*p = make(positions, len(texts))
+	for service, text := range texts {
+		position, ok := folio.ParsePosition(text)
+		if !ok {
+			return fmt.Errorf("subscription: %q is no position", text)
+		}
+		(*p)[service] = position
+	}
+	return nil
 }
 
 // Office is the archive's side.
@@ -140,10 +191,14 @@
 	if err := o.register(ctx, q, term); err != nil {
 		return nil, err
 	}
-	if newest, ok := o.readers.Heard(q.Desk, q.Life, q.Left); !ok {
+	report := custodian.Report{Left: q.Left, Acked: q.Acked}
+	if newest, ok := o.readers.Heard(q.Desk, q.Life, report, o.k.Clock.Now()); !ok {
 		o.k.Counters.Add("subscription.old_life", 1)
 		return pollAnswer{Newest: newest}, nil
 	}
+	if q.Saw != nil {
+		o.readers.Sighted(custodian.Sighting{Term: q.Saw.Term, Stamp: q.Saw.Stamp, At: q.Saw.At})
+	}
 	for _, id := range q.Down {
 		o.heard(q.Desk, id)
 	}
@@ -218,7 +273,7 @@
 		if err != nil {
 			return err
 		}
-		o.readers.Term(term.Began(), desks, o.k.Clock.Now()+o.lease)
+		o.readers.Term(term.Began(), desks, o.k.Clock.Now(), o.lease)
 	}
 	if custodian.IsRegistered(state.Entries, q.Desk, q.Life) {
 		return nil
@@ -266,6 +321,9 @@
 	if a.Paces, a.Told = tally.since(q.Told); a.Told > 0 {
 		a.Term = term.Began()
 	}
+	if now := o.k.Clock.Now(); len(o.readers.Wanted(now)) > 0 {
+		a.Look = &look{Term: term.Began(), Stamp: now, Services: o.readers.Wanted(now)}
+	}
 	raw, err := json.Marshal(a)
 	if err != nil || news == nil {
 		return json.RawMessage(raw), err
--- a/internal/subscription/office_test.go
+++ b/internal/subscription/office_test.go
@@ -62,13 +62,13 @@
 // lease and tells nothing; the lease is noted all the same, for whoever waits.
 func TestLeaseInItsTerm(t *testing.T) {
 	o := &Office{k: foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), readers: custodian.NewReaders(), lease: foundation.Second}
-	o.readers.Term(3, nil, 0)
-	o.readers.Heard("d", 1, nil)
+	o.readers.Term(3, nil, 0, 0)
+	o.readers.Heard("d", 1, custodian.Report{}, o.k.Clock.Now())
 	a, err := o.answer(pollAsk{Desk: "d", Life: 1}, vault.State{Epoch: 2, Seq: 9}, json.RawMessage(`{}`), newTally(o.k.Clock), nil)
 	if got, ok := a.(pollAnswer); err != nil || !ok || got.Lease != 0 || got.Seq != 0 || got.News != nil {
 		t.Errorf("answered %s %v", a, err)
 	}
-	if o.readers.Term(2, map[string]int64{}, 0); o.readers.InTerm(2) || o.readers.Count(o.k.Clock.Now()) != 1 {
+	if o.readers.Term(2, map[string]int64{}, 0, 0); o.readers.InTerm(2) || o.readers.Count(o.k.Clock.Now()) != 1 {
 		t.Error("an earlier term was begun again, and forgot a lease")
 	}
 }
