Replicas that leave are paused as soon as the lead fails; a lead that is back leads again

Cause: leaving replicas were paused only once every desk had left the lead, up to a lease later; one that ended meanwhile had no limit.

Change: they are paused beside the wait for the desks. The old primary, back and alone with everything, is made the primary as any other choice would be.

--- a/internal/custodian/custodian.go
+++ b/internal/custodian/custodian.go
@@ -474,7 +474,17 @@
 	// if a replica is woken by a CONTINUE that comes late; what was acknowledged
 	// before is held by the replicas that are asked. What the desks have under way
 	// at a primary that answers ends before they are paused.
-	if err := c.awaitLeft(ctx, *l); err != nil {
+	early := make(chan int64, 1)
+	go func(l Lead) {
+		if !l.Failed {
+			early <- l.Hold
+			return
+		}
+		early <- c.pauseLeaving(ctx, s, l)
+	}(*l)
+	err := c.awaitLeft(ctx, *l)
+	l.Hold = <-early
+	if err != nil {
 		return err
 	}
 	old, there := s.old(*l)
@@ -551,6 +561,11 @@
 	}); err != nil {
 		return err
 	}
+	if sit.Held != nil && l.Called {
+		// Whoever was chosen is lost, and the old primary is back: it alone holds
+		// everything, and is made the primary as any other would be.
+		return c.settleOn(ctx, s, l, old.ID, newest, hold, *sit.Held)
+	}
 	if sit.Held != nil || alive && !old.Draining { // let them catch up
 		c.askAll(ctx, staying(replicas), "CONTINUE")
 		if !l.Called {
@@ -668,7 +683,11 @@
 	if err != nil {
 		return err
 	}
-	if l.Term, err = c.awaitPromotion(ctx, to, was, l.Term); err != nil {
+	over := l.Term
+	if to.ID == l.ID || to.Had(l.ID) {
+		over-- // the primary of before needs no new term to lead again
+	}
+	if l.Term, err = c.awaitPromotion(ctx, to, was, over); err != nil {
 		return err
 	}
 	old := l.ID
--- a/internal/custodian/leaving.go
+++ b/internal/custodian/leaving.go
@@ -161,17 +161,36 @@
 	// One with a limit receives again if a CONTINUE of before its draining came
 	// late, or it restarted: it is paused anew.
 	rows := c.askAll(ctx, pick(leaving, func(d accessions.Database) bool { return d.Limit != "" }), "STAT")
-	return c.pause(ctx, l, pick(leaving, func(d accessions.Database) bool {
+	_, err = c.pause(ctx, l, pick(leaving, func(d accessions.Database) bool {
 		r, answered := rows[d.ID]
 		return d.Limit == "" || answered && r.held == 0
 	}))
+	return err
 }
 
-// pause has replicas stop receiving and notes how far they got.
-func (c *Custodian) pause(ctx context.Context, l Lead, leaving []accessions.Database) error {
+// pauseLeaving pauses, once the lead has failed, the replicas that leave: they may
+// end before every desk has left the lead, and nobody could say then what they
+// held. It returns the term at which they are paused.
+func (c *Custodian) pauseLeaving(ctx context.Context, s *scene, l Lead) int64 {
+	leaving := pick(s.replicas(l.Service, l.ID), func(d accessions.Database) bool {
+		return d.Draining && !d.Gone && d.Limit == "" && c.health.Up(d.ID)
+	})
+	if len(leaving) == 0 {
+		return l.Hold
+	}
+	hold, err := c.pause(ctx, l, leaving)
+	if err != nil {
+		c.k.Counters.Add("custodian.early_pause_failed", 1)
+	}
+	return max(hold, l.Hold)
+}
+
+// pause has replicas stop receiving, at a term that it returns, and notes how far
+// they got.
+func (c *Custodian) pause(ctx context.Context, l Lead, leaving []accessions.Database) (hold int64, err error) {
 	conns := c.openAll(ctx, leaving)
 	defer closeAll(conns)
-	hold := max(l.Term, l.Hold, loginTerm(conns))
+	hold = max(l.Term, l.Hold, loginTerm(conns))
 	for _, r := range c.sayAll(conns, "STAT") {
 		hold = max(hold, r.term, r.held)
 	}
@@ -185,13 +204,14 @@
 	if len(paused) < len(conns) {
 		c.again("tend " + l.Service) // the old primary, which has not stepped down yet
 	}
-	return c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
-		if len(paused) > 0 && now.ID == l.ID && now.Turn == l.Turn && !now.Moving {
+	err = c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+		if len(paused) > 0 && now.ID == l.ID && now.Turn == l.Turn && now.Moving == l.Moving && now.To == "" {
 			now.Hold = hold
 			confine(known, paused)
 		}
 		return nil
 	})
+	return hold, err
 }
 
 // letReceive has paused replicas receive again, where no other does.
