Processes outlive a lost log reader, an early SIGHUP and a moment without descriptors

Causes, found by reading the way of an order and of a request on a real kernel: SIGHUP ended a process that had not begun to watch its settings; a reader of the log that had gone ended every process by SIGPIPE at its next line, and one that had stopped reading held them up, since lines are logged under locks; a service gave its address up, with the connections waiting there, when accepting failed for want of descriptors; after five failures a part was left alone for 15 s; a change of the settings between their reading and the first look at the file was not noticed.

The signals are not tested here.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -88,17 +88,27 @@
 	debug.SetMemoryLimit(96 << 20)
 }
 
+// heedSignals keeps signals from ending the process that are not meant to: SIGHUP
+// may come before the settings are watched, and whoever reads the log may go.
+func heedSignals() {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 func serve(role string, errs io.Writer) int {
+	heedSignals()
 	tuneMemory()
-	path := os.Getenv(charter.EnvVar)
-	settings, err := charter.Load(path)
+	book, err := charter.Open(os.Getenv(charter.EnvVar))
 	if err != nil {
 		fmt.Fprintln(errs, "indigowalk:", strings.ReplaceAll(err.Error(), "\n", "; "))
 		return exitFault
 	}
-	log := slog.New(slog.NewJSONHandler(errs, nil)).With("node", settings.NodeName, "role", role)
+	settings := book.Now()
+	lines := foundation.NewLogWriter(errs)
+	defer lines.Close()
+	log := slog.New(slog.NewJSONHandler(lines, nil)).With("node", settings.NodeName, "role", role)
 	k := foundation.NewKernel(role, foundation.HostNetwork{}, log)
-	foundation.Offer(k, charter.NewBook(path, settings))
+	foundation.Offer(k, book)
 	if err := k.Assemble(); err != nil {
 		fmt.Fprintln(errs, "indigowalk:", err)
 		return exitFault
--- a/internal/charter/charter.go
+++ b/internal/charter/charter.go
@@ -173,14 +173,25 @@
 
 // Book holds the settings in force and tells of changes.
 type Book struct {
-	path string
-	mu   sync.Mutex
-	now  *Settings
-	bell foundation.Bell
+	path   string
+	loaded fileStamp // of the file before it was read first
+	mu     sync.Mutex
+	now    *Settings
+	bell   foundation.Bell
 }
 
-// NewBook wraps settings that were loaded from path.
-func NewBook(path string, s *Settings) *Book { return &Book{path: path, now: s} }
+// Open reads settings from path. A change of the file from then on is noticed.
+func Open(path string) (*Book, error) {
+	before := stamp(path)
+	s, err := Load(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Book{path: path, loaded: before, now: s}, nil
+}
+
+// NewBook wraps settings that do not change.
+func NewBook(s *Settings) *Book { return &Book{now: s} }
 
 // Now returns the settings in force; they are not to be changed.
 func (b *Book) Now() *Settings {
--- a/internal/charter/charter_test.go
+++ b/internal/charter/charter_test.go
@@ -51,11 +51,10 @@
 		}
 	}
 	write(good)
-	s, err := Load(path)
+	b, err := Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := NewBook(path, s)
 	write(strings.Replace(good, "grace_s=6", "grace_s=x", 1))
 	if b.Reload() == nil || b.Now().GraceS != 6 {
 		t.Errorf("a bad file was taken: %d", b.Now().GraceS)
@@ -71,3 +70,24 @@
 		t.Error("nobody was told")
 	}
 }
+
+// A change of the file between the start and the first look at it is noticed.
+func TestChangeWhileStarting(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	if err := os.WriteFile(path, []byte(good), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	b, err := Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if stamp(path) != b.loaded {
+		t.Error("a file that did not change counts as changed")
+	}
+	if err := os.WriteFile(path, []byte(good+"more.of=it\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if stamp(path) == b.loaded {
+		t.Error("the change was not noticed")
+	}
+}
--- a/internal/charter/plugin.go
+++ b/internal/charter/plugin.go
@@ -39,7 +39,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	seen := stamp(b.path)
+	seen := b.loaded
 	tick := make(chan struct{}, 1)
 	go func() {
 		for foundation.Sleep(ctx, foundation.Second) {
--- a/internal/foundation/kernel.go
+++ b/internal/foundation/kernel.go
@@ -11,6 +11,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 )
@@ -26,6 +27,9 @@
 
 var plugins []Plugin
 
+// restartPause is how long a part that has failed several times is left alone.
+const restartPause = time.Second
+
 // Register adds a plug-in to those a kernel can build.
 func Register(p Plugin) { plugins = append(plugins, p) }
 
@@ -52,6 +56,9 @@
 		offered: map[reflect.Type]any{},
 	}
 	k.tree = suture.New("indigowalk-"+role, suture.Spec{
+		// A part that keeps failing, at an address that is still in use say, is
+		// tried again soon: nobody else does its work.
+		FailureBackoff: restartPause,
 		EventHook: func(e suture.Event) {
 			k.Counters.Add("foundation.supervisor_events", 1)
 			log.Warn("supervisor", "event", e.String())
--- a/internal/foundation/seams.go
+++ b/internal/foundation/seams.go
@@ -98,13 +98,6 @@
 	return nil
 }
 
-// Listen implements Network. Accepted connections carry no keep-alive of
-// their own: clients come and go quickly and idle time-outs cover the rest.
-func (HostNetwork) Listen(addr string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAlive: -1}
-	return lc.Listen(context.Background(), "tcp4", addr)
-}
-
 // ListenPacket implements Network.
 func (HostNetwork) ListenPacket(addr string) (net.PacketConn, error) {
 	return net.ListenPacket("udp4", addr)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -153,7 +153,7 @@
 	k := foundation.NewKernel(role, w.Net.Host(p.IP), slog.New(slog.NewTextHandler(logTo{w, name}, nil)))
 	// What a killed process wrote is there; power is not lost in this world.
 	k.Sync = func(*os.File) error { return nil }
-	foundation.Offer(k, charter.NewBook("", s))
+	foundation.Offer(k, charter.NewBook(s))
 	if err := k.Assemble(); err != nil {
 		w.T.Fatalf("%s: %v", name, err)
 	}
--- a/internal/stocktake/hollow.go
+++ b/internal/stocktake/hollow.go
@@ -117,7 +117,7 @@
 			return fmt.Errorf("stocktake: %w", err)
 		}
 		k := foundation.NewKernel(Role, m, slog.New(slog.DiscardHandler))
-		foundation.Offer(k, charter.NewBook("", s))
+		foundation.Offer(k, charter.NewBook(s))
 		if err := k.Assemble(); err != nil {
 			return fmt.Errorf("stocktake: %w", err)
 		}
