--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -1,5 +1,5 @@
-// Command indigowalk is a pool of sessions onto databases: desks carry sessions,
-// turnstiles requests, archives keep the control state.
+// Command indigowalk is a pool of sessions onto databases: poolers carry sessions,
+// gateways requests, control nodes keep the control state.
 package main
 
 import (
@@ -13,23 +13,23 @@
 	"strings"
 	"syscall"
 
-	_ "indigowalk/internal/accessions"
-	_ "indigowalk/internal/cart"
-	_ "indigowalk/internal/catalogue"
-	"indigowalk/internal/charter"
-	_ "indigowalk/internal/circulation"
-	_ "indigowalk/internal/conservator"
-	_ "indigowalk/internal/custodian"
-	_ "indigowalk/internal/desk"
-	_ "indigowalk/internal/findingaid"
-	"indigowalk/internal/foundation"
-	_ "indigowalk/internal/registrar"
+	_ "indigowalk/internal/controlapi"
+	_ "indigowalk/internal/controlstate"
+	_ "indigowalk/internal/dbconn"
+	_ "indigowalk/internal/discovery"
+	_ "indigowalk/internal/distribution"
+	_ "indigowalk/internal/failover"
+	_ "indigowalk/internal/gateway"
+	_ "indigowalk/internal/health"
+	_ "indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
+	_ "indigowalk/internal/membership"
+	_ "indigowalk/internal/pooler"
+	_ "indigowalk/internal/readrouting"
+	_ "indigowalk/internal/routeconfig"
 	_ "indigowalk/internal/rpc"
-	_ "indigowalk/internal/shelf"
-	_ "indigowalk/internal/subscription"
-	_ "indigowalk/internal/toolbox"
-	_ "indigowalk/internal/turnstile"
-	_ "indigowalk/internal/vault"
+	"indigowalk/internal/settings"
+	_ "indigowalk/internal/tools"
 )
 
 // Exit codes.
@@ -41,18 +41,18 @@
 
 const usage = `indigowalk: a pool of sessions onto databases
 
-  indigowalk desk       carry clients' sessions
-  indigowalk turnstile  carry requests to services: the API gateway
-  indigowalk archive    keep the control state: databases and configuration
-  indigowalk check      look for faults in settings, deploy files,
-                        configurations and stores
-  indigowalk plan       what a change, a drain, a release or a loss would do
-  indigowalk replay     play a recording of decisions again
-  indigowalk status     ask processes for their view
-  indigowalk stocktake  measure what the control state costs at a number of nodes
-  indigowalk help       this text
+  indigowalk pooler      carry clients' sessions
+  indigowalk gateway     carry requests to services: the API gateway
+  indigowalk control     keep the control state: databases and configuration
+  indigowalk check       look for faults in settings, deploy files,
+                         configurations and stores
+  indigowalk plan        what a change, a drain, a release or a loss would do
+  indigowalk replay      play a recording of decisions again
+  indigowalk status      ask processes for their view
+  indigowalk scalebench  measure what the control state costs at a number of nodes
+  indigowalk help        this text
 
-Each tool says more with --help. The daemons read the settings file named by the variable ` + charter.EnvVar + `.
+Each tool says more with --help. The daemons read the settings file named by the variable ` + settings.EnvVar + `.
 Exit codes: 0 clean, 1 a fault, 2 wrong use.
 `
 
@@ -64,7 +64,7 @@
 		return exitUsage
 	}
 	switch args[0] {
-	case "desk", "turnstile", "archive":
+	case "pooler", "gateway", "control":
 		if len(args) > 1 {
 			fmt.Fprintf(errs, "indigowalk %s takes no arguments\n", args[0])
 			return exitUsage
@@ -72,8 +72,8 @@
 		return serve(args[0], errs)
 	case "check", "plan", "replay", "status":
 		return tool(args[0], args[1:], out, errs)
-	case "stocktake":
-		return stocktakes(args[1:], out, errs)
+	case "scalebench":
+		return scalebenchTool(args[1:], out, errs)
 	case "help", "-h", "--help":
 		fmt.Fprint(out, usage)
 		return exitClean
@@ -98,17 +98,17 @@
 func serve(role string, errs io.Writer) int {
 	heedSignals()
 	tuneMemory()
-	book, err := charter.Open(os.Getenv(charter.EnvVar))
+	book, err := settings.Open(os.Getenv(settings.EnvVar))
 	if err != nil {
 		fmt.Fprintln(errs, "indigowalk:", strings.ReplaceAll(err.Error(), "\n", "; "))
 		return exitFault
 	}
 	settings := book.Now()
-	lines := foundation.NewLogWriter(errs)
+	lines := kernel.NewLogWriter(errs)
 	defer lines.Close()
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("node", settings.NodeName, "role", role)
-	k := foundation.NewKernel(role, foundation.HostNetwork{}, log)
-	foundation.Offer(k, book)
+	k := kernel.NewKernel(role, kernel.HostNetwork{}, log)
+	kernel.Offer(k, book)
 	if err := k.Assemble(); err != nil {
 		fmt.Fprintln(errs, "indigowalk:", err)
 		return exitFault
@@ -119,7 +119,7 @@
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-term
-		grace := foundation.Micros(settings.GraceS)*foundation.Second - 300*foundation.Millisecond
+		grace := kernel.Micros(settings.GraceS)*kernel.Second - 300*kernel.Millisecond
 		left, done := context.WithTimeout(ctx, grace.Duration())
 		k.Leave(left)
 		done()
--- a/cmd/indigowalk/main_test.go
+++ b/cmd/indigowalk/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
 )
 
 func call(args ...string) (code int, out, errs string) {
@@ -25,14 +25,14 @@
 	return path
 }
 
-const recording = `{"indigowalk_recording":1,"node":"n","role":"desk"}
+const recording = `{"indigowalk_recording":1,"node":"n","role":"pooler"}
 {"t":1,"k":"health","v":{"kind":"report","db":"a","gen":0}}
 {"t":2,"k":"health","v":{"kind":"checked","db":"a","gen":0,"ok":true}}
 {"t":3,"k":"health","v":{"kind":"report","db":"a","gen":0}}
 {"t":4,"k":"choice","v":{"svc":"s","epoch":3,"situation":{"replicas":2,"sync":1,"copies":[{"id":"x","received":{"Term":1,"Number":4}},{"id":"y","received":{"Term":1,"Number":9}}]},"to":"y"}}
 `
 
-const votes = `{"indigowalk_recording":1,"node":"n","role":"archive"}
+const votes = `{"indigowalk_recording":1,"node":"n","role":"control"}
 {"t":1,"k":"vote","v":{"kind":"promise","epoch":4,"from":"a","granted":true}}
 {"t":2,"k":"vote","v":{"kind":"accept","epoch":4,"from":"a","granted":true}}
 `
@@ -41,11 +41,11 @@
 	settings := "node_name=n\nip=10.1.0.8\nzone=z\nport_range=7440,7455\nseeds=10.1.0.8:8782\n"
 	config := `{"rev":3,"routes":[{"name":"r","host":"h","type":"primary","deadline_ms":9,"svc":"s"}],"services":[{"name":"s"}]}`
 	store := t.TempDir()
-	s, err := vault.OpenStore(store)
+	s, err := controlstate.OpenStore(store)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.SaveState(vault.State{Epoch: 1}); err != nil {
+	if err := s.SaveState(controlstate.State{Epoch: 1}); err != nil {
 		t.Fatal(err)
 	}
 	s.Close()
@@ -56,7 +56,7 @@
 		code int
 		says string
 	}{
-		{"no command", nil, exitUsage, "indigowalk desk"},
+		{"no command", nil, exitUsage, "indigowalk pooler"},
 		{"unknown command", []string{"lend"}, exitUsage, "unknown command"},
 		{"help", []string{"help"}, exitClean, "Exit codes"},
 		{"a tool's help", []string{"check", "--help"}, exitClean, "check store DIR"},
--- a/cmd/indigowalk/tools.go
+++ b/cmd/indigowalk/tools.go
@@ -7,9 +7,9 @@
 	"io"
 	"os"
 
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/toolbox"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/tools"
 )
 
 const checkUsage = `indigowalk check [--json] KIND FILE: look for faults, all in one pass
@@ -17,7 +17,7 @@
   check settings FILE                a process's settings file
   check deploy FILE                  a deploy file
   check config [--on BASE] FILE      a configuration, alone or as a change on BASE
-  check store DIR                    the data folder of a stopped archive
+  check store DIR                    the data folder of a stopped control node
 `
 
 const planUsage = `indigowalk plan [--json] SOURCE STEP: what a step would do; it changes nothing
@@ -30,7 +30,7 @@
     release ID       replace a database
     lose NODE        lose a node
     restart          restart every process
-    grow DESKS       run that many desks
+    grow Poolers       run that many poolers
 `
 
 const replayUsage = `indigowalk replay [--json] FILE: play a recording through the decisions' code
@@ -42,8 +42,8 @@
 
 const statusUsage = `indigowalk status [--all] [--details] [--only TEXT] [--json] ADDR...: ask processes for their view
 
-  ADDR is an inner address: the first port of port_range for an archive, the
-  second for a desk, as in 10.1.0.8:7440. --all asks every member they know.
+  ADDR is an inner address: the first port of port_range for a control node, the
+  second for a pooler, as in 10.1.0.8:7440. --all asks every member they know.
   What is told is how many there are of what, and whoever is not as most are;
   --details gives every database and process a line, --only those whose name,
   role, zone or service contains TEXT. Members are asked side by side and
@@ -54,7 +54,7 @@
     indigowalk status --all --json 10.1.0.8:7440 > view.json
 `
 
-// tool runs one of the toolbox's commands.
+// tool runs one of the tools's commands.
 func tool(name string, args []string, out, errs io.Writer) int {
 	usage := map[string]string{"check": checkUsage, "plan": planUsage, "replay": replayUsage, "status": statusUsage}[name]
 	fs := flag.NewFlagSet(name, flag.ContinueOnError)
@@ -81,7 +81,7 @@
 		}
 		words, rest = append(words, fs.Arg(0)), fs.Args()[1:]
 	}
-	t := tools{out: out, errs: errs, json: *asJSON}
+	t := toolRun{out: out, errs: errs, json: *asJSON}
 	code := exitUsage
 	switch {
 	case name == "check" && len(words) == 2:
@@ -99,43 +99,43 @@
 	return code
 }
 
-type tools struct {
+type toolRun struct {
 	out, errs io.Writer
 	json      bool
 }
 
-func (t tools) fail(err error) int {
+func (t toolRun) fail(err error) int {
 	fmt.Fprintln(t.errs, "indigowalk:", err)
 	return exitFault
 }
 
 // show prints v as JSON, or as text by print.
-func (t tools) show(v any, print func(io.Writer)) int {
+func (t toolRun) show(v any, print func(io.Writer)) int {
 	if !t.json {
 		print(t.out)
 		return exitClean
 	}
-	if err := toolbox.WriteJSON(t.out, v); err != nil {
+	if err := tools.WriteJSON(t.out, v); err != nil {
 		return t.fail(err)
 	}
 	return exitClean
 }
 
-func (t tools) check(kind, path, base string) int {
-	var faults []toolbox.Fault
+func (t toolRun) check(kind, path, base string) int {
+	var faults []tools.Fault
 	switch kind {
 	case "settings":
-		faults = toolbox.CheckSettings(path)
+		faults = tools.CheckSettings(path)
 	case "deploy":
-		faults = toolbox.CheckDeploy(path)
+		faults = tools.CheckDeploy(path)
 	case "config":
-		faults = toolbox.CheckConfig(path, base)
+		faults = tools.CheckConfig(path, base)
 	case "store":
-		faults = toolbox.CheckStore(path)
+		faults = tools.CheckStore(path)
 	default:
 		return exitUsage
 	}
-	code := t.show(map[string]any{"faults": append([]toolbox.Fault{}, faults...)}, func(w io.Writer) {
+	code := t.show(map[string]any{"faults": append([]tools.Fault{}, faults...)}, func(w io.Writer) {
 		for _, f := range faults {
 			fmt.Fprintln(w, f)
 		}
@@ -149,21 +149,21 @@
 	return code
 }
 
-func (t tools) plan(from, view string, words []string) int {
-	var sys *toolbox.System
+func (t toolRun) plan(from, view string, words []string) int {
+	var sys *tools.System
 	if view != "" {
 		raw, err := os.ReadFile(view)
 		if err != nil {
 			return t.fail(err)
 		}
-		if sys, err = toolbox.ReadSystem(raw); err != nil {
+		if sys, err = tools.ReadSystem(raw); err != nil {
 			return t.fail(fmt.Errorf("%s: %w", view, err))
 		}
 	} else {
-		sys = toolbox.Ask(context.Background(), foundation.HostNetwork{}, []string{from}, true)
+		sys = tools.Ask(context.Background(), kernel.HostNetwork{}, []string{from}, true)
 	}
 	step, what := words[0], ""
-	var conf *catalogue.Configuration
+	var conf *routeconfig.Configuration
 	switch {
 	case step == "restart" && len(words) == 1:
 	case len(words) != 2:
@@ -173,8 +173,8 @@
 		if err != nil {
 			return t.fail(err)
 		}
-		var faults []catalogue.Fault
-		if conf, faults = catalogue.Parse(raw); faults != nil {
+		var faults []routeconfig.Fault
+		if conf, faults = routeconfig.Parse(raw); faults != nil {
 			return t.fail(fmt.Errorf("%s: %w", words[1], faults[0]))
 		}
 	case step == "drain", step == "release", step == "lose", step == "grow":
@@ -189,7 +189,7 @@
 	return t.show(p, p.Print)
 }
 
-func (t tools) replay(path string) int {
+func (t toolRun) replay(path string) int {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return t.fail(err)
@@ -198,7 +198,7 @@
 	if t.json {
 		w = io.Discard
 	}
-	r, err := toolbox.Replay(raw, w)
+	r, err := tools.Replay(raw, w)
 	if err != nil {
 		return t.fail(fmt.Errorf("%s: %w", path, err))
 	}
@@ -219,8 +219,8 @@
 	return code
 }
 
-func (t tools) status(addrs []string, all, details bool, only string) int {
-	sys := toolbox.Ask(context.Background(), foundation.HostNetwork{}, addrs, all)
+func (t toolRun) status(addrs []string, all, details bool, only string) int {
+	sys := tools.Ask(context.Background(), kernel.HostNetwork{}, addrs, all)
 	code := t.show(sys, func(w io.Writer) { sys.Print(w, details, only) })
 	if len(sys.Missing) > 0 {
 		return exitFault
--- a/internal/stacks/stacks.go
+++ b/internal/connpool/connpool.go
@@ -1,6 +1,6 @@
-// Package stacks keeps a node's connections to databases, whatever they speak:
+// Package connpool keeps a node's connections to databases, whatever they speak:
 // capped, shared, opened step by step and handed to who is most urgent.
-package stacks
+package connpool
 
 import (
 	"context"
@@ -10,23 +10,23 @@
 	"syscall"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
 )
 
 // Errors of this layer.
 var (
-	ErrBroken   = errors.New("stacks: connection broken")
-	ErrSilent   = errors.New("stacks: database silent or refusing connections")
-	ErrSlow     = errors.New("stacks: database connected but slow to be ready")
-	ErrFull     = errors.New("stacks: no connection free")
-	ErrCapped   = errors.New("stacks: database takes no more connections")
-	ErrDeadline = errors.New("stacks: deadline passed")
-	ErrRejected = errors.New("stacks: database rejects the connection")
+	ErrBroken   = errors.New("connpool: connection broken")
+	ErrSilent   = errors.New("connpool: database silent or refusing connections")
+	ErrSlow     = errors.New("connpool: database connected but slow to be ready")
+	ErrFull     = errors.New("connpool: no connection free")
+	ErrCapped   = errors.New("connpool: database takes no more connections")
+	ErrDeadline = errors.New("connpool: deadline passed")
+	ErrRejected = errors.New("connpool: database rejects the connection")
 )
 
-// Line is a connection as the stacks need it. W is what a borrower may wish of
+// Line is a connection as the pools need it. W is what a borrower may wish of
 // one.
 type Line[W any] interface {
 	comparable
@@ -36,7 +36,7 @@
 	Clean() bool
 	// Fit tells how well one that has been idle for so long suits; below 0 it
 	// does not.
-	Fit(want W, idle foundation.Micros) int
+	Fit(want W, idle kernel.Micros) int
 	// Attach names the generation under which it was opened, and whom to tell
 	// when it breaks.
 	Attach(generation int64, died func(byUs, silent bool))
@@ -49,27 +49,27 @@
 // Counts tells the open and idle connections by database.
 type Counts func() map[string][2]int
 
-// Stocker takes the databases there are.
-type Stocker func(map[string]accessions.Database)
+// Updater takes the databases there are.
+type Updater func(map[string]discovery.Database)
 
-// Config is what stacks are built from.
+// Config is what pools are built from.
 type Config[C any] struct {
-	Open      func(ctx context.Context, db accessions.Database, wait foundation.Micros) (C, error)
-	Probe     func(ctx context.Context, db accessions.Database, wait foundation.Micros) (C, error) // Open's, if nil
-	OpenWait  foundation.Micros                                                                    // for a log-in
-	CheckWait foundation.Micros                                                                    // for the log-in of a check
-	IdleFor   foundation.Micros                                                                    // after which a spare connection is closed, if others are left
-	UnusedFor foundation.Micros                                                                    // after which a database is left without any
+	Open      func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error)
+	Probe     func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error) // Open's, if nil
+	OpenWait  kernel.Micros                                                                   // for a log-in
+	CheckWait kernel.Micros                                                                   // for the log-in of a check
+	IdleFor   kernel.Micros                                                                   // after which a spare connection is closed, if others are left
+	UnusedFor kernel.Micros                                                                   // after which a database is left without any
 	Share     func(service string) int
 	Most      int  // connections to all databases together, 0 for no bound
 	Doubt     bool // of several silent databases the node's own link is suspected first
 }
 
-// Stacks hold this node's connections to all databases.
-type Stacks[W any, C Line[W]] struct {
-	k      *foundation.Kernel
+// Pools hold this node's connections to all databases.
+type Pools[W any, C Line[W]] struct {
+	k      *kernel.Kernel
 	cfg    Config[C]
-	health *conservator.Conservator
+	health *health.Monitor
 
 	mu     sync.Mutex
 	ctx    context.Context
@@ -87,17 +87,17 @@
 }
 
 type pool[C any] struct {
-	db      accessions.Database
+	db      discovery.Database
 	idle    []resting[C]
 	open    int // connections there are, borrowed ones included
 	opening int
 	waiting []*waiter[C]
-	fullTil foundation.Micros // the database refused more connections
+	fullTil kernel.Micros // the database refused more connections
 }
 
 type resting[C any] struct {
 	c     C
-	since foundation.Micros
+	since kernel.Micros
 }
 
 type waiter[C any] struct {
@@ -110,19 +110,19 @@
 	err error
 }
 
-// New returns empty stacks.
-func New[W any, C Line[W]](k *foundation.Kernel, cfg Config[C], health *conservator.Conservator) *Stacks[W, C] {
+// New returns empty pools.
+func New[W any, C Line[W]](k *kernel.Kernel, cfg Config[C], health *health.Monitor) *Pools[W, C] {
 	if cfg.Probe == nil {
 		cfg.Probe = cfg.Open
 	}
-	return &Stacks[W, C]{
+	return &Pools[W, C]{
 		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[C]{}, berths: map[C]berth[C]{},
 	}
 }
 
 // Stock names the databases there are; connections to others are closed once
 // they are idle.
-func (s *Stacks[W, C]) Stock(dbs map[string]accessions.Database) {
+func (s *Pools[W, C]) Stock(dbs map[string]discovery.Database) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, d := range dbs {
@@ -146,7 +146,7 @@
 	}
 }
 
-func (s *Stacks[W, C]) closeIdle(p *pool[C]) {
+func (s *Pools[W, C]) closeIdle(p *pool[C]) {
 	for _, r := range p.idle {
 		s.end(p, r.c)
 	}
@@ -154,7 +154,7 @@
 }
 
 // end closes a connection that is neither borrowed nor idle any more.
-func (s *Stacks[W, C]) end(p *pool[C], c C) {
+func (s *Pools[W, C]) end(p *pool[C], c C) {
 	c.Close()
 	p.open--
 	delete(s.berths, c)
@@ -168,7 +168,7 @@
 }
 
 // Busy returns how many connections to the database are borrowed or awaited.
-func (s *Stacks[W, C]) Busy(id string) int {
+func (s *Pools[W, C]) Busy(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pools[id]; p != nil {
@@ -178,7 +178,7 @@
 }
 
 // Idle tells whether a connection to the database waits for use.
-func (s *Stacks[W, C]) Idle(id string) bool {
+func (s *Pools[W, C]) Idle(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[id]
@@ -186,7 +186,7 @@
 }
 
 // Counts returns the open and idle connections by database.
-func (s *Stacks[W, C]) Counts() map[string][2]int {
+func (s *Pools[W, C]) Counts() map[string][2]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string][2]int{}
@@ -202,7 +202,7 @@
 // Borrow hands out a connection to the database, the one that suits best, within
 // the span. ErrFull says that the queue is full of others
 // as urgent, ErrDeadline that none came free in time.
-func (s *Stacks[W, C]) Borrow(id string, prio int, want W, wait foundation.Micros) (c C, err error) {
+func (s *Pools[W, C]) Borrow(id string, prio int, want W, wait kernel.Micros) (c C, err error) {
 	s.mu.Lock()
 	p := s.pools[id]
 	if p == nil {
@@ -216,7 +216,7 @@
 	share := max(1, s.cfg.Share(p.db.Service))
 	if len(p.waiting) >= queueFactor*share && !p.displace(prio) {
 		s.mu.Unlock()
-		s.k.Counters.Add("stacks.queue_full", 1)
+		s.k.Counters.Add("connpool.queue_full", 1)
 		return c, ErrFull
 	}
 	w := &waiter[C]{prio, make(chan grant[C], 1)}
@@ -261,7 +261,7 @@
 
 // take picks the idle connection that fits best, and of those the one used
 // last. Those that suit nobody any more are closed.
-func (s *Stacks[W, C]) take(p *pool[C], want W) (c C, ok bool) {
+func (s *Pools[W, C]) take(p *pool[C], want W) (c C, ok bool) {
 	now := s.k.Clock.Now()
 	best, fit := -1, -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -279,12 +279,12 @@
 }
 
 // extend opens connections for those who wait, as far as the share goes.
-func (s *Stacks[W, C]) extend(p *pool[C], share int) {
+func (s *Pools[W, C]) extend(p *pool[C], share int) {
 	if s.k.Clock.Now() < p.fullTil {
 		share = max(1, p.open)
 	}
 	// Step by step: a connection that becomes free serves sooner than one that
-	// all desks open at the same time.
+	// all poolers open at the same time.
 	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share && s.room() {
 		p.opening++
 		go s.openOne(p)
@@ -293,7 +293,7 @@
 
 // room tells whether one more connection may be opened; if there are as many as
 // there may be, the one that has been idle for longest goes.
-func (s *Stacks[W, C]) room() bool {
+func (s *Pools[W, C]) room() bool {
 	if s.cfg.Most == 0 || len(s.berths) < s.cfg.Most {
 		return true
 	}
@@ -304,7 +304,7 @@
 		}
 	}
 	if oldest == nil {
-		s.k.Counters.Add("stacks.no_room", 1)
+		s.k.Counters.Add("connpool.no_room", 1)
 		return false
 	}
 	s.end(oldest, oldest.idle[0].c)
@@ -312,13 +312,13 @@
 	return true
 }
 
-func (s *Stacks[W, C]) openOne(p *pool[C]) {
+func (s *Pools[W, C]) openOne(p *pool[C]) {
 	s.mu.Lock()
 	ctx, db := s.ctx, p.db
 	s.mu.Unlock()
 	_, gen := s.health.State(db.ID)
 	c, err := s.cfg.Open(ctx, db, s.cfg.OpenWait)
-	s.k.Counters.Add("stacks.opened", 1)
+	s.k.Counters.Add("connpool.opened", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.opening--
@@ -330,10 +330,10 @@
 	s.extend(p, max(1, s.cfg.Share(p.db.Service)))
 }
 
-func (s *Stacks[W, C]) openFailed(p *pool[C], id string, gen int64, err error) {
+func (s *Pools[W, C]) openFailed(p *pool[C], id string, gen int64, err error) {
 	if errors.Is(err, ErrCapped) {
-		s.k.Counters.Add("stacks.capped", 1)
-		p.fullTil = s.k.Clock.Now() + 500*foundation.Millisecond
+		s.k.Counters.Add("connpool.capped", 1)
+		p.fullTil = s.k.Clock.Now() + 500*kernel.Millisecond
 		if p.open > 0 {
 			return // those who wait get the connections there are
 		}
@@ -341,26 +341,26 @@
 		return
 	}
 	if errors.Is(err, ErrRejected) {
-		s.k.Counters.Add("stacks.rejected", 1)
+		s.k.Counters.Add("connpool.rejected", 1)
 		p.fail(ErrRejected)
 		return
 	}
 	if errors.Is(err, ErrSlow) {
-		s.k.Counters.Add("stacks.slow_logins", 1)
+		s.k.Counters.Add("connpool.slow_logins", 1)
 		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
 		return
 	}
-	s.k.Counters.Add("stacks.open_failed", 1)
+	s.k.Counters.Add("connpool.open_failed", 1)
 	sure := errors.Is(err, ErrSilent)
 	if sure && s.cfg.Doubt && !errors.Is(err, syscall.ECONNREFUSED) && s.quiet.Note(s.k.Clock.Now(), id) {
-		s.k.Counters.Add("stacks.silence_doubted", 1)
+		s.k.Counters.Add("connpool.silence_doubted", 1)
 		sure = false
 	}
 	s.health.Report(id, gen, sure)
 	p.fail(ErrBroken)
 }
 
-func (s *Stacks[W, C]) put(p *pool[C], c C) {
+func (s *Pools[W, C]) put(p *pool[C], c C) {
 	if len(p.waiting) > 0 {
 		w := p.waiting[0]
 		p.waiting = p.waiting[1:]
@@ -372,7 +372,7 @@
 
 // Return gives a connection back. Only a clean one can serve others; any other
 // is closed.
-func (s *Stacks[W, C]) Return(c C) {
+func (s *Pools[W, C]) Return(c C) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := s.berths[c]
@@ -388,7 +388,7 @@
 
 // died is called when a connection broke. One that was idle is dropped here;
 // a borrowed one by whoever returns it.
-func (s *Stacks[W, C]) died(c C, byUs, silent bool) {
+func (s *Pools[W, C]) died(c C, byUs, silent bool) {
 	s.mu.Lock()
 	at, open := s.berths[c]
 	if !open {
@@ -403,20 +403,20 @@
 	known := s.pools[at.id] == p && !p.db.Draining
 	s.mu.Unlock()
 	if !byUs && known {
-		s.k.Counters.Add("stacks.broken", 1)
+		s.k.Counters.Add("connpool.broken", 1)
 		s.health.Report(at.id, at.generation, silent)
 	}
 }
 
 // Generation is that of the database when the connection was opened.
-func (s *Stacks[W, C]) Generation(c C) int64 {
+func (s *Pools[W, C]) Generation(c C) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.berths[c].generation
 }
 
 // Check tries whether the database takes a new connection, and keeps it.
-func (s *Stacks[W, C]) Check(ctx context.Context, id string) error {
+func (s *Pools[W, C]) Check(ctx context.Context, id string) error {
 	s.mu.Lock()
 	p := s.pools[id]
 	if p == nil {
@@ -446,7 +446,7 @@
 }
 
 // admit puts a new connection into its pool.
-func (s *Stacks[W, C]) admit(p *pool[C], c C, gen int64) {
+func (s *Pools[W, C]) admit(p *pool[C], c C, gen int64) {
 	p.open++
 	s.berths[c] = berth[C]{p, p.db.ID, p.db.Address, gen}
 	c.Attach(gen, func(byUs, silent bool) { s.died(c, byUs, silent) })
@@ -460,11 +460,11 @@
 
 // Serve closes spare connections and refuses those who wait for a database
 // that went down.
-func (s *Stacks[W, C]) Serve(ctx context.Context) error {
+func (s *Pools[W, C]) Serve(ctx context.Context) error {
 	s.mu.Lock()
 	s.ctx = ctx
 	s.mu.Unlock()
-	tick := time.NewTicker(foundation.Second.Duration())
+	tick := time.NewTicker(kernel.Second.Duration())
 	defer tick.Stop()
 	for {
 		changed := s.health.Changed()
@@ -487,7 +487,7 @@
 	}
 }
 
-func (s *Stacks[W, C]) closeSpare() {
+func (s *Pools[W, C]) closeSpare() {
 	now := s.k.Clock.Now()
 	for _, p := range s.pools {
 		share := max(1, s.cfg.Share(p.db.Service))
--- a/internal/stacks/dial.go
+++ b/internal/connpool/dial.go
@@ -1,4 +1,4 @@
-package stacks
+package connpool
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // MaxDials is a pace for Dial: of many connections at once, on a small machine,
@@ -15,7 +15,7 @@
 
 // Dial makes a connection, once the pace allows it; connect counts from then on.
 // A database that takes none within it is silent.
-func Dial(ctx context.Context, n foundation.Network, pace chan struct{}, addr string, connect, silence foundation.Micros) (net.Conn, error) {
+func Dial(ctx context.Context, n kernel.Network, pace chan struct{}, addr string, connect, silence kernel.Micros) (net.Conn, error) {
 	if pace != nil {
 		select {
 		case pace <- struct{}{}:
@@ -33,7 +33,7 @@
 
 // dialTwice tries a second time when the first has had no answer for a while:
 // one lost packet is no silence.
-func dialTwice(ctx context.Context, n foundation.Network, addr string, connect, silence foundation.Micros) (net.Conn, error) {
+func dialTwice(ctx context.Context, n kernel.Network, addr string, connect, silence kernel.Micros) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connect.Duration())
 	type result struct {
 		c   net.Conn
--- a/internal/stacks/silences_test.go
+++ b/internal/connpool/silences_test.go
@@ -1,16 +1,16 @@
-package stacks
+package connpool
 
 import (
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // One silent database counts at once; where another was silent a moment ago,
-// the archive's own link may be full, and it is tried again.
+// the control node's own link may be full, and it is tried again.
 func TestSeveralSilencesAreDoubted(t *testing.T) {
 	var s Silences
-	at := foundation.Second
+	at := kernel.Second
 	if s.Note(at, "a") || s.Note(at+ofLate/2, "a") {
 		t.Error("one database is taken for several")
 	}
--- a/internal/registrar/registrar.go
+++ b/internal/controlapi/controlapi.go
@@ -1,8 +1,8 @@
-// Package registrar is the archive's HTTP side: databases send their beats
-// here, the operator the configuration. Whoever is not the vault's primary
+// Package controlapi is the control node's HTTP side: databases send their beats
+// here, the operator the configuration. Whoever is not the control state's primary
 // sends callers there, or to a member who knows more. An answer leaves only in
 // the primary's term in which it was made.
-package registrar
+package controlapi
 
 import (
 	"bytes"
@@ -18,11 +18,11 @@
 	"strings"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/charter"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/settings"
 )
 
 // maxBeat bounds a beat.
@@ -35,41 +35,41 @@
 // worked on.
 const lastAnswers = 200 * time.Millisecond
 
-// Registrar serves the control address.
-type Registrar struct {
-	k    *foundation.Kernel
+// Server serves the control address.
+type Server struct {
+	k    *kernel.Kernel
 	addr string
-	v    *vault.Vault
-	acc  *accessions.Accessions
-	cat  *catalogue.Catalogue
+	v    *controlstate.Replica
+	acc  *discovery.Registry
+	cat  *routeconfig.Registry
 }
 
 func init() {
-	foundation.Register(foundation.Plugin{
-		Name: "registrar", Rank: 80, Roles: []string{"archive"},
-		Build: func(k *foundation.Kernel) error {
-			s := foundation.Need[*charter.Book](k).Now()
+	kernel.Register(kernel.Plugin{
+		Name: "controlapi", Rank: 80, Roles: []string{"control"},
+		Build: func(k *kernel.Kernel) error {
+			s := kernel.Need[*settings.Live](k).Now()
 			if s.ControlAddr == "" {
-				return &charter.Error{Key: "listen.control_addr", Reason: "an archive needs it"}
+				return &settings.Error{Key: "listen.control_addr", Reason: "a control node needs it"}
 			}
-			r := New(k, s.ControlAddr, foundation.Need[*vault.Vault](k),
-				foundation.Need[*accessions.Accessions](k), foundation.Need[*catalogue.Catalogue](k))
-			k.Supervise("registrar", r.Serve)
+			r := New(k, s.ControlAddr, kernel.Need[*controlstate.Replica](k),
+				kernel.Need[*discovery.Registry](k), kernel.Need[*routeconfig.Registry](k))
+			k.Supervise("controlapi", r.Serve)
 			return nil
 		},
 	})
 }
 
-// New returns a registrar that will listen at addr.
-func New(k *foundation.Kernel, addr string, v *vault.Vault, acc *accessions.Accessions, cat *catalogue.Catalogue) *Registrar {
-	return &Registrar{k: k, addr: addr, v: v, acc: acc, cat: cat}
+// New returns a control API that will listen at addr.
+func New(k *kernel.Kernel, addr string, v *controlstate.Replica, acc *discovery.Registry, cat *routeconfig.Registry) *Server {
+	return &Server{k: k, addr: addr, v: v, acc: acc, cat: cat}
 }
 
 // Serve answers until ctx ends.
-func (r *Registrar) Serve(ctx context.Context) error {
+func (r *Server) Serve(ctx context.Context) error {
 	ln, err := r.k.Net.Listen(r.addr)
 	if err != nil {
-		return fmt.Errorf("registrar: %w", err)
+		return fmt.Errorf("controlapi: %w", err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Servers.Heartbeat/{id}", r.primary(r.heartbeat))
@@ -84,7 +84,7 @@
 		r.close(srv)
 	})()
 	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("registrar: %w", err)
+		return fmt.Errorf("controlapi: %w", err)
 	}
 	if ctx.Err() != nil {
 		<-closed
@@ -94,18 +94,18 @@
 
 // close ends the server once the calls that are being worked on have their answers,
 // within a moment: an order that is cut off is asked for again.
-func (r *Registrar) close(srv *http.Server) {
+func (r *Server) close(srv *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
 	defer cancel()
 	if err := srv.Shutdown(ctx); err != nil {
-		r.k.Counters.Add("registrar.cut_at_end", 1)
+		r.k.Counters.Add("controlapi.cut_at_end", 1)
 		srv.Close()
 	}
 }
 
-// primary lets the call through on the vault's primary, and sends the caller on
-// from elsewhere: a caller may be able to reach what this archive can't.
-func (r *Registrar) primary(h http.HandlerFunc) http.HandlerFunc {
+// primary lets the call through on the control state's primary, and sends the caller on
+// from elsewhere: a caller may be able to reach what this control node can't.
+func (r *Server) primary(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		if term, err := r.v.Term(); err == nil {
 			// The answer leaves only in the term in which it was made: a process
@@ -114,7 +114,7 @@
 			held := &heldAnswer{status: http.StatusOK, header: http.Header{}}
 			h(held, q)
 			if !term.Valid() {
-				r.k.Counters.Add("registrar.term_ended", 1)
+				r.k.Counters.Add("controlapi.term_ended", 1)
 				r.fail(w, http.StatusServiceUnavailable, "the term ended meanwhile")
 				return
 			}
@@ -126,7 +126,7 @@
 			r.fail(w, http.StatusServiceUnavailable, "no primary is known now")
 			return
 		}
-		r.k.Counters.Add("registrar.redirected", 1)
+		r.k.Counters.Add("controlapi.redirected", 1)
 		w.Header().Set("Location", "http://"+to+q.URL.RequestURI())
 		w.WriteHeader(http.StatusTemporaryRedirect)
 	}
@@ -143,17 +143,17 @@
 func (a *heldAnswer) WriteHeader(status int)        { a.status = status }
 func (a *heldAnswer) Write(raw []byte) (int, error) { return a.body.Write(raw) }
 
-func (a *heldAnswer) send(w http.ResponseWriter, k *foundation.Kernel) {
+func (a *heldAnswer) send(w http.ResponseWriter, k *kernel.Kernel) {
 	maps.Copy(w.Header(), a.header)
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body.Bytes()); err != nil {
-		k.Counters.Add("registrar.unsent", 1)
+		k.Counters.Add("controlapi.unsent", 1)
 	}
 }
 
-// control is the control address of the archive at an inner address: the
+// control is the control address of the control node at an inner address: the
 // ports are the same on all machines.
-func (r *Registrar) control(inner string) string {
+func (r *Server) control(inner string) string {
 	host, _, err := net.SplitHostPort(inner)
 	if err != nil {
 		return ""
@@ -170,17 +170,17 @@
 	Fields []string `json:"fields,omitempty"`
 }
 
-func (r *Registrar) fail(w http.ResponseWriter, status int, reason string, fields ...string) {
-	r.k.Counters.Add("registrar.answered_"+strconv.Itoa(status), 1)
+func (r *Server) fail(w http.ResponseWriter, status int, reason string, fields ...string) {
+	r.k.Counters.Add("controlapi.answered_"+strconv.Itoa(status), 1)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(problem{reason, fields}); err != nil {
-		r.k.Counters.Add("registrar.unsent", 1)
+		r.k.Counters.Add("controlapi.unsent", 1)
 	}
 }
 
 // body reads at most limit bytes; it has answered if it returns false.
-func (r *Registrar) body(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, bool) {
+func (r *Server) body(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, bool) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
 	var long *http.MaxBytesError
 	switch {
@@ -190,19 +190,19 @@
 	case err != nil:
 		// What never arrived says nothing of the order: it may be one that was
 		// taken, so this is no refusal of it.
-		r.k.Counters.Add("registrar.cut_short", 1)
+		r.k.Counters.Add("controlapi.cut_short", 1)
 		r.fail(w, http.StatusRequestTimeout, "body: is not there in full", "body")
 		return nil, false
 	}
 	return raw, true
 }
 
-func (r *Registrar) heartbeat(w http.ResponseWriter, q *http.Request) {
+func (r *Server) heartbeat(w http.ResponseWriter, q *http.Request) {
 	raw, ok := r.body(w, q, maxBeat)
 	if !ok {
 		return
 	}
-	var b accessions.Beat
+	var b discovery.Beat
 	if err := json.Unmarshal(raw, &b); err != nil {
 		r.fail(w, http.StatusBadRequest, "beat: "+err.Error())
 		return
@@ -211,7 +211,7 @@
 	defer cancel()
 	err := r.acc.Heartbeat(ctx, q.PathValue("id"), b)
 	switch {
-	case errors.Is(err, accessions.ErrMalformed):
+	case errors.Is(err, discovery.ErrMalformed):
 		r.fail(w, http.StatusBadRequest, "beat: svc and address are needed")
 	case err != nil:
 		r.fail(w, http.StatusServiceUnavailable, err.Error())
@@ -221,7 +221,7 @@
 	}
 }
 
-func (r *Registrar) deregister(w http.ResponseWriter, q *http.Request) {
+func (r *Server) deregister(w http.ResponseWriter, q *http.Request) {
 	ctx, cancel := context.WithTimeout(q.Context(), callWait)
 	defer cancel()
 	if err := r.acc.Deregister(ctx, q.PathValue("id")); err != nil {
@@ -230,9 +230,9 @@
 }
 
 // change takes a whole configuration, or a change of named items.
-func (r *Registrar) change(take func(ctx context.Context, base int64, raw []byte) error) http.HandlerFunc {
+func (r *Server) change(take func(ctx context.Context, base int64, raw []byte) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
-		raw, ok := r.body(w, q, catalogue.MaxBody)
+		raw, ok := r.body(w, q, routeconfig.MaxBody)
 		if !ok {
 			return
 		}
@@ -244,7 +244,7 @@
 		ctx, cancel := context.WithTimeout(q.Context(), callWait)
 		defer cancel()
 		err = take(ctx, base, raw)
-		var invalid *catalogue.Invalid
+		var invalid *routeconfig.Invalid
 		switch {
 		case errors.As(err, &invalid):
 			fields := make([]string, 0, len(invalid.Faults))
@@ -252,7 +252,7 @@
 				fields = append(fields, f.Error())
 			}
 			r.fail(w, http.StatusBadRequest, "invalid configuration", fields...)
-		case errors.Is(err, catalogue.ErrOtherVersion):
+		case errors.Is(err, routeconfig.ErrOtherVersion):
 			r.fail(w, http.StatusPreconditionFailed, err.Error())
 		case err != nil:
 			r.fail(w, http.StatusServiceUnavailable, err.Error())
@@ -260,7 +260,7 @@
 	}
 }
 
-func (r *Registrar) fetch(w http.ResponseWriter, _ *http.Request) {
+func (r *Server) fetch(w http.ResponseWriter, _ *http.Request) {
 	body, err := r.cat.Fetch()
 	switch {
 	case err != nil:
@@ -270,7 +270,7 @@
 	default:
 		w.Header().Set("Content-Type", "application/json")
 		if _, err := w.Write(body); err != nil {
-			r.k.Counters.Add("registrar.unsent", 1)
+			r.k.Counters.Add("controlapi.unsent", 1)
 		}
 	}
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/controlapi/controlapi_test.go
@@ -1,4 +1,4 @@
-package registrar_test
+package controlapi_test
 
 import (
 	"net/http"
@@ -7,28 +7,28 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/registrar"
-	"indigowalk/internal/rehearsal"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlapi"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/simulation"
 )
 
-// AnswerInItsTerm: an archive reads the configuration and is held up before the
+// AnswerInItsTerm: a control node reads the configuration and is held up before the
 // answer leaves. Meanwhile it loses its term, another takes a change, and it
 // wins a later term: the answer made in the old one does not leave, and nothing
 // that was begun in the old one holds a lease.
 func TestAnswerInItsTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := rehearsal.NewWorld(t, 1, 3)
+		w := simulation.NewWorld(t, 1, 3)
 		defer w.Close()
 		w.Group("ledger")
 		w.Boot()
 		w.Configure()
-		at := func(z int) *vault.Vault {
-			if p := w.Process("archive", z); p != nil {
-				return foundation.Need[*vault.Vault](p.Kernel)
+		at := func(z int) *controlstate.Replica {
+			if p := w.Process("control", z); p != nil {
+				return kernel.Need[*controlstate.Replica](p.Kernel)
 			}
 			return nil
 		}
@@ -45,18 +45,18 @@
 			return found
 		}
 		first := awaitLead(1, 2, 3)
-		k := w.Process("archive", first).Kernel
+		k := w.Process("control", first).Kernel
 		term, err := at(first).Term()
-		if err != nil || vault.TermOf(term.Context()) != term || vault.TermOf(t.Context()).Valid() {
+		if err != nil || controlstate.TermOf(term.Context()) != term || controlstate.TermOf(t.Context()).Valid() {
 			t.Fatalf("the term of its context is not found: %v", err)
 		}
-		r := registrar.New(k, "10.0.0.9:8782", at(first), foundation.Need[*accessions.Accessions](k), foundation.Need[*catalogue.Catalogue](k))
+		r := controlapi.New(k, "10.0.0.9:8782", at(first), kernel.Need[*discovery.Registry](k), kernel.Need[*routeconfig.Registry](k))
 		read, release := make(chan struct{}), make(chan struct{})
 		answer, left := httptest.NewRecorder(), make(chan struct{})
 		go func() {
 			defer close(left)
 			r.InTerm(func(out http.ResponseWriter, _ *http.Request) {
-				body, err := foundation.Need[*catalogue.Catalogue](k).Fetch()
+				body, err := kernel.Need[*routeconfig.Registry](k).Fetch()
 				if err != nil {
 					t.Errorf("read in the first term: %v", err)
 				}
@@ -72,15 +72,15 @@
 		third := 6 - first - second
 		w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(second, 1, w.Configuration(2)) == 200 })
 		w.Isolate(first, false)
-		w.Process("archive", third).Kill()
+		w.Process("control", third).Kill()
 		w.Until("the first is a backup", 6*time.Second, func() bool {
 			view, is := at(second).Primary()
 			return is && view.Has(at(first).Self())
 		})
-		w.Start("archive", third, false)
+		w.Start("control", third, false)
 		time.Sleep(time.Second)
-		w.Process("archive", second).Term()
-		w.Start("archive", second, false)
+		w.Process("control", second).Term()
+		w.Start("control", second, false)
 		w.Until("the first leads again", 6*time.Second, func() bool { return leads(first) })
 		close(release)
 		<-left
--- a/internal/vault/vault.go
+++ b/internal/controlstate/controlstate.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"bytes"
@@ -14,17 +14,17 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
 
 // Errors of this layer.
 var (
-	ErrNotPrimary  = errors.New("vault: not the primary")
-	ErrUnavailable = errors.New("vault: control state can't be written now")
+	ErrNotPrimary  = errors.New("controlstate: not the primary")
+	ErrUnavailable = errors.New("controlstate: control state can't be written now")
 )
 
-const callWait = 300 * foundation.Millisecond
+const callWait = 300 * kernel.Millisecond
 
 // State is the whole control state as it lies on a member's disk.
 type State struct {
@@ -100,7 +100,7 @@
 		}
 		var v T
 		if err := json.Unmarshal(raw, &v); err != nil {
-			return nil, fmt.Errorf("vault: entry %s: %w", key, err)
+			return nil, fmt.Errorf("controlstate: entry %s: %w", key, err)
 		}
 		fresh[rest] = v
 	}
@@ -120,26 +120,26 @@
 	return values, nil
 }
 
-// Config is what a vault is built from.
+// Config is what a control state is built from.
 type Config struct {
-	Name      string
-	Dir       string
-	Seeds     func() []string // inner addresses of the seeds' archives
-	Bootstrap bool
-	Lease     foundation.Micros
-	Away      foundation.Micros      // a witness that is away for longer is exchanged
-	Catchup   foundation.Micros      // how long to wait for the archives that Losses asks for
-	Losses    int                    // archives that may be lost at once, with their disks
-	Archives  func() []string        // inner addresses of archives that seem alive
-	Changed   func() <-chan struct{} // closes when those change
-}
-
-// Vault is one archive's part in keeping the control state.
-type Vault struct {
-	k        *foundation.Kernel
+	Name         string
+	Dir          string
+	Seeds        func() []string // inner addresses of the seeds' control nodes
+	Bootstrap    bool
+	Lease        kernel.Micros
+	Away         kernel.Micros          // a witness that is away for longer is exchanged
+	Catchup      kernel.Micros          // how long to wait for the control nodes that Losses asks for
+	Losses       int                    // control nodes that may be lost at once, with their disks
+	ControlNodes func() []string        // inner addresses of control nodes that seem alive
+	Changed      func() <-chan struct{} // closes when those change
+}
+
+// Replica is one control node's part in keeping the control state.
+type Replica struct {
+	k        *kernel.Kernel
 	endpoint *rpc.Endpoint
 	cfg      Config
-	lease    foundation.Micros
+	lease    kernel.Micros
 	store    *Store
 	self     Member
 
@@ -148,53 +148,53 @@
 	witness witness
 	state   State // on this disk; on the active primary also on the backups'
 	seen    View  // newest view heard of
-	// tentative is the last view that this archive asked to be accepted: some
+	// tentative is the last view that this control node asked to be accepted: some
 	// may have, so its next attempt starts from that one, if none newer is known.
 	tentative View
-	seenTill  foundation.Micros
-	heardTill foundation.Micros // until when the word of the newest view's primary stands
+	seenTill  kernel.Micros
+	heardTill kernel.Micros // until when the word of the newest view's primary stands
 	active    bool
-	term      *Term // the last one of this archive
+	term      *Term // the last one of this control node
 	endTerm   context.CancelFunc
-	leaseEnd  foundation.Micros
-	renewAt   foundation.Micros
-	members   membership
-	missed    map[string]int // renewals in a row that an archive left unanswered
+	leaseEnd  kernel.Micros
+	renewAt   kernel.Micros
+	members   memberPolicy
+	missed    map[string]int // retry budget in a row that a control node left unanswered
 	leaving   bool
-	standAt   foundation.Micros
-	toldAt    foundation.Micros
+	standAt   kernel.Micros
+	toldAt    kernel.Micros
 	voided    int64 // epoch of a view whose primary lost its disk, and with it the lease
 	tried     int64 // highest epoch stood for or heard of
 	queue     []*update
 	// A large state is staged before a view is formed.
 	staging    bool
-	stagedAt   []string // the archives that have it, or nearly
-	stagedTill foundation.Micros
+	stagedAt   []string // the control nodes that have it, or nearly
+	stagedTill kernel.Micros
 	small      bool // it was said that the core is smaller than Losses asks
 
 	refusing atomic.Bool // the disk refused the last write
 	stalled  atomic.Bool // the disk has not answered for a while
 
-	writing foundation.Gate // one write or change of view at a time
-	stating foundation.Gate // one write of the state to the disk at a time
-	voting  foundation.Gate // one write of the register at a time
+	writing kernel.Gate // one write or change of view at a time
+	stating kernel.Gate // one write of the state to the disk at a time
+	voting  kernel.Gate // one write of the register at a time
 	intake  intake
-	changed foundation.Bell
+	changed kernel.Bell
 	wake    chan struct{}
 }
 
 // Open opens the store and takes part in the elections through the endpoint.
-func Open(k *foundation.Kernel, b *rpc.Endpoint, cfg Config) (*Vault, error) {
+func Open(k *kernel.Kernel, b *rpc.Endpoint, cfg Config) (*Replica, error) {
 	st, err := openStore(cfg.Dir, k.Sync)
 	if err != nil {
 		return nil, err
 	}
 	self := Member{cfg.Name, b.Addr(), st.Disk}
-	v := &Vault{
+	v := &Replica{
 		k: k, endpoint: b, cfg: cfg, lease: cfg.Lease, store: st,
-		self: self, members: newMembership(self, cfg), missed: map[string]int{},
-		wake: make(chan struct{}, 1), writing: foundation.NewGate(), stating: foundation.NewGate(), voting: foundation.NewGate(),
-		intake: intake{gate: foundation.NewGate()},
+		self: self, members: newMemberPolicy(self, cfg), missed: map[string]int{},
+		wake: make(chan struct{}, 1), writing: kernel.NewGate(), stating: kernel.NewGate(), voting: kernel.NewGate(),
+		intake: intake{gate: kernel.NewGate()},
 	}
 	now := k.Clock.Now()
 	v.witness = witness{lease: cfg.Lease}
@@ -221,76 +221,76 @@
 	v.seen = v.witness.reg.Accepted
 	v.seenTill = v.members.takeover(v.seen, now)
 	if st.torn > 0 {
-		k.Counters.Add("vault.torn_tails", 1)
+		k.Counters.Add("controlstate.torn_tails", 1)
 		k.Log.Warn("unfinished last write of the store cut off", "bytes", st.torn)
 	}
-	rpc.On(b, "vault.promise", v.onPromise)
-	rpc.On(b, "vault.accept", v.onAccept)
-	rpc.On(b, "vault.renew", v.onRenew)
-	rpc.On(b, "vault.release", v.onRelease)
-	rpc.On(b, "vault.register", v.onRegister)
-	rpc.On(b, "vault.offer", v.onOffer)
-	rpc.On(b, "vault.copy", v.onCopy)
-	rpc.On(b, "vault.write", v.onWrite)
-	rpc.On(b, "vault.succeed", v.onSucceed)
-	rpc.On(b, "vault.leaving", v.onLeaving)
-	rpc.On(b, "vault.tell", v.onTell)
-	rpc.On(b, "vault.void", v.onVoid)
+	rpc.On(b, "controlstate.promise", v.onPromise)
+	rpc.On(b, "controlstate.accept", v.onAccept)
+	rpc.On(b, "controlstate.renew", v.onRenew)
+	rpc.On(b, "controlstate.release", v.onRelease)
+	rpc.On(b, "controlstate.register", v.onRegister)
+	rpc.On(b, "controlstate.offer", v.onOffer)
+	rpc.On(b, "controlstate.copy", v.onCopy)
+	rpc.On(b, "controlstate.write", v.onWrite)
+	rpc.On(b, "controlstate.succeed", v.onSucceed)
+	rpc.On(b, "controlstate.leaving", v.onLeaving)
+	rpc.On(b, "controlstate.tell", v.onTell)
+	rpc.On(b, "controlstate.void", v.onVoid)
 	return v, nil
 }
 
 // Witnesses returns the inner addresses of the witnesses.
-func (v *Vault) Witnesses() []string {
+func (v *Replica) Witnesses() []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return union(v.seen.sets()...)
 }
 
-// Self is this archive as a member.
-func (v *Vault) Self() Member { return v.self }
+// Self is this control node as a member.
+func (v *Replica) Self() Member { return v.self }
 
-// Abstains tells whether this archive, as a witness, may not vote yet.
-func (v *Vault) Abstains() bool {
+// Abstains tells whether this control node, as a witness, may not vote yet.
+func (v *Replica) Abstains() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.witness.abstains
 }
 
-// Heard returns, for the primary, how long ago each archive last took part.
-func (v *Vault) Heard() map[string]foundation.Micros {
+// Heard returns, for the primary, how long ago each control node last took part.
+func (v *Replica) Heard() map[string]kernel.Micros {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now, out := v.k.Clock.Now(), map[string]foundation.Micros{}
+	now, out := v.k.Clock.Now(), map[string]kernel.Micros{}
 	for addr, at := range v.members.heard {
 		out[addr] = now - at
 	}
 	return out
 }
 
-// Primary returns the newest view heard of and whether this archive is its
+// Primary returns the newest view heard of and whether this control node is its
 // active primary.
-func (v *Vault) Primary() (View, bool) {
+func (v *Replica) Primary() (View, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.seen, v.leads(v.k.Clock.Now())
 }
 
-// Known returns the inner address of another archive that leads: the newest
+// Known returns the inner address of another control node that leads: the newest
 // view's primary, if it was itself heard within a lease. One that was known
 // once, or that others told of, may be gone or superseded.
-func (v *Vault) Known() (string, bool) {
+func (v *Replica) Known() (string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	addr := v.seen.Primary.Addr
 	return addr, addr != v.self.Addr && v.k.Clock.Now() < v.heardTill
 }
 
-// Referral returns the inner address of the archive that a caller does best to
+// Referral returns the inner address of the control node that a caller does best to
 // ask instead of this one: the primary, if it is known, else any member of the
-// newest view but the primary that fell silent. If this archive is cut off, that
+// newest view but the primary that fell silent. If this control node is cut off, that
 // member knows the primary; if the primary is gone, its successor is one of them.
 // It is "" if there is none.
-func (v *Vault) Referral() string {
+func (v *Replica) Referral() string {
 	if addr, known := v.Known(); known {
 		return addr
 	}
@@ -305,17 +305,17 @@
 	return others[rand.IntN(len(others))]
 }
 
-func (v *Vault) leads(now foundation.Micros) bool { return v.active && now < v.leaseEnd }
+func (v *Replica) leads(now kernel.Micros) bool { return v.active && now < v.leaseEnd }
 
 // Lease returns how long the lease runs yet; nothing may be answered or done
 // as primary at or past its end.
-func (v *Vault) Lease() (epoch int64, left foundation.Micros) {
+func (v *Replica) Lease() (epoch int64, left kernel.Micros) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.leaseLeft()
 }
 
-func (v *Vault) leaseLeft() (epoch int64, left foundation.Micros) {
+func (v *Replica) leaseLeft() (epoch int64, left kernel.Micros) {
 	now := v.k.Clock.Now()
 	if !v.leads(now) {
 		return 0, 0
@@ -323,19 +323,19 @@
 	return v.seen.Epoch, v.leaseEnd - now
 }
 
-// Term is a time in which this archive is the primary and nobody else was
+// Term is a time in which this control node is the primary and nobody else was
 // between: it lasts through later views of its own. What was read or decided
 // in a term may leave the process only while that term is valid. That this
-// archive leads is not enough: it may have lost the term, while it was frozen,
+// control node leads is not enough: it may have lost the term, while it was frozen,
 // and won another.
 type Term struct {
-	v     *Vault
+	v     *Replica
 	began int64 // epoch of its first view
 	ctx   context.Context
 }
 
 // Term returns the term that runs.
-func (v *Vault) Term() (*Term, error) {
+func (v *Replica) Term() (*Term, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.leads(v.k.Clock.Now()) {
@@ -354,7 +354,7 @@
 }
 
 // begin starts a term. The caller holds the lock.
-func (v *Vault) begin(epoch int64) {
+func (v *Replica) begin(epoch int64) {
 	v.term = &Term{v: v, began: epoch}
 	v.term.ctx, v.endTerm = context.WithCancel(context.WithValue(context.Background(), termKey{}, v.term))
 	v.members.since = v.k.Clock.Now()
@@ -368,7 +368,7 @@
 
 // Lease returns the epoch and how long the lease runs yet, 0 if the term is
 // over.
-func (t *Term) Lease() (epoch int64, left foundation.Micros) {
+func (t *Term) Lease() (epoch int64, left kernel.Micros) {
 	if t == nil {
 		return 0, 0
 	}
@@ -387,18 +387,18 @@
 }
 
 // Changed closes at the next change of state or of who is primary.
-func (v *Vault) Changed() <-chan struct{} { return v.changed.Wait() }
+func (v *Replica) Changed() <-chan struct{} { return v.changed.Wait() }
 
 // Read returns the entry's durable value. Only the primary reads, under its
 // lease.
-func (v *Vault) Read(key string) (json.RawMessage, error) {
+func (v *Replica) Read(key string) (json.RawMessage, error) {
 	state, err := v.Durable()
 	return state.Entries[key], err
 }
 
 // Durable returns the whole durable state, under the epoch of the view that
 // keeps it; its entries are not to be changed.
-func (v *Vault) Durable() (State, error) {
+func (v *Replica) Durable() (State, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.leads(v.k.Clock.Now()) {
@@ -420,7 +420,7 @@
 // disks of the primary and all its backups and the lease still runs. Changes
 // that come while another is being written go out together. An error other
 // than change's own leaves open whether the change lasts.
-func (v *Vault) Update(ctx context.Context, change ChangeFunc) error {
+func (v *Replica) Update(ctx context.Context, change ChangeFunc) error {
 	u := &update{change, make(chan error, 1)}
 	v.mu.Lock()
 	v.queue = append(v.queue, u)
@@ -449,7 +449,7 @@
 }
 
 // commit writes a batch, a second time if a backup had to be replaced.
-func (v *Vault) commit(ctx context.Context, batch []*update) {
+func (v *Replica) commit(ctx context.Context, batch []*update) {
 	own := make([]error, len(batch))
 	err := v.write(ctx, batch, own)
 	if errors.Is(err, errBackup) && v.staged() && v.tryStand(ctx) == nil {
@@ -467,7 +467,7 @@
 // them.
 var errBackup = fmt.Errorf("%w: too few backups take it", ErrUnavailable)
 
-func (v *Vault) write(ctx context.Context, batch []*update, own []error) error {
+func (v *Replica) write(ctx context.Context, batch []*update, own []error) error {
 	v.mu.Lock()
 	if !v.leads(v.k.Clock.Now()) {
 		v.mu.Unlock()
@@ -485,12 +485,12 @@
 	}
 	if !v.members.largeEnough(v.seen, now) {
 		v.mu.Unlock()
-		v.k.Counters.Add("vault.too_few_witnesses", 1)
+		v.k.Counters.Add("controlstate.too_few_witnesses", 1)
 		return fmt.Errorf("%w: the witnesses can't bear the losses yet", ErrUnavailable)
 	}
 	if n := len(v.seen.Witnesses); n < 2*v.cfg.Losses && !v.small {
 		v.small = true
-		v.k.Log.Warn("fewer archives than the losses to be borne ask for", "witnesses", n, "tolerate", v.cfg.Losses)
+		v.k.Log.Warn("fewer control nodes than the losses to be borne ask for", "witnesses", n, "tolerate", v.cfg.Losses)
 	}
 	old, view := v.state, v.seen
 	v.mu.Unlock()
@@ -523,7 +523,7 @@
 	}
 	t.Stop()
 	if saved != nil {
-		v.k.Counters.Add("vault.save_failed", 1)
+		v.k.Counters.Add("controlstate.save_failed", 1)
 		go v.handOver("own disk fails")
 		return fmt.Errorf("%w: %v", ErrUnavailable, saved)
 	}
@@ -542,16 +542,16 @@
 
 // toBackups hands a change to all backups; those that do not take it are
 // shunned.
-func (v *Vault) toBackups(ctx context.Context, view View, c Change) bool {
+func (v *Replica) toBackups(ctx context.Context, view View, c Change) bool {
 	addrs := make([]string, 0, len(view.Backups))
 	for _, b := range view.Backups {
 		addrs = append(addrs, b.Addr)
 	}
-	took := ask(ctx, v, addrs, "vault.write", func(string) any { return c }, func(got map[string]struct{}) bool { return len(got) == len(addrs) })
+	took := ask(ctx, v, addrs, "controlstate.write", func(string) any { return c }, func(got map[string]struct{}) bool { return len(got) == len(addrs) })
 	if len(took) == len(addrs) {
 		return true
 	}
-	v.k.Counters.Add("vault.backup_failed", 1)
+	v.k.Counters.Add("controlstate.backup_failed", 1)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, addr := range addrs {
@@ -563,14 +563,14 @@
 }
 
 // shun has a backup replaced.
-func (v *Vault) shun(addr string) {
+func (v *Replica) shun(addr string) {
 	v.members.shun(addr, v.k.Clock.Now())
 	v.poke()
 }
 
 // onDisk runs one write of the state to the disk, alone. A disk that stalls
-// holds up this write and no other work of the archive.
-func (v *Vault) onDisk(ctx context.Context, write func() error) error {
+// holds up this write and no other work of the control node.
+func (v *Replica) onDisk(ctx context.Context, write func() error) error {
 	if err := v.stating.Enter(ctx); err != nil {
 		return err
 	}
@@ -579,9 +579,9 @@
 }
 
 // noteDisk counts what the disk refuses.
-func (v *Vault) noteDisk(err error) error {
+func (v *Replica) noteDisk(err error) error {
 	if err != nil && !errors.Is(err, errOldEpoch) {
-		v.k.Counters.Add("vault.disk_refused", 1)
+		v.k.Counters.Add("controlstate.disk_refused", 1)
 		if !v.refusing.Swap(true) {
 			v.k.Log.Warn("disk refuses writes", "error", err)
 		}
@@ -593,7 +593,7 @@
 
 // diskWait is how long the disk may take for a small write before it counts as
 // stalled. What it costs is a hand-over.
-const diskWait = 400 * foundation.Millisecond
+const diskWait = 400 * kernel.Millisecond
 
 // aliveKey is the record that is written to see whether the disk answers.
 const aliveKey = "alive"
@@ -601,8 +601,8 @@
 // watchDisk writes a few bytes now and then, so that a disk that stalls or
 // refuses is noticed before a change needs it: a primary then hands over, and
 // a backup is replaced.
-func (v *Vault) watchDisk(ctx context.Context) {
-	for n := 0; foundation.Sleep(ctx, v.lease); n++ {
+func (v *Replica) watchDisk(ctx context.Context) {
+	for n := 0; kernel.Sleep(ctx, v.lease); n++ {
 		done := make(chan error, 1)
 		go func() { done <- v.noteDisk(v.store.Save(aliveKey, n)) }()
 		t := time.NewTimer(diskWait.Duration())
@@ -622,7 +622,7 @@
 
 // stall notes whether the disk serves; a primary whose disk does not hands
 // over.
-func (v *Vault) stall(err error) {
+func (v *Replica) stall(err error) {
 	if v.stalled.Swap(err != nil) == (err != nil) {
 		return
 	}
@@ -630,7 +630,7 @@
 		v.k.Log.Info("disk serves again")
 		return
 	}
-	v.k.Counters.Add("vault.disk_stalled", 1)
+	v.k.Counters.Add("controlstate.disk_stalled", 1)
 	v.k.Log.Warn("disk does not serve", "why", err.Error())
 	if _, leads := v.Primary(); leads {
 		v.handOver("own disk does not serve")
@@ -639,7 +639,7 @@
 
 // saveRegister puts the register, as it is now, on disk; a vote counts only
 // after that.
-func (v *Vault) saveRegister(ctx context.Context) error {
+func (v *Replica) saveRegister(ctx context.Context) error {
 	if err := v.voting.Enter(ctx); err != nil {
 		return err
 	}
@@ -650,16 +650,16 @@
 	return v.noteDisk(v.store.Save(registerKey, reg))
 }
 
-func (v *Vault) poke() {
+func (v *Replica) poke() {
 	select {
 	case v.wake <- struct{}{}:
 	default:
 	}
 }
 
-// resign ends this archive's time as primary, and returns its last view; false
+// resign ends this control node's time as primary, and returns its last view; false
 // if it was none.
-func (v *Vault) resign(why string) (View, bool) {
+func (v *Replica) resign(why string) (View, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.active {
@@ -674,16 +674,16 @@
 }
 
 // handOver gives the lease up before it ends and has the backups stand.
-func (v *Vault) handOver(why string) {
+func (v *Replica) handOver(why string) {
 	view, was := v.resign(why)
 	if !was {
 		return
 	}
 	ctx := context.Background() // each call is bounded
-	ask(ctx, v, union(view.sets()...), "vault.release", func(string) any { return epochAsk{view.Epoch} },
+	ask(ctx, v, union(view.sets()...), "controlstate.release", func(string) any { return epochAsk{view.Epoch} },
 		func(got map[string]struct{}) bool { return majorities(view.sets(), has(got)) })
 	for _, b := range view.Backups {
-		if v.endpoint.Call(ctx, b.Addr, "vault.succeed", epochAsk{view.Epoch}, nil, callWait) == nil {
+		if v.endpoint.Call(ctx, b.Addr, "controlstate.succeed", epochAsk{view.Epoch}, nil, callWait) == nil {
 			return
 		}
 	}
@@ -694,9 +694,9 @@
 	return func(addr string) bool { _, ok := got[addr]; return ok }
 }
 
-// ask calls several archives at once, each with its own message, and returns
+// ask calls several control nodes at once, each with its own message, and returns
 // the answers when enough says so, or all have answered or failed.
-func ask[A any](ctx context.Context, v *Vault, addrs []string, op string, message func(addr string) any, enough func(map[string]A) bool) map[string]A {
+func ask[A any](ctx context.Context, v *Replica, addrs []string, op string, message func(addr string) any, enough func(map[string]A) bool) map[string]A {
 	type reply struct {
 		addr   string
 		answer A
@@ -722,7 +722,7 @@
 }
 
 // Serve renews the lease as primary, and stands when nobody holds one.
-func (v *Vault) Serve(ctx context.Context) error {
+func (v *Replica) Serve(ctx context.Context) error {
 	if v.Abstains() {
 		go v.recoverWitness(ctx)
 	}
@@ -746,16 +746,16 @@
 }
 
 // standSoon: somebody came or went, so what failed a moment ago may succeed.
-func (v *Vault) standSoon() {
+func (v *Replica) standSoon() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.active {
-		v.standAt = min(v.standAt, v.k.Clock.Now()+20*foundation.Millisecond)
+		v.standAt = min(v.standAt, v.k.Clock.Now()+20*kernel.Millisecond)
 	}
 }
 
 // pause is how long nothing is due.
-func (v *Vault) pause() foundation.Micros {
+func (v *Replica) pause() kernel.Micros {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
@@ -763,13 +763,13 @@
 	if v.active {
 		due = v.renewAt
 	}
-	return min(max(due-now, 20*foundation.Millisecond), v.lease/2)
+	return min(max(due-now, 20*kernel.Millisecond), v.lease/2)
 }
 
-// standsAt is when this archive, as a member, may stand. One that leaves does so
+// standsAt is when this control node, as a member, may stand. One that leaves does so
 // only if no other has: it then holds what others may have lost, and hands over
 // once they have it.
-func (v *Vault) standsAt() foundation.Micros {
+func (v *Replica) standsAt() kernel.Micros {
 	at := max(v.seenTill, v.standAt)
 	if v.leaving {
 		at += v.lease / 2
@@ -777,14 +777,14 @@
 	return at
 }
 
-// mayStand tells whether this archive has what the newest view keeps.
-func (v *Vault) mayStand() bool {
+// mayStand tells whether this control node has what the newest view keeps.
+func (v *Replica) mayStand() bool {
 	return v.members.mayStand(v.seen, v.cfg.Bootstrap && !v.witness.abstains)
 }
 
 // step does what is due: what is wanted is one primary with a running lease,
 // backups that answer, and witnesses that take part.
-func (v *Vault) step(ctx context.Context) {
+func (v *Replica) step(ctx context.Context) {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
 	active, leads := v.active, v.leads(now)
@@ -815,14 +815,14 @@
 }
 
 // Leave hands over in order: as primary to the backups, as backup or witness by
-// asking to be replaced. It returns once the primary can do without this archive,
+// asking to be replaced. It returns once the primary can do without this control node,
 // or ctx is over: till then what was acknowledged may be on no other disk, and its
 // vote may be needed.
-func (v *Vault) Leave(ctx context.Context) {
+func (v *Replica) Leave(ctx context.Context) {
 	v.mu.Lock()
 	v.leaving = true
 	v.mu.Unlock()
-	for again := true; again; again = foundation.Sleep(ctx, 20*foundation.Millisecond) {
+	for again := true; again; again = kernel.Sleep(ctx, 20*kernel.Millisecond) {
 		v.mu.Lock()
 		view, active := v.seen, v.active
 		v.mu.Unlock()
@@ -837,7 +837,7 @@
 			return
 		case view.Primary.Addr != v.self.Addr:
 			var a leaveAnswer
-			if v.endpoint.Call(ctx, view.Primary.Addr, "vault.leaving", v.self, &a, callWait) == nil {
+			if v.endpoint.Call(ctx, view.Primary.Addr, "controlstate.leaving", v.self, &a, callWait) == nil {
 				v.mu.Lock()
 				v.observe(a.View)
 				v.mu.Unlock()
@@ -850,4 +850,4 @@
 }
 
 // Close closes the store.
-func (v *Vault) Close() error { return v.store.Close() }
+func (v *Replica) Close() error { return v.store.Close() }
--- a/internal/vault/vault_test.go
+++ b/internal/controlstate/controlstate_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 func open(t *testing.T, dir string) *Store {
@@ -179,12 +179,12 @@
 	}
 }
 
-const lease = foundation.Second
+const lease = kernel.Second
 
 func TestWitness(t *testing.T) {
 	e := &witness{lease: lease}
 	a, b := Member{"a", "a:1", "disk-a"}, Member{"b", "b:1", "disk-b"}
-	now := 10 * foundation.Second
+	now := 10 * kernel.Second
 	promise := func(epoch int64, m Member) bool {
 		t.Helper()
 		p, err := e.promise(now, promiseAsk{epoch, m, 0})
--- a/internal/vault/crash_test.go
+++ b/internal/controlstate/crash_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"bytes"
--- a/internal/vault/election.go
+++ b/internal/controlstate/election.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
 
@@ -14,16 +14,16 @@
 	Epoch int64 `json:"epoch"`
 }
 
-// renew prolongs the lease. Backups and spare archives hear of it too: the
+// renew prolongs the lease. Backups and spare control nodes hear of it too: the
 // ones must take part to be kept, the others may be needed soon, and all must
 // know whom to send callers to.
-func (v *Vault) renew(ctx context.Context) {
+func (v *Replica) renew(ctx context.Context) {
 	v.mu.Lock()
 	view, start := v.seen, v.k.Clock.Now()
 	v.renewAt = start + v.lease/3
 	v.mu.Unlock()
 	voters := union(view.sets()...)
-	others := slices.DeleteFunc(union(backupAddrs(view), v.cfg.Archives()), func(a string) bool { return slices.Contains(voters, a) })
+	others := slices.DeleteFunc(union(backupAddrs(view), v.cfg.ControlNodes()), func(a string) bool { return slices.Contains(voters, a) })
 	for _, addr := range others {
 		if addr != v.self.Addr {
 			go v.renewWith(ctx, addr, view)
@@ -50,11 +50,11 @@
 	if !v.active || v.seen.Epoch != view.Epoch {
 		return
 	}
-	v.k.Counters.Add("vault.renew_failed", 1)
-	v.renewAt = min(v.renewAt, v.k.Clock.Now()+50*foundation.Millisecond)
+	v.k.Counters.Add("controlstate.renew_failed", 1)
+	v.renewAt = min(v.renewAt, v.k.Clock.Now()+50*kernel.Millisecond)
 }
 
-func (v *Vault) renewed(view View, start foundation.Micros) {
+func (v *Replica) renewed(view View, start kernel.Micros) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.active && v.seen.Epoch == view.Epoch {
@@ -63,12 +63,12 @@
 	}
 }
 
-// missedMost renewals in a row that a backup leaves unanswered are too many.
+// missedMost retry budget in a row that a backup leaves unanswered are too many.
 const missedMost = 2
 
-// renewWith tells one archive of the lease and notes whether it takes part.
-func (v *Vault) renewWith(ctx context.Context, addr string, view View) (a renewAnswer) {
-	err := v.endpoint.Call(ctx, addr, "vault.renew", renewAsk{view}, &a, callWait)
+// renewWith tells one control node of the lease and notes whether it takes part.
+func (v *Replica) renewWith(ctx context.Context, addr string, view View) (a renewAnswer) {
+	err := v.endpoint.Call(ctx, addr, "controlstate.renew", renewAsk{view}, &a, callWait)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	i := slices.IndexFunc(view.Backups, func(b Member) bool { return b.Addr == addr })
@@ -107,13 +107,13 @@
 
 // stand tries to become primary of a new epoch, or to form another view as
 // primary.
-func (v *Vault) stand(ctx context.Context) {
+func (v *Replica) stand(ctx context.Context) {
 	if v.writing.Enter(ctx) != nil {
 		return
 	}
 	defer v.writing.Leave()
 	if err := v.tryStand(ctx); err != nil {
-		v.k.Counters.Add("vault.stood_in_vain", 1)
+		v.k.Counters.Add("controlstate.stood_in_vain", 1)
 		v.mu.Lock()
 		v.standAt = v.k.Clock.Now() + v.lease/24 + rand.N(v.lease/12)
 		v.mu.Unlock()
@@ -123,13 +123,13 @@
 // How long promises are waited for: witnesses that have just started, or are
 // about to, are asked again and again.
 const (
-	promiseTry  = 150 * foundation.Millisecond
-	promiseWait = 450 * foundation.Millisecond
+	promiseTry  = 150 * kernel.Millisecond
+	promiseWait = 450 * kernel.Millisecond
 )
 
 // promises asks for the promises of the sets' witnesses, and returns the disk
 // of each that gave one and the highest view that may be in force.
-func (v *Vault) promises(ctx context.Context, epoch int64, sets [][]string) (disks map[string]string, highest View, won bool) {
+func (v *Replica) promises(ctx context.Context, epoch int64, sets [][]string) (disks map[string]string, highest View, won bool) {
 	type reply struct {
 		addr   string
 		answer *promiseAnswer
@@ -145,12 +145,12 @@
 		go func() {
 			for {
 				a := &promiseAnswer{}
-				err := v.endpoint.Call(ctx, addr, "vault.promise", q, a, promiseTry)
+				err := v.endpoint.Call(ctx, addr, "controlstate.promise", q, a, promiseTry)
 				if err == nil {
 					ch <- reply{addr, a}
 					return
 				}
-				if errors.As(err, new(*rpc.Refused)) || !foundation.Sleep(ctx, 20*foundation.Millisecond) {
+				if errors.As(err, new(*rpc.Refused)) || !kernel.Sleep(ctx, 20*kernel.Millisecond) {
 					ch <- reply{addr, nil}
 					return
 				}
@@ -192,8 +192,8 @@
 
 // leaseOf is how long leases stand against a majority; one that a few stale
 // witnesses still guard does not.
-func leaseOf(sets [][]string, got map[string]promiseAnswer) foundation.Micros {
-	waits := []foundation.Micros{0}
+func leaseOf(sets [][]string, got map[string]promiseAnswer) kernel.Micros {
+	waits := []kernel.Micros{0}
 	for _, a := range got {
 		waits = append(waits, a.Wait)
 	}
@@ -207,12 +207,12 @@
 	return 0
 }
 
-// nextEpoch is above all that this archive has heard of.
-func (v *Vault) nextEpoch() int64 {
+// nextEpoch is above all that this control node has heard of.
+func (v *Replica) nextEpoch() int64 {
 	return max(v.witness.reg.Promised, v.seen.Epoch, v.state.Epoch, v.tried) + 1
 }
 
-func (v *Vault) tryStand(ctx context.Context) error {
+func (v *Replica) tryStand(ctx context.Context) error {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
 	if v.active && !v.leads(now) || !v.mayStand() {
@@ -272,7 +272,7 @@
 	v.mu.Lock()
 	v.tentative = view
 	v.mu.Unlock()
-	if !accepted(ask(ctx, v, voters, "vault.accept", func(addr string) any { return acceptAsk{view, disks[addr]} }, accepted)) {
+	if !accepted(ask(ctx, v, voters, "controlstate.accept", func(addr string) any { return acceptAsk{view, disks[addr]} }, accepted)) {
 		return errors.New("no majority accepted")
 	}
 	v.mu.Lock()
@@ -294,7 +294,7 @@
 	if len(view.Prior) > 0 {
 		v.poke() // the set before is to be let go
 	}
-	v.k.Counters.Add("vault.epochs", 1)
+	v.k.Counters.Add("controlstate.epochs", 1)
 	v.k.Log.Info("primary", "epoch", epoch, "backups", names(backups), "witnesses", len(view.Witnesses), "prior", len(view.Prior))
 	v.changed.Ring()
 	return nil
@@ -309,7 +309,7 @@
 }
 
 // observe notes a view, if it is newer than those heard of.
-func (v *Vault) observe(view View) {
+func (v *Replica) observe(view View) {
 	if view.Epoch > v.seen.Epoch || len(v.seen.Witnesses) == 0 {
 		if v.active && view.Epoch > v.seen.Epoch {
 			v.leaseEnd = 0
@@ -322,25 +322,25 @@
 
 // tell passes the newest view on to its members: one whose acceptance they
 // missed only they can succeed.
-func (v *Vault) tell(ctx context.Context) {
+func (v *Replica) tell(ctx context.Context) {
 	v.mu.Lock()
 	view := v.seen
 	v.mu.Unlock()
 	for _, addr := range union([]string{view.Primary.Addr}, backupAddrs(view)) {
 		if addr != v.self.Addr {
-			go v.endpoint.Call(ctx, addr, "vault.tell", view, nil, callWait)
+			go v.endpoint.Call(ctx, addr, "controlstate.tell", view, nil, callWait)
 		}
 	}
 }
 
-func (v *Vault) onTell(_ context.Context, view View) (any, error) {
+func (v *Replica) onTell(_ context.Context, view View) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.observe(view)
 	return struct{}{}, nil
 }
 
-func (v *Vault) onPromise(ctx context.Context, q promiseAsk) (any, error) {
+func (v *Replica) onPromise(ctx context.Context, q promiseAsk) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	v.mu.Lock()
@@ -359,9 +359,9 @@
 	return a, nil
 }
 
-func (v *Vault) onAccept(ctx context.Context, q acceptAsk) (any, error) {
+func (v *Replica) onAccept(ctx context.Context, q acceptAsk) (any, error) {
 	if q.Disk != v.self.Disk {
-		v.k.Counters.Add("vault.other_disk_refused", 1)
+		v.k.Counters.Add("controlstate.other_disk_refused", 1)
 		return nil, errors.New("promised on another disk")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
@@ -384,11 +384,11 @@
 	return a, nil
 }
 
-func (v *Vault) onRenew(ctx context.Context, q renewAsk) (any, error) {
+func (v *Replica) onRenew(ctx context.Context, q renewAsk) (any, error) {
 	v.mu.Lock()
 	now := v.k.Clock.Now()
 	if q.View.Epoch < v.seen.Epoch || len(q.View.Witnesses) == 0 {
-		v.k.Counters.Add("vault.old_epoch_refused", 1)
+		v.k.Counters.Add("controlstate.old_epoch_refused", 1)
 		a := renewAnswer{Promised: v.witness.reg.Promised}
 		v.mu.Unlock()
 		return a, nil
@@ -408,7 +408,7 @@
 }
 
 // hear notes that the view's primary is at work.
-func (v *Vault) hear(now foundation.Micros, view View) {
+func (v *Replica) hear(now kernel.Micros, view View) {
 	v.observe(view)
 	if view.Epoch == v.seen.Epoch && !v.active {
 		if now >= v.heardTill {
@@ -419,14 +419,14 @@
 	}
 }
 
-func (v *Vault) onRelease(_ context.Context, q epochAsk) (any, error) {
+func (v *Replica) onRelease(_ context.Context, q epochAsk) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.witness.release(q.Epoch)
 	return struct{}{}, nil
 }
 
-func (v *Vault) onRegister(context.Context, struct{}) (any, error) {
+func (v *Replica) onRegister(context.Context, struct{}) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return registerAnswer{v.witness.reg, v.witness.abstains}, nil
@@ -434,7 +434,7 @@
 
 var errOldEpoch = errors.New("old epoch")
 
-func (v *Vault) onWrite(ctx context.Context, c Change) (any, error) {
+func (v *Replica) onWrite(ctx context.Context, c Change) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	err := v.onDisk(ctx, func() error {
@@ -457,7 +457,7 @@
 }
 
 // onSucceed: the primary leaves in order and has given up its lease.
-func (v *Vault) onSucceed(_ context.Context, q epochAsk) (any, error) {
+func (v *Replica) onSucceed(_ context.Context, q epochAsk) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if q.Epoch == v.seen.Epoch {
@@ -468,7 +468,7 @@
 }
 
 // onVoid: the primary's address is served by another life.
-func (v *Vault) onVoid(_ context.Context, q epochAsk) (any, error) {
+func (v *Replica) onVoid(_ context.Context, q epochAsk) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if q.Epoch != v.seen.Epoch || !v.seen.Has(v.self) || v.active {
@@ -479,7 +479,7 @@
 	return struct{}{}, nil
 }
 
-// leaveAnswer tells an archive that is about to end which view there is, and
+// leaveAnswer tells a control node that is about to end which view there is, and
 // whether it may go.
 type leaveAnswer struct {
 	View View `json:"view"`
@@ -487,7 +487,7 @@
 }
 
 // onLeaving has a backup that is about to end replaced.
-func (v *Vault) onLeaving(_ context.Context, m Member) (any, error) {
+func (v *Replica) onLeaving(_ context.Context, m Member) (any, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
--- a/internal/vault/export_test.go
+++ b/internal/controlstate/export_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"context"
@@ -6,10 +6,10 @@
 )
 
 // StallDisk has the disk answer nothing until the returned function is called.
-func (v *Vault) StallDisk() (release func()) {
+func (v *Replica) StallDisk() (release func()) {
 	v.store.lock()
 	return sync.OnceFunc(v.store.unlock)
 }
 
 // TryStand stands as a step would that looked before.
-func (v *Vault) TryStand(ctx context.Context) error { return v.tryStand(ctx) }
+func (v *Replica) TryStand(ctx context.Context) error { return v.tryStand(ctx) }
--- a/internal/vault/growth_test.go
+++ b/internal/controlstate/growth_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // coming is the n-th of many changes whose keys come and go: there are never
@@ -29,7 +29,7 @@
 	sent, wrote int64
 }
 
-func newMember(tb testing.TB, sync foundation.Sync) *member {
+func newMember(tb testing.TB, sync kernel.Sync) *member {
 	m := &member{}
 	count := func(f *os.File) error {
 		if fi, err := f.Stat(); err == nil && !fi.IsDir() && m.s != nil {
--- a/internal/vault/membership_model_test.go
+++ b/internal/controlstate/membership_model_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"fmt"
@@ -8,18 +8,18 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-// The model plays archives that stand, copy, vote, write and fail, one step at a
+// The model plays control nodes that stand, copy, vote, write and fail, one step at a
 // time and in any order, on the functions that the daemon decides with: witness,
 // membership, registerFrom. What it adds is only what carries them out. It never
-// lets more than f archives be lost at once; one that is back counts as lost
+// lets more than f control nodes be lost at once; one that is back counts as lost
 // until catchup has gone by, one that is replaced until its successor has had
 // that time.
 type model struct {
 	rng     *rand.Rand
-	now     foundation.Micros
+	now     kernel.Micros
 	f       int
 	nodes   []*node
 	disks   int
@@ -33,10 +33,10 @@
 }
 
 const (
-	tick       = 400 * foundation.Millisecond // a renewal each
+	tick       = 400 * kernel.Millisecond // a renewal each
 	modelLease = 3 * tick
-	modelAway  = 3 * foundation.Second
-	modelCatch = 4 * foundation.Second
+	modelAway  = 3 * kernel.Second
+	modelCatch = 4 * kernel.Second
 )
 
 type node struct {
@@ -49,15 +49,15 @@
 	// In memory.
 	up, far, leaving, gone bool // far: cut off, or frozen, with others that are; gone: replaced for good
 	counted                bool // as lost
-	backAt                 foundation.Micros
+	backAt                 kernel.Micros
 	wit                    witness
 	seen                   View
-	seenTill, standAt      foundation.Micros
+	seenTill, standAt      kernel.Micros
 	active                 bool
-	leaseEnd               foundation.Micros
+	leaseEnd               kernel.Micros
 	tried                  int64
 	tentative              View
-	members                membership
+	members                memberPolicy
 	missed                 map[string]int
 	standing               *standing
 	writing                *writing
@@ -75,7 +75,7 @@
 	disks   map[string]string
 	answers map[string]promiseAnswer
 	granted map[string]bool
-	start   foundation.Micros
+	start   kernel.Micros
 }
 
 // writing is a change under way to the backups.
@@ -106,13 +106,13 @@
 	}
 }
 
-func newModel(seed uint64, f, archives int, without string) *model {
-	w := &model{rng: rand.New(rand.NewPCG(seed, 3)), now: foundation.Second, f: f, leaders: map[int64]string{}, without: without}
-	for range archives {
+func newModel(seed uint64, f, controlNodes int, without string) *model {
+	w := &model{rng: rand.New(rand.NewPCG(seed, 3)), now: kernel.Second, f: f, leaders: map[int64]string{}, without: without}
+	for range controlNodes {
 		w.add()
 	}
 	var seeds []string
-	for _, n := range w.nodes[:min(3, archives)] {
+	for _, n := range w.nodes[:min(3, controlNodes)] {
 		seeds = append(seeds, n.addr)
 	}
 	for _, n := range w.nodes {
@@ -155,7 +155,7 @@
 	if n.reg.Promised == 0 && len(n.reg.Accepted.Witnesses) == 0 {
 		n.wit.abstains = w.without != "EmptyAbstains"
 	}
-	n.members = newMembership(Member{n.addr, n.addr, n.disk}, Config{Losses: w.f, Lease: modelLease, Away: modelAway, Catchup: modelCatch})
+	n.members = newMemberPolicy(Member{n.addr, n.addr, n.disk}, Config{Losses: w.f, Lease: modelLease, Away: modelAway, Catchup: modelCatch})
 	n.seen = n.reg.Accepted
 	n.active, n.leaseEnd, n.tried, n.standAt, n.tentative, n.missed = false, 0, 0, 0, View{}, map[string]int{}
 	n.seenTill = n.members.takeover(n.seen, w.now)
@@ -163,8 +163,8 @@
 
 func (n *node) stop() { n.up, n.active, n.standing, n.writing = false, false, nil, nil }
 
-func (n *node) self() Member                     { return n.members.self }
-func (n *node) leads(now foundation.Micros) bool { return n.active && now < n.leaseEnd }
+func (n *node) self() Member                 { return n.members.self }
+func (n *node) leads(now kernel.Micros) bool { return n.active && now < n.leaseEnd }
 
 func (w *model) at(addr string) *node {
 	if i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.addr == addr }); i >= 0 {
@@ -173,7 +173,7 @@
 	return nil
 }
 
-// reach returns the archive that a call from n is answered by.
+// reach returns the control node that a call from n is answered by.
 func (w *model) reach(n *node, addr string) *node {
 	if o := w.at(addr); o != nil && o.up && o.far == n.far {
 		return o
@@ -248,7 +248,7 @@
 func (n *node) fail(w *model) {
 	w.vain("%s stands for %d in vain in phase %d: promised %v accepted %v", n.addr, n.standing.view.Epoch, n.standing.phase, n.standing.disks, n.standing.granted)
 	n.standing = nil
-	n.standAt = w.now + modelLease/24 + foundation.Micros(w.rng.IntN(int(modelLease/12)))
+	n.standAt = w.now + modelLease/24 + kernel.Micros(w.rng.IntN(int(modelLease/12)))
 }
 
 // step carries an attempt on by one call.
@@ -499,7 +499,7 @@
 	}
 }
 
-// leave does what Vault.Leave does at a time, and tells whether n has ended.
+// leave does what Control state.Leave does at a time, and tells whether n has ended.
 func (n *node) leave(w *model) bool {
 	switch {
 	case n.standing != nil || n.writing != nil:
@@ -526,7 +526,7 @@
 	n.counted = true
 }
 
-// busy lists the archives that have a call to make.
+// busy lists the control nodes that have a call to make.
 func (w *model) busy() (out []*node) {
 	for _, n := range w.nodes {
 		if n.up && (n.standing != nil || n.writing != nil) {
@@ -585,7 +585,7 @@
 	}
 }
 
-// trouble is what the environment may do to an archive.
+// trouble is what the environment may do to a control node.
 type trouble int
 
 const (
@@ -648,7 +648,7 @@
 }
 
 // count has those that are back for catchup count no more, if what the primary
-// wants to repair is repaired: that it is by then, the rehearsals show.
+// wants to repair is repaired: that it is by then, the simulations show.
 func (w *model) count() {
 	if w.over = w.over && w.lost() > 0; !slices.ContainsFunc(w.nodes, w.repaired) {
 		return
@@ -692,7 +692,7 @@
 	}
 }
 
-// remains checks that the archives go on by themselves: those that run now, if
+// remains checks that the control nodes go on by themselves: those that run now, if
 // they are more than half, or all after those that are lost are back.
 func (w *model) remains(back bool) {
 	if (w.over || w.lost()+w.leaving() > w.f) && !back || w.broken != "" {
@@ -768,8 +768,8 @@
 }
 
 // walk plays one random history and returns the model.
-func walk(seed uint64, f, archives int, without string) *model {
-	w := newModel(seed, f, archives, without).boot()
+func walk(seed uint64, f, controlNodes int, without string) *model {
+	w := newModel(seed, f, controlNodes, without).boot()
 	for range 160 {
 		busy := w.busy()
 		switch r := w.rng.IntN(100); {
@@ -854,15 +854,15 @@
 	return out
 }
 
-// sizes are the deployments that are played: with fewer than 2f archives no
+// sizes are the deployments that are played: with fewer than 2f control nodes no
 // majority outlasts the losses.
-var sizes = []struct{ f, archives int }{{1, 3}, {1, 4}, {1, 5}, {1, 7}, {2, 4}, {2, 5}, {2, 6}, {2, 7}}
+var sizes = []struct{ f, controlNodes int }{{1, 3}, {1, 4}, {1, 5}, {1, 7}, {2, 4}, {2, 5}, {2, 6}, {2, 7}}
 
 func TestMembershipModel(t *testing.T) {
 	for _, c := range sizes {
 		for seed := range uint64(200) {
-			if w := walk(seed, c.f, c.archives, ""); w.broken != "" {
-				t.Errorf("f %d, %d archives, seed %d: %s\n%s", c.f, c.archives, seed, w.broken, strings.Join(w.trace, "\n"))
+			if w := walk(seed, c.f, c.controlNodes, ""); w.broken != "" {
+				t.Errorf("f %d, %d control nodes, seed %d: %s\n%s", c.f, c.controlNodes, seed, w.broken, strings.Join(w.trace, "\n"))
 				break
 			}
 		}
@@ -919,11 +919,11 @@
 }
 
 func TestMembershipModelOfAllTwoTroubles(t *testing.T) {
-	for _, c := range []struct{ f, archives, every int }{{1, 3, 2}, {1, 4, 2}, {2, 5, 8}} {
-		w := newModel(1, c.f, c.archives, "").boot()
+	for _, c := range []struct{ f, controlNodes, every int }{{1, 3, 2}, {1, 4, 2}, {2, 5, 8}} {
+		w := newModel(1, c.f, c.controlNodes, "").boot()
 		w.write()
 		broken, n := explore(w, 2, c.every)
-		if t.Logf("f %d, %d archives: %d histories", c.f, c.archives, n); broken != nil {
+		if t.Logf("f %d, %d control nodes: %d histories", c.f, c.controlNodes, n); broken != nil {
 			t.Errorf("%s\n%s", broken.broken, strings.Join(broken.trace, "\n"))
 		}
 	}
@@ -955,7 +955,7 @@
 	}
 }
 
-// unheard has the primary form a view of which some archives hear nothing, and
+// unheard has the primary form a view of which some control nodes hear nothing, and
 // acknowledge a change in it.
 func (w *model) unheard(p *node, deaf ...*node) {
 	for _, n := range deaf {
@@ -973,9 +973,9 @@
 // that it does not break with the guard in.
 func TestMembershipModelFindsFaults(t *testing.T) {
 	for guard, c := range map[string]struct {
-		f, archives int
-		breaks      string
-		play        func(w *model)
+		f, controlNodes int
+		breaks          string
+		play            func(w *model)
 	}{
 		// A backup comes back with an empty disk before it is missed.
 		"RenewalNamesDisk": {1, 4, "AcknowledgedSurvives", func(w *model) {
@@ -1018,7 +1018,7 @@
 			}
 			w.lose(c, false)
 			for range 20 {
-				p.members.heard[c.addr] = w.now - 10*foundation.Second
+				p.members.heard[c.addr] = w.now - 10*kernel.Second
 			}
 			w.unheard(p, b)
 			c.start(w)
@@ -1030,7 +1030,7 @@
 			}
 			w.calm(20)
 		}},
-		// Three archives are silent as the view is formed, and there again.
+		// Three control nodes are silent as the view is formed, and there again.
 		"EnoughBackups": {2, 5, "AcknowledgedSurvives", func(w *model) {
 			m := w.members()
 			p := m[0]
@@ -1072,9 +1072,9 @@
 		broke := func(without string) map[string]string {
 			out := map[string]string{}
 			for seed := range uint64(40) {
-				w := newModel(seed, c.f, c.archives, without)
+				w := newModel(seed, c.f, c.controlNodes, without)
 				if c.play == nil {
-					w = walk(seed, c.f, c.archives, without)
+					w = walk(seed, c.f, c.controlNodes, without)
 				} else {
 					if guard != "LargeEnough" {
 						w.boot()
--- /dev/null
+++ b/internal/controlstate/plugin.go
@@ -0,0 +1,40 @@
+package controlstate
+
+import (
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/membership"
+	"indigowalk/internal/rpc"
+	"indigowalk/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "controlstate", Rank: 20, Roles: []string{"control"},
+		Build: func(k *kernel.Kernel) error {
+			book := kernel.Need[*settings.Live](k)
+			s := book.Now()
+			if s.DataDir == "" {
+				return &settings.Error{Key: "data_dir", Reason: "a control node needs a disk"}
+			}
+			ring := kernel.Need[*membership.Ring](k)
+			v, err := Open(k, kernel.Need[*rpc.Endpoint](k), Config{
+				Name: s.NodeName, Dir: s.DataDir, Bootstrap: s.Bootstrap,
+				Seeds:        func() []string { return book.Now().SeedPeers() },
+				Lease:        settings.Span(s.ControlLeaseMs),
+				Away:         settings.Span(s.WitnessAwayMs),
+				Catchup:      kernel.Micros(s.CatchupS) * kernel.Second,
+				Losses:       int(s.TolerateHosts),
+				ControlNodes: func() []string { return ring.Peers("control") },
+				Changed:      ring.Changed,
+			})
+			if err != nil {
+				return err
+			}
+			kernel.Offer(k, v)
+			k.Supervise("controlstate", v.Serve)
+			k.OnLeave(v.Leave)
+			k.OnEnd(v.Close)
+			return nil
+		},
+	})
+}
--- a/internal/vault/records.go
+++ b/internal/controlstate/records.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 func seal(v any) (string, error) {
 	raw, err := json.Marshal(v)
 	if err != nil {
-		return "", fmt.Errorf("vault: %w", err)
+		return "", fmt.Errorf("controlstate: %w", err)
 	}
 	return strconv.FormatUint(uint64(crc32.ChecksumIEEE(raw)), 16) + " " + string(raw), nil
 }
@@ -105,7 +105,7 @@
 	}
 	neverWritten := len(raw) <= firstRecord && bytes.IndexByte(raw, 0) >= 0 // power went before the first sync
 	if at == 0 && !neverWritten && !strings.HasPrefix(setCommand, string(raw[:min(len(raw), len(setCommand))])) {
-		return 0, errors.New("is not a store of an archive")
+		return 0, errors.New("is not a store of a control node")
 	}
 	for next := at + 1; next < len(raw); next++ {
 		i := bytes.Index(raw[next:], []byte(setCommand))
--- a/internal/vault/snapshot.go
+++ b/internal/controlstate/snapshot.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"slices"
 	"strconv"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
 
@@ -26,7 +26,7 @@
 	// chunkBytes bounds a chunk; a state of that size takes one call. A chunk
 	// passes a link of 2 Mbit/s within chunkWait.
 	chunkBytes = 64 << 10
-	chunkWait  = 900 * foundation.Millisecond
+	chunkWait  = 900 * kernel.Millisecond
 	// chunkTries is how many calls in a row may go wrong.
 	chunkTries = 3
 	// stageAbove is how much may be copied while a view is being formed: the
@@ -37,7 +37,7 @@
 	diskRate = 10
 	// transferIdle is when an unfinished transfer that nobody goes on with gives
 	// way to any other.
-	transferIdle = foundation.Second
+	transferIdle = kernel.Second
 )
 
 // encodeEntries writes entries in the order of their keys: the sizes of key and
@@ -123,7 +123,7 @@
 	Next   int    `json:"next"`   // the chunk that is to come; their number, if none is
 }
 
-// offerAnswer is what an archive has to which a snapshot is offered.
+// offerAnswer is what a control node has to which a snapshot is offered.
 type offerAnswer struct {
 	Epoch int64    `json:"epoch"` // that its own state is of
 	Seq   int64    `json:"seq"`   // of the state that a difference may build on
@@ -142,13 +142,13 @@
 // intake is the receiving side: one snapshot at a time. Whoever holds its gate
 // uses it.
 type intake struct {
-	gate  foundation.Gate
+	gate  kernel.Gate
 	id    snapshotID
 	count int // of chunks
 	next  int // the chunk that is to come
 	data  []byte
-	at    foundation.Micros // of the last chunk
-	done  snapshotID        // the last that was put in place
+	at    kernel.Micros // of the last chunk
+	done  snapshotID    // the last that was put in place
 
 	// staged is a state that came whole and was checked, and that no member's
 	// word rests on: a copy that follows may be sent as what differs from it.
@@ -157,7 +157,7 @@
 }
 
 // take adds a chunk to the snapshot and tells whether that is whole now.
-func (in *intake) take(p chunk, now foundation.Micros) (whole bool, err error) {
+func (in *intake) take(p chunk, now kernel.Micros) (whole bool, err error) {
 	if p.Count < 1 || p.Index < 0 || p.Index >= p.Count || len(p.Data) > chunkBytes || crc32.ChecksumIEEE(p.Data) != p.Check {
 		return false, errChunk
 	}
@@ -211,8 +211,8 @@
 	return nil, errDiffers
 }
 
-// onOffer tells a sender what this archive lacks of a snapshot.
-func (v *Vault) onOffer(ctx context.Context, id snapshotID) (any, error) {
+// onOffer tells a sender what this control node lacks of a snapshot.
+func (v *Replica) onOffer(ctx context.Context, id snapshotID) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	in := &v.intake
@@ -236,10 +236,10 @@
 }
 
 // onCopy takes a chunk of a state from a candidate, or from a primary that needs
-// another backup. The state is put in place, and this archive's word given, only
+// another backup. The state is put in place, and this control node's word given, only
 // when all of it is there and on disk; one of an epoch that is not above this
-// archive's own is refused.
-func (v *Vault) onCopy(ctx context.Context, p chunk) (any, error) {
+// control node's own is refused.
+func (v *Replica) onCopy(ctx context.Context, p chunk) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, callWait.Duration())
 	defer cancel()
 	in := &v.intake
@@ -278,15 +278,15 @@
 	return a, nil
 }
 
-// tooOld tells whether a state for that epoch may not replace this archive's.
-func (v *Vault) tooOld(epoch int64) bool {
+// tooOld tells whether a state for that epoch may not replace this control node's.
+func (v *Replica) tooOld(epoch int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return epoch <= v.state.Epoch || v.leads(v.k.Clock.Now()) || v.leaving
 }
 
 // install does with a whole snapshot what it was sent for.
-func (v *Vault) install(ctx context.Context, own State) error {
+func (v *Replica) install(ctx context.Context, own State) error {
 	in := &v.intake
 	entries, err := in.entries(own)
 	if err != nil {
@@ -316,9 +316,9 @@
 	return err
 }
 
-// replace puts a state that is on disk in place, unless this archive has
+// replace puts a state that is on disk in place, unless this control node has
 // meanwhile begun to stand for a later epoch.
-func (v *Vault) replace(s State) error {
+func (v *Replica) replace(s State) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.state.Epoch > s.Epoch {
@@ -329,17 +329,17 @@
 }
 
 // refused counts what is refused as not fitting.
-func (v *Vault) refused(err error) error {
+func (v *Replica) refused(err error) error {
 	switch {
 	case errors.Is(err, errOldEpoch):
-		v.k.Counters.Add("vault.old_epoch_refused", 1)
+		v.k.Counters.Add("controlstate.old_epoch_refused", 1)
 	case errors.Is(err, errChunk), errors.Is(err, errTransfer), errors.Is(err, errEncoding), errors.Is(err, errDiffers):
-		v.k.Counters.Add("vault.chunk_refused", 1)
+		v.k.Counters.Add("controlstate.chunk_refused", 1)
 	}
 	return err
 }
 
-// snapshot is a state on its way to other archives.
+// snapshot is a state on its way to other control nodes.
 type snapshot struct {
 	state State // of the epoch that it is for
 	whole []byte
@@ -351,7 +351,7 @@
 	return &snapshot{state, whole, digest(whole)}
 }
 
-// lacks is what an archive lacks that has the state which it says; nil if that
+// lacks is what a control node lacks that has the state which it says; nil if that
 // is not known. The last change there may be one that nobody acknowledged, so
 // what it touched is among it.
 func (s *snapshot) lacks(have offerAnswer) []byte {
@@ -374,15 +374,15 @@
 
 var errLarge = errors.New("too much is to be copied while a view is formed")
 
-// send brings a snapshot to an archive: as a difference from what that has, if
+// send brings a snapshot to a control node: as a difference from what that has, if
 // it has something that is known here, and else whole.
-func (v *Vault) send(ctx context.Context, addr string, s *snapshot, stage bool) (Member, error) {
+func (v *Replica) send(ctx context.Context, addr string, s *snapshot, stage bool) (Member, error) {
 	id := snapshotID{Epoch: s.state.Epoch, Seq: s.state.Seq, Sum: s.sum, Stage: stage}
 	if len(s.whole) <= chunkBytes {
 		return v.sendChunks(ctx, addr, id, s.whole, len(s.whole))
 	}
 	var have offerAnswer
-	if err := v.endpoint.Call(ctx, addr, "vault.offer", id, &have, callWait); err != nil {
+	if err := v.endpoint.Call(ctx, addr, "controlstate.offer", id, &have, callWait); err != nil {
 		return Member{}, err
 	}
 	if have.Epoch >= id.Epoch {
@@ -410,7 +410,7 @@
 
 // sendChunks sends the chunks one after another. After a call that went wrong
 // it asks which chunk is wanted.
-func (v *Vault) sendChunks(ctx context.Context, addr string, id snapshotID, data []byte, size int) (Member, error) {
+func (v *Replica) sendChunks(ctx context.Context, addr string, id snapshotID, data []byte, size int) (Member, error) {
 	count := max(1, (len(data)+chunkBytes-1)/chunkBytes)
 	for next, failed := 0, 0; ; {
 		part := data[next*chunkBytes : min(len(data), (next+1)*chunkBytes)]
@@ -420,11 +420,11 @@
 			wait = callWait
 		}
 		if next == count-1 {
-			wait += foundation.Micros(size) / diskRate // the state goes to the disk there
+			wait += kernel.Micros(size) / diskRate // the state goes to the disk there
 		}
 		var a copyAnswer
-		err := v.endpoint.Call(ctx, addr, "vault.copy", p, &a, wait)
-		v.k.Counters.Add("vault.copied_bytes", int64(len(part)))
+		err := v.endpoint.Call(ctx, addr, "controlstate.copy", p, &a, wait)
+		v.k.Counters.Add("controlstate.copied_bytes", int64(len(part)))
 		switch {
 		case errors.As(err, new(*rpc.Refused)):
 			return Member{}, err
@@ -434,24 +434,24 @@
 			next, failed = a.Next, 0
 			if id.Stage {
 				// Other calls on the link come between.
-				foundation.Sleep(ctx, (v.k.Clock.Now()-start)/4)
+				kernel.Sleep(ctx, (v.k.Clock.Now()-start)/4)
 			}
 			continue
 		}
 		if failed++; failed == chunkTries || count == 1 {
-			return Member{}, fmt.Errorf("vault: chunk %d of %d was not taken: %w", next, count, errors.Join(err, ctx.Err()))
+			return Member{}, fmt.Errorf("controlstate: chunk %d of %d was not taken: %w", next, count, errors.Join(err, ctx.Err()))
 		}
 		var have offerAnswer
-		if v.endpoint.Call(ctx, addr, "vault.offer", id, &have, callWait) == nil && have.Next >= 0 && have.Next < count {
+		if v.endpoint.Call(ctx, addr, "controlstate.offer", id, &have, callWait) == nil && have.Next >= 0 && have.Next < count {
 			next = have.Next
 		}
 	}
 }
 
-// backupOrder lists the archives that a copy is offered to, in turn; if the
+// backupOrder lists the control nodes that a copy is offered to, in turn; if the
 // state was staged, those that have it come first.
-func (v *Vault) backupOrder(last View, answered func(addr string) bool) []string {
-	alive := v.cfg.Archives()
+func (v *Replica) backupOrder(last View, answered func(addr string) bool) []string {
+	alive := v.cfg.ControlNodes()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
@@ -468,10 +468,10 @@
 	return order
 }
 
-// copyToBackups hands the whole state to as many archives as may be lost, and
-// one at least. Archives that do not answer count as lost already: if there are
+// copyToBackups hands the whole state to as many control nodes as may be lost, and
+// one at least. Control nodes that do not answer count as lost already: if there are
 // too few others, these will do; not so if others answered a moment ago.
-func (v *Vault) copyToBackups(ctx context.Context, state State, last View, disks map[string]string) ([]Member, error) {
+func (v *Replica) copyToBackups(ctx context.Context, state State, last View, disks map[string]string) ([]Member, error) {
 	got := v.sendToSome(ctx, newSnapshot(state), v.backupOrder(last, has(disks)), false)
 	backups := make([]Member, 0, len(got))
 	for _, r := range got {
@@ -481,20 +481,20 @@
 	defer v.mu.Unlock()
 	if len(backups) == 0 || !v.members.enoughCopies(backupAddrs(View{Backups: backups}), slices.Collect(maps.Keys(disks)), has(disks), v.k.Clock.Now()) {
 		v.stagedTill = 0 // what was staged does not do
-		return nil, errors.New("too few archives took the copy")
+		return nil, errors.New("too few control nodes took the copy")
 	}
 	return backups, nil
 }
 
-// sent is an archive that took a snapshot.
+// sent is a control node that took a snapshot.
 type sent struct {
 	addr   string
 	member Member // if it is on its disk
 }
 
-// sendToSome sends a snapshot to the first archives that take it, as many as
+// sendToSome sends a snapshot to the first control nodes that take it, as many as
 // there should be backups.
-func (v *Vault) sendToSome(ctx context.Context, s *snapshot, order []string, stage bool) (got []sent) {
+func (v *Replica) sendToSome(ctx context.Context, s *snapshot, order []string, stage bool) (got []sent) {
 	want := v.members.copies()
 	for len(order) > 0 && len(got) < want && ctx.Err() == nil {
 		n := min(want-len(got), len(order))
@@ -523,9 +523,9 @@
 	return got
 }
 
-// noteCopy has an archive that failed to take a copy come after the others for
+// noteCopy has a control node that failed to take a copy come after the others for
 // a while.
-func (v *Vault) noteCopy(addr string, stage bool, err error) {
+func (v *Replica) noteCopy(addr string, stage bool, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	switch {
@@ -539,14 +539,14 @@
 // staged tells whether a view can be formed without copying much meanwhile. If
 // not, the state is brought to those who shall be backups first: the lease runs
 // and is renewed, reads and changes go on, and nobody has promised anything.
-func (v *Vault) staged() bool {
+func (v *Replica) staged() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return entriesSize(v.state.Entries) <= stageAbove || v.k.Clock.Now() < v.stagedTill
 }
 
 // stageSoon has the state brought there, unless that is under way.
-func (v *Vault) stageSoon(ctx context.Context) {
+func (v *Replica) stageSoon(ctx context.Context) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !v.staging {
@@ -555,18 +555,18 @@
 	}
 }
 
-func (v *Vault) stage(ctx context.Context) {
+func (v *Replica) stage(ctx context.Context) {
 	v.mu.Lock()
 	state, last := v.state, v.seen
 	state.Epoch = v.nextEpoch()
 	v.mu.Unlock()
-	v.k.Counters.Add("vault.staged", 1)
+	v.k.Counters.Add("controlstate.staged", 1)
 	got := v.sendToSome(ctx, newSnapshot(state), v.backupOrder(last, func(string) bool { return false }), true)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.staging, v.stagedAt = false, nil
 	if len(got) == 0 {
-		v.k.Counters.Add("vault.staged_in_vain", 1)
+		v.k.Counters.Add("controlstate.staged_in_vain", 1)
 		v.standAt = v.k.Clock.Now() + v.lease/24 + rand.N(v.lease/12)
 		return
 	}
--- a/internal/vault/snapshot_test.go
+++ b/internal/controlstate/snapshot_test.go
@@ -1,4 +1,4 @@
-package vault
+package controlstate
 
 import (
 	"context"
@@ -11,14 +11,14 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-// receiver is a vault that only takes copies.
-func receiver(t *testing.T) *Vault {
-	return &Vault{
-		k: foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), store: open(t, t.TempDir()),
-		self: Member{"a", "a:1", "disk-a"}, stating: foundation.NewGate(), intake: intake{gate: foundation.NewGate()},
+// receiver is a control state that only takes copies.
+func receiver(t *testing.T) *Replica {
+	return &Replica{
+		k: kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), store: open(t, t.TempDir()),
+		self: Member{"a", "a:1", "disk-a"}, stating: kernel.NewGate(), intake: intake{gate: kernel.NewGate()},
 	}
 }
 
@@ -84,7 +84,7 @@
 			t.Errorf("step %d, %s: %+v %v", i, step.what, a, err)
 		}
 	}
-	if n := v.k.Counters.Snapshot()["vault.chunk_refused"]; n != 9 {
+	if n := v.k.Counters.Snapshot()["controlstate.chunk_refused"]; n != 9 {
 		t.Errorf("%d refusals are counted", n)
 	}
 	if v.state.Seq != 0 {
@@ -113,7 +113,7 @@
 	}
 }
 
-// What an archive lacks is told apart from what it has even if its last change
+// What a control node lacks is told apart from what it has even if its last change
 // was acknowledged by nobody; if that can't be known, the digest tells.
 func TestDifferenceMakesTheSendersState(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/vault/stall_test.go
+++ b/internal/controlstate/stall_test.go
@@ -1,13 +1,13 @@
-package vault_test
+package controlstate_test
 
 import (
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rehearsal"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/simulation"
 )
 
 // A disk that stalls holds up neither leases nor votes nor reads: a primary
@@ -15,13 +15,13 @@
 // one is replaced, and each takes part again when its disk answers.
 func TestStalledDisks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := rehearsal.NewWorld(t, 1, 4)
+		w := simulation.NewWorld(t, 1, 4)
 		defer w.Close()
 		w.Group("ledger")
 		w.Boot()
 		w.Configure()
-		at := func(z int) *vault.Vault {
-			return foundation.Need[*vault.Vault](w.Process("archive", z).Kernel)
+		at := func(z int) *controlstate.Replica {
+			return kernel.Need[*controlstate.Replica](w.Process("control", z).Kernel)
 		}
 		primary := func() (found int) {
 			for z := 1; z <= 4; z++ {
--- a/internal/vault/store.go
+++ b/internal/controlstate/store.go
@@ -1,7 +1,7 @@
-// Package vault keeps the control state: a primary archive writes to its
+// Package controlstate keeps the control state: a primary control node writes to its
 // backups before it answers, and witnesses that hold only epochs and views
 // decide who takes over.
-package vault
+package controlstate
 
 import (
 	"crypto/rand"
@@ -14,20 +14,20 @@
 
 	"github.com/tidwall/buntdb"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Errors of the store.
 var (
 	// ErrDamaged says that the store on disk holds something that was never
 	// written as such. It is reported and never read as an empty store.
-	ErrDamaged = errors.New("vault: store damaged")
+	ErrDamaged = errors.New("controlstate: store damaged")
 	// ErrFormat says that the store was written by another version.
-	ErrFormat = errors.New("vault: store of another format")
+	ErrFormat = errors.New("controlstate: store of another format")
 )
 
 // StoreFile is the name of the store in the data folder.
-const StoreFile = "vault.db"
+const StoreFile = "control.db"
 
 // nextSuffix ends the name of the file that a rewritten store is made in. It is
 // never read under that name.
@@ -57,7 +57,7 @@
 	ID     string `json:"id"`
 }
 
-// Store is the synced store of one archive. Each record is a single buntdb
+// Store is the synced store of one control node. Each record is a single buntdb
 // entry with a checksum, so a torn write loses the record as a whole.
 type Store struct {
 	path  string
@@ -68,14 +68,14 @@
 	turn   chan struct{} // held while the store is used; a disk may stall meanwhile
 	db     *buntdb.DB
 	file   *os.File // for syncing: buntdb keeps the result of its own to itself
-	sync   foundation.Sync
+	sync   kernel.Sync
 	size   int64 // of the file
 	least  int64 // that a rewritten file would have had when it was opened, or has had
 	unsure bool  // a sync failed: only a rewritten file is known to be whole
 	closed bool
 }
 
-func newStore(path string, sync foundation.Sync) *Store {
+func newStore(path string, sync kernel.Sync) *Store {
 	return &Store{path: path, turn: make(chan struct{}, 1), sync: sync}
 }
 
@@ -87,14 +87,14 @@
 // and its sync.
 func OpenStore(dir string) (*Store, error) { return openStore(dir, (*os.File).Sync) }
 
-func openStore(dir string, sync foundation.Sync) (*Store, error) {
+func openStore(dir string, sync kernel.Sync) (*Store, error) {
 	if err := makeDir(dir, sync); err != nil {
-		return nil, fmt.Errorf("vault: %w", err)
+		return nil, fmt.Errorf("controlstate: %w", err)
 	}
 	s := newStore(filepath.Join(dir, StoreFile), sync)
 	raw, err := os.ReadFile(s.path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("vault: %w", err)
+		return nil, fmt.Errorf("controlstate: %w", err)
 	}
 	whole, err := lastWhole(raw)
 	if err != nil {
@@ -102,12 +102,12 @@
 	}
 	if s.torn = int64(len(raw) - whole); s.torn > 0 {
 		if err := cutTail(s.path, raw, int64(whole)); err != nil {
-			return nil, fmt.Errorf("vault: %w", err)
+			return nil, fmt.Errorf("controlstate: %w", err)
 		}
 	}
 	// Power, or the process, went while the store was rewritten.
 	if err := os.Remove(s.path + nextSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("vault: %w", err)
+		return nil, fmt.Errorf("controlstate: %w", err)
 	}
 	if err := s.open(s.path); err != nil {
 		return nil, err
@@ -119,7 +119,7 @@
 	}
 	if err := errors.Join(sync(s.file), syncDir(dir, sync)); err != nil {
 		s.Close()
-		return nil, fmt.Errorf("vault: %w", err)
+		return nil, fmt.Errorf("controlstate: %w", err)
 	}
 	return s, nil
 }
@@ -155,14 +155,14 @@
 		return nil
 	})
 	if err != nil {
-		return 0, fmt.Errorf("vault: %w", err)
+		return 0, fmt.Errorf("controlstate: %w", err)
 	}
 	return size, nil
 }
 
 // makeDir makes the folder, and has its name last, and those of the folders
 // above it that had to be made too.
-func makeDir(dir string, sync foundation.Sync) error {
+func makeDir(dir string, sync kernel.Sync) error {
 	above := filepath.Dir(dir)
 	if _, err := os.Stat(above); errors.Is(err, os.ErrNotExist) && above != dir {
 		if err := makeDir(above, sync); err != nil {
@@ -188,18 +188,18 @@
 	}
 	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
 		db.Close()
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	f, err := os.OpenFile(path, os.O_RDWR, 0)
 	if err != nil {
 		db.Close()
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	s.db, s.file = db, f
 	return nil
 }
 
-func syncDir(dir string, sync foundation.Sync) error {
+func syncDir(dir string, sync kernel.Sync) error {
 	d, err := os.Open(dir)
 	if err != nil {
 		return err
@@ -236,7 +236,7 @@
 // write puts a record in the file and syncs it. The caller holds the lock.
 func (s *Store) write(key, text string) error {
 	if s.closed {
-		return fmt.Errorf("vault: %w", os.ErrClosed)
+		return fmt.Errorf("controlstate: %w", os.ErrClosed)
 	}
 	if s.unsure || s.size > compactAbove && s.size > compactTimes*s.least {
 		if err := s.compact(); err != nil {
@@ -252,7 +252,7 @@
 // update carries one transaction out and syncs the file.
 func (s *Store) update(change func(*buntdb.Tx) error) error {
 	if err := s.db.Update(change); err != nil {
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	err := s.sync(s.file)
 	if err == nil {
@@ -263,7 +263,7 @@
 		}
 	}
 	s.unsure = true
-	return fmt.Errorf("vault: %w", err)
+	return fmt.Errorf("controlstate: %w", err)
 }
 
 // SaveState writes the whole state, which replaces all changes before it.
@@ -331,7 +331,7 @@
 		})
 	})
 	if err != nil {
-		return st, fmt.Errorf("vault: %w", err)
+		return st, fmt.Errorf("controlstate: %w", err)
 	}
 	for _, text := range texts {
 		var c Change
@@ -362,7 +362,7 @@
 		return err
 	})
 	if err != nil {
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	st, err := s.loadState()
 	if err != nil {
@@ -375,7 +375,7 @@
 	}
 	next := s.path + nextSuffix
 	if err := os.Remove(next); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	n := newStore(next, s.sync)
 	n.least = math.MaxInt64 / compactTimes
@@ -393,11 +393,11 @@
 		return err
 	}
 	if err := os.Rename(next, s.path); err != nil {
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	if err := syncDir(filepath.Dir(s.path), s.sync); err != nil {
 		s.unsure = true // which of the two files has the name is not known
-		return fmt.Errorf("vault: %w", err)
+		return fmt.Errorf("controlstate: %w", err)
 	}
 	old, oldFile := s.db, s.file
 	if err := s.open(s.path); err != nil {
@@ -427,7 +427,7 @@
 		return false, nil
 	}
 	if err != nil {
-		return false, fmt.Errorf("vault: %w", err)
+		return false, fmt.Errorf("controlstate: %w", err)
 	}
 	if err := unseal(text, v); err != nil {
 		return false, fmt.Errorf("%w: record %q: %w", ErrDamaged, key, err)
--- a/internal/vault/term_test.go
+++ b/internal/controlstate/term_test.go
@@ -1,4 +1,4 @@
-package vault_test
+package controlstate_test
 
 import (
 	"errors"
@@ -6,23 +6,25 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rehearsal"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/simulation"
 )
 
-// OnlyAMemberStands: an archive that the newest view does not name asks for no
+// OnlyAMemberStands: a control node that the newest view does not name asks for no
 // promise, whenever it comes to stand: what it has is not for sure the state.
 // One that knows no primary refers callers to another member, not to itself nor
 // to the primary that fell silent.
 func TestOnlyAMemberStands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := rehearsal.NewWorld(t, 1, 4)
+		w := simulation.NewWorld(t, 1, 4)
 		defer w.Close()
 		w.Group("ledger")
 		w.Boot()
 		w.Configure()
-		at := func(z int) *vault.Vault { return foundation.Need[*vault.Vault](w.Process("archive", z).Kernel) }
+		at := func(z int) *controlstate.Replica {
+			return kernel.Need[*controlstate.Replica](w.Process("control", z).Kernel)
+		}
 		view, _ := at(1).Primary()
 		for z := 1; z <= 4; z++ {
 			if view.Has(at(z).Self()) {
@@ -33,8 +35,8 @@
 			}
 			w.Isolate(z, true)
 			time.Sleep(3 * time.Second)
-			if err := at(z).TryStand(t.Context()); !errors.Is(err, vault.ErrNotPrimary) {
-				t.Errorf("an archive that is no member stood: %v", err)
+			if err := at(z).TryStand(t.Context()); !errors.Is(err, controlstate.ErrNotPrimary) {
+				t.Errorf("a control node that is no member stood: %v", err)
 			}
 			for range 20 {
 				if to := at(z).Referral(); to == "" || to == at(z).Self().Addr || to == view.Primary.Addr {
--- a/internal/vault/witness.go
+++ b/internal/controlstate/witness.go
@@ -1,14 +1,14 @@
-package vault
+package controlstate
 
 import (
 	"context"
 	"errors"
 	"slices"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-// Member is an archive with a given disk: the same archive with another disk
+// Member is a control node with a given disk: the same control node with another disk
 // is another member.
 type Member struct {
 	Name string `json:"name"`
@@ -121,11 +121,11 @@
 }
 
 type promiseAnswer struct {
-	Granted  bool              `json:"granted"`
-	Promised int64             `json:"promised"`
-	Accepted View              `json:"accepted"`
-	Disk     string            `json:"disk"`
-	Wait     foundation.Micros `json:"wait_us,omitempty"` // a lease runs this long yet
+	Granted  bool          `json:"granted"`
+	Promised int64         `json:"promised"`
+	Accepted View          `json:"accepted"`
+	Disk     string        `json:"disk"`
+	Wait     kernel.Micros `json:"wait_us,omitempty"` // a lease runs this long yet
 }
 
 // acceptAsk carries the disk on which the witness promised: an acceptance
@@ -165,17 +165,17 @@
 // holds in memory; a vote counts once the register has been saved.
 type witness struct {
 	reg       register
-	to        Member            // whom this life promised the epoch to
-	lease     foundation.Micros // span of a lease
-	until     foundation.Micros // end of the lease of the accepted view
-	abstains  bool              // empty disk: knows nothing yet
-	quietTill foundation.Micros // a lease granted before a restart may run until then
+	to        Member        // whom this life promised the epoch to
+	lease     kernel.Micros // span of a lease
+	until     kernel.Micros // end of the lease of the accepted view
+	abstains  bool          // empty disk: knows nothing yet
+	quietTill kernel.Micros // a lease granted before a restart may run until then
 }
 
 // promise votes for a candidate's epoch. The holder of a lease may have
 // another epoch while it runs: with its own next life or next backups it does
 // not compete.
-func (e *witness) promise(now foundation.Micros, q promiseAsk) (promiseAnswer, error) {
+func (e *witness) promise(now kernel.Micros, q promiseAsk) (promiseAnswer, error) {
 	a := promiseAnswer{Promised: e.reg.Promised, Accepted: e.reg.Accepted}
 	if e.abstains {
 		return a, errAbstains
@@ -193,7 +193,7 @@
 	return a, nil
 }
 
-func (e *witness) accept(now foundation.Micros, v View) (renewAnswer, error) {
+func (e *witness) accept(now kernel.Micros, v View) (renewAnswer, error) {
 	if e.abstains {
 		return renewAnswer{Abstains: true}, nil
 	}
@@ -207,7 +207,7 @@
 
 // renew prolongs the lease of the accepted view; a view whose acceptance this
 // witness missed is accepted now. It reports whether the register changed.
-func (e *witness) renew(now foundation.Micros, v View) (a renewAnswer, changed bool) {
+func (e *witness) renew(now kernel.Micros, v View) (a renewAnswer, changed bool) {
 	if e.abstains || v.Epoch < e.reg.Promised || v.Epoch > e.reg.Accepted.Epoch {
 		a, _ = e.accept(now, v)
 		return a, a.Granted
@@ -234,11 +234,11 @@
 // every call that was under way when the disk was lost has ended, and every
 // lease that it may have granted. Then it reads so many intact registers that
 // no vote can be missed, of the newest set of witnesses that any of them knows.
-func (v *Vault) recoverWitness(ctx context.Context) {
+func (v *Replica) recoverWitness(ctx context.Context) {
 	go v.giveUpLease(ctx)
-	foundation.Sleep(ctx, v.lease)
+	kernel.Sleep(ctx, v.lease)
 	said := false
-	for ; ctx.Err() == nil; foundation.Sleep(ctx, 300*foundation.Millisecond) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, 300*kernel.Millisecond) {
 		reg, err := v.readRegisters(ctx)
 		if err == nil {
 			v.mu.Lock()
@@ -261,11 +261,11 @@
 }
 
 // giveUpLease tells the backups of the newest view, if its primary was this
-// archive with the disk that it lost, that nobody holds that lease any more.
-func (v *Vault) giveUpLease(ctx context.Context) {
-	for end := v.k.Clock.Now() + v.lease; v.k.Clock.Now() < end && ctx.Err() == nil; foundation.Sleep(ctx, 50*foundation.Millisecond) {
-		from := slices.DeleteFunc(union(v.cfg.Archives(), v.cfg.Seeds()), func(addr string) bool { return addr == v.self.Addr })
-		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
+// control node with the disk that it lost, that nobody holds that lease any more.
+func (v *Replica) giveUpLease(ctx context.Context) {
+	for end := v.k.Clock.Now() + v.lease; v.k.Clock.Now() < end && ctx.Err() == nil; kernel.Sleep(ctx, 50*kernel.Millisecond) {
+		from := slices.DeleteFunc(union(v.cfg.ControlNodes(), v.cfg.Seeds()), func(addr string) bool { return addr == v.self.Addr })
+		answers := ask(ctx, v, from, "controlstate.register", func(string) any { return struct{}{} }, func(map[string]registerAnswer) bool { return false })
 		var newest View
 		for _, a := range answers {
 			if a.Register.Accepted.Epoch > newest.Epoch {
@@ -276,7 +276,7 @@
 			continue
 		}
 		for _, b := range newest.Backups {
-			if v.endpoint.Call(ctx, b.Addr, "vault.void", epochAsk{newest.Epoch}, nil, callWait) == nil {
+			if v.endpoint.Call(ctx, b.Addr, "controlstate.void", epochAsk{newest.Epoch}, nil, callWait) == nil {
 				v.k.Log.Info("lease of the life before given up", "epoch", newest.Epoch)
 				return
 			}
@@ -284,14 +284,14 @@
 	}
 }
 
-func (v *Vault) readRegisters(ctx context.Context) (register, error) {
+func (v *Replica) readRegisters(ctx context.Context) (register, error) {
 	v.mu.Lock()
 	view := v.seen
 	v.mu.Unlock()
 	for hop := 0; hop < 8; hop++ {
-		from := union(view.Witnesses, view.Prior, v.cfg.Archives(), v.cfg.Seeds())
+		from := union(view.Witnesses, view.Prior, v.cfg.ControlNodes(), v.cfg.Seeds())
 		from = slices.DeleteFunc(from, func(addr string) bool { return addr == v.self.Addr })
-		answers := ask(ctx, v, from, "vault.register", func(string) any { return struct{}{} }, func(got map[string]registerAnswer) bool {
+		answers := ask(ctx, v, from, "controlstate.register", func(string) any { return struct{}{} }, func(got map[string]registerAnswer) bool {
 			_, newest, err := registerFrom(view, got)
 			return err == nil && newest.Epoch == view.Epoch && len(view.Witnesses) > 0
 		})
--- a/internal/shelf/conn.go
+++ b/internal/dbconn/conn.go
@@ -1,6 +1,6 @@
-// Package shelf holds the connections on which databases are spoken to in
+// Package dbconn holds the connections on which databases are spoken to in
 // statements, each with what is known of its state.
-package shelf
+package dbconn
 
 import (
 	"context"
@@ -13,40 +13,40 @@
 	"syscall"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/stacks"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // Errors of this layer.
 var (
-	ErrQuiet   = errors.New("shelf: no answer yet")
-	ErrUnbound = errors.New("shelf: the database is held as down")
-	ErrEnding  = errors.New("shelf: the process ends")
+	ErrQuiet   = errors.New("dbconn: no answer yet")
+	ErrUnbound = errors.New("dbconn: the database is held as down")
+	ErrEnding  = errors.New("dbconn: the process ends")
 )
 
-// Shelf holds a desk's server connections to all databases; whoever borrows one
+// Pool holds a pooler's server connections to all databases; whoever borrows one
 // names the session's values, which are best in force on it already.
-type Shelf = stacks.Stacks[map[string]string, *Conn]
+type Pool = connpool.Pools[map[string]string, *Conn]
 
 // Conn is one connection to a database. One statement is out at a time: until
 // its answer has been taken no other is sent, so that a late answer is never
 // taken for another's; and nothing is sent after an answer that was not asked
 // for, nor behind which more came.
 type Conn struct {
-	DB         accessions.Database
+	DB         discovery.Database
 	Generation int64  // of the database when the connection was opened
 	Login      string // position that the database told at the log-in
 
 	c       net.Conn
-	answers chan *folio.Answer
+	answers chan *lineprotocol.Answer
 	dead    chan struct{}
 	silent  bool // set before dead is closed: the far end stopped answering
 
 	// Owned by whoever has borrowed the connection.
 	values map[string]string
-	names  map[string]string // server-side name by kind and shape
+	names  map[string]string // server-side name by kind and text
 	state  byte
 
 	mu     sync.Mutex
@@ -59,10 +59,10 @@
 
 // Dialer opens connections to databases.
 type Dialer struct {
-	Net     foundation.Network
-	Who     string            // name given at log-in
-	Connect foundation.Micros // for the connection itself
-	Silence foundation.Micros
+	Net     kernel.Network
+	Who     string        // name given at log-in
+	Connect kernel.Micros // for the connection itself
+	Silence kernel.Micros
 	// Pace, if there is one, bounds the connections that are being made: of
 	// many at once, on a small machine, none would be made in time, and every
 	// database would seem silent.
@@ -73,54 +73,54 @@
 // connection can be made within the span is silent; one that takes the
 // connection and does not answer the log-in within wait is slow, which is no
 // fault.
-func (d *Dialer) Open(ctx context.Context, db accessions.Database, wait foundation.Micros) (*Conn, error) {
-	c, err := stacks.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
+func (d *Dialer) Open(ctx context.Context, db discovery.Database, wait kernel.Micros) (*Conn, error) {
+	c, err := connpool.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
-	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", db.Service, d.Who, db.ID)); err != nil {
+	if _, err := c.Write(lineprotocol.AppendMessage(nil, "LOGIN", db.Service, d.Who, db.ID)); err != nil {
 		c.Close()
-		return nil, fmt.Errorf("%w: %v", stacks.ErrBroken, err)
+		return nil, fmt.Errorf("%w: %v", connpool.ErrBroken, err)
 	}
-	r := folio.NewReader(c)
+	r := lineprotocol.NewReader(c)
 	line, err := r.Line()
 	if err != nil {
 		c.Close()
 		switch {
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, stacks.ErrSlow
+			return nil, connpool.ErrSlow
 		case errors.Is(err, syscall.ETIMEDOUT):
-			return nil, fmt.Errorf("%w: %v", stacks.ErrSilent, err)
+			return nil, fmt.Errorf("%w: %v", connpool.ErrSilent, err)
 		}
-		return nil, fmt.Errorf("%w: %v", stacks.ErrBroken, err)
+		return nil, fmt.Errorf("%w: %v", connpool.ErrBroken, err)
 	}
-	word, rest := folio.Word(line)
+	word, rest := lineprotocol.Word(line)
 	if string(word) != "IDLE" {
 		c.Close()
-		if code, _ := folio.Word(rest); string(code) == folio.MaxConn {
-			return nil, fmt.Errorf("%w: %s", stacks.ErrCapped, rest)
+		if code, _ := lineprotocol.Word(rest); string(code) == lineprotocol.MaxConn {
+			return nil, fmt.Errorf("%w: %s", connpool.ErrCapped, rest)
 		}
-		return nil, fmt.Errorf("%w: %s", stacks.ErrRejected, rest)
+		return nil, fmt.Errorf("%w: %s", connpool.ErrRejected, rest)
 	}
 	if r.Buffered() {
 		c.Close()
-		return nil, fmt.Errorf("%w: more came than the answer to the log-in", stacks.ErrBroken)
+		return nil, fmt.Errorf("%w: more came than the answer to the log-in", connpool.ErrBroken)
 	}
-	_, pos := folio.Word(rest)
+	_, pos := lineprotocol.Word(rest)
 	s := &Conn{
-		DB: db, Login: string(pos), c: c, answers: make(chan *folio.Answer, 1), dead: make(chan struct{}),
+		DB: db, Login: string(pos), c: c, answers: make(chan *lineprotocol.Answer, 1), dead: make(chan struct{}),
 		values: map[string]string{}, names: map[string]string{}, state: 'I',
 	}
 	go s.listen(r)
 	return s, nil
 }
 
-func (s *Conn) listen(r *folio.Reader) {
+func (s *Conn) listen(r *lineprotocol.Reader) {
 	for {
-		a, err := folio.ReadAnswer(r)
+		a, err := lineprotocol.ReadAnswer(r)
 		if err != nil {
 			s.silent = errors.Is(err, syscall.ETIMEDOUT)
 			break
@@ -144,7 +144,7 @@
 	}
 }
 
-// Attach implements stacks.Line.
+// Attach implements connpool.Line.
 func (s *Conn) Attach(generation int64, died func(byUs, silent bool)) {
 	s.Generation = generation
 	s.mu.Lock()
@@ -152,15 +152,15 @@
 	s.onDead = died
 }
 
-// Clean implements stacks.Line: in state I, with every answer taken.
+// Clean implements connpool.Line: in state I, with every answer taken.
 func (s *Conn) Clean() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.state == 'I' && !s.out && !s.spoilt && !s.closed
 }
 
-// Fit implements stacks.Line: the same values are best, none at all next.
-func (s *Conn) Fit(values map[string]string, _ foundation.Micros) int {
+// Fit implements connpool.Line: the same values are best, none at all next.
+func (s *Conn) Fit(values map[string]string, _ kernel.Micros) int {
 	switch {
 	case maps.Equal(s.values, values):
 		return 2
@@ -173,9 +173,9 @@
 // fault tells how a dead connection ended.
 func (s *Conn) fault() error {
 	if s.silent {
-		return stacks.ErrSilent
+		return connpool.ErrSilent
 	}
-	return stacks.ErrBroken
+	return connpool.ErrBroken
 }
 
 // Alive reports whether the connection has not broken yet.
@@ -198,13 +198,13 @@
 	gatedBytes = 1 << 10
 	// gatePause is how long a far end that takes nothing is left before the gate
 	// is tried again.
-	gatePause = 5 * foundation.Millisecond
+	gatePause = 5 * kernel.Millisecond
 )
 
 // Send writes a statement within the span, its end through the gate if there is
 // one. An error means that it was not sent in full: what is cut off before its end
 // is not run.
-func (s *Conn) Send(msg []byte, wait foundation.Micros, gate Gate) error {
+func (s *Conn) Send(msg []byte, wait kernel.Micros, gate Gate) error {
 	s.mu.Lock()
 	free := !s.out && !s.spoilt
 	s.mu.Unlock()
@@ -213,7 +213,7 @@
 		return s.fault()
 	case !free:
 		s.Close()
-		return fmt.Errorf("%w: an answer is outstanding, or surplus", stacks.ErrBroken)
+		return fmt.Errorf("%w: an answer is outstanding, or surplus", connpool.ErrBroken)
 	}
 	end := time.Now().Add(wait.Duration())
 	head := max(0, len(msg)-gatedBytes)
@@ -224,7 +224,7 @@
 	if head > 0 {
 		if _, err := s.write(msg[:head], end); err != nil {
 			s.Close()
-			return fmt.Errorf("%w: %v", stacks.ErrBroken, err)
+			return fmt.Errorf("%w: %v", connpool.ErrBroken, err)
 		}
 	}
 	if gate == nil {
@@ -248,7 +248,7 @@
 }
 
 // errShut says that a gate refused before anything was written.
-var errShut = errors.New("shelf: refused at the gate")
+var errShut = errors.New("dbconn: refused at the gate")
 
 // sendEnd writes the end of a statement through the gate, which is never kept
 // while the far end takes nothing.
@@ -264,14 +264,14 @@
 		})
 		switch {
 		case wrote != nil:
-			return fmt.Errorf("%w: %v", stacks.ErrBroken, wrote)
+			return fmt.Errorf("%w: %v", connpool.ErrBroken, wrote)
 		case err != nil && len(end) == whole:
 			s.begin(false)
 			return fmt.Errorf("%w: %w", errShut, err)
 		case err != nil || len(end) == 0:
 			return err
 		case !time.Now().Before(until):
-			return fmt.Errorf("%w: the far end takes nothing", stacks.ErrBroken)
+			return fmt.Errorf("%w: the far end takes nothing", connpool.ErrBroken)
 		}
 		time.Sleep(gatePause.Duration())
 	}
@@ -279,7 +279,7 @@
 
 // tryWrite writes what there is room for at once.
 func (s *Conn) tryWrite(b []byte) (int, error) {
-	if w, ok := s.c.(foundation.TryWriter); ok {
+	if w, ok := s.c.(kernel.TryWriter); ok {
 		return w.TryWrite(b)
 	}
 	return s.c.Write(b)
@@ -294,7 +294,7 @@
 }
 
 // take notes that an answer was taken.
-func (s *Conn) take(a *folio.Answer) *folio.Answer {
+func (s *Conn) take(a *lineprotocol.Answer) *lineprotocol.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.state, s.out, s.read = a.State, false, false
@@ -303,14 +303,14 @@
 
 // Watch is what the wait for an answer looks out for.
 type Watch struct {
-	Quiet   foundation.Micros // after so long without an answer Doubt is called, once
-	Doubt   func() bool       // whether to go on waiting; if not, ErrQuiet
-	Unbound <-chan struct{}   // the wait ends with ErrUnbound when it closes,
-	Ending  <-chan struct{}   // and with ErrEnding when that does
+	Quiet   kernel.Micros   // after so long without an answer Doubt is called, once
+	Doubt   func() bool     // whether to go on waiting; if not, ErrQuiet
+	Unbound <-chan struct{} // the wait ends with ErrUnbound when it closes,
+	Ending  <-chan struct{} // and with ErrEnding when that does
 }
 
 // Receive waits for the next answer, for at most the span.
-func (s *Conn) Receive(wait foundation.Micros, w Watch) (*folio.Answer, error) {
+func (s *Conn) Receive(wait kernel.Micros, w Watch) (*lineprotocol.Answer, error) {
 	select {
 	case a := <-s.answers:
 		return s.take(a), nil
@@ -318,7 +318,7 @@
 	}
 	if w.Doubt != nil && w.Quiet < wait {
 		a, err := s.receive(w.Quiet, w)
-		if !errors.Is(err, stacks.ErrDeadline) {
+		if !errors.Is(err, connpool.ErrDeadline) {
 			return a, err
 		}
 		if !w.Doubt() {
@@ -329,7 +329,7 @@
 	return s.receive(wait, w)
 }
 
-func (s *Conn) receive(wait foundation.Micros, w Watch) (*folio.Answer, error) {
+func (s *Conn) receive(wait kernel.Micros, w Watch) (*lineprotocol.Answer, error) {
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
 	select {
@@ -347,13 +347,13 @@
 			return nil, s.fault()
 		}
 	case <-t.C:
-		return nil, stacks.ErrDeadline
+		return nil, connpool.ErrDeadline
 	}
 }
 
 // Ask sends a statement of the pool's own and waits for its answer.
-func (s *Conn) Ask(text string, wait foundation.Micros) (*folio.Answer, error) {
-	if err := s.Send(folio.AppendMessage(nil, "QUERY", "-", text), wait, nil); err != nil {
+func (s *Conn) Ask(text string, wait kernel.Micros) (*lineprotocol.Answer, error) {
+	if err := s.Send(lineprotocol.AppendMessage(nil, "QUERY", "-", text), wait, nil); err != nil {
 		return nil, err
 	}
 	return s.Receive(wait, Watch{})
--- a/internal/shelf/conn_test.go
+++ b/internal/dbconn/conn_test.go
@@ -1,4 +1,4 @@
-package shelf_test
+package dbconn_test
 
 import (
 	"context"
@@ -11,12 +11,12 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rehearsal"
-	"indigowalk/internal/shelf"
-	"indigowalk/internal/stacks"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/simulation"
 )
 
 const answerA, answerB = "COMPLETE a\r\nIDLE I -\r\n", "COMPLETE b\r\nIDLE I -\r\n"
@@ -24,13 +24,13 @@
 // connect plays a test with a connection to a hand-made database. It answers the
 // log-in with the first text and each statement after 100 ms with the next, then
 // counts the lines that yet come whole until the connection ends.
-func connect(t *testing.T, over func(foundation.Network) foundation.Network, texts []string, f func(c *shelf.Conn, err error, more <-chan int)) {
-	connectOn(t, over, texts, func(_ *rehearsal.Net, c *shelf.Conn, err error, more <-chan int) { f(c, err, more) })
+func connect(t *testing.T, over func(kernel.Network) kernel.Network, texts []string, f func(c *dbconn.Conn, err error, more <-chan int)) {
+	connectOn(t, over, texts, func(_ *simulation.Net, c *dbconn.Conn, err error, more <-chan int) { f(c, err, more) })
 }
 
-func connectOn(t *testing.T, over func(foundation.Network) foundation.Network, texts []string, f func(n *rehearsal.Net, c *shelf.Conn, err error, more <-chan int)) {
+func connectOn(t *testing.T, over func(kernel.Network) kernel.Network, texts []string, f func(n *simulation.Net, c *dbconn.Conn, err error, more <-chan int)) {
 	synctest.Test(t, func(t *testing.T) {
-		n := rehearsal.NewNet(1)
+		n := simulation.NewNet(1)
 		ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
 		if err != nil {
 			t.Fatal(err)
@@ -41,7 +41,7 @@
 			if err != nil {
 				return
 			}
-			r := folio.NewReader(db)
+			r := lineprotocol.NewReader(db)
 			for i, text := range texts {
 				if _, err := r.Line(); err != nil {
 					break
@@ -59,26 +59,26 @@
 			}
 			more <- n
 		}()
-		d := shelf.Dialer{Net: over(n.Host("10.0.0.1")), Who: "w", Connect: foundation.Second, Silence: foundation.Second}
-		c, err := d.Open(t.Context(), accessions.Database{ID: "d", Service: "s", Address: "10.0.0.2:1"}, foundation.Second)
+		d := dbconn.Dialer{Net: over(n.Host("10.0.0.1")), Who: "w", Connect: kernel.Second, Silence: kernel.Second}
+		c, err := d.Open(t.Context(), discovery.Database{ID: "d", Service: "s", Address: "10.0.0.2:1"}, kernel.Second)
 		f(n, c, err, more)
 		n.Reset("10.0.0.2")
 		time.Sleep(15 * time.Second)
 	})
 }
 
-func plain(n foundation.Network) foundation.Network { return n }
+func plain(n kernel.Network) kernel.Network { return n }
 
 // Invariant STATEMENT: an answer is given only to the statement that it answers,
 // and a connection on which that is not sure is neither used nor lent again.
 func TestSTATEMENTTakesNoOthersAnswer(t *testing.T) {
-	const soon, late = 50 * foundation.Millisecond, 200 * foundation.Millisecond
+	const soon, late = 50 * kernel.Millisecond, 200 * kernel.Millisecond
 	for name, c := range map[string]struct {
 		texts []string
-		wait  foundation.Micros // for the first answer
-		first string            // its seal, "" if it is given up
-		clean bool              // the connection may serve others then
-		next  string            // seal of the next one's answer, "" if it is not sent
+		wait  kernel.Micros // for the first answer
+		first string        // its seal, "" if it is given up
+		clean bool          // the connection may serve others then
+		next  string        // seal of the next one's answer, "" if it is not sent
 	}{
 		"in order":                   {[]string{answerA, answerB}, late, "a", true, "b"},
 		"given up, answered late":    {[]string{answerA, answerB}, soon, "", false, ""},
@@ -89,11 +89,11 @@
 		"a failure without its code": {[]string{"ERROR\r\nIDLE I -\r\n", answerB}, late, "", false, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			connect(t, plain, append([]string{"IDLE I -\r\n"}, c.texts...), func(conn *shelf.Conn, err error, _ <-chan int) {
+			connect(t, plain, append([]string{"IDLE I -\r\n"}, c.texts...), func(conn *dbconn.Conn, err error, _ <-chan int) {
 				if err != nil {
 					t.Fatal(err)
 				}
-				seal := func(a *folio.Answer, err error) string {
+				seal := func(a *lineprotocol.Answer, err error) string {
 					if err != nil || a.Code != "" {
 						return ""
 					}
@@ -113,8 +113,8 @@
 			})
 		})
 	}
-	connect(t, plain, []string{"IDLE I -\r\nIDLE I -\r\n"}, func(_ *shelf.Conn, err error, _ <-chan int) {
-		if !errors.Is(err, stacks.ErrBroken) {
+	connect(t, plain, []string{"IDLE I -\r\nIDLE I -\r\n"}, func(_ *dbconn.Conn, err error, _ <-chan int) {
+		if !errors.Is(err, connpool.ErrBroken) {
 			t.Errorf("a log-in answered twice: %v", err)
 		}
 	})
@@ -122,14 +122,14 @@
 
 // halved is a network whose connections, after the log-in, write half of what they
 // are given and fail.
-type halved struct{ foundation.Network }
+type halved struct{ kernel.Network }
 
 type halvedConn struct {
 	net.Conn
 	writes int
 }
 
-func (h halved) Dial(ctx context.Context, addr string, silence foundation.Micros) (net.Conn, error) {
+func (h halved) Dial(ctx context.Context, addr string, silence kernel.Micros) (net.Conn, error) {
 	c, err := h.Network.Dial(ctx, addr, silence)
 	return &halvedConn{Conn: c}, err
 }
@@ -145,13 +145,13 @@
 // A statement that leaves in part counts as unsent, because its end never follows:
 // the connection is closed, and nothing more is sent on it.
 func TestSTATEMENTLeftInPartIsNeverCompleted(t *testing.T) {
-	over := func(n foundation.Network) foundation.Network { return halved{n} }
-	connect(t, over, []string{"IDLE I -\r\n"}, func(conn *shelf.Conn, err error, more <-chan int) {
+	over := func(n kernel.Network) kernel.Network { return halved{n} }
+	connect(t, over, []string{"IDLE I -\r\n"}, func(conn *dbconn.Conn, err error, more <-chan int) {
 		if err != nil {
 			t.Fatal(err)
 		}
 		for range 2 {
-			if err := conn.Send(folio.AppendMessage(nil, "QUERY", "a", "PUT x y"), foundation.Second, nil); !errors.Is(err, stacks.ErrBroken) {
+			if err := conn.Send(lineprotocol.AppendMessage(nil, "QUERY", "a", "PUT x y"), kernel.Second, nil); !errors.Is(err, connpool.ErrBroken) {
 				t.Errorf("sent in part: %v", err)
 			}
 		}
@@ -182,7 +182,7 @@
 		"long, full for a while before": {100_000, 400 * time.Millisecond, 0, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			connectOn(t, plain, []string{"IDLE I -\r\n", answerA}, func(net *rehearsal.Net, conn *shelf.Conn, err error, more <-chan int) {
+			connectOn(t, plain, []string{"IDLE I -\r\n", answerA}, func(net *simulation.Net, conn *dbconn.Conn, err error, more <-chan int) {
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -200,14 +200,14 @@
 					return err
 				}
 				text := "PUT x " + strings.Repeat("y", c.size)
-				err = conn.Send(folio.AppendMessage(nil, "QUERY", "a", text), 2*foundation.Second, gate)
+				err = conn.Send(lineprotocol.AppendMessage(nil, "QUERY", "a", text), 2*kernel.Second, gate)
 				if longest > 0 {
 					t.Errorf("the gate was kept for %v", longest)
 				}
 				if (err == nil) != c.sent {
 					t.Errorf("sent: %v", err)
 				}
-				if a, err := conn.Receive(foundation.Second, shelf.Watch{}); c.sent != (err == nil && a.Seal == "a") {
+				if a, err := conn.Receive(kernel.Second, dbconn.Watch{}); c.sent != (err == nil && a.Seal == "a") {
 					t.Errorf("answer %+v, %v", a, err)
 				}
 				if conn.Clean() != c.alive {
--- /dev/null
+++ b/internal/dbconn/values.go
@@ -0,0 +1,90 @@
+package dbconn
+
+import (
+	"hash/fnv"
+	"strconv"
+
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+)
+
+// Prepared is what a prepared name stands for.
+type Prepared struct {
+	Kind lineprotocol.Verb // Fetch or Put
+	Text string
+}
+
+func (p Prepared) key() string { return lineprotocol.KindName(p.Kind) + " " + p.Text }
+
+// Values puts the session's values, and no others, in force on the
+// connection.
+func (s *Conn) Values(want map[string]string, wait kernel.Micros) error {
+	for name := range s.values {
+		if _, ok := want[name]; ok {
+			continue
+		}
+		if err := s.must("DISCARD", wait); err != nil {
+			return err
+		}
+		clear(s.values)
+		clear(s.names)
+		break
+	}
+	for name, value := range want {
+		if have, ok := s.values[name]; ok && have == value {
+			continue
+		}
+		if err := s.must("OPTION "+name+" "+value, wait); err != nil {
+			return err
+		}
+		s.values[name] = value
+	}
+	return nil
+}
+
+// Name returns the connection's own prepared name for the statement, preparing it
+// if need be. Names of equal statements are equal on all connections.
+func (s *Conn) Name(statement Prepared, wait kernel.Micros) (string, error) {
+	key := statement.key()
+	if name, ok := s.names[key]; ok {
+		return name, nil
+	}
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	name := "p" + strconv.FormatUint(h.Sum64(), 36)
+	for taken := s.holds(name); taken; taken = s.holds(name) {
+		name += "x"
+	}
+	if err := s.must("PARSE "+name+" "+key, wait); err != nil {
+		return "", err
+	}
+	s.names[key] = name
+	return name, nil
+}
+
+func (s *Conn) holds(name string) bool {
+	for _, n := range s.names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost forgets a prepared name that the database does not know.
+func (s *Conn) Lost(statement Prepared) { delete(s.names, statement.key()) }
+
+// must asks for what only a broken connection can refuse; after any other
+// answer the connection's state is not known and it is closed.
+func (s *Conn) must(text string, wait kernel.Micros) error {
+	a, err := s.Ask(text, wait)
+	if err != nil {
+		return err
+	}
+	if a.Code != "" {
+		s.Close()
+		return connpool.ErrRejected
+	}
+	return nil
+}
--- a/internal/accessions/departed.go
+++ b/internal/discovery/departed.go
@@ -1,4 +1,4 @@
-package accessions
+package discovery
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 
 // departure is the record of a database that has deregistered, or whose entry
 // was removed, by which a late beat of it, or its leaving sent again, is known
-// at any archive, also once nothing else is known of it. The records are a
+// at any control node, also once nothing else is known of it. The records are a
 // ring of entries: the Nth one takes the place of the one before that by
 // departuresKept.
 type departure struct {
@@ -23,7 +23,7 @@
 const departuresKept = 256
 
 // hasDeparted tells whether there is a record of a database.
-func (a *Accessions) hasDeparted(entries map[string]json.RawMessage, id string) (bool, error) {
+func (a *Registry) hasDeparted(entries map[string]json.RawMessage, id string) (bool, error) {
 	departed, err := a.departed.Of(entries)
 	for _, d := range departed {
 		if d.ID == id {
@@ -35,7 +35,7 @@
 
 // Record adds the entries that note departures to changes; a database has one.
 // Whoever removes the entry of a database records that.
-func (a *Accessions) Record(entries, changes map[string]json.RawMessage, ids ...string) error {
+func (a *Registry) Record(entries, changes map[string]json.RawMessage, ids ...string) error {
 	if len(ids) == 0 {
 		return nil
 	}
--- a/internal/accessions/accessions.go
+++ b/internal/discovery/discovery.go
@@ -1,7 +1,7 @@
-// Package accessions keeps the list of databases, from their own beats. Who
+// Package discovery keeps the list of databases, from their own beats. Who
 // there is, where, and whether it drains or is gone is control state; how it
 // sees itself and when it was last heard is soft.
-package accessions
+package discovery
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"strings"
 	"sync"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
 )
 
 // Database is what the control state holds of a database.
@@ -28,7 +28,7 @@
 	// Was lists the ids that a database had before it crashed and returned, at
 	// the same address and with its log, the last one first.
 	Was string `json:"was,omitempty"`
-	// Gone says that it will not be back, nor its log. The custodian removes it
+	// Gone says that it will not be back, nor its log. The failover manager removes it
 	// once it knows how far its log may have reached.
 	Gone bool `json:"gone,omitempty"`
 	// Limit, if there is one, is the position past which it holds no
@@ -67,7 +67,7 @@
 type Soft struct {
 	Role  string
 	Seq   int64
-	Heard foundation.Micros
+	Heard kernel.Micros
 }
 
 // keyPrefix starts the entries of the control state that hold databases.
@@ -81,34 +81,34 @@
 
 // lateBeat is how long after a beat one with a lower number is taken for a
 // delayed one; later than that the database has started its count again.
-const lateBeat = 3 * foundation.Second
+const lateBeat = 3 * kernel.Second
 
 // Errors of this layer.
 var (
-	ErrUnavailable = errors.New("accessions: can't be changed now")
-	ErrMalformed   = errors.New("accessions: malformed beat")
+	ErrUnavailable = errors.New("discovery: can't be changed now")
+	ErrMalformed   = errors.New("discovery: malformed beat")
 )
 
-// Accessions is the archive's side.
-type Accessions struct {
-	k *foundation.Kernel
-	v *vault.Vault
+// Registry is the list of databases at a control node.
+type Registry struct {
+	k *kernel.Kernel
+	v *controlstate.Replica
 
-	decoded  *vault.Decoded[Database]
-	departed *vault.Decoded[departure]
+	decoded  *controlstate.Decoded[Database]
+	departed *controlstate.Decoded[departure]
 
 	mu   sync.Mutex
 	soft map[string]Soft
-	bell foundation.Bell
+	bell kernel.Bell
 }
 
 // New returns the list kept in v.
-func New(k *foundation.Kernel, v *vault.Vault) *Accessions {
-	return &Accessions{k: k, v: v, decoded: Decoder(), departed: vault.NewDecoded[departure](departedPrefix), soft: map[string]Soft{}}
+func New(k *kernel.Kernel, v *controlstate.Replica) *Registry {
+	return &Registry{k: k, v: v, decoded: Decoder(), departed: controlstate.NewDecoded[departure](departedPrefix), soft: map[string]Soft{}}
 }
 
 // Decoder returns what picks the databases out of the control state.
-func Decoder() *vault.Decoded[Database] { return vault.NewDecoded[Database](keyPrefix) }
+func Decoder() *controlstate.Decoded[Database] { return controlstate.NewDecoded[Database](keyPrefix) }
 
 // Decode picks the databases out of the control state, once.
 func Decode(entries map[string]json.RawMessage) (map[string]Database, error) {
@@ -119,9 +119,9 @@
 // control state is durable. A database that drains never goes back under that
 // id, and one that is gone or was replaced is never there again: whatever says
 // otherwise is a delayed beat.
-func (a *Accessions) Heartbeat(ctx context.Context, id string, b Beat) error {
+func (a *Registry) Heartbeat(ctx context.Context, id string, b Beat) error {
 	if id == "" || b.Service == "" || b.Address == "" {
-		a.k.Counters.Add("accessions.malformed", 1)
+		a.k.Counters.Add("discovery.malformed", 1)
 		return ErrMalformed
 	}
 	want := Database{
@@ -140,7 +140,7 @@
 	}
 	late := !a.note(id, b)
 	if late {
-		a.k.Counters.Add("accessions.late_beats", 1)
+		a.k.Counters.Add("discovery.late_beats", 1)
 	}
 	switch {
 	case have == nil && late:
@@ -168,7 +168,7 @@
 
 // note remembers what a beat says besides the control state; it reports false
 // for a beat that is older than one before.
-func (a *Accessions) note(id string, b Beat) bool {
+func (a *Registry) note(id string, b Beat) bool {
 	now := a.k.Clock.Now()
 	a.mu.Lock()
 	old, known := a.soft[id]
@@ -214,7 +214,7 @@
 
 // Deregister notes that a database has ended in order. One that is not known
 // leaves a record too: its beats may come yet.
-func (a *Accessions) Deregister(ctx context.Context, id string) error {
+func (a *Registry) Deregister(ctx context.Context, id string) error {
 	return a.change(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		if gone, err := a.hasDeparted(entries, id); gone || err != nil {
 			return nil, err
@@ -246,7 +246,7 @@
 
 // Remove forgets databases that are gone and held nothing that the others do
 // not.
-func (a *Accessions) Remove(ctx context.Context, ids ...string) error {
+func (a *Registry) Remove(ctx context.Context, ids ...string) error {
 	return a.change(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		out := make(map[string]json.RawMessage, len(ids))
 		for _, id := range ids {
@@ -256,7 +256,7 @@
 	}, "databases removed", "ids", ids)
 }
 
-func (a *Accessions) change(ctx context.Context, f func(map[string]json.RawMessage) (map[string]json.RawMessage, error), msg string, attrs ...any) error {
+func (a *Registry) change(ctx context.Context, f func(map[string]json.RawMessage) (map[string]json.RawMessage, error), msg string, attrs ...any) error {
 	var changes map[string]json.RawMessage
 	err := a.v.Update(ctx, func(entries map[string]json.RawMessage) (_ map[string]json.RawMessage, err error) {
 		if changes, err = f(entries); err != nil {
@@ -271,7 +271,7 @@
 		return changes, a.Record(entries, changes, removed...)
 	})
 	if err != nil {
-		a.k.Counters.Add("accessions.unavailable", 1)
+		a.k.Counters.Add("discovery.unavailable", 1)
 		return fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	if len(changes) > 0 {
@@ -281,11 +281,11 @@
 }
 
 // Soft returns what the databases last said of themselves.
-func (a *Accessions) Soft() map[string]Soft {
+func (a *Registry) Soft() map[string]Soft {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return maps.Clone(a.soft)
 }
 
 // Changed closes when a database sees itself in another role.
-func (a *Accessions) Changed() <-chan struct{} { return a.bell.Wait() }
+func (a *Registry) Changed() <-chan struct{} { return a.bell.Wait() }
--- a/internal/subscription/commits.go
+++ b/internal/distribution/commits.go
@@ -1,28 +1,28 @@
-package subscription
+package distribution
 
 import (
 	"math"
 	"slices"
 
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // commits is what a carrier knows of how far commits reach: those that it
-// acknowledged itself, and, if an archive asks, those that any carrier had
+// acknowledged itself, and, if a control node asks, those that any carrier had
 // acknowledged at a time.
 type commits struct {
 	acked positions // covers all that this process acknowledged, by service
 	look  *look     // what the last answer asked for
-	since foundation.Micros
+	since kernel.Micros
 	at    positions
 }
 
 // unbounded covers every commit there is.
-var unbounded = folio.Position{Term: math.MaxInt64, Number: math.MaxInt64}
+var unbounded = lineprotocol.Position{Term: math.MaxInt64, Number: math.MaxInt64}
 
 // note notes a commit that is acknowledged to a client.
-func (c *commits) note(service string, position folio.Position, known bool) {
+func (c *commits) note(service string, position lineprotocol.Position, known bool) {
 	if !known {
 		position = unbounded
 	}
@@ -47,7 +47,7 @@
 
 // lookFrom begins what an answer asks for, which came at that time, to a poll
 // that told that. What was seen and is not told yet is told first.
-func (c *commits) lookFrom(l *look, told *saw, now foundation.Micros) {
+func (c *commits) lookFrom(l *look, told *saw, now kernel.Micros) {
 	if l != nil && told == nil && len(c.at) > 0 && c.look.Term == l.Term {
 		return
 	}
@@ -55,7 +55,7 @@
 }
 
 // observe takes in the position in a primary's answer to a statement.
-func (c *commits) observe(service string, sent foundation.Micros, position folio.Position) {
+func (c *commits) observe(service string, sent kernel.Micros, position lineprotocol.Position) {
 	if c.look == nil || sent < c.since || !slices.Contains(c.look.Services, service) {
 		return
 	}
@@ -81,25 +81,25 @@
 
 // Acknowledge tells whether a commit that the primary has just acknowledged, with
 // the position in its answer, may be acknowledged to a client, and notes it if so:
-// the database leads as when it was begun, the lease runs and this desk has not
-// said that it left. Once every desk has left, or its lease is over, no commit of
+// the database leads as when it was begun, the lease runs and this pooler has not
+// said that it left. Once every pooler has left, or its lease is over, no commit of
 // the old primary counts any more, whatever may still wake the replicas that
 // receive it.
-func (c *Card) Acknowledge(service, id string, term int64, position string) bool {
+func (c *Subscriber) Acknowledge(service, id string, term int64, position string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.leads[service]
 	if l.ID != id || l.Term != term || l.Moving && c.left[service] >= l.Turn || c.k.Clock.Now()+leaseMargin >= c.leaseEnd {
 		return false
 	}
-	reached, known := folio.ParsePosition(position)
+	reached, known := lineprotocol.ParsePosition(position)
 	c.commits.note(service, reached, known)
 	return true
 }
 
 // Observe takes in the position in a primary's answer to a statement that was
 // sent at that time, under the lease.
-func (c *Card) Observe(service string, sent foundation.Micros, position folio.Position) {
+func (c *Subscriber) Observe(service string, sent kernel.Micros, position lineprotocol.Position) {
 	c.mu.RLock()
 	asked := c.commits.look != nil
 	c.mu.RUnlock()
--- a/internal/subscription/drain.go
+++ b/internal/distribution/drain.go
@@ -1,33 +1,33 @@
-package subscription
+package distribution
 
 import (
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
 )
 
 // DrainBounds are the spans of the settings that bound the use of a database that
 // leaves.
 type DrainBounds struct {
-	Drain   foundation.Micros // a request may reach it for so long after its leaving was acknowledged
-	Contact foundation.Micros // a process that has run for less is not held to that
+	Drain   kernel.Micros // a request may reach it for so long after its leaving was acknowledged
+	Contact kernel.Micros // a process that has run for less is not held to that
 }
 
 // drainMargin is kept between the last send and the bound: what is sent has to
 // arrive in time.
-const drainMargin = 250 * foundation.Millisecond
+const drainMargin = 250 * kernel.Millisecond
 
 // drainLimits holds, for each database that leaves, a time at which its leaving
 // had not been acknowledged yet.
 type drainLimits struct {
-	began foundation.Micros // when this process started
-	open  map[string]foundation.Micros
+	began kernel.Micros // when this process started
+	open  map[string]kernel.Micros
 }
 
 // update notes the databases that leave. Those that served in the state before
 // were told to be serving by the answer to a poll that was sent at confirmed, so
 // their leaving was acknowledged later than that. Of any other nothing is known.
-func (l *drainLimits) update(before, now map[string]accessions.Database, confirmed foundation.Micros, bounds DrainBounds) {
-	open := map[string]foundation.Micros{}
+func (l *drainLimits) update(before, now map[string]discovery.Database, confirmed kernel.Micros, bounds DrainBounds) {
+	open := map[string]kernel.Micros{}
 	for id, d := range now {
 		if !d.Draining {
 			continue
@@ -45,7 +45,7 @@
 }
 
 // passed tells whether nothing may be sent to the database any more.
-func (l *drainLimits) passed(id string, now foundation.Micros, bounds DrainBounds) bool {
+func (l *drainLimits) passed(id string, now kernel.Micros, bounds DrainBounds) bool {
 	at, leaves := l.open[id]
 	return leaves && now >= at+bounds.Drain-drainMargin
 }
@@ -53,18 +53,18 @@
 // serves tells whether a client's request may be sent to a database now: it is
 // known, and if it leaves, the time in which it may be sent any is not over. The
 // caller holds the lock.
-func (c *Card) serves(id string) bool {
+func (c *Subscriber) serves(id string) bool {
 	_, known := c.databases[id]
 	return known && !c.drains.passed(id, c.k.Clock.Now(), c.cfg.Bounds())
 }
 
 // MaySend fails with ErrLeft if no client's request may be sent to a database any
 // more. It is asked right before the sending; of a primary Send asks it too.
-func (c *Card) MaySend(id string) error {
+func (c *Subscriber) MaySend(id string) error {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if !c.serves(id) {
-		c.k.Counters.Add("subscription.left_before_sending", 1)
+		c.k.Counters.Add("distribution.left_before_sending", 1)
 		return ErrLeft
 	}
 	return nil
--- a/internal/subscription/edition.go
+++ b/internal/distribution/edition.go
@@ -1,4 +1,4 @@
-package subscription
+package distribution
 
 import (
 	"bytes"
@@ -9,33 +9,33 @@
 	"strings"
 	"sync"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/routeconfig"
 )
 
-// news is what a desk lacks of the control state.
+// news is what a pooler lacks of the control state.
 type news struct {
-	Whole     bool                      `json:"whole,omitempty"` // all there is, not only what changed
-	Config    *catalogue.Step           `json:"config,omitempty"`
-	Databases databases                 `json:"databases,omitempty"`
-	Gone      []string                  `json:"gone,omitempty"` // databases that are no more
-	Leads     map[string]custodian.Lead `json:"leads,omitempty"`
+	Whole     bool                     `json:"whole,omitempty"` // all there is, not only what changed
+	Config    *routeconfig.Step        `json:"config,omitempty"`
+	Databases databases                `json:"databases,omitempty"`
+	Gone      []string                 `json:"gone,omitempty"` // databases that are no more
+	Leads     map[string]failover.Lead `json:"leads,omitempty"`
 }
 
 // databases are told in groups of those that differ by id, service and address
 // only: most are alike in all else.
-type databases map[string]accessions.Database
+type databases map[string]discovery.Database
 
 type alike struct {
-	accessions.Database
+	discovery.Database
 	Rows [][3]string `json:"rows"` // id, service and address of each
 }
 
 // MarshalJSON implements json.Marshaler.
 func (d databases) MarshalJSON() ([]byte, error) {
-	groups := map[accessions.Database][][3]string{}
+	groups := map[discovery.Database][][3]string{}
 	for _, id := range slices.Sorted(maps.Keys(d)) {
 		bare := d[id]
 		row := [3]string{bare.ID, bare.Service, bare.Address}
@@ -67,37 +67,37 @@
 }
 
 // edition is the control state as carriers are told of it in one term of the
-// vault's primary. It is decoded once for each change.
+// control state's primary. It is decoded once for each change.
 type edition struct {
 	mu        sync.Mutex
 	began     int64 // the term
-	state     vault.State
+	state     controlstate.State
 	read      bool  // there is a state
 	first     int64 // of the configuration, steps after this seq are known
 	newest    int64 // seq of the newest change that carriers are told of, as far as is known
-	conf      catalogue.History
+	conf      routeconfig.History
 	rev       int64
-	databases map[string]accessions.Database
-	leads     map[string]custodian.Lead
+	databases map[string]discovery.Database
+	leads     map[string]failover.Lead
 	told      map[int64]json.RawMessage // news by the seq that a carrier has
 	whole     json.RawMessage           // for one of which nothing is known
 
-	ofDatabases *vault.Decoded[accessions.Database]
-	ofLeads     *vault.Decoded[custodian.Lead]
+	ofDatabases *controlstate.Decoded[discovery.Database]
+	ofLeads     *controlstate.Decoded[failover.Lead]
 }
 
 func newEdition(began int64) *edition {
-	return &edition{began: began, ofDatabases: accessions.Decoder(), ofLeads: custodian.Decoder()}
+	return &edition{began: began, ofDatabases: discovery.Decoder(), ofLeads: failover.Decoder()}
 }
 
-// concerns tells whether desks are told of an entry.
+// concerns tells whether poolers are told of an entry.
 func concerns(key string) bool {
-	return key == catalogue.Key || accessions.Holds(key) || custodian.Holds(key)
+	return key == routeconfig.Key || discovery.Holds(key) || failover.Holds(key)
 }
 
 // since returns what a carrier that has the state of seq lacks; nil if that is
 // nothing. Urgent news are not to wait.
-func (e *edition) since(state vault.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
+func (e *edition) since(state controlstate.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.turn(state); err != nil {
@@ -116,13 +116,13 @@
 			n.Config = e.conf.Since(0, true)
 		}
 		if e.whole, err = json.Marshal(n); err != nil {
-			return nil, false, fmt.Errorf("subscription: %w", err)
+			return nil, false, fmt.Errorf("distribution: %w", err)
 		}
 		return e.whole, true, nil
 	}
-	n.Databases, n.Leads = databases{}, map[string]custodian.Lead{}
+	n.Databases, n.Leads = databases{}, map[string]failover.Lead{}
 	for _, key := range state.Since(seq) {
-		urgent = urgent || custodian.Holds(key)
+		urgent = urgent || failover.Holds(key)
 		e.add(&n, key, seq)
 	}
 	raw, told := e.told[seq]
@@ -130,7 +130,7 @@
 		return raw, urgent, nil
 	}
 	if raw, err = json.Marshal(n); err != nil {
-		return nil, false, fmt.Errorf("subscription: %w", err)
+		return nil, false, fmt.Errorf("distribution: %w", err)
 	}
 	e.told[seq] = raw
 	return raw, urgent, nil
@@ -146,17 +146,17 @@
 
 // add puts one entry among the news of whoever has the state of seq.
 func (e *edition) add(n *news, key string, seq int64) {
-	if key == catalogue.Key && e.rev > 0 {
+	if key == routeconfig.Key && e.rev > 0 {
 		n.Config = e.conf.Since(seq, seq < e.first)
 	}
-	if id, ok := strings.CutPrefix(key, accessions.Key("")); ok {
+	if id, ok := strings.CutPrefix(key, discovery.Key("")); ok {
 		if d, there := e.databases[id]; there {
 			n.Databases[id] = d
 		} else {
 			n.Gone = append(n.Gone, id)
 		}
 	}
-	if svc, ok := strings.CutPrefix(key, custodian.Key("")); ok {
+	if svc, ok := strings.CutPrefix(key, failover.Key("")); ok {
 		if l, there := e.leads[svc]; there {
 			n.Leads[svc] = l
 		}
@@ -164,7 +164,7 @@
 }
 
 // turn takes a newer state in.
-func (e *edition) turn(state vault.State) error {
+func (e *edition) turn(state controlstate.State) error {
 	if e.read && state.Seq == e.state.Seq {
 		return nil
 	}
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	databases := make(map[string]accessions.Database, len(listed))
+	databases := make(map[string]discovery.Database, len(listed))
 	for id, d := range listed {
 		if !d.Gone {
 			databases[id] = d
@@ -191,8 +191,8 @@
 	if !e.read {
 		e.first = state.Seq
 	}
-	if e.rev == 0 || !bytes.Equal(e.state.Entries[catalogue.Key], next[catalogue.Key]) {
-		_, conf, err := catalogue.Decode(next[catalogue.Key])
+	if e.rev == 0 || !bytes.Equal(e.state.Entries[routeconfig.Key], next[routeconfig.Key]) {
+		_, conf, err := routeconfig.Decode(next[routeconfig.Key])
 		if err != nil {
 			return err
 		}
--- a/internal/subscription/edition_test.go
+++ b/internal/distribution/edition_test.go
@@ -1,4 +1,4 @@
-package subscription
+package distribution
 
 import (
 	"encoding/json"
@@ -6,17 +6,17 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/routeconfig"
 )
 
-// A desk is told what changed since what it has, and everything only if what
+// A pooler is told what changed since what it has, and everything only if what
 // came before is not known any more.
 func TestNewsSinceASequence(t *testing.T) {
 	e := newEdition(1)
-	state := vault.State{Epoch: 3, Seq: 10}.WithoutRevisions()
+	state := controlstate.State{Epoch: 3, Seq: 10}.WithoutRevisions()
 	put := func(key, raw string) {
 		if raw == "" {
 			raw = "null"
@@ -38,7 +38,7 @@
 	}
 	for i := range 90 {
 		id := fmt.Sprint("i-", i)
-		put(accessions.Key(id), fmt.Sprintf(`{"id":%q,"svc":"s%d","address":"10.1.64.%d:8000","zone":"z","slots":7}`, id, i/3, i))
+		put(discovery.Key(id), fmt.Sprintf(`{"id":%q,"svc":"s%d","address":"10.1.64.%d:8000","zone":"z","slots":7}`, id, i/3, i))
 	}
 	whole, all, urgent := since(5)
 	if !whole.Whole || len(whole.Databases) != 90 || !urgent {
@@ -46,14 +46,14 @@
 	}
 	at := state.Seq
 	if _, size, _ := since(at); size != 0 {
-		t.Errorf("%d bytes of news for a desk that has all", size)
+		t.Errorf("%d bytes of news for a pooler that has all", size)
 	}
-	put("desk/d1", "17")
+	put("carrier/d1", "17")
 	if _, size, _ := since(at); size != 0 {
-		t.Errorf("%d bytes of news because another desk was registered", size)
+		t.Errorf("%d bytes of news because another pooler was registered", size)
 	}
-	put(accessions.Key("i-3"), `{"id":"i-3","svc":"s1","draining":true}`)
-	put(accessions.Key("i-4"), "")
+	put(discovery.Key("i-3"), `{"id":"i-3","svc":"s1","draining":true}`)
+	put(discovery.Key("i-4"), "")
 	n, size, urgent := since(at)
 	if n.Whole || len(n.Databases) != 1 || !n.Databases["i-3"].Draining || len(n.Gone) != 1 || urgent {
 		t.Errorf("changes of two databases: %+v, urgent %v", n, urgent)
@@ -61,7 +61,7 @@
 	if size > all/20 {
 		t.Errorf("%d bytes for two changes, of %d for everything", size, all)
 	}
-	put(custodian.Key("s1"), `{"svc":"s1","id":"i-5","moving":true,"turn":1}`)
+	put(failover.Key("s1"), `{"svc":"s1","id":"i-5","moving":true,"turn":1}`)
 	if n, _, urgent := since(state.Seq - 1); !urgent || !n.Leads["s1"].Moving || len(n.Databases) != 0 {
 		t.Errorf("a move of a lead: %+v, urgent %v", n, urgent)
 	}
@@ -71,8 +71,8 @@
 	}
 }
 
-// A new primary that has followed the changes tells what a desk lacks, not all
-// there is: hundreds of desks find it at the same time.
+// A new primary that has followed the changes tells what a pooler lacks, not all
+// there is: hundreds of poolers find it at the same time.
 func TestNewsOfAnotherPrimary(t *testing.T) {
 	conf := func(rev int, hosts ...string) json.RawMessage {
 		var routes []string
@@ -81,12 +81,12 @@
 		}
 		return json.RawMessage(fmt.Sprintf(`{"rev":%d,"body":{"rev":%d,"routes":[%s],"services":[{"name":"s"}]}}`, rev, rev, strings.Join(routes, ",")))
 	}
-	state := vault.State{Epoch: 3, Seq: 10}.WithoutRevisions()
+	state := controlstate.State{Epoch: 3, Seq: 10}.WithoutRevisions()
 	for i := range 90 {
 		id := fmt.Sprint("i-", i)
-		state = state.With(map[string]json.RawMessage{accessions.Key(id): json.RawMessage(fmt.Sprintf(`{"id":%q,"svc":"s"}`, id))})
+		state = state.With(map[string]json.RawMessage{discovery.Key(id): json.RawMessage(fmt.Sprintf(`{"id":%q,"svc":"s"}`, id))})
 	}
-	state = state.With(map[string]json.RawMessage{catalogue.Key: conf(1, "a", "b")})
+	state = state.With(map[string]json.RawMessage{routeconfig.Key: conf(1, "a", "b")})
 	had := state.Seq
 	old, _, err := newEdition(1).since(state, 0)
 	if err != nil {
@@ -96,7 +96,7 @@
 	if err := json.Unmarshal(old, &first); err != nil {
 		t.Fatal(err)
 	}
-	state = state.With(map[string]json.RawMessage{catalogue.Key: conf(2, "b", "c")})
+	state = state.With(map[string]json.RawMessage{routeconfig.Key: conf(2, "b", "c")})
 	raw, _, err := newEdition(2).since(state, had)
 	if err != nil {
 		t.Fatal(err)
@@ -108,7 +108,7 @@
 	if n.Whole || len(n.Databases) != 0 || n.Config == nil {
 		t.Fatalf("%d bytes of %d: %+v", len(raw), len(old), n)
 	}
-	x := (*catalogue.Index)(nil).Next(first.Config).Next(n.Config)
+	x := (*routeconfig.Index)(nil).Next(first.Config).Next(n.Config)
 	for host, there := range map[string]bool{"a": false, "b": true, "c": true} {
 		if r, _ := x.Find(host); (r != nil) != there {
 			t.Errorf("route %s is there: %v", host, r != nil)
--- a/internal/subscription/office.go
+++ b/internal/distribution/publisher.go
@@ -1,7 +1,7 @@
-// Package subscription brings the control state from the archive to the
-// desks. A desk asks with what it has; the answer comes at the next change, or
-// after a while without one, and carries the desk's read lease.
-package subscription
+// Package distribution brings the control state from the control node to the
+// poolers. A pooler asks with what it has; the answer comes at the next change, or
+// after a while without one, and carries the pooler's read lease.
+package distribution
 
 import (
 	"context"
@@ -12,63 +12,63 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/rpc"
-	"indigowalk/internal/vault"
 )
 
-const pollOp = "subscription.poll"
+const pollOp = "distribution.poll"
 
 type pollAsk struct {
-	Desk string           `json:"desk"`
-	Life int64            `json:"life"`
-	Seq  int64            `json:"seq"`
-	Left map[string]int64 `json:"left,omitempty"`
+	Pooler string           `json:"pooler"`
+	Life   int64            `json:"life"`
+	Seq    int64            `json:"seq"`
+	Left   map[string]int64 `json:"left,omitempty"`
 	// Acked bounds, for each service that was left, the commits that clients were
 	// told of.
 	Acked positions       `json:"acked,omitempty"`
 	Saw   *saw            `json:"saw,omitempty"`
-	Down  []string        `json:"down,omitempty"` // databases the desk holds as down
-	Now   bool            `json:"now,omitempty"`  // the desk's lease can't wait for the next change
+	Down  []string        `json:"down,omitempty"` // databases the pooler holds as down
+	Now   bool            `json:"now,omitempty"`  // the pooler's lease can't wait for the next change
 	Seen  map[string]Seen `json:"seen,omitempty"` // what requests showed of databases
 	Term  int64           `json:"term,omitempty"` // of the tally that the carrier was told last,
 	Told  int64           `json:"told,omitempty"` // and up to which change
 }
 
 type pollAnswer struct {
-	Elsewhere string            `json:"elsewhere,omitempty"` // the primary, if this archive is not it
-	Newest    int64             `json:"newest,omitempty"`    // a later life of the desk, if this one is refused
-	Epoch     int64             `json:"epoch,omitempty"`
-	Seq       int64             `json:"seq,omitempty"`
-	Lease     foundation.Micros `json:"lease_us,omitempty"`
-	Later     foundation.Micros `json:"later_us,omitempty"` // when the carrier's turn comes to be told: it is to ask again then
-	Desks     int               `json:"desks,omitempty"`    // that have been here of late
-	Term      int64             `json:"term,omitempty"`     // of the tally
-	Told      int64             `json:"told,omitempty"`     // the newest change of it
-	Paces     map[string]int    `json:"paces,omitempty"`    // what changed in it
-	News      json.RawMessage   `json:"news,omitempty"`     // of type news; none if nothing changed since the desk's seq
-	Look      *look             `json:"look,omitempty"`
+	Elsewhere string          `json:"elsewhere,omitempty"` // the primary, if this control node is not it
+	Newest    int64           `json:"newest,omitempty"`    // a later life of the pooler, if this one is refused
+	Epoch     int64           `json:"epoch,omitempty"`
+	Seq       int64           `json:"seq,omitempty"`
+	Lease     kernel.Micros   `json:"lease_us,omitempty"`
+	Later     kernel.Micros   `json:"later_us,omitempty"` // when the carrier's turn comes to be told: it is to ask again then
+	Poolers   int             `json:"poolers,omitempty"`  // that have been here of late
+	Term      int64           `json:"term,omitempty"`     // of the tally
+	Told      int64           `json:"told,omitempty"`     // the newest change of it
+	Paces     map[string]int  `json:"paces,omitempty"`    // what changed in it
+	News      json.RawMessage `json:"news,omitempty"`     // of type news; none if nothing changed since the pooler's seq
+	Look      *look           `json:"look,omitempty"`
 }
 
 // look asks a carrier for the positions in answers of some services' primaries
 // to statements that it sends after it has this, and saw brings them with the
 // next poll.
 type look struct {
-	Term     int64             `json:"term"`
-	Stamp    foundation.Micros `json:"stamp_us"`
-	Services []string          `json:"services"`
+	Term     int64         `json:"term"`
+	Stamp    kernel.Micros `json:"stamp_us"`
+	Services []string      `json:"services"`
 }
 
 type saw struct {
-	Term  int64             `json:"term"`
-	Stamp foundation.Micros `json:"stamp_us"`
-	At    positions         `json:"at"`
+	Term  int64         `json:"term"`
+	Stamp kernel.Micros `json:"stamp_us"`
+	At    positions     `json:"at"`
 }
 
 // positions are places in databases' logs, by service.
-type positions map[string]folio.Position
+type positions map[string]lineprotocol.Position
 
 // MarshalJSON implements json.Marshaler.
 func (p positions) MarshalJSON() ([]byte, error) {
@@ -87,23 +87,23 @@
 	}
 	*p = make(positions, len(texts))
 	for service, text := range texts {
-		position, ok := folio.ParsePosition(text)
+		position, ok := lineprotocol.ParsePosition(text)
 		if !ok {
-			return fmt.Errorf("subscription: %q is no position", text)
+			return fmt.Errorf("distribution: %q is no position", text)
 		}
 		(*p)[service] = position
 	}
 	return nil
 }
 
-// Office is the archive's side.
-type Office struct {
-	k       *foundation.Kernel
-	v       *vault.Vault
-	readers *custodian.Readers
-	lease   foundation.Micros
-	hold    func() foundation.Micros
-	heard   func(desk, id string) // a desk's notice of a fault
+// Publisher is the control node's side: it answers the polls of carriers.
+type Publisher struct {
+	k       *kernel.Kernel
+	v       *controlstate.Replica
+	readers *failover.Readers
+	lease   kernel.Micros
+	hold    func() kernel.Micros
+	heard   func(pooler, id string) // a pooler's notice of a fault
 	turns   turns
 
 	mu      sync.Mutex
@@ -112,16 +112,16 @@
 }
 
 // turns has large news leave one after another, at a share of the link: of
-// hundreds of desks that start at once, or find another primary, each is sent
-// some, and whatever else the archive sends would wait behind them, its checks
+// hundreds of poolers that start at once, or find another primary, each is sent
+// some, and whatever else the control node sends would wait behind them, its checks
 // of databases too. A carrier whose turn is not soon asks again when it comes;
 // to hold its call until then would have it given up, and the turn lost.
 type turns struct {
 	rate float64 // bytes a microsecond; 0 for no bound
 
 	mu    sync.Mutex
-	next  foundation.Micros
-	given map[string]foundation.Micros // by carrier, turns that are to come
+	next  kernel.Micros
+	given map[string]kernel.Micros // by carrier, turns that are to come
 }
 
 const (
@@ -130,19 +130,19 @@
 	// largeNews are those that take turns.
 	largeNews = 4 << 10
 	// stay is how long a turn may be waited for within one call.
-	stay = 200 * foundation.Millisecond
+	stay = 200 * kernel.Millisecond
 	// turnKept is for how long a turn that was not used is remembered.
-	turnKept = 2 * foundation.Second
+	turnKept = 2 * kernel.Second
 )
 
 // take returns how long the carrier is to wait for the turn of so many bytes.
-func (t *turns) take(carrier string, now foundation.Micros, size int) foundation.Micros {
+func (t *turns) take(carrier string, now kernel.Micros, size int) kernel.Micros {
 	if t.rate == 0 || size < largeNews {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.given, func(_ string, at foundation.Micros) bool { return now-at > turnKept })
+	maps.DeleteFunc(t.given, func(_ string, at kernel.Micros) bool { return now-at > turnKept })
 	if at, given := t.given[carrier]; given {
 		if at <= now {
 			delete(t.given, carrier)
@@ -150,10 +150,10 @@
 		return max(0, at-now)
 	}
 	at := max(now, t.next)
-	t.next = at + foundation.Micros(float64(size)/t.rate)
+	t.next = at + kernel.Micros(float64(size)/t.rate)
 	if at-now > stay {
 		if t.given == nil {
-			t.given = map[string]foundation.Micros{}
+			t.given = map[string]kernel.Micros{}
 		}
 		t.given[carrier] = at
 	}
@@ -161,7 +161,7 @@
 }
 
 // inTerm returns the edition and the tally of a term.
-func (o *Office) inTerm(began int64) (*edition, *tally) {
+func (o *Publisher) inTerm(began int64) (*edition, *tally) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.edition == nil || o.edition.began != began {
@@ -170,18 +170,18 @@
 	return o.edition, o.tally
 }
 
-// NewOffice answers polls through the endpoint.
+// NewPublisher answers polls through the endpoint.
 // Mbps is the bandwidth of its link, 0 if that is not known.
-func NewOffice(k *foundation.Kernel, b *rpc.Endpoint, v *vault.Vault, readers *custodian.Readers, lease foundation.Micros, hold func() foundation.Micros, heard func(desk, id string), mbps float64) *Office {
-	o := &Office{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
+func NewPublisher(k *kernel.Kernel, b *rpc.Endpoint, v *controlstate.Replica, readers *failover.Readers, lease kernel.Micros, hold func() kernel.Micros, heard func(pooler, id string), mbps float64) *Publisher {
+	o := &Publisher{k: k, v: v, readers: readers, lease: lease, hold: hold, heard: heard}
 	o.turns.rate = linkShare * mbps / 8
 	rpc.On(b, pollOp, o.onPoll)
 	return o
 }
 
-func (o *Office) onPoll(ctx context.Context, q pollAsk) (any, error) {
-	if q.Desk == "" || q.Life == 0 {
-		o.k.Counters.Add("subscription.malformed", 1)
+func (o *Publisher) onPoll(ctx context.Context, q pollAsk) (any, error) {
+	if q.Pooler == "" || q.Life == 0 {
+		o.k.Counters.Add("distribution.malformed", 1)
 		return nil, errors.New("malformed")
 	}
 	term, elsewhere := o.awaitTerm(ctx)
@@ -191,16 +191,16 @@
 	if err := o.register(ctx, q, term); err != nil {
 		return nil, err
 	}
-	report := custodian.Report{Left: q.Left, Acked: q.Acked}
-	if newest, ok := o.readers.Heard(q.Desk, q.Life, report, o.k.Clock.Now()); !ok {
-		o.k.Counters.Add("subscription.old_life", 1)
+	report := failover.Report{Left: q.Left, Acked: q.Acked}
+	if newest, ok := o.readers.Heard(q.Pooler, q.Life, report, o.k.Clock.Now()); !ok {
+		o.k.Counters.Add("distribution.old_life", 1)
 		return pollAnswer{Newest: newest}, nil
 	}
 	if q.Saw != nil {
-		o.readers.Sighted(custodian.Sighting{Term: q.Saw.Term, Stamp: q.Saw.Stamp, At: q.Saw.At})
+		o.readers.Sighted(failover.Sighting{Term: q.Saw.Term, Stamp: q.Saw.Stamp, At: q.Saw.At})
 	}
 	for _, id := range q.Down {
-		o.heard(q.Desk, id)
+		o.heard(q.Pooler, id)
 	}
 	t := time.NewTimer(o.hold().Duration())
 	defer t.Stop()
@@ -217,21 +217,21 @@
 		}
 		news, urgent, err := edition.since(state, q.Seq)
 		if err != nil {
-			o.k.Counters.Add("subscription.unreadable", 1)
+			o.k.Counters.Add("distribution.unreadable", 1)
 			return nil, err
 		}
 		if news != nil {
 			tally.keep(edition.has)
 		}
 		if news != nil && !mine {
-			wait := o.turns.take(q.Desk, o.k.Clock.Now(), len(news))
+			wait := o.turns.take(q.Pooler, o.k.Clock.Now(), len(news))
 			if wait > stay {
-				o.k.Counters.Add("subscription.later", 1)
+				o.k.Counters.Add("distribution.later", 1)
 				return pollAnswer{Later: wait}, nil
 			}
 			mine = true
 			if wait > 0 {
-				foundation.Sleep(ctx, wait)
+				kernel.Sleep(ctx, wait)
 				continue
 			}
 		}
@@ -247,45 +247,45 @@
 		if news != nil && !urgent && !q.Now {
 			// Changes that come close together go out together.
 			q.Now = true
-			foundation.Sleep(ctx, gather)
+			kernel.Sleep(ctx, gather)
 			continue
 		}
 		return o.answer(q, state, news, tally, term)
 	}
 }
 
-// ofLate is for how long a desk that polls no more is counted: the connections
+// ofLate is for how long a pooler that polls no more is counted: the connections
 // that it had may be there yet, and it may come back.
-const ofLate = 20 * foundation.Second
+const ofLate = 20 * kernel.Second
 
 // gather is how long a change that can wait is held back for others.
-const gather = 50 * foundation.Millisecond
+const gather = 50 * kernel.Millisecond
 
-// register enters the desk's life in the control state before it is granted a
+// register enters the pooler's life in the control state before it is granted a
 // lease, and starts the term if this is its first poll.
-func (o *Office) register(ctx context.Context, q pollAsk, term *vault.Term) error {
+func (o *Publisher) register(ctx context.Context, q pollAsk, term *controlstate.Term) error {
 	state, err := o.v.Durable()
 	if err != nil {
 		return err
 	}
 	if !o.readers.InTerm(term.Began()) {
-		desks, err := custodian.Registered(state.Entries)
+		poolers, err := failover.Registered(state.Entries)
 		if err != nil {
 			return err
 		}
-		o.readers.Term(term.Began(), desks, o.k.Clock.Now(), o.lease)
+		o.readers.Term(term.Began(), poolers, o.k.Clock.Now(), o.lease)
 	}
-	if custodian.IsRegistered(state.Entries, q.Desk, q.Life) {
+	if failover.IsRegistered(state.Entries, q.Pooler, q.Life) {
 		return nil
 	}
 	return o.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		return custodian.Register(q.Desk, q.Life), nil
+		return failover.Register(q.Pooler, q.Life), nil
 	})
 }
 
-// awaitTerm returns the term if this archive leads, else who does; where no
+// awaitTerm returns the term if this control node leads, else who does; where no
 // primary is known it waits for one.
-func (o *Office) awaitTerm(ctx context.Context) (term *vault.Term, elsewhere string) {
+func (o *Publisher) awaitTerm(ctx context.Context) (term *controlstate.Term, elsewhere string) {
 	ctx, cancel := context.WithTimeout(ctx, o.hold().Duration())
 	defer cancel()
 	for {
@@ -304,17 +304,17 @@
 	}
 }
 
-func (o *Office) answer(q pollAsk, state vault.State, news json.RawMessage, tally *tally, term *vault.Term) (any, error) {
+func (o *Publisher) answer(q pollAsk, state controlstate.State, news json.RawMessage, tally *tally, term *controlstate.Term) (any, error) {
 	// The lease is noted before it is granted, and only in the term in which the
 	// state was read.
-	if !o.readers.Grant(q.Desk, q.Life, o.k.Clock.Now()+o.lease) {
-		return nil, errors.New("an earlier life of that desk")
+	if !o.readers.Grant(q.Pooler, q.Life, o.k.Clock.Now()+o.lease) {
+		return nil, errors.New("an earlier life of that pooler")
 	}
 	if !term.Valid() {
-		o.k.Counters.Add("subscription.term_ended", 1)
+		o.k.Counters.Add("distribution.term_ended", 1)
 		return pollAnswer{}, nil
 	}
-	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Desks: o.readers.Count(o.k.Clock.Now() - ofLate)}
+	a := pollAnswer{Epoch: state.Epoch, Seq: state.Seq, Lease: o.lease, Poolers: o.readers.Count(o.k.Clock.Now() - ofLate)}
 	if q.Term != term.Began() {
 		q.Told = 0
 	}
@@ -328,6 +328,6 @@
 	if err != nil || news == nil {
 		return json.RawMessage(raw), err
 	}
-	// The news were encoded once for all desks.
+	// The news were encoded once for all poolers.
 	return json.RawMessage(append(append(append(raw[:len(raw)-1], `,"news":`...), news...), '}')), nil
 }
--- a/internal/subscription/relay.go
+++ b/internal/distribution/relay.go
@@ -1,4 +1,4 @@
-package subscription
+package distribution
 
 import (
 	"context"
@@ -7,21 +7,21 @@
 	"math/rand/v2"
 	"net"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-// A carrier that is cut off from the archives, and not from other carriers, has
-// one of them pass its polls on. The vault's primary still counts the lease and
+// A carrier that is cut off from the control nodes, and not from other carriers, has
+// one of them pass its polls on. The control state's primary still counts the lease and
 // the acknowledgement itself, and the carrier measures the lease from before it
 // asked, so a lease that came this way is worth no more and no less.
-const relayOp = "subscription.relay"
+const relayOp = "distribution.relay"
 
 const (
-	// shortWait is how long a carrier that is cut off waits for an archive.
-	shortWait = 300 * foundation.Millisecond
-	// relayFor is how long a carrier stays with a peer before it tries an archive
+	// shortWait is how long a carrier that is cut off waits for a control node.
+	shortWait = 300 * kernel.Millisecond
+	// relayFor is how long a carrier stays with a peer before it tries a control node
 	// itself.
-	relayFor = foundation.Second
+	relayFor = kernel.Second
 	// mostPeers bounds whom a carrier asks as long as a cut lasts, and with it
 	// the connections that this leaves; peersATurn those between two polls of
 	// its own.
@@ -31,7 +31,7 @@
 	mostPassing = 8
 )
 
-var errNoContact = errors.New("subscription: not in touch with the primary")
+var errNoContact = errors.New("distribution: not in touch with the primary")
 
 // relays are the peers that a carrier asks during one cut, in turn.
 type relays struct {
@@ -40,9 +40,9 @@
 	used  bool // one has passed a poll on
 }
 
-// cutOff tells whether a peer should be asked. Where archives answer that they
+// cutOff tells whether a peer should be asked. Where control nodes answer that they
 // know no primary, a peer most likely knows none either: it is asked later then.
-func (c *Card) cutOff(unanswered int) bool {
+func (c *Subscriber) cutOff(unanswered int) bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	since := c.k.Clock.Now() - c.touched
@@ -51,7 +51,7 @@
 
 // throughPeers polls through peers for a while; it reports whether one passed a
 // poll on.
-func (c *Card) throughPeers(ctx context.Context, r *relays) (heard bool) {
+func (c *Subscriber) throughPeers(ctx context.Context, r *relays) (heard bool) {
 	if r.peers == nil {
 		all := c.cfg.Peers()
 		for _, i := range rand.Perm(len(all))[:min(len(all), mostPeers)] {
@@ -63,28 +63,28 @@
 		peer := r.peers[r.at%len(r.peers)]
 		next, err := c.poll(ctx, peer, relayOp, false)
 		if err != nil || next != peer {
-			c.k.Counters.Add("subscription.relay_failed", 1)
+			c.k.Counters.Add("distribution.relay_failed", 1)
 			r.at++
 			failed++
 			continue
 		}
-		c.k.Counters.Add("subscription.relayed", 1)
+		c.k.Counters.Add("distribution.relayed", 1)
 		if heard = true; !r.used {
 			r.used = true
-			c.k.Log.Warn("no archive answers, a peer passes polls on", "peer", peer)
+			c.k.Log.Warn("no control node answers, a peer passes polls on", "peer", peer)
 		}
 	}
 	return heard
 }
 
 // onRelay passes a peer's poll on to the primary. It is refused unless this
-// carrier is in touch with the primary itself, and goes to an archive, so it is
+// carrier is in touch with the primary itself, and goes to a control node, so it is
 // passed on once.
-func (c *Card) onRelay(ctx context.Context, poll json.RawMessage) (any, error) {
+func (c *Subscriber) onRelay(ctx context.Context, poll json.RawMessage) (any, error) {
 	c.mu.RLock()
-	archive, since := c.archive, c.k.Clock.Now()-c.heardAt
+	controlNode, since := c.controlNode, c.k.Clock.Now()-c.heardAt
 	c.mu.RUnlock()
-	if archive == "" || since > c.pollSpan() {
+	if controlNode == "" || since > c.pollSpan() {
 		return nil, errNoContact
 	}
 	if c.passing.Add(1) > mostPassing {
@@ -92,9 +92,9 @@
 		return nil, errNoContact
 	}
 	defer c.passing.Add(-1)
-	c.k.Counters.Add("subscription.passed_on", 1)
+	c.k.Counters.Add("distribution.passed_on", 1)
 	var answer json.RawMessage
-	if err := c.b.Call(ctx, archive, pollOp, poll, &answer, c.pollSpan()); err != nil {
+	if err := c.b.Call(ctx, controlNode, pollOp, poll, &answer, c.pollSpan()); err != nil {
 		return nil, err
 	}
 	return answer, nil
