--- a/internal/subscription/card.go
+++ b/internal/distribution/subscriber.go
@@ -1,4 +1,4 @@
-package subscription
+package distribution
 
 import (
 	"context"
@@ -11,96 +11,96 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/rpc"
 )
 
 // ErrNoLease says that nothing may be sent to a primary now: there is none, it
-// is being replaced, or this desk's read lease has run out.
-var ErrNoLease = errors.New("subscription: no read lease on a primary")
+// is being replaced, or this pooler's read lease has run out.
+var ErrNoLease = errors.New("distribution: no read lease on a primary")
 
 // ErrLeft says that a database has left, or leaves and may not be sent any more.
-var ErrLeft = errors.New("subscription: the database has left")
+var ErrLeft = errors.New("distribution: the database has left")
 
 // leaseMargin is kept between the check of the lease and its end.
-const leaseMargin = 50 * foundation.Millisecond
+const leaseMargin = 50 * kernel.Millisecond
 
-// wholeWait is how much longer a desk that knows nothing waits for the whole
+// wholeWait is how much longer a pooler that knows nothing waits for the whole
 // state.
-const wholeWait = 2 * foundation.Second
+const wholeWait = 2 * kernel.Second
 
 // others is how long, after a poll that failed, others are not believed that it
-// was the right archive to ask. It may have been a lost packet; and an archive
-// that this desk does not know as a member it can ask by their word only.
-const others = 300 * foundation.Millisecond
+// was the right control node to ask. It may have been a lost packet; and a control node
+// that this pooler does not know as a member it can ask by their word only.
+const others = 300 * kernel.Millisecond
 
 // lostAfter is the time without an answer after which a log line tells so.
-const lostAfter = 2 * foundation.Second
+const lostAfter = 2 * kernel.Second
 
-// longestLater bounds how long a desk waits for its turn to be told.
-const longestLater = 2 * foundation.Second
+// longestLater bounds how long a pooler waits for its turn to be told.
+const longestLater = 2 * kernel.Second
 
 // leaveWait bounds how long leaving a primary that answers waits for what is
 // under way there.
-const leaveWait = 400 * foundation.Millisecond
-
-// CardConfig is what a card is built from.
-type CardConfig struct {
-	Desk     string
-	Poll     func() foundation.Micros // longest wait of a poll at the archive
-	Archives func() []string
-	Peers    func() []string         // other carriers, who may pass polls on
-	Lease    foundation.Micros       // span of a read lease
-	Down     func() map[string]int64 // databases that the health coordinator holds as down
-	Applied  func(map[string]accessions.Database)
-	Observed func(service string, sent foundation.Micros, pos folio.Position)
-	Seen     func() map[string]Seen     // what requests showed since it was last asked, nil if nothing
-	Paces    func(paces map[string]int) // what all carriers together saw
-	Bounds   func() DrainBounds
+const leaveWait = 400 * kernel.Millisecond
+
+// SubscriberConfig is what a subscriber is built from.
+type SubscriberConfig struct {
+	Pooler       string
+	Poll         func() kernel.Micros // longest wait of a poll at the control node
+	ControlNodes func() []string
+	Peers        func() []string         // other carriers, who may pass polls on
+	Lease        kernel.Micros           // span of a read lease
+	Down         func() map[string]int64 // databases that the health coordinator holds as down
+	Applied      func(map[string]discovery.Database)
+	Observed     func(service string, sent kernel.Micros, pos lineprotocol.Position)
+	Seen         func() map[string]Seen     // what requests showed since it was last asked, nil if nothing
+	Paces        func(paces map[string]int) // what all carriers together saw
+	Bounds       func() DrainBounds
 }
 
-// Card is the desk's side: the newest control state it has, and its lease.
-type Card struct {
-	k    *foundation.Kernel
+// Subscriber is the carrier's side: the newest control state it has, and its lease.
+type Subscriber struct {
+	k    *kernel.Kernel
 	b    *rpc.Endpoint
-	cfg  CardConfig
+	cfg  SubscriberConfig
 	life int64
 
-	mu        sync.RWMutex
-	seq       int64
-	epoch     int64
-	conf      *catalogue.Index
-	databases map[string]accessions.Database
-	byService map[string][]accessions.Database
-	leads     map[string]custodian.Lead
-	leaseEnd  foundation.Micros
-	confirmed foundation.Micros // when the poll was sent whose answer was taken in last
-	drains    drainLimits
-	touched   foundation.Micros // when a poll was sent that an archive answered with a lease
-	archive   string            // which one that was
-	heardAt   foundation.Micros // when its answer came
-	desks     int               // that the archive knows
-	term      int64             // of the tally that was told last,
-	told      int64             // and up to which change
-	inside    map[string]int    // statements and transactions at a primary, by service
-	left      map[string]int64
-	commits   commits
-	learnt    map[string]foundation.Micros // when a move was learnt of
-
-	bell    foundation.Bell
-	outside foundation.Bell
+	mu          sync.RWMutex
+	seq         int64
+	epoch       int64
+	conf        *routeconfig.Index
+	databases   map[string]discovery.Database
+	byService   map[string][]discovery.Database
+	leads       map[string]failover.Lead
+	leaseEnd    kernel.Micros
+	confirmed   kernel.Micros // when the poll was sent whose answer was taken in last
+	drains      drainLimits
+	touched     kernel.Micros  // when a poll was sent that a control node answered with a lease
+	controlNode string         // which one that was
+	heardAt     kernel.Micros  // when its answer came
+	poolers     int            // that the control node knows
+	term        int64          // of the tally that was told last,
+	told        int64          // and up to which change
+	inside      map[string]int // statements and transactions at a primary, by service
+	left        map[string]int64
+	commits     commits
+	learnt      map[string]kernel.Micros // when a move was learnt of
+
+	bell    kernel.Bell
+	outside kernel.Bell
 	passing atomic.Int32 // polls of others that are being passed on
 }
 
-// NewCard returns a card that knows nothing yet.
-func NewCard(k *foundation.Kernel, b *rpc.Endpoint, cfg CardConfig) *Card {
-	c := &Card{
+// NewSubscriber returns a subscriber that knows nothing yet.
+func NewSubscriber(k *kernel.Kernel, b *rpc.Endpoint, cfg SubscriberConfig) *Subscriber {
+	c := &Subscriber{
 		k: k, b: b, cfg: cfg, life: time.Now().UnixMicro(), inside: map[string]int{},
-		left: map[string]int64{}, learnt: map[string]foundation.Micros{}, touched: k.Clock.Now(),
+		left: map[string]int64{}, learnt: map[string]kernel.Micros{}, touched: k.Clock.Now(),
 		drains: drainLimits{began: k.Clock.Now()},
 	}
 	b.Handle(relayOp, c.onRelay)
@@ -108,7 +108,7 @@
 }
 
 // Config returns the newest configuration, nil before the first.
-func (c *Card) Config() *catalogue.Index {
+func (c *Subscriber) Config() *routeconfig.Index {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.conf
@@ -116,14 +116,14 @@
 
 // Databases returns the databases of a service, which are not to be changed,
 // and who leads it.
-func (c *Card) Databases(service string) ([]accessions.Database, custodian.Lead) {
+func (c *Subscriber) Databases(service string) ([]discovery.Database, failover.Lead) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.byService[service], c.leads[service]
 }
 
 // Serving returns the databases of a service, which are not to be changed.
-func (c *Card) Serving(service string) []accessions.Database {
+func (c *Subscriber) Serving(service string) []discovery.Database {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.byService[service]
@@ -131,7 +131,7 @@
 
 // Version returns the epoch, sequence and configuration version in hand, and
 // how long the lease runs.
-func (c *Card) Version() (epoch, seq, rev int64, left foundation.Micros) {
+func (c *Subscriber) Version() (epoch, seq, rev int64, left kernel.Micros) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if c.conf != nil {
@@ -140,25 +140,25 @@
 	return c.epoch, c.seq, rev, max(0, c.leaseEnd-c.k.Clock.Now())
 }
 
-// Ready tells whether the desk has a configuration and databases.
-func (c *Card) Ready() bool {
+// Ready tells whether the pooler has a configuration and databases.
+func (c *Subscriber) Ready() bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.conf != nil && len(c.databases) > 0
 }
 
 // Changed closes at the next change.
-func (c *Card) Changed() <-chan struct{} { return c.bell.Wait() }
+func (c *Subscriber) Changed() <-chan struct{} { return c.bell.Wait() }
 
 // Primary returns the database that may be sent statements as the service's
 // primary, if any may.
-func (c *Card) Primary(service string) (string, error) {
+func (c *Subscriber) Primary(service string) (string, error) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.primary(service)
 }
 
-func (c *Card) primary(service string) (string, error) {
+func (c *Subscriber) primary(service string) (string, error) {
 	l, ok := c.leads[service]
 	if !ok || l.Moving || c.k.Clock.Now()+leaseMargin >= c.leaseEnd || !c.serves(l.ID) {
 		return "", ErrNoLease
@@ -169,7 +169,7 @@
 // Send sends something to a primary if the lease covers it at that moment:
 // the check and the sending are one step with regard to leaving. What was
 // sent counts as under way until Done.
-func (c *Card) Send(service, id string, send func() error) (sent foundation.Micros, err error) {
+func (c *Subscriber) Send(service, id string, send func() error) (sent kernel.Micros, err error) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if p, err := c.primary(service); err != nil || p != id {
@@ -181,7 +181,7 @@
 
 // Begin counts a statement or transaction as under way at the primary, and
 // returns the term in which that leads.
-func (c *Card) Begin(service string) (term int64) {
+func (c *Subscriber) Begin(service string) (term int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inside[service]++
@@ -189,7 +189,7 @@
 }
 
 // Done ends what Begin began.
-func (c *Card) Done(service string) {
+func (c *Subscriber) Done(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.inside[service]--; c.inside[service] == 0 && c.leads[service].Moving {
@@ -198,10 +198,10 @@
 }
 
 // Serve polls until ctx ends.
-func (c *Card) Serve(ctx context.Context) error {
+func (c *Subscriber) Serve(ctx context.Context) error {
 	addr, failed := "", ""
-	heard, lost, failedAt := c.k.Clock.Now(), false, foundation.Micros(0)
-	unanswered := 0 // polls of other machines' archives in a row
+	heard, lost, failedAt := c.k.Clock.Now(), false, kernel.Micros(0)
+	unanswered := 0 // polls of other machines' control nodes in a row
 	var r relays
 	for turn := 0; ctx.Err() == nil; {
 		cut := c.cutOff(unanswered)
@@ -209,9 +209,9 @@
 			heard = c.k.Clock.Now()
 		}
 		if addr == "" {
-			known := c.cfg.Archives()
+			known := c.cfg.ControlNodes()
 			if len(known) == 0 {
-				foundation.Sleep(ctx, 100*foundation.Millisecond)
+				kernel.Sleep(ctx, 100*kernel.Millisecond)
 				continue
 			}
 			addr = known[turn%len(known)]
@@ -230,7 +230,7 @@
 		}
 		switch {
 		case err != nil:
-			c.k.Counters.Add("subscription.poll_failed", 1)
+			c.k.Counters.Add("distribution.poll_failed", 1)
 			failed, failedAt = addr, c.k.Clock.Now()
 			unanswered++
 		case next == addr:
@@ -244,21 +244,21 @@
 			}
 		}
 		if next == "" {
-			foundation.Sleep(ctx, 50*foundation.Millisecond)
+			kernel.Sleep(ctx, 50*kernel.Millisecond)
 		}
 		addr = next
 	}
 	return nil
 }
 
-// poll asks an archive, or a peer who passes it on, and returns whom to ask
+// poll asks a control node, or a peer who passes it on, and returns whom to ask
 // next, "" if that is not known. One that is short is answered at once, and not
 // waited for.
-func (c *Card) poll(ctx context.Context, addr, op string, short bool) (string, error) {
+func (c *Subscriber) poll(ctx context.Context, addr, op string, short bool) (string, error) {
 	down := c.cfg.Down()
 	wait := c.leaving(down)
 	c.mu.RLock()
-	q := pollAsk{Desk: c.cfg.Desk, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
+	q := pollAsk{Pooler: c.cfg.Pooler, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
 	q.Term, q.Told, q.Saw = c.term, c.told, c.commits.seen()
 	q.Now = short || c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
 	for id := range down {
@@ -304,30 +304,30 @@
 		return addr, nil
 	}
 	if a.Later > 0 {
-		foundation.Sleep(ctx, min(a.Later, longestLater))
+		kernel.Sleep(ctx, min(a.Later, longestLater))
 		return addr, nil
 	}
 	if a.Lease <= 0 {
 		return a.Elsewhere, nil
 	}
 	if err := c.apply(start, a, q.Saw); err != nil {
-		c.k.Counters.Add("subscription.unreadable", 1)
+		c.k.Counters.Add("distribution.unreadable", 1)
 		return "", err
 	}
 	if op == pollOp {
 		c.mu.Lock()
-		c.touched, c.archive, c.heardAt = start, addr, c.k.Clock.Now()
+		c.touched, c.controlNode, c.heardAt = start, addr, c.k.Clock.Now()
 		c.mu.Unlock()
 	}
 	return addr, nil
 }
 
 // pollSpan is how long the answer to a poll is waited for.
-func (c *Card) pollSpan() foundation.Micros { return c.cfg.Poll() + 300*foundation.Millisecond }
+func (c *Subscriber) pollSpan() kernel.Micros { return c.cfg.Poll() + 300*kernel.Millisecond }
 
 // leaving acknowledges moves that nothing stands against, and returns how
 // long to wait for what is still under way.
-func (c *Card) leaving(down map[string]int64) (wait foundation.Micros) {
+func (c *Subscriber) leaving(down map[string]int64) (wait kernel.Micros) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
@@ -340,29 +340,29 @@
 			c.left[svc] = l.Turn
 			continue
 		}
-		wait = max(wait, min(left, 20*foundation.Millisecond))
+		wait = max(wait, min(left, 20*kernel.Millisecond))
 	}
 	return wait
 }
 
 // apply takes an answer in, to a poll that told that.
-func (c *Card) apply(start foundation.Micros, a pollAnswer, told *saw) error {
+func (c *Subscriber) apply(start kernel.Micros, a pollAnswer, told *saw) error {
 	var n news
 	if a.News != nil {
 		if err := json.Unmarshal(a.News, &n); err != nil {
-			return fmt.Errorf("subscription: %w", err)
+			return fmt.Errorf("distribution: %w", err)
 		}
 	}
 	c.mu.Lock()
 	if a.Epoch < c.epoch || a.Seq < c.seq {
 		c.mu.Unlock()
-		c.k.Counters.Add("subscription.old_refused", 1)
+		c.k.Counters.Add("distribution.old_refused", 1)
 		return nil
 	}
 	if n.Config != nil {
 		if c.conf != nil && n.Config.Rev < c.conf.Rev {
 			c.mu.Unlock()
-			c.k.Counters.Add("subscription.old_refused", 1)
+			c.k.Counters.Add("distribution.old_refused", 1)
 			return nil
 		}
 		c.conf = c.conf.Next(n.Config)
@@ -373,12 +373,12 @@
 	if n.Config != nil {
 		c.k.Log.Info("configuration taken", "rev", n.Config.Rev, "epoch", a.Epoch, "seq", a.Seq, "bytes", len(a.News))
 	}
-	c.epoch, c.seq, c.desks = a.Epoch, a.Seq, a.Desks
+	c.epoch, c.seq, c.poolers = a.Epoch, a.Seq, a.Poolers
 	c.term, c.told = a.Term, a.Told
 	c.commits.lookFrom(a.Look, told, c.k.Clock.Now())
 	c.leaseEnd, c.confirmed = max(c.leaseEnd, start+a.Lease), start
 	databases := c.databases
-	var floors []custodian.Lead
+	var floors []failover.Lead
 	for _, l := range c.leads {
 		if l.Moving && l.Floor != "" {
 			floors = append(floors, l)
@@ -391,7 +391,7 @@
 	for _, l := range floors {
 		// No commit is acknowledged while a lead moves to a chosen database,
 		// so its position covers all until the poll was sent.
-		if pos, ok := folio.ParsePosition(l.Floor); ok {
+		if pos, ok := lineprotocol.ParsePosition(l.Floor); ok {
 			c.cfg.Observed(l.Service, start, pos)
 		}
 	}
@@ -403,8 +403,8 @@
 }
 
 // merge puts news into the maps, which others may hold, by making new ones.
-func (c *Card) merge(n news) {
-	leads, databases := map[string]custodian.Lead{}, map[string]accessions.Database{}
+func (c *Subscriber) merge(n news) {
+	leads, databases := map[string]failover.Lead{}, map[string]discovery.Database{}
 	if !n.Whole {
 		maps.Copy(leads, c.leads)
 		maps.Copy(databases, c.databases)
@@ -420,7 +420,7 @@
 		delete(databases, id)
 	}
 	c.drains.update(c.databases, databases, c.confirmed, c.cfg.Bounds())
-	c.leads, c.databases, c.byService = leads, databases, map[string][]accessions.Database{}
+	c.leads, c.databases, c.byService = leads, databases, map[string][]discovery.Database{}
 	for _, id := range slices.Sorted(maps.Keys(databases)) {
 		d := databases[id]
 		c.byService[d.Service] = append(c.byService[d.Service], d)
--- a/internal/subscription/tally.go
+++ b/internal/distribution/tally.go
@@ -1,10 +1,10 @@
-package subscription
+package distribution
 
 import (
 	"math"
 	"sync"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Seen is what a carrier saw of a database since it last told: how many answers
@@ -16,31 +16,31 @@
 // them how many usual answers a request there costs. It is remembered, not kept:
 // another primary begins anew, and what carriers were told fades with them.
 type tally struct {
-	clock foundation.Clock
+	clock kernel.Clock
 
 	mu   sync.Mutex
 	seq  int64 // of the newest change that is told
-	next foundation.Micros
+	next kernel.Micros
 	of   map[string]*tallied
 }
 
 type tallied struct {
 	pace   float64
-	paceAt foundation.Micros
+	paceAt kernel.Micros
 	ill    float64
-	illAt  foundation.Micros
+	illAt  kernel.Micros
 	told   int   // hundredths
 	at     int64 // seq at which that was set
 }
 
 const (
-	tallyEvery = 300 * foundation.Millisecond
+	tallyEvery = 300 * kernel.Millisecond
 	// Of one answer, or one failure, so much of what was known is replaced.
 	tallyPace = 0.04
 	tallyIll  = 0.2
 	// What was seen fades.
-	tallyFades    = 30 * foundation.Second
-	tallyIllFades = 3 * foundation.Second
+	tallyFades    = 30 * kernel.Second
+	tallyIllFades = 3 * kernel.Second
 	// illCosts is what a request costs where all fail.
 	illCosts = 20
 	// A change by so much is told.
@@ -49,12 +49,12 @@
 	mostTallied = 10_000
 )
 
-func newTally(clock foundation.Clock) *tally {
+func newTally(clock kernel.Clock) *tally {
 	return &tally{clock: clock, of: map[string]*tallied{}}
 }
 
 // fade is what is left of v, which fades to rest.
-func fade(v, rest float64, span, over foundation.Micros) float64 {
+func fade(v, rest float64, span, over kernel.Micros) float64 {
 	return rest + (v-rest)*math.Exp(-float64(span)/float64(over))
 }
 
--- a/internal/subscription/tally_test.go
+++ b/internal/distribution/tally_test.go
@@ -1,24 +1,24 @@
-package subscription
+package distribution
 
 import (
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-type clock struct{ now foundation.Micros }
+type clock struct{ now kernel.Micros }
 
-func (c *clock) Now() foundation.Micros { return c.now }
+func (c *clock) Now() kernel.Micros { return c.now }
 
 // What many carriers see of a database is put together, told once while it stays
 // as it is, and forgotten after a while.
 func TestTally(t *testing.T) {
-	c := &clock{foundation.Second}
+	c := &clock{kernel.Second}
 	tl := newTally(c)
 	see := func(seen map[string]Seen) {
 		for range 40 {
 			tl.add(seen)
-			c.now += 100 * foundation.Millisecond
+			c.now += 100 * kernel.Millisecond
 		}
 	}
 	see(map[string]Seen{"fast": {2, 110, 0}, "slow": {1, 200, 0}, "usual": {2, 200, 0}, "hangs": {0, 0, 1}, "odd": {-1, 5, 0}})
@@ -26,13 +26,13 @@
 	if paces["fast"] > 75 || paces["slow"] < 150 || paces["hangs"] < 1000 || len(paces) != 3 {
 		t.Errorf("%v", paces)
 	}
-	c.now += foundation.Second
+	c.now += kernel.Second
 	see(map[string]Seen{"fast": {2, 110, 0}, "slow": {1, 200, 0}})
 	again, newest := tl.since(seq)
 	if _, told := again["fast"]; told {
 		t.Errorf("told again: %v", again)
 	}
-	c.now += 90 * foundation.Second
+	c.now += 90 * kernel.Second
 	if last, _ := tl.since(newest); last["hangs"] > 130 || last["hangs"] == 0 {
 		t.Errorf("long after: %v", last)
 	}
--- a/internal/custodian/acknowledged.go
+++ b/internal/failover/acknowledged.go
@@ -1,38 +1,38 @@
-package custodian
+package failover
 
 import (
 	"slices"
 
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // acknowledged is what bounds, for each service, the commits that clients were
-// told of. A desk that has left a primary reports what it acknowledged itself.
-// What a desk acknowledged that reports no more, since it ended or its lease ran
+// told of. A pooler that has left a primary reports what it acknowledged itself.
+// What a pooler acknowledged that reports no more, since it ended or its lease ran
 // out, is covered by a sighting: the position in an answer of the primary to a
 // statement that was sent later covers every commit acknowledged before.
 type acknowledged struct {
-	lost     foundation.Micros // until when desks acknowledged that are no more
-	services []string          // with a primary
+	lost     kernel.Micros // until when poolers acknowledged that are no more
+	services []string      // with a primary
 	sighted  map[string]sighted
 }
 
 // sighted is a position that covers every commit acknowledged before a time.
 type sighted struct {
-	before   foundation.Micros
-	position folio.Position
+	before   kernel.Micros
+	position lineprotocol.Position
 }
 
-// Sighting is what a desk saw at primaries after it had the answer that bore
+// Sighting is what a pooler saw at primaries after it had the answer that bore
 // that stamp.
 type Sighting struct {
-	Term  int64                     // in which the stamp was made
-	Stamp foundation.Micros         // clock of the archive that made it
-	At    map[string]folio.Position // newest, by service
+	Term  int64                            // in which the stamp was made
+	Stamp kernel.Micros                    // clock of the control node that made it
+	At    map[string]lineprotocol.Position // newest, by service
 }
 
-// Sighted notes what a desk saw. A stamp of another term is of another clock.
+// Sighted notes what a pooler saw. A stamp of another term is of another clock.
 func (r *Readers) Sighted(s Sighting) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -60,13 +60,13 @@
 // mostWanted bounds the services that one answer asks sightings of.
 const mostWanted = 16
 
-// Wanted lists services of which a sighting later than now would bound what desks
+// Wanted lists services of which a sighting later than now would bound what poolers
 // acknowledged that are no more.
-func (r *Readers) Wanted(now foundation.Micros) (services []string) {
+func (r *Readers) Wanted(now kernel.Micros) (services []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lost := r.acknowledged.lost
-	for _, d := range r.desks {
+	for _, d := range r.poolers {
 		if d.until <= now {
 			lost = max(lost, d.until)
 		}
@@ -81,14 +81,14 @@
 }
 
 // Acknowledged returns a position that covers every commit of the service that a
-// client was told of, once every desk has left its primary at that turn or
+// client was told of, once every pooler has left its primary at that turn or
 // holds no lease any more; false if none is known.
-func (r *Readers) Acknowledged(service string, turn int64) (folio.Position, bool) {
+func (r *Readers) Acknowledged(service string, turn int64) (lineprotocol.Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lost := r.acknowledged.lost
-	var most folio.Position
-	for _, d := range r.desks {
+	var most lineprotocol.Position
+	for _, d := range r.poolers {
 		if d.Left[service] < turn {
 			lost = max(lost, d.until)
 		} else if acked := d.Acked[service]; most.Less(acked) {
@@ -97,7 +97,7 @@
 	}
 	s, known := r.acknowledged.sighted[service]
 	if !known || s.before < lost {
-		return folio.Position{}, false
+		return lineprotocol.Position{}, false
 	}
 	if most.Less(s.position) {
 		most = s.position
--- a/internal/custodian/acknowledged_test.go
+++ b/internal/failover/acknowledged_test.go
@@ -1,39 +1,39 @@
-package custodian
+package failover
 
 import (
 	"maps"
 	"math/rand/v2"
 	"testing"
 
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
-// carrier is a desk of the history: what it reports, as the desks' own code does.
+// carrier is a pooler of the history: what it reports, as the poolers' own code does.
 type carrier struct {
 	name     string
 	life     int64
-	leaseEnd foundation.Micros // on its own, measured from before it asked
-	learnt   int64             // turn of the move that it has heard of
+	leaseEnd kernel.Micros // on its own, measured from before it asked
+	learnt   int64         // turn of the move that it has heard of
 	left     int64
-	acked    folio.Position
-	stamp    foundation.Micros // of the last answer that it had
+	acked    lineprotocol.Position
+	stamp    kernel.Micros // of the last answer that it had
 	term     int64
-	seen     folio.Position
+	seen     lineprotocol.Position
 	known    int64 // life that the control state has
 }
 
 // acks is a history of one service's primary, whose commits are numbered, of the
-// desks that acknowledge them, and of the archive, whose polls, answers and memory
+// poolers that acknowledge them, and of the control node, whose polls, answers and memory
 // may be lost.
 type acks struct {
 	r        *rand.Rand
-	now      foundation.Micros
+	now      kernel.Micros
 	term     int64
 	turn     int64
 	moving   bool
 	number   int64
-	newest   folio.Position // that a client was told of
+	newest   lineprotocol.Position // that a client was told of
 	readers  *Readers
 	carriers []*carrier
 	lives    int64
@@ -42,7 +42,7 @@
 	forgetsLives, stampsLate, countsOld bool
 }
 
-const historyLease = foundation.Micros(50)
+const historyLease = kernel.Micros(50)
 
 func newAcks(seed uint64) *acks {
 	h := &acks{r: rand.New(rand.NewPCG(seed, 2)), now: 1000, term: 1, readers: NewReaders()}
@@ -59,7 +59,7 @@
 	*c = carrier{name: c.name, life: h.lives, known: c.known}
 }
 
-// takeOver has another archive lead, which knows the lives that were registered.
+// takeOver has another control node lead, which knows the lives that were registered.
 func (h *acks) takeOver() {
 	h.term++
 	registered := map[string]int64{}
@@ -72,7 +72,7 @@
 	h.readers.Led([]string{"svc"})
 }
 
-// poll has a desk poll; the poll, or its answer, may be lost.
+// poll has a pooler poll; the poll, or its answer, may be lost.
 func (h *acks) poll(c *carrier) {
 	asked := h.now
 	if c.learnt > c.left && h.r.IntN(2) == 0 {
@@ -80,13 +80,13 @@
 	}
 	report := Report{}
 	if c.left > 0 && h.moving && c.left == h.turn {
-		report = Report{Left: map[string]int64{"svc": c.left}, Acked: map[string]folio.Position{"svc": c.acked}}
+		report = Report{Left: map[string]int64{"svc": c.left}, Acked: map[string]lineprotocol.Position{"svc": c.acked}}
 	}
-	saw := Sighting{Term: c.term, Stamp: c.stamp, At: map[string]folio.Position{"svc": c.seen}}
+	saw := Sighting{Term: c.term, Stamp: c.stamp, At: map[string]lineprotocol.Position{"svc": c.seen}}
 	if h.r.IntN(4) == 0 {
 		return // it is lost
 	}
-	h.now += foundation.Micros(h.r.IntN(3))
+	h.now += kernel.Micros(h.r.IntN(3))
 	c.known = max(c.known, c.life)
 	if _, ok := h.readers.Heard(c.name, c.life, received(report), h.now); !ok {
 		return
@@ -104,8 +104,8 @@
 	if h.r.IntN(4) == 0 {
 		return // the answer is lost
 	}
-	h.now += foundation.Micros(h.r.IntN(3))
-	c.leaseEnd, c.stamp, c.term, c.seen = asked+historyLease, stamp, h.term, folio.Position{}
+	h.now += kernel.Micros(h.r.IntN(3))
+	c.leaseEnd, c.stamp, c.term, c.seen = asked+historyLease, stamp, h.term, lineprotocol.Position{}
 	if h.moving {
 		c.learnt = h.turn
 	}
@@ -114,7 +114,7 @@
 // received is a report as it comes out of a message, apart from the sender's.
 func received(r Report) Report { return Report{Left: maps.Clone(r.Left), Acked: maps.Clone(r.Acked)} }
 
-// serve has a desk run a statement at the primary, and acknowledge a commit.
+// serve has a pooler run a statement at the primary, and acknowledge a commit.
 func (h *acks) serve(c *carrier) {
 	if h.now >= c.leaseEnd || c.learnt == h.turn && h.moving {
 		return
@@ -122,19 +122,19 @@
 	if h.r.IntN(2) == 0 {
 		h.number++
 		if c.left < h.turn || !h.moving {
-			h.newest = folio.Position{Term: 1, Number: h.number}
+			h.newest = lineprotocol.Position{Term: 1, Number: h.number}
 			c.acked = h.newest
 		}
 	}
 	if c.stamp > 0 {
-		c.seen = folio.Position{Term: 1, Number: h.number}
+		c.seen = lineprotocol.Position{Term: 1, Number: h.number}
 	}
 }
 
-// step is one thing that may happen; it reports false if the archive bounds the
+// step is one thing that may happen; it reports false if the control node bounds the
 // commits too low.
 func (h *acks) step() bool {
-	h.now += foundation.Micros(1 + h.r.IntN(4))
+	h.now += kernel.Micros(1 + h.r.IntN(4))
 	c := h.carriers[h.r.IntN(len(h.carriers))]
 	switch e := h.r.IntN(40); {
 	case e < 16:
@@ -174,7 +174,7 @@
 	return true
 }
 
-// AcknowledgedIsKnown: whatever desks, polls and archives are lost, a bound that is
+// AcknowledgedIsKnown: whatever poolers, polls and control nodes are lost, a bound that is
 // told covers every commit that a client was told of; and mostly one is told.
 func TestAcknowledgedIsKnown(t *testing.T) {
 	told, moves := 0, int64(0)
--- a/internal/custodian/choose.go
+++ b/internal/failover/choose.go
@@ -1,17 +1,17 @@
-package custodian
+package failover
 
 import (
 	"slices"
 	"strings"
 
-	"indigowalk/internal/folio"
+	"indigowalk/internal/lineprotocol"
 )
 
 // Copy is what a replica answered once it was paused.
 type Copy struct {
-	ID       string         `json:"id"`
-	Received folio.Position `json:"received"`
-	Draining bool           `json:"draining,omitempty"`
+	ID       string                `json:"id"`
+	Received lineprotocol.Position `json:"received"`
+	Draining bool                  `json:"draining,omitempty"`
 }
 
 // Absent is a replica that did not answer, or has ended.
@@ -20,7 +20,7 @@
 	Gone bool   `json:"gone,omitempty"`
 	// Limit is the furthest position at which it may hold an acknowledged
 	// commit; nil if none is known.
-	Limit *folio.Position `json:"limit,omitempty"`
+	Limit *lineprotocol.Position `json:"limit,omitempty"`
 }
 
 // Situation is all that the choice of the next primary depends on.
@@ -28,17 +28,17 @@
 	Sync   int      `json:"sync"` // sync_replicas
 	Copies []Copy   `json:"copies"`
 	Absent []Absent `json:"absent,omitempty"` // every other replica of the service
-	// Held is the old primary's own position, asked after every desk had left
+	// Held is the old primary's own position, asked after every pooler had left
 	// it; nil if it did not answer.
-	Held *folio.Position `json:"held,omitempty"`
+	Held *lineprotocol.Position `json:"held,omitempty"`
 	// Floor is what the one held that was chosen before in this turn, and could
 	// not be promoted; nil if none was.
-	Floor *folio.Position `json:"floor,omitempty"`
+	Floor *lineprotocol.Position `json:"floor,omitempty"`
 	// Least is what databases that are forgotten by now may have held.
-	Least folio.Position `json:"least"`
+	Least lineprotocol.Position `json:"least"`
 	// Acked covers every commit that a client was told of; nil if that is not
 	// known.
-	Acked *folio.Position `json:"acked,omitempty"`
+	Acked *lineprotocol.Position `json:"acked,omitempty"`
 }
 
 // ChoiceKind is the kind of record of a choice.
@@ -69,7 +69,7 @@
 // databases may have held it must hold too. Where it is known how far the commits
 // reach that clients were told of, whoever has received as much will do, rather
 // one that stays. Once somebody was chosen in this turn,
-// whoever has received as much will do: the desks have left the old primary, and
+// whoever has received as much will do: the poolers have left the old primary, and
 // nobody writes at the chosen one before it is known to lead. If the old primary answered, a
 // replica that stays and has all that it holds will do alone.
 func Choose(s Situation) (id, refusal string) {
@@ -120,7 +120,7 @@
 
 // furthestPast returns the first of the copies, the furthest first, that has
 // reached a position, one that stays before any that leaves; "" if none has.
-func furthestPast(copies []Copy, position folio.Position) (id string) {
+func furthestPast(copies []Copy, position lineprotocol.Position) (id string) {
 	for _, c := range copies {
 		switch {
 		case c.Received.Less(position):
@@ -143,12 +143,12 @@
 }
 
 // ahead lists the absent replicas that may hold commits past a position.
-func (s Situation) ahead(of folio.Position) []Absent {
+func (s Situation) ahead(of lineprotocol.Position) []Absent {
 	return slices.DeleteFunc(slices.Clone(s.Absent), func(a Absent) bool { return a.Limit != nil && !of.Less(*a.Limit) })
 }
 
 // furthest is the position of the replica that has received the most.
-func (s Situation) furthest() (best folio.Position) {
+func (s Situation) furthest() (best lineprotocol.Position) {
 	for _, c := range s.Copies {
 		if best.Less(c.Received) {
 			best = c.Received
--- a/internal/custodian/choose_test.go
+++ b/internal/failover/choose_test.go
@@ -1,16 +1,16 @@
-package custodian
+package failover
 
 import (
 	"testing"
 
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 func TestChoose(t *testing.T) {
-	at := func(n int64) folio.Position { return folio.Position{Term: 1, Number: n} }
+	at := func(n int64) lineprotocol.Position { return lineprotocol.Position{Term: 1, Number: n} }
 	held := at(9)
-	pos := func(n int64) *folio.Position { p := at(n); return &p }
+	pos := func(n int64) *lineprotocol.Position { p := at(n); return &p }
 	silent, gone := []Absent{{ID: "x"}}, []Absent{{ID: "x", Gone: true}}
 	for _, c := range []struct {
 		name string
@@ -35,7 +35,7 @@
 		{"as much, but it leaves, and the primary lives", Situation{Sync: 1, Floor: pos(9), Held: &held, Copies: []Copy{{"a", at(9), true}}}, "a"},
 		{"less than the one chosen before", Situation{Sync: 1, Floor: pos(6), Absent: silent, Copies: []Copy{{"a", at(5), false}}}, ""},
 		{"rather one that stays", Situation{Sync: 1, Copies: []Copy{{"a", at(7), true}, {"b", at(7), false}}}, "b"},
-		{"a later term counts more", Situation{Sync: 1, Copies: []Copy{{"a", at(9), false}, {"b", folio.Position{Term: 2, Number: 1}, false}}}, "b"},
+		{"a later term counts more", Situation{Sync: 1, Copies: []Copy{{"a", at(9), false}, {"b", lineprotocol.Position{Term: 2, Number: 1}, false}}}, "b"},
 	} {
 		if got, why := Choose(c.s); got != c.want || (got == "") == (why == "") {
 			t.Errorf("%s: %q (%s), want %q", c.name, got, why, c.want)
@@ -45,7 +45,7 @@
 
 func TestReadersHoldAPromotionUpUntilTheyLeaveOrTheirLeaseEnds(t *testing.T) {
 	r := NewReaders()
-	now := foundation.Second
+	now := kernel.Second
 	leftAt := func(turn int64) Report { return Report{Left: map[string]int64{"svc": turn}} }
 	r.Heard("d1", 10, Report{}, now)
 	r.Grant("d1", 10, now+5)
@@ -62,7 +62,7 @@
 		t.Error("d1's lease has run out")
 	}
 	if newest, ok := r.Heard("d1", 9, leftAt(5), now); ok || newest != 10 || r.Grant("d1", 9, now+99) {
-		t.Error("an earlier life of a desk was heard, or not told of the newest")
+		t.Error("an earlier life of a pooler was heard, or not told of the newest")
 	}
 	r.Term(2, map[string]int64{"d1": 10, "d3": 4}, now, 50)
 	r.Term(2, nil, 0, 0) // the same term again changes nothing
--- a/internal/custodian/custodian.go
+++ b/internal/failover/failover.go
@@ -1,7 +1,7 @@
-// Package custodian moves the lead of a service from one database to another:
+// Package failover moves the lead of a service from one database to another:
 // when the primary fails and when it is to be replaced. It works only in the
-// vault's primary, under its lease, and the epoch is its fence.
-package custodian
+// control state's primary, under its lease, and the epoch is its fence.
+package failover
 
 import (
 	"bytes"
@@ -16,13 +16,13 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/shelf"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/routeconfig"
 )
 
 // Lead says which database leads a service. It is control state, and the
@@ -50,13 +50,13 @@
 func Holds(key string) bool { return strings.HasPrefix(key, keyPrefix) }
 
 // retryPause is between two tries at the same step.
-const retryPause = 100 * foundation.Millisecond
+const retryPause = 100 * kernel.Millisecond
 
 // busyPause is before a database that has no slot free is asked again.
-const busyPause = 15 * foundation.Millisecond
+const busyPause = 15 * kernel.Millisecond
 
 // Decoder returns what picks the leads out of the control state.
-func Decoder() *vault.Decoded[Lead] { return vault.NewDecoded[Lead](keyPrefix) }
+func Decoder() *controlstate.Decoded[Lead] { return controlstate.NewDecoded[Lead](keyPrefix) }
 
 // Decode picks the leads out of the control state, once.
 func Decode(entries map[string]json.RawMessage) (map[string]Lead, error) {
@@ -65,62 +65,62 @@
 
 // Errors of this layer.
 var (
-	errNotYet     = errors.New("custodian: not yet")
-	errNotRunning = errors.New("custodian: the chosen database does not run")
+	errNotYet     = errors.New("failover: not yet")
+	errNotRunning = errors.New("failover: the chosen database does not run")
 )
 
-// Config is what a custodian is built from.
+// Config is what a failover manager is built from.
 type Config struct {
 	Name        string // duty holder
 	Platform    string
 	Leadless    bool // databases are all alike: none leads
-	ReaderLease foundation.Micros
-	Dialer      shelf.Dialer
-	AskWait     foundation.Micros // for one answer of a database
-	BeatWait    foundation.Micros // for the beat of a promoted database, before it is asked
+	ReaderLease kernel.Micros
+	Dialer      dbconn.Dialer
+	AskWait     kernel.Micros // for one answer of a database
+	BeatWait    kernel.Micros // for the beat of a promoted database, before it is asked
 }
 
-// Custodian is the archive's side of failover.
-type Custodian struct {
-	k        *foundation.Kernel
+// Manager moves leads, at the control state's primary.
+type Manager struct {
+	k        *kernel.Kernel
 	cfg      Config
-	v        *vault.Vault
-	acc      *accessions.Accessions
-	health   *conservator.Conservator
+	v        *controlstate.Replica
+	acc      *discovery.Registry
+	health   *health.Monitor
 	readers  *Readers
 	platform *platform
 
-	databases *vault.Decoded[accessions.Database]
-	leads     *vault.Decoded[Lead]
-	desks     *vault.Decoded[int64]
+	databases *controlstate.Decoded[discovery.Database]
+	leads     *controlstate.Decoded[Lead]
+	poolers   *controlstate.Decoded[int64]
 
 	mu                 sync.Mutex
-	busy               map[string]bool              // services being moved by this process
-	tried              map[string]foundation.Micros // when what is paced was last tried
-	waits              map[string]string            // why a service's move waits
-	woken              map[string]*woken            // by service
-	seen               *scene                       // the control state of seenEpoch and seenSeq
+	busy               map[string]bool          // services being moved by this process
+	tried              map[string]kernel.Micros // when what is paced was last tried
+	waits              map[string]string        // why a service's move waits
+	woken              map[string]*woken        // by service
+	seen               *scene                   // the control state of seenEpoch and seenSeq
 	seenEpoch, seenSeq int64
 	confRaw            json.RawMessage // that the scene's configuration was read from
-	progress           foundation.Bell
+	progress           kernel.Bell
 }
 
-// New returns a custodian.
-func New(k *foundation.Kernel, cfg Config, v *vault.Vault, acc *accessions.Accessions, health *conservator.Conservator, readers *Readers) *Custodian {
-	return &Custodian{
+// New returns a failover manager.
+func New(k *kernel.Kernel, cfg Config, v *controlstate.Replica, acc *discovery.Registry, health *health.Monitor, readers *Readers) *Manager {
+	return &Manager{
 		k: k, cfg: cfg, v: v, acc: acc, health: health, readers: readers,
 		platform:  newPlatform(k.Net, cfg.Platform, cfg.Name),
-		databases: accessions.Decoder(), leads: Decoder(), desks: vault.NewDecoded[int64](deskPrefix),
-		busy: map[string]bool{}, tried: map[string]foundation.Micros{}, waits: map[string]string{}, woken: map[string]*woken{},
+		databases: discovery.Decoder(), leads: Decoder(), poolers: controlstate.NewDecoded[int64](carrierPrefix),
+		busy: map[string]bool{}, tried: map[string]kernel.Micros{}, waits: map[string]string{}, woken: map[string]*woken{},
 	}
 }
 
 // Serve compares what is with what is wanted whenever either may have changed.
-func (c *Custodian) Serve(ctx context.Context) error {
+func (c *Manager) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		vc, hc, ac, pc := c.v.Changed(), c.health.Changed(), c.acc.Changed(), c.progress.Wait()
 		c.reconcile()
-		t := time.NewTimer((500 * foundation.Millisecond).Duration())
+		t := time.NewTimer((500 * kernel.Millisecond).Duration())
 		select {
 		case <-ctx.Done():
 		case <-vc:
@@ -136,16 +136,16 @@
 
 // scene is what one look at the control state shows.
 type scene struct {
-	databases map[string]accessions.Database
-	services  map[string][]accessions.Database
+	databases map[string]discovery.Database
+	services  map[string][]discovery.Database
 	leads     map[string]Lead
-	conf      *catalogue.Configuration
-	soft      map[string]accessions.Soft
-	desks     map[string]int64
+	conf      *routeconfig.Configuration
+	soft      map[string]discovery.Soft
+	poolers   map[string]int64
 }
 
 // look decodes the control state, once for each change of it.
-func (c *Custodian) look() (*scene, error) {
+func (c *Manager) look() (*scene, error) {
 	state, err := c.v.Durable()
 	if err != nil {
 		return nil, err
@@ -153,7 +153,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.seen == nil || c.seenSeq != state.Seq || c.seenEpoch != state.Epoch {
-		s := &scene{services: map[string][]accessions.Database{}}
+		s := &scene{services: map[string][]discovery.Database{}}
 		entries := state.Entries
 		if s.databases, err = c.databases.Of(entries); err != nil {
 			return nil, err
@@ -164,15 +164,15 @@
 		if s.leads, err = c.leads.Of(entries); err != nil {
 			return nil, err
 		}
-		if s.desks, err = c.desks.Of(entries); err != nil {
+		if s.poolers, err = c.poolers.Of(entries); err != nil {
 			return nil, err
 		}
-		if c.seen != nil && bytes.Equal(c.confRaw, entries[catalogue.Key]) {
+		if c.seen != nil && bytes.Equal(c.confRaw, entries[routeconfig.Key]) {
 			s.conf = c.seen.conf
-		} else if _, s.conf, err = catalogue.Decode(entries[catalogue.Key]); err != nil {
+		} else if _, s.conf, err = routeconfig.Decode(entries[routeconfig.Key]); err != nil {
 			return nil, err
 		}
-		c.seen, c.seenSeq, c.seenEpoch, c.confRaw = s, state.Seq, state.Epoch, entries[catalogue.Key]
+		c.seen, c.seenSeq, c.seenEpoch, c.confRaw = s, state.Seq, state.Epoch, entries[routeconfig.Key]
 	}
 	s := *c.seen
 	s.soft = c.acc.Soft()
@@ -180,8 +180,8 @@
 }
 
 // replicas lists the databases of a service besides one.
-func (s *scene) replicas(service, besides string) []accessions.Database {
-	var out []accessions.Database
+func (s *scene) replicas(service, besides string) []discovery.Database {
+	var out []discovery.Database
 	for _, d := range s.services[service] {
 		if d.ID != besides {
 			out = append(out, d)
@@ -201,7 +201,7 @@
 	return 1
 }
 
-func (c *Custodian) reconcile() {
+func (c *Manager) reconcile() {
 	term, err := c.v.Term()
 	if err != nil {
 		return
@@ -209,12 +209,12 @@
 	ctx := term.Context()
 	s, err := c.look()
 	if err != nil {
-		if !errors.Is(err, vault.ErrNotPrimary) {
-			c.k.Counters.Add("custodian.unreadable", 1)
+		if !errors.Is(err, controlstate.ErrNotPrimary) {
+			c.k.Counters.Add("failover.unreadable", 1)
 		}
 		return
 	}
-	c.readers.Term(term.Began(), s.desks, c.k.Clock.Now(), c.cfg.ReaderLease)
+	c.readers.Term(term.Began(), s.poolers, c.k.Clock.Now(), c.cfg.ReaderLease)
 	if c.cfg.Leadless {
 		c.dismiss(ctx, s)
 		return
@@ -236,7 +236,7 @@
 }
 
 // dismiss forgets databases that are gone, where they held nothing.
-func (c *Custodian) dismiss(ctx context.Context, s *scene) {
+func (c *Manager) dismiss(ctx context.Context, s *scene) {
 	var gone []string
 	for id, d := range s.databases {
 		if d.Gone {
@@ -249,7 +249,7 @@
 }
 
 // spawn runs one piece of work at a time for each service.
-func (c *Custodian) spawn(svc string, f func() error) {
+func (c *Manager) spawn(svc string, f func() error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.busy[svc] {
@@ -260,7 +260,7 @@
 		err := f()
 		if err != nil {
 			if !errors.Is(err, errNotYet) {
-				c.k.Counters.Add("custodian.setbacks", 1)
+				c.k.Counters.Add("failover.setbacks", 1)
 			}
 			time.Sleep(retryPause.Duration())
 		}
@@ -272,7 +272,7 @@
 }
 
 // adopt notes who leads a service that nobody has moved yet.
-func (c *Custodian) adopt(ctx context.Context, s *scene, svc string) error {
+func (c *Manager) adopt(ctx context.Context, s *scene, svc string) error {
 	var found []string
 	for _, d := range s.replicas(svc, "") {
 		if s.soft[d.ID].Role == "primary" {
@@ -304,7 +304,7 @@
 
 // old finds the database that a service is led away from, also under the id
 // with which it returned.
-func (s *scene) old(l Lead) (accessions.Database, bool) {
+func (s *scene) old(l Lead) (discovery.Database, bool) {
 	id := l.ID
 	if back := s.returned(l); back != "" {
 		id = back
@@ -314,7 +314,7 @@
 }
 
 // resume gives the lead back to a database that returned under a new id.
-func (c *Custodian) resume(ctx context.Context, s *scene, l Lead, id string) error {
+func (c *Manager) resume(ctx context.Context, s *scene, l Lead, id string) error {
 	err := c.save(ctx, l.Service, func(now *Lead) error {
 		if now.Turn == l.Turn && now.ID == l.ID && !now.Called {
 			*now = Lead{Service: now.Service, ID: id, Term: now.Term, Turn: now.Turn, Least: now.Least}
@@ -335,7 +335,7 @@
 // mustMove: of the databases of a service the lead is down, drains or is gone,
 // and someone could follow. One that leaves too follows only where there is no
 // lead at all.
-func mustMove(dbs []accessions.Database, lead string, up func(id string) bool) bool {
+func mustMove(dbs []discovery.Database, lead string, up func(id string) bool) bool {
 	runs := false
 	for _, d := range dbs {
 		if d.ID != lead || d.Gone || !up(lead) {
@@ -345,25 +345,25 @@
 			return false
 		}
 	}
-	return slices.ContainsFunc(dbs, func(r accessions.Database) bool {
+	return slices.ContainsFunc(dbs, func(r discovery.Database) bool {
 		return r.ID != lead && !r.Gone && up(r.ID) && !(runs && r.Draining)
 	})
 }
 
 // save changes the lead of a service.
-func (c *Custodian) save(ctx context.Context, svc string, change func(*Lead) error) error {
-	return c.edit(ctx, svc, func(l *Lead, _ map[string]accessions.Database) error { return change(l) })
+func (c *Manager) save(ctx context.Context, svc string, change func(*Lead) error) error {
+	return c.edit(ctx, svc, func(l *Lead, _ map[string]discovery.Database) error { return change(l) })
 }
 
 // edit changes the lead of a service and its databases in one step; those that
 // are deleted from the map are removed, and recorded as departed.
-func (c *Custodian) edit(ctx context.Context, svc string, change func(*Lead, map[string]accessions.Database) error) error {
+func (c *Manager) edit(ctx context.Context, svc string, change func(*Lead, map[string]discovery.Database) error) error {
 	return c.v.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		all, err := c.databases.Of(entries)
 		if err != nil {
-			return nil, fmt.Errorf("custodian: %w", err)
+			return nil, fmt.Errorf("failover: %w", err)
 		}
-		known := map[string]accessions.Database{}
+		known := map[string]discovery.Database{}
 		for id, d := range all {
 			if d.Service == svc {
 				known[id] = d
@@ -373,7 +373,7 @@
 		l := Lead{Service: svc}
 		if raw := entries[keyPrefix+svc]; raw != nil {
 			if err := json.Unmarshal(raw, &l); err != nil {
-				return nil, fmt.Errorf("custodian: %w", err)
+				return nil, fmt.Errorf("failover: %w", err)
 			}
 		}
 		was := l
@@ -391,10 +391,10 @@
 		var removed []string
 		for id, d := range before {
 			if now, ok := known[id]; !ok {
-				out[accessions.Key(id)] = nil
+				out[discovery.Key(id)] = nil
 				removed = append(removed, id)
 			} else if now != d {
-				put(accessions.Key(id), now)
+				put(discovery.Key(id), now)
 			}
 		}
 		if len(out) == 0 {
@@ -406,7 +406,7 @@
 
 // move takes the next step of a move; a successor of this process takes it
 // from wherever it stands.
-func (c *Custodian) move(ctx context.Context, svc string) error {
+func (c *Manager) move(ctx context.Context, svc string) error {
 	s, err := c.look()
 	if err != nil {
 		return err
@@ -432,7 +432,7 @@
 		if err != nil {
 			return err
 		}
-		c.k.Counters.Add("custodian.moves", 1)
+		c.k.Counters.Add("failover.moves", 1)
 		c.k.Log.Info("lead moves", "service", svc, "from", l.ID)
 		if s, err = c.look(); err != nil {
 			return err
@@ -447,8 +447,8 @@
 	return c.promote(ctx, s, l)
 }
 
-// awaitLeft waits until no desk can still read at the old primary.
-func (c *Custodian) awaitLeft(ctx context.Context, l Lead) error {
+// awaitLeft waits until no pooler can still read at the old primary.
+func (c *Manager) awaitLeft(ctx context.Context, l Lead) error {
 	for {
 		changed := c.readers.Changed()
 		ok, wait := c.readers.Left(l.Service, l.Turn, c.k.Clock.Now())
@@ -469,10 +469,10 @@
 
 // choose pauses the replicas, compares what they hold and makes the choice
 // durable.
-func (c *Custodian) choose(ctx context.Context, s *scene, l *Lead) error {
+func (c *Manager) choose(ctx context.Context, s *scene, l *Lead) error {
 	// From then on no commit of the old primary is acknowledged to a client, even
 	// if a replica is woken by a CONTINUE that comes late; what was acknowledged
-	// before is held by the replicas that are asked. What the desks have under way
+	// before is held by the replicas that are asked. What the poolers have under way
 	// at a primary that answers ends before they are paused.
 	early := make(chan int64, 1)
 	go func(l Lead) {
@@ -490,8 +490,8 @@
 	old, there := s.old(*l)
 	alive := there && !old.Gone && c.health.Up(old.ID)
 	sit := Situation{Sync: s.syncReplicas(l.Service)}
-	sit.Least, _ = folio.ParsePosition(l.Least)
-	if floor, ok := folio.ParsePosition(l.Floor); ok {
+	sit.Least, _ = lineprotocol.ParsePosition(l.Least)
+	if floor, ok := lineprotocol.ParsePosition(l.Floor); ok {
 		sit.Floor = &floor
 	}
 	if acked, known := c.readers.Acknowledged(l.Service, l.Turn); known {
@@ -504,7 +504,7 @@
 		}
 	}
 	replicas := s.replicas(l.Service, l.ID)
-	replicas = slices.DeleteFunc(replicas, func(d accessions.Database) bool { return d.ID == old.ID })
+	replicas = slices.DeleteFunc(replicas, func(d discovery.Database) bool { return d.ID == old.ID })
 	conns := c.openAll(ctx, running(replicas))
 	defer closeAll(conns)
 	// PAUSE takes no slot and answers what STAT does, also at a primary, which it
@@ -514,7 +514,7 @@
 	hold := max(newest, l.Hold, loginTerm(conns)) + 1
 	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
 	rest := maps.Clone(conns)
-	maps.DeleteFunc(rest, func(id string, _ *shelf.Conn) bool { return rows[id].held == hold })
+	maps.DeleteFunc(rest, func(id string, _ *dbconn.Conn) bool { return rows[id].held == hold })
 	if len(rest) > 0 {
 		for id, row := range c.sayAll(rest, "STAT") {
 			if row.primary && l.Called && row.term > l.Term {
@@ -533,7 +533,7 @@
 	for _, row := range rows {
 		newest = max(newest, row.term)
 	}
-	paused := map[string]folio.Position{}
+	paused := map[string]lineprotocol.Position{}
 	for _, d := range replicas {
 		if row, ok := rows[d.ID]; ok && row.held == hold {
 			paused[d.ID] = row.received
@@ -547,13 +547,13 @@
 	if to != "" {
 		return c.settleOn(ctx, s, l, to, newest, hold, paused[to])
 	}
-	c.k.Counters.Add("custodian.choice_refused", 1)
+	c.k.Counters.Add("failover.choice_refused", 1)
 	if refusal == someoneGone && (!there || old.Gone) {
 		refusal = lost
 	}
 	c.waitsFor(l.Service, refusal, sit)
 	// Whoever leaves while nobody leads need not be heard afterwards.
-	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if now.Turn == l.Turn && now.Moving && now.To == "" {
 			confine(known, paused)
 		}
@@ -580,8 +580,8 @@
 // settleOn makes the choice durable, unless a database has joined since the look
 // that it rests on. The promotion lets every replica receive
 // again, so no limit holds any longer but that of the databases that are gone.
-func (c *Custodian) settleOn(ctx context.Context, s *scene, l *Lead, to string, newest, hold int64, floor folio.Position) error {
-	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+func (c *Manager) settleOn(ctx context.Context, s *scene, l *Lead, to string, newest, hold int64, floor lineprotocol.Position) error {
+	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if !now.Moving || now.Turn != l.Turn {
 			return errNotYet
 		}
@@ -604,9 +604,9 @@
 }
 
 // loginTerm is the newest term that the databases told at the log-in.
-func loginTerm(conns map[string]*shelf.Conn) (term int64) {
+func loginTerm(conns map[string]*dbconn.Conn) (term int64) {
 	for _, conn := range conns {
-		if pos, ok := folio.ParsePosition(conn.Login); ok {
+		if pos, ok := lineprotocol.ParsePosition(conn.Login); ok {
 			term = max(term, pos.Term)
 		}
 	}
@@ -614,7 +614,7 @@
 }
 
 // waitsFor notes why a move waits, and logs it once for each reason.
-func (c *Custodian) waitsFor(svc, reason string, sit Situation) {
+func (c *Manager) waitsFor(svc, reason string, sit Situation) {
 	text, best := reason, sit.furthest()
 	for _, a := range sit.ahead(best) {
 		text += "; " + a.ID
@@ -635,21 +635,21 @@
 }
 
 // goesOn notes that a service's move waits no longer.
-func (c *Custodian) goesOn(svc string) {
+func (c *Manager) goesOn(svc string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waits, svc)
 }
 
 // Waits tells, by service, why a move of its lead waits.
-func (c *Custodian) Waits() map[string]string {
+func (c *Manager) Waits() map[string]string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return maps.Clone(c.waits)
 }
 
 // callOff ends a move, before anyone was promoted, whose old primary serves.
-func (c *Custodian) callOff(ctx context.Context, l *Lead, why string) error {
+func (c *Manager) callOff(ctx context.Context, l *Lead, why string) error {
 	c.goesOn(l.Service)
 	c.k.Log.Info("move called off", "service", l.Service, "why", why)
 	return c.save(ctx, l.Service, func(now *Lead) error {
@@ -662,7 +662,7 @@
 
 // promote has the platform make the chosen database the primary, waits until
 // it leads, and makes that known.
-func (c *Custodian) promote(ctx context.Context, s *scene, l Lead) error {
+func (c *Manager) promote(ctx context.Context, s *scene, l Lead) error {
 	if err := c.awaitLeft(ctx, l); err != nil {
 		return err
 	}
@@ -718,8 +718,8 @@
 
 // awaitPromotion waits until the database leads a newer term. Its own beat,
 // which a change of role sends at once, tells; if none comes it is asked.
-func (c *Custodian) awaitPromotion(ctx context.Context, to accessions.Database, was accessions.Soft, over int64) (int64, error) {
-	end := c.k.Clock.Now() + 3*foundation.Second
+func (c *Manager) awaitPromotion(ctx context.Context, to discovery.Database, was discovery.Soft, over int64) (int64, error) {
+	end := c.k.Clock.Now() + 3*kernel.Second
 	for c.k.Clock.Now() < end && ctx.Err() == nil {
 		changed := c.acc.Changed()
 		if now := c.acc.Soft()[to.ID]; now.Role == "primary" && was.Role == "replica" {
@@ -743,7 +743,7 @@
 
 // tidy makes a replica of every database that leads without being the lead,
 // and looks after those that leave.
-func (c *Custodian) tidy(ctx context.Context, s *scene, l Lead) {
+func (c *Manager) tidy(ctx context.Context, s *scene, l Lead) {
 	c.wake(ctx, s, l)
 	ending := false
 	for _, d := range s.replicas(l.Service, l.ID) {
@@ -758,11 +758,11 @@
 }
 
 // due paces what is repeated until it has worked.
-func (c *Custodian) due(what string) bool {
+func (c *Manager) due(what string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
-	if now-c.tried[what] < foundation.Second && c.tried[what] != 0 {
+	if now-c.tried[what] < kernel.Second && c.tried[what] != 0 {
 		return false
 	}
 	c.tried[what] = now
@@ -770,14 +770,14 @@
 }
 
 // again has what is paced done once more without waiting.
-func (c *Custodian) again(what string) {
+func (c *Manager) again(what string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.tried, what)
 }
 
 // since tells how long ago it was asked that first.
-func (c *Custodian) since(what string) foundation.Micros {
+func (c *Manager) since(what string) kernel.Micros {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
@@ -789,27 +789,27 @@
 
 // call asks the platform, as the holder of the duty, only in the term in which
 // the move was looked at, and well within the lease.
-func (c *Custodian) call(ctx context.Context, l Lead) error {
-	epoch, left := vault.TermOf(ctx).Lease()
-	wait := min(left-100*foundation.Millisecond, foundation.Second)
-	if wait < 100*foundation.Millisecond {
+func (c *Manager) call(ctx context.Context, l Lead) error {
+	epoch, left := controlstate.TermOf(ctx).Lease()
+	wait := min(left-100*kernel.Millisecond, kernel.Second)
+	if wait < 100*kernel.Millisecond {
 		return errNotYet
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	c.k.Counters.Add("custodian.platform_calls", 1)
+	c.k.Counters.Add("failover.platform_calls", 1)
 	return c.platform.failover(ctx, epoch, l.Service, l.To)
 }
 
 type statRow struct {
 	primary  bool
-	received folio.Position
+	received lineprotocol.Position
 	term     int64 // newest it knows of
 	held     int64 // at which it is paused; 0 if it is not
 }
 
 // ask has one database carry out STAT, PAUSE, CONTINUE or STEPDOWN.
-func (c *Custodian) ask(ctx context.Context, d accessions.Database, text string) (statRow, error) {
+func (c *Manager) ask(ctx context.Context, d discovery.Database, text string) (statRow, error) {
 	conn, err := c.open(ctx, d)
 	if err != nil {
 		return statRow{}, err
@@ -818,17 +818,17 @@
 	return c.say(conn, text)
 }
 
-func (c *Custodian) open(ctx context.Context, d accessions.Database) (*shelf.Conn, error) {
+func (c *Manager) open(ctx context.Context, d discovery.Database) (*dbconn.Conn, error) {
 	return c.cfg.Dialer.Open(ctx, d, c.cfg.AskWait)
 }
 
-func (c *Custodian) say(conn *shelf.Conn, text string) (statRow, error) {
+func (c *Manager) say(conn *dbconn.Conn, text string) (statRow, error) {
 	for end := c.k.Clock.Now() + c.cfg.AskWait; ; {
 		a, err := conn.Ask(text, end-c.k.Clock.Now())
 		if err != nil {
 			return statRow{}, err
 		}
-		if a.Code != folio.Retry || c.k.Clock.Now()+busyPause > end {
+		if a.Code != lineprotocol.Retry || c.k.Clock.Now()+busyPause > end {
 			return parseStat(a)
 		}
 		time.Sleep(busyPause.Duration()) // all its slots are taken
@@ -836,52 +836,52 @@
 }
 
 // parseStat reads "ROW role term received held lag busy connections".
-func parseStat(a *folio.Answer) (statRow, error) {
+func parseStat(a *lineprotocol.Answer) (statRow, error) {
 	if a.Code != "" {
-		return statRow{}, fmt.Errorf("custodian: database answers %s %s", a.Code, a.Text)
+		return statRow{}, fmt.Errorf("failover: database answers %s %s", a.Code, a.Text)
 	}
 	line, _, _ := bytes.Cut(a.Rows, []byte("\r\n"))
 	f := strings.Fields(string(line))
 	if len(f) < 5 || f[0] != "ROW" {
-		return statRow{}, fmt.Errorf("custodian: odd STAT row %q", line)
+		return statRow{}, fmt.Errorf("failover: odd STAT row %q", line)
 	}
 	r := statRow{primary: f[1] == "primary"}
 	held, err1 := strconv.ParseInt(f[4], 10, 64)
 	own, err2 := strconv.ParseInt(f[2], 10, 64)
-	pos, ok := folio.ParsePosition(f[3])
+	pos, ok := lineprotocol.ParsePosition(f[3])
 	if err1 != nil || err2 != nil || !ok && f[3] != "-" {
-		return statRow{}, fmt.Errorf("custodian: odd STAT row %q", line)
+		return statRow{}, fmt.Errorf("failover: odd STAT row %q", line)
 	}
 	r.received, r.term, r.held = pos, max(own, pos.Term), held
 	return r, nil
 }
 
 // askAll asks several databases at once and returns the answers there were.
-func (c *Custodian) askAll(ctx context.Context, dbs []accessions.Database, text string) map[string]statRow {
+func (c *Manager) askAll(ctx context.Context, dbs []discovery.Database, text string) map[string]statRow {
 	conns := c.openAll(ctx, dbs)
 	defer closeAll(conns)
 	return c.sayAll(conns, text)
 }
 
-func (c *Custodian) openAll(ctx context.Context, dbs []accessions.Database) map[string]*shelf.Conn {
-	return gather(c, dbs, func(d accessions.Database) string { return d.ID },
-		func(d accessions.Database) (*shelf.Conn, error) { return c.open(ctx, d) })
+func (c *Manager) openAll(ctx context.Context, dbs []discovery.Database) map[string]*dbconn.Conn {
+	return gather(c, dbs, func(d discovery.Database) string { return d.ID },
+		func(d discovery.Database) (*dbconn.Conn, error) { return c.open(ctx, d) })
 }
 
-func closeAll(conns map[string]*shelf.Conn) {
+func closeAll(conns map[string]*dbconn.Conn) {
 	for _, conn := range conns {
 		conn.Close()
 	}
 }
 
-func (c *Custodian) sayAll(conns map[string]*shelf.Conn, text string) map[string]statRow {
-	return gather(c, slices.Collect(maps.Values(conns)), func(conn *shelf.Conn) string { return conn.DB.ID },
-		func(conn *shelf.Conn) (statRow, error) { return c.say(conn, text) })
+func (c *Manager) sayAll(conns map[string]*dbconn.Conn, text string) map[string]statRow {
+	return gather(c, slices.Collect(maps.Values(conns)), func(conn *dbconn.Conn) string { return conn.DB.ID },
+		func(conn *dbconn.Conn) (statRow, error) { return c.say(conn, text) })
 }
 
 // gather does something with all at once and keeps the results of those that
 // did not fail.
-func gather[T, R any](c *Custodian, all []T, key func(T) string, do func(T) (R, error)) map[string]R {
+func gather[T, R any](c *Manager, all []T, key func(T) string, do func(T) (R, error)) map[string]R {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := map[string]R{}
@@ -889,7 +889,7 @@
 		wg.Go(func() {
 			r, err := do(t)
 			if err != nil {
-				c.k.Counters.Add("custodian.unanswered", 1)
+				c.k.Counters.Add("failover.unanswered", 1)
 				return
 			}
 			mu.Lock()
--- a/internal/custodian/leaving.go
+++ b/internal/failover/leaving.go
@@ -1,4 +1,4 @@
-package custodian
+package failover
 
 import (
 	"context"
@@ -7,39 +7,39 @@
 	"strconv"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // deregistered is how long after its leaving a database may still receive: it
 // tells first and ends then.
-const deregistered = foundation.Second
+const deregistered = kernel.Second
 
 // staying picks the databases that neither drain nor are gone.
-func staying(dbs []accessions.Database) []accessions.Database {
-	return pick(dbs, func(d accessions.Database) bool { return !d.Draining && !d.Gone })
+func staying(dbs []discovery.Database) []discovery.Database {
+	return pick(dbs, func(d discovery.Database) bool { return !d.Draining && !d.Gone })
 }
 
 // running picks the databases that are not gone.
-func running(dbs []accessions.Database) []accessions.Database {
-	return pick(dbs, func(d accessions.Database) bool { return !d.Gone })
+func running(dbs []discovery.Database) []discovery.Database {
+	return pick(dbs, func(d discovery.Database) bool { return !d.Gone })
 }
 
-func pick(dbs []accessions.Database, ok func(accessions.Database) bool) []accessions.Database {
-	return slices.DeleteFunc(slices.Clone(dbs), func(d accessions.Database) bool { return !ok(d) })
+func pick(dbs []discovery.Database, ok func(discovery.Database) bool) []discovery.Database {
+	return slices.DeleteFunc(slices.Clone(dbs), func(d discovery.Database) bool { return !ok(d) })
 }
 
 // compare tells the replicas that are paused, with their positions, from those
 // that are absent.
-func compare(replicas []accessions.Database, paused map[string]folio.Position) (copies []Copy, absent []Absent) {
+func compare(replicas []discovery.Database, paused map[string]lineprotocol.Position) (copies []Copy, absent []Absent) {
 	for _, d := range replicas {
 		if pos, ok := paused[d.ID]; ok && !d.Gone {
 			copies = append(copies, Copy{d.ID, pos, d.Draining})
 			continue
 		}
 		a := Absent{ID: d.ID, Gone: d.Gone}
-		if limit, ok := folio.ParsePosition(d.Limit); ok {
+		if limit, ok := lineprotocol.ParsePosition(d.Limit); ok {
 			a.Limit = &limit
 		}
 		absent = append(absent, a)
@@ -49,7 +49,7 @@
 
 // confine notes the limits of databases that were paused at these positions.
 // One that neither drains nor is gone may restart at any time and receive.
-func confine(known map[string]accessions.Database, paused map[string]folio.Position) {
+func confine(known map[string]discovery.Database, paused map[string]lineprotocol.Position) {
 	for id, pos := range paused {
 		if d, ok := known[id]; ok && (d.Draining || d.Gone) {
 			d.Limit = pos.String()
@@ -59,7 +59,7 @@
 }
 
 // free clears the limits of databases that are about to receive again.
-func free(known map[string]accessions.Database) {
+func free(known map[string]discovery.Database) {
 	for id, d := range known {
 		if !d.Gone {
 			d.Limit = ""
@@ -71,14 +71,14 @@
 // forget removes databases that are gone. Whoever is promoted later must hold
 // what they may have held: up to their limits, and not past a position that
 // covered every acknowledged commit after they had ended.
-func forget(l *Lead, known map[string]accessions.Database, covered folio.Position) {
-	least, _ := folio.ParsePosition(l.Least)
+func forget(l *Lead, known map[string]discovery.Database, covered lineprotocol.Position) {
+	least, _ := lineprotocol.ParsePosition(l.Least)
 	for id, d := range known {
 		if !d.Gone {
 			continue
 		}
 		held := covered
-		if limit, ok := folio.ParsePosition(d.Limit); ok && limit.Less(held) {
+		if limit, ok := lineprotocol.ParsePosition(d.Limit); ok && limit.Less(held) {
 			held = limit
 		}
 		if least.Less(held) {
@@ -91,15 +91,15 @@
 // follows tells whether a replica that stays has received what the primary
 // held when it was asked, which is told too. Those that stay are told CONTINUE,
 // which answers what STAT does and takes no slot.
-func (c *Custodian) follows(ctx context.Context, lead accessions.Database, stay []accessions.Database) (bool, folio.Position, error) {
+func (c *Manager) follows(ctx context.Context, lead discovery.Database, stay []discovery.Database) (bool, lineprotocol.Position, error) {
 	row, err := c.ask(ctx, lead, "STAT")
 	if err != nil {
-		return false, folio.Position{}, err
+		return false, lineprotocol.Position{}, err
 	}
 	if !row.primary {
-		return false, folio.Position{}, errNotYet
+		return false, lineprotocol.Position{}, errNotYet
 	}
-	conns := c.openAll(ctx, pick(stay, func(d accessions.Database) bool { return c.health.Up(d.ID) }))
+	conns := c.openAll(ctx, pick(stay, func(d discovery.Database) bool { return c.health.Up(d.ID) }))
 	defer closeAll(conns)
 	for tries := 0; tries < 3 && len(conns) > 0; tries++ {
 		if tries > 0 {
@@ -119,7 +119,7 @@
 // forgotten, with what the lead held after it had ended. One that drains is
 // paused, and its limit noted, as long as a replica that stays receives; if
 // none does it receives again.
-func (c *Custodian) tend(ctx context.Context, s *scene, l Lead) error {
+func (c *Manager) tend(ctx context.Context, s *scene, l Lead) error {
 	lead, there := s.databases[l.ID]
 	if !there {
 		return errNotYet
@@ -133,11 +133,11 @@
 	if err != nil {
 		return err
 	}
-	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if now.ID != l.ID {
 			return nil
 		}
-		gone := map[string]accessions.Database{}
+		gone := map[string]discovery.Database{}
 		for id, d := range known {
 			if ended[id] {
 				gone[id] = d
@@ -154,14 +154,14 @@
 			c.again("gone " + id)
 		}
 	}
-	leaving := pick(replicas, func(d accessions.Database) bool { return d.Draining && !d.Gone })
+	leaving := pick(replicas, func(d discovery.Database) bool { return d.Draining && !d.Gone })
 	if !ok {
 		return c.letReceive(ctx, l, leaving)
 	}
 	// One with a limit receives again if a CONTINUE of before its draining came
 	// late, or it restarted: it is paused anew.
-	rows := c.askAll(ctx, pick(leaving, func(d accessions.Database) bool { return d.Limit != "" }), "STAT")
-	_, err = c.pause(ctx, l, pick(leaving, func(d accessions.Database) bool {
+	rows := c.askAll(ctx, pick(leaving, func(d discovery.Database) bool { return d.Limit != "" }), "STAT")
+	_, err = c.pause(ctx, l, pick(leaving, func(d discovery.Database) bool {
 		r, answered := rows[d.ID]
 		return d.Limit == "" || answered && r.held == 0
 	}))
@@ -169,10 +169,10 @@
 }
 
 // pauseLeaving pauses, once the lead has failed, the replicas that leave: they may
-// end before every desk has left the lead, and nobody could say then what they
+// end before every pooler has left the lead, and nobody could say then what they
 // held. It returns the term at which they are paused.
-func (c *Custodian) pauseLeaving(ctx context.Context, s *scene, l Lead) int64 {
-	leaving := pick(s.replicas(l.Service, l.ID), func(d accessions.Database) bool {
+func (c *Manager) pauseLeaving(ctx context.Context, s *scene, l Lead) int64 {
+	leaving := pick(s.replicas(l.Service, l.ID), func(d discovery.Database) bool {
 		return d.Draining && !d.Gone && d.Limit == "" && c.health.Up(d.ID)
 	})
 	if len(leaving) == 0 {
@@ -180,14 +180,14 @@
 	}
 	hold, err := c.pause(ctx, l, leaving)
 	if err != nil {
-		c.k.Counters.Add("custodian.early_pause_failed", 1)
+		c.k.Counters.Add("failover.early_pause_failed", 1)
 	}
 	return max(hold, l.Hold)
 }
 
 // pause has replicas stop receiving, at a term that it returns, and notes how far
 // they got.
-func (c *Custodian) pause(ctx context.Context, l Lead, leaving []accessions.Database) (hold int64, err error) {
+func (c *Manager) pause(ctx context.Context, l Lead, leaving []discovery.Database) (hold int64, err error) {
 	conns := c.openAll(ctx, leaving)
 	defer closeAll(conns)
 	hold = max(l.Term, l.Hold, loginTerm(conns))
@@ -195,7 +195,7 @@
 		hold = max(hold, r.term, r.held)
 	}
 	hold++
-	paused := map[string]folio.Position{}
+	paused := map[string]lineprotocol.Position{}
 	for id, r := range c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10)) {
 		if r.held == hold {
 			paused[id] = r.received
@@ -204,7 +204,7 @@
 	if len(paused) < len(conns) {
 		c.again("tend " + l.Service) // the old primary, which has not stepped down yet
 	}
-	err = c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+	err = c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if len(paused) > 0 && now.ID == l.ID && now.Turn == l.Turn && now.Moving == l.Moving && now.To == "" {
 			now.Hold = hold
 			confine(known, paused)
@@ -215,13 +215,13 @@
 }
 
 // letReceive has paused replicas receive again, where no other does.
-func (c *Custodian) letReceive(ctx context.Context, l Lead, leaving []accessions.Database) error {
+func (c *Manager) letReceive(ctx context.Context, l Lead, leaving []discovery.Database) error {
 	rows := c.askAll(ctx, leaving, "STAT")
-	held := pick(leaving, func(d accessions.Database) bool { return d.Limit != "" || rows[d.ID].held != 0 })
+	held := pick(leaving, func(d discovery.Database) bool { return d.Limit != "" || rows[d.ID].held != 0 })
 	if len(held) == 0 {
 		return nil
 	}
-	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]accessions.Database) error {
+	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if now.ID != l.ID || now.Turn != l.Turn || now.Moving {
 			return fmt.Errorf("%w: the lead moves", errNotYet)
 		}
@@ -231,7 +231,7 @@
 	if err != nil {
 		return err
 	}
-	c.k.Counters.Add("custodian.leaving_needed", 1)
+	c.k.Counters.Add("failover.leaving_needed", 1)
 	c.askAll(ctx, held, "CONTINUE")
 	return nil
 }
--- a/internal/custodian/model_test.go
+++ b/internal/failover/model_test.go
@@ -1,4 +1,4 @@
-package custodian
+package failover
 
 import (
 	"fmt"
@@ -7,53 +7,53 @@
 	"slices"
 	"testing"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/folio"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/lineprotocol"
 )
 
 // node is a database of the model.
 type node struct {
 	id                    string
 	addr                  int
-	log                   []folio.Position // one commit each
+	log                   []lineprotocol.Position // one commit each
 	term                  int64
 	primary, runs, paused bool
 	forGood               bool // it does not return
-	control, linked       bool // can be reached by the custodian, by the lead
+	control, linked       bool // can be reached by the failover manager, by the lead
 	ends                  bool // its leaving is over
 }
 
-func (n *node) pos() folio.Position { return newestOf(n.log) }
+func (n *node) pos() lineprotocol.Position { return newestOf(n.log) }
 
-// model is one service, its databases and its custodian, of which one step is
+// model is one service, its databases and its failover manager, of which one step is
 // taken at a time; any other thing may happen between two.
 type model struct {
 	r       *rand.Rand
 	kind    bool // every loss is one that the control side can know to be borne
 	lostOne bool // for good, without a word
 	nodes   []*node
-	known   map[string]accessions.Database
+	known   map[string]discovery.Database
 	lead    Lead
 	term    int64
 	count   int
-	quiet   bool // no desk writes: all have left the old primary
+	quiet   bool // no pooler writes: all have left the old primary
 	bounds  bool // how far acknowledged commits reach may be known
-	calm    bool // nothing but the custodian moves
+	calm    bool // nothing but the failover manager moves
 
-	acked []folio.Position
+	acked []lineprotocol.Position
 	wrong string
 
-	// What the custodian does, to be replaced by what is wrong.
+	// What the failover manager does, to be replaced by what is wrong.
 	choose func(Situation) (string, string)
-	free   func(map[string]accessions.Database)
-	keeps  func(old accessions.Database) bool // a database at its address is the same one
-	bound  func(acked []folio.Position) folio.Position
+	free   func(map[string]discovery.Database)
+	keeps  func(old discovery.Database) bool // a database at its address is the same one
+	bound  func(acked []lineprotocol.Position) lineprotocol.Position
 }
 
 func newModel(seed uint64, kind bool) *model {
 	m := &model{
-		r: rand.New(rand.NewPCG(seed, 1)), kind: kind, known: map[string]accessions.Database{}, term: 1,
-		choose: Choose, free: free, keeps: func(old accessions.Database) bool { return !old.Draining },
+		r: rand.New(rand.NewPCG(seed, 1)), kind: kind, known: map[string]discovery.Database{}, term: 1,
+		choose: Choose, free: free, keeps: func(old discovery.Database) bool { return !old.Draining },
 		bounds: seed/2%2 == 0, bound: newestOf,
 	}
 	for range 3 {
@@ -64,18 +64,18 @@
 	return m
 }
 
-func newestOf(log []folio.Position) folio.Position {
+func newestOf(log []lineprotocol.Position) lineprotocol.Position {
 	if len(log) == 0 {
-		return folio.Position{}
+		return lineprotocol.Position{}
 	}
 	return log[len(log)-1]
 }
 
-func (m *model) add(addr int, log []folio.Position) *node {
+func (m *model) add(addr int, log []lineprotocol.Position) *node {
 	m.count++
 	n := &node{id: fmt.Sprint("d", m.count), addr: addr, log: log, runs: true, control: true, linked: true}
 	m.nodes = append(m.nodes, n)
-	m.known[n.id] = accessions.Database{ID: n.id, Service: "s", Address: fmt.Sprint(addr)}
+	m.known[n.id] = discovery.Database{ID: n.id, Service: "s", Address: fmt.Sprint(addr)}
 	return n
 }
 
@@ -100,8 +100,8 @@
 
 func (m *model) up(id string) bool { n := m.node(id); return n.runs && n.control }
 
-func (m *model) list() []accessions.Database {
-	var out []accessions.Database
+func (m *model) list() []discovery.Database {
+	var out []discovery.Database
 	for _, id := range slices.Sorted(maps.Keys(m.known)) {
 		out = append(out, m.known[id])
 	}
@@ -128,20 +128,20 @@
 // acknowledge answers what was under way at the primary too. A client is told of
 // a commit only in the term in which it was made.
 func (m *model) acknowledge(p *node) {
-	told := map[folio.Position]bool{}
+	told := map[lineprotocol.Position]bool{}
 	for _, e := range m.acked {
 		told[e] = true
 	}
-	m.acked = slices.DeleteFunc(slices.Clone(p.log), func(e folio.Position) bool { return e.Term != p.term && !told[e] })
+	m.acked = slices.DeleteFunc(slices.Clone(p.log), func(e lineprotocol.Position) bool { return e.Term != p.term && !told[e] })
 }
 
 // holds tells whether a log has every acknowledged commit.
-func (m *model) holds(log []folio.Position) bool {
-	in := map[folio.Position]bool{}
+func (m *model) holds(log []lineprotocol.Position) bool {
+	in := map[lineprotocol.Position]bool{}
 	for _, e := range log {
 		in[e] = true
 	}
-	return !slices.ContainsFunc(m.acked, func(e folio.Position) bool { return !in[e] })
+	return !slices.ContainsFunc(m.acked, func(e lineprotocol.Position) bool { return !in[e] })
 }
 
 // spared tells whether a database may be lost: another holds everything.
@@ -151,7 +151,7 @@
 	})
 }
 
-// happen is anything but the custodian.
+// happen is anything but the failover manager.
 func (m *model) happen() {
 	if m.calm {
 		return
@@ -167,7 +167,7 @@
 			if m.kind && !slices.ContainsFunc(m.nodes, func(n *node) bool { return n != p && n.runs && !n.paused && n.linked && p.linked && !n.primary }) {
 				return
 			}
-			p.log = append(p.log, folio.Position{Term: p.term, Number: int64(len(p.log)) + 1})
+			p.log = append(p.log, lineprotocol.Position{Term: p.term, Number: int64(len(p.log)) + 1})
 			m.spread(p, !m.kind)
 		}
 	case e < 6:
@@ -215,7 +215,7 @@
 	m.settle(n, back)
 }
 
-// settle is what accessions makes of a database at another's address.
+// settle is what discovery makes of a database at another's address.
 func (m *model) settle(n, back *node) {
 	old, now := m.known[n.id], m.known[back.id]
 	if m.keeps(old) {
@@ -228,8 +228,8 @@
 	m.known[back.id] = now
 }
 
-// interrupted lets things happen between two steps; at times the custodian
-// loses its office.
+// interrupted lets things happen between two steps; at times the failover manager
+// loses its lease.
 func (m *model) interrupted() bool {
 	for m.r.IntN(3) == 0 {
 		m.happen()
@@ -237,7 +237,7 @@
 	return !m.calm && m.r.IntN(20) == 0
 }
 
-// step has the custodian look once and do what is to be done.
+// step has the failover manager look once and do what is to be done.
 func (m *model) step() {
 	for _, d := range m.list() {
 		if d.Had(m.lead.ID) && m.node(d.ID).primary && !m.lead.Called {
@@ -254,8 +254,8 @@
 	}
 }
 
-func (m *model) replicas(besides string) []accessions.Database {
-	return pick(m.list(), func(d accessions.Database) bool { return d.ID != besides })
+func (m *model) replicas(besides string) []discovery.Database {
+	return pick(m.list(), func(d discovery.Database) bool { return d.ID != besides })
 }
 
 func (m *model) goOn() {
@@ -266,9 +266,9 @@
 	}
 }
 
-func (m *model) follows(covered folio.Position) bool {
+func (m *model) follows(covered lineprotocol.Position) bool {
 	m.goOn()
-	return slices.ContainsFunc(staying(m.replicas(m.lead.ID)), func(d accessions.Database) bool {
+	return slices.ContainsFunc(staying(m.replicas(m.lead.ID)), func(d discovery.Database) bool {
 		n := m.node(d.ID)
 		return m.up(d.ID) && !n.primary && !n.pos().Less(covered)
 	})
@@ -284,7 +284,7 @@
 		return
 	}
 	ok := m.follows(covered)
-	gone := map[string]accessions.Database{}
+	gone := map[string]discovery.Database{}
 	for _, d := range replicas {
 		if d.Gone {
 			gone[d.ID] = m.known[d.ID]
@@ -292,7 +292,7 @@
 		}
 	}
 	forget(&m.lead, gone, covered)
-	leaving := pick(replicas, func(d accessions.Database) bool { return d.Draining && !d.Gone })
+	leaving := pick(replicas, func(d discovery.Database) bool { return d.Draining && !d.Gone })
 	if !ok {
 		m.free(m.known)
 		if m.interrupted() {
@@ -305,12 +305,12 @@
 		}
 		return
 	}
-	confine(m.known, m.pause(pick(leaving, func(d accessions.Database) bool { return d.Limit == "" })))
+	confine(m.known, m.pause(pick(leaving, func(d discovery.Database) bool { return d.Limit == "" })))
 }
 
 // pause pauses those that can be reached and returns how far they got.
-func (m *model) pause(dbs []accessions.Database) map[string]folio.Position {
-	paused := map[string]folio.Position{}
+func (m *model) pause(dbs []discovery.Database) map[string]lineprotocol.Position {
+	paused := map[string]lineprotocol.Position{}
 	for _, d := range dbs {
 		if n := m.node(d.ID); m.up(d.ID) && !n.primary {
 			n.paused = true
@@ -356,13 +356,13 @@
 // decide pauses, compares and chooses; true once there is a choice.
 func (m *model) decide() bool {
 	if !m.up(m.lead.ID) && m.r.IntN(2) == 0 {
-		early := m.pause(pick(m.replicas(m.lead.ID), func(d accessions.Database) bool { return d.Draining && !d.Gone && d.Limit == "" }))
+		early := m.pause(pick(m.replicas(m.lead.ID), func(d discovery.Database) bool { return d.Draining && !d.Gone && d.Limit == "" }))
 		if early == nil {
 			return false
 		}
 		confine(m.known, early)
 	}
-	m.quiet = true // every desk has left the old primary
+	m.quiet = true // every pooler has left the old primary
 	old := m.lead.ID
 	for _, d := range m.list() {
 		if d.Had(m.lead.ID) && m.node(d.ID).primary {
@@ -370,8 +370,8 @@
 		}
 	}
 	sit := Situation{Sync: 1}
-	sit.Least, _ = folio.ParsePosition(m.lead.Least)
-	if floor, ok := folio.ParsePosition(m.lead.Floor); ok {
+	sit.Least, _ = lineprotocol.ParsePosition(m.lead.Least)
+	if floor, ok := lineprotocol.ParsePosition(m.lead.Floor); ok {
 		sit.Floor = &floor
 	}
 	if n := m.node(old); m.up(old) && !m.known[old].Gone && n.primary {
@@ -382,7 +382,7 @@
 		acked := m.bound(m.acked)
 		sit.Acked = &acked
 	}
-	replicas := pick(m.replicas(m.lead.ID), func(d accessions.Database) bool { return d.ID != old })
+	replicas := pick(m.replicas(m.lead.ID), func(d discovery.Database) bool { return d.ID != old })
 	for _, d := range replicas {
 		if n := m.node(d.ID); m.up(d.ID) && n.primary && m.lead.Called && n.term > m.lead.Term {
 			m.settleOn(d.ID, n.pos())
@@ -413,7 +413,7 @@
 	return false
 }
 
-func (m *model) settleOn(to string, floor folio.Position) {
+func (m *model) settleOn(to string, floor lineprotocol.Position) {
 	m.lead.To, m.lead.Called, m.lead.Floor = to, true, floor.String()
 	forget(&m.lead, m.known, floor)
 	m.free(m.known)
@@ -434,7 +434,7 @@
 }
 
 // play takes steps at random, and then, with all that can return returned,
-// steps of the custodian alone.
+// steps of the failover manager alone.
 func (m *model) play(steps int) {
 	for range steps {
 		if m.happen(); m.r.IntN(3) == 0 {
@@ -475,7 +475,7 @@
 const schedules, steps = 2000, 120
 
 // CONFINED: however databases leave, crash and return, and wherever the
-// custodian is interrupted, nobody is promoted who lacks an acknowledged commit.
+// failover manager is interrupted, nobody is promoted who lacks an acknowledged commit.
 // Where every loss can be known to be borne, a lead is found in the end, and so it
 // is where it is known how far acknowledged commits reach and a database that holds
 // them runs.
@@ -507,17 +507,19 @@
 	}
 	for name, spoil := range map[string]func(*model){
 		"the absent are not waited for": ask(func(s *Situation) { s.Absent = nil }),
-		"the forgotten held nothing":    ask(func(s *Situation) { s.Least = folio.Position{} }),
+		"the forgotten held nothing":    ask(func(s *Situation) { s.Least = lineprotocol.Position{} }),
 		"everyone is waited for": ask(func(s *Situation) {
 			for i := range s.Absent {
 				s.Absent[i].Limit = nil
 			}
 		}),
 		"acknowledged commits are bounded too low": func(m *model) {
-			m.bounds, m.bound = true, func(acked []folio.Position) folio.Position { return newestOf(acked[:max(0, len(acked)-1)]) }
+			m.bounds, m.bound = true, func(acked []lineprotocol.Position) lineprotocol.Position {
+				return newestOf(acked[:max(0, len(acked)-1)])
+			}
 		},
-		"limits outlast their pause":       func(m *model) { m.free = func(map[string]accessions.Database) {} },
-		"who leaves does not take its log": func(m *model) { m.keeps = func(accessions.Database) bool { return true } },
+		"limits outlast their pause":       func(m *model) { m.free = func(map[string]discovery.Database) {} },
+		"who leaves does not take its log": func(m *model) { m.keeps = func(discovery.Database) bool { return true } },
 	} {
 		found := ""
 		for seed := uint64(0); seed < 4*schedules && found == ""; seed++ {
--- a/internal/custodian/platform.go
+++ b/internal/failover/platform.go
@@ -1,4 +1,4 @@
-package custodian
+package failover
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"net/http"
 	"strconv"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // platform makes the calls that are the duty of one node. Each call leaves once,
@@ -23,9 +23,9 @@
 	holder string
 }
 
-func newPlatform(n foundation.Network, addr, holder string) *platform {
+func newPlatform(n kernel.Network, addr, holder string) *platform {
 	dial := func(ctx context.Context, _, addr string) (net.Conn, error) {
-		c, err := n.Dial(ctx, addr, foundation.Second)
+		c, err := n.Dial(ctx, addr, kernel.Second)
 		if t, ok := c.(interface{ SetLinger(seconds int) error }); ok && err == nil {
 			err = t.SetLinger(0)
 		}
@@ -46,11 +46,11 @@
 func (p *platform) failover(ctx context.Context, fence int64, service, id string) error {
 	body, err := json.Marshal(map[string]string{"svc": service, "id": id})
 	if err != nil {
-		return fmt.Errorf("custodian: %w", err)
+		return fmt.Errorf("failover: %w", err)
 	}
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.addr+"/failover", io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
-		return fmt.Errorf("custodian: %w", err)
+		return fmt.Errorf("failover: %w", err)
 	}
 	q.ContentLength = int64(len(body))
 	q.Header.Set("Content-Type", "application/json")
@@ -58,7 +58,7 @@
 	q.Header.Set("X-Indigowalk-Fence", strconv.FormatInt(fence, 10))
 	a, err := p.client.Do(q)
 	if err != nil {
-		return fmt.Errorf("custodian: platform: %w", err)
+		return fmt.Errorf("failover: platform: %w", err)
 	}
 	a.Body.Close()
 	switch {
@@ -67,5 +67,5 @@
 	case a.StatusCode == http.StatusConflict:
 		return errNotRunning
 	}
-	return fmt.Errorf("custodian: platform answers %d", a.StatusCode)
+	return fmt.Errorf("failover: platform answers %d", a.StatusCode)
 }
--- a/internal/custodian/platform_test.go
+++ b/internal/failover/platform_test.go
@@ -1,4 +1,4 @@
-package custodian
+package failover
 
 import (
 	"bufio"
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Invariant DUTY-ONCE: a call to the platform leaves once, whatever becomes of
@@ -74,7 +74,7 @@
 					go serve(conn)
 				}
 			}()
-			p := newPlatform(foundation.HostNetwork{}, ln.Addr().String(), "a")
+			p := newPlatform(kernel.HostNetwork{}, ln.Addr().String(), "a")
 			failed := 0
 			for range c.calls {
 				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -99,7 +99,7 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	p := newPlatform(foundation.HostNetwork{}, ln.Addr().String(), "a")
+	p := newPlatform(kernel.HostNetwork{}, ln.Addr().String(), "a")
 	ctx, cancel := context.WithCancel(t.Context())
 	asked := make(chan error)
 	go func() { asked <- p.failover(ctx, 7, "s", "id") }()
--- /dev/null
+++ b/internal/failover/plugin.go
@@ -0,0 +1,30 @@
+package failover
+
+import (
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "failover", Rank: 60, Roles: []string{"control"},
+		Build: func(k *kernel.Kernel) error {
+			s := kernel.Need[*settings.Live](k).Now()
+			readers := NewReaders()
+			kernel.Offer(k, readers)
+			c := New(k, Config{
+				Name: s.NodeName, Platform: s.Platform, Leadless: s.Deploy == settings.API, ReaderLease: settings.Span(s.ReaderLeaseMs),
+				Dialer:  dbconn.Dialer{Net: k.Net, Who: "failover", Connect: settings.Span(s.CheckWaitMs), Silence: settings.Span(s.SilenceMs)},
+				AskWait: kernel.Second, BeatWait: 700 * kernel.Millisecond,
+			}, kernel.Need[*controlstate.Replica](k), kernel.Need[*discovery.Registry](k),
+				kernel.Need[*health.Monitor](k), readers)
+			kernel.Offer(k, c)
+			k.Supervise("failover", c.Serve)
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/failover/readers.go
@@ -0,0 +1,150 @@
+package failover
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"sync"
+
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+)
+
+type reader struct {
+	life  int64
+	until kernel.Micros
+	Report
+}
+
+// Readers knows which poolers may still read at a primary: those that hold a
+// read lease and have not acknowledged leaving.
+type Readers struct {
+	mu           sync.Mutex
+	epoch        int64
+	poolers      map[string]*reader
+	acknowledged acknowledged
+	bell         kernel.Bell
+}
+
+// Report is what a pooler tells of the primaries with a poll.
+type Report struct {
+	// Left holds, by service, the turn at which the pooler has left the old
+	// primary: it acknowledges none of that one's commits any more.
+	Left map[string]int64
+	// Acked holds, by service that it has left, a position that covers every
+	// commit that it has acknowledged to a client.
+	Acked map[string]lineprotocol.Position
+}
+
+// NewReaders returns an empty set.
+func NewReaders() *Readers { return &Readers{poolers: map[string]*reader{}} }
+
+// Heard notes what a pooler reports, at that time. An earlier life of the pooler is
+// refused, and the newest returned.
+func (r *Readers) Heard(pooler string, life int64, report Report, now kernel.Micros) (newest int64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.poolers[pooler]
+	if d != nil && life < d.life {
+		return d.life, false
+	}
+	fresh := d == nil || life > d.life
+	if fresh {
+		// A new life holds no lease of the one before, whose last
+		// acknowledgements nobody reports any more.
+		d = &reader{life: life}
+		r.poolers[pooler] = d
+		r.acknowledged.lost = max(r.acknowledged.lost, now)
+	}
+	if changed := fresh || !maps.Equal(d.Left, report.Left); changed {
+		r.bell.Ring()
+	}
+	d.Report = report
+	return life, true
+}
+
+// Grant notes that the pooler's lease runs until then. It must be called before
+// the grant is sent.
+func (r *Readers) Grant(pooler string, life int64, until kernel.Micros) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := r.poolers[pooler]
+	if d == nil || d.life != life {
+		return false
+	}
+	d.until = max(d.until, until)
+	return true
+}
+
+// Count is how many poolers held a lease at that time or later.
+func (r *Readers) Count(at kernel.Micros) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.poolers {
+		if d.until > at {
+			n++
+		}
+	}
+	return n
+}
+
+// Left tells whether every pooler has left the service's old primary at that
+// turn or holds no lease any more, and if not, how long the leases run.
+func (r *Readers) Left(service string, turn int64, now kernel.Micros) (bool, kernel.Micros) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var wait kernel.Micros
+	for _, d := range r.poolers {
+		if d.until > now && d.Left[service] < turn {
+			wait = max(wait, d.until-now)
+		}
+	}
+	return wait == 0, wait
+}
+
+// Term starts a term of the control state's primary, once: any pooler that was ever
+// registered may hold a lease of the primary before, for that span. A term that
+// another has followed is not begun again: it knows fewer poolers.
+func (r *Readers) Term(epoch int64, registered map[string]int64, now, lease kernel.Micros) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if epoch <= r.epoch {
+		return
+	}
+	r.epoch, r.poolers, r.acknowledged = epoch, map[string]*reader{}, acknowledged{lost: now}
+	for pooler, life := range registered {
+		r.poolers[pooler] = &reader{life: life, until: now + lease}
+	}
+}
+
+// InTerm tells whether the term of that epoch has started.
+func (r *Readers) InTerm(epoch int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch == epoch
+}
+
+// Changed closes when a pooler acknowledges something.
+func (r *Readers) Changed() <-chan struct{} { return r.bell.Wait() }
+
+// carrierPrefix starts the entries of the control state that register poolers: a
+// pooler is entered there before it is granted its first lease, so that whoever
+// takes over knows whom to wait for.
+const carrierPrefix = "carrier/"
+
+// Registered picks the poolers, with their lives, out of the control state.
+func Registered(entries map[string]json.RawMessage) (map[string]int64, error) {
+	return controlstate.Pick[int64](entries, carrierPrefix)
+}
+
+// Register returns the change of the control state that enters a pooler's life.
+func Register(pooler string, life int64) map[string]json.RawMessage {
+	return map[string]json.RawMessage{carrierPrefix + pooler: json.RawMessage(fmt.Sprint(life))}
+}
+
+// IsRegistered tells whether that life of the pooler, or a later one, is entered.
+func IsRegistered(entries map[string]json.RawMessage, pooler string, life int64) bool {
+	var known int64
+	return json.Unmarshal(entries[carrierPrefix+pooler], &known) == nil && known >= life
+}
--- a/internal/custodian/wake.go
+++ b/internal/failover/wake.go
@@ -1,13 +1,13 @@
-package custodian
+package failover
 
 import (
 	"context"
 
-	"indigowalk/internal/accessions"
+	"indigowalk/internal/discovery"
 )
 
 // woken is which replicas of a service have answered CONTINUE since its last
-// move, or since this process took the vault over.
+// move, or since this process took the control state over.
 type woken struct {
 	epoch, turn int64
 	answered    map[string]bool // by database
@@ -17,9 +17,9 @@
 // was said right after a move, or when it was called off, may have got lost with
 // its connection or with the process that was to say it, and a replica that stays
 // paused receives nothing for ever. Saying it again does no harm, nor does a late
-// one: once a move has begun, no commit of the old primary counts (subscription,
+// one: once a move has begun, no commit of the old primary counts (distribution,
 // Card.Covers).
-func (c *Custodian) wake(ctx context.Context, s *scene, l Lead) {
+func (c *Manager) wake(ctx context.Context, s *scene, l Lead) {
 	if l.Turn == 0 {
 		return // nobody was ever paused
 	}
@@ -30,7 +30,7 @@
 		w = &woken{epoch, l.Turn, map[string]bool{}}
 		c.woken[l.Service] = w
 	}
-	var asleep []accessions.Database
+	var asleep []discovery.Database
 	for _, d := range s.replicas(l.Service, l.ID) {
 		if !d.Draining && !d.Gone && !w.answered[d.ID] {
 			asleep = append(asleep, d)
--- a/internal/turnstile/turnstile.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,6 @@
-// Package turnstile is the gateway: requests in front of services whose
+// Package gateway is the gateway: requests in front of services whose
 // databases each run a few at a time.
-package turnstile
+package gateway
 
 import (
 	"context"
@@ -16,44 +16,44 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/cart"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/circulation"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/renewals"
-	"indigowalk/internal/rota"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/health"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/loadbalance"
+	"indigowalk/internal/membership"
+	"indigowalk/internal/retrybudget"
+	"indigowalk/internal/routeconfig"
 )
 
-// Card is what the turnstile needs of the control state.
-type Card interface {
+// ControlState is what the gateway needs of the control state.
+type ControlState interface {
 	Ready() bool
-	Config() *catalogue.Index
+	Config() *routeconfig.Index
 	Changed() <-chan struct{}
-	Serving(service string) []accessions.Database
+	Serving(service string) []discovery.Database
 	MaySend(database string) error
 }
 
-// Config is what a turnstile is built from.
+// Config is what a gateway is built from.
 type Config struct {
 	ClientAddr string
 	Zone       string
 	NetMbps    float64 // of the machine's link, 0 if that is not known
-	Grace      func() foundation.Micros
+	Grace      func() kernel.Micros
 }
 
-// Turnstile takes requests and has databases answer them.
-type Turnstile struct {
-	k      *foundation.Kernel
-	cfg    Config
-	card   Card
-	conns  *cart.Stacks
-	rota   *rota.Rota
-	health *conservator.Conservator
-	ring   *circulation.Ring
-	again  *renewals.Allowance
-	gauge  *gauge
+// Gateway takes requests and has databases answer them.
+type Gateway struct {
+	k        *kernel.Kernel
+	cfg      Config
+	control  ControlState
+	conns    *httpconn.Pools
+	balancer *loadbalance.Balancer
+	health   *health.Monitor
+	ring     *membership.Ring
+	again    *retrybudget.Allowance
+	gauge    *gauge
 
 	crowded atomic.Bool
 	leaving atomic.Bool
@@ -65,15 +65,15 @@
 	guests   map[net.Conn]*guest
 }
 
-// New returns a turnstile.
-func New(k *foundation.Kernel, cfg Config, card Card, conns *cart.Stacks, r *rota.Rota, health *conservator.Conservator, ring *circulation.Ring, again *renewals.Allowance) *Turnstile {
-	t := &Turnstile{
-		k: k, cfg: cfg, card: card, conns: conns, rota: r, health: health, ring: ring, again: again,
+// New returns a gateway.
+func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance) *Gateway {
+	t := &Gateway{
+		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again,
 		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), gauge: newGauge(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
 		Handler: t, MaxHeaderBytes: maxHeader, ConnState: t.noteState,
-		ErrorLog: log.New(counted{k.Counters.Of("turnstile.server_notes")}, "", 0),
+		ErrorLog: log.New(counted{k.Counters.Of("gateway.server_notes")}, "", 0),
 	}
 	return t
 }
@@ -91,26 +91,26 @@
 const maxHeader = 256 << 10
 
 // Ready tells whether clients should be sent here.
-func (t *Turnstile) Ready() bool {
-	return !t.leaving.Load() && t.card.Ready() && !t.crowded.Load()
+func (t *Gateway) Ready() bool {
+	return !t.leaving.Load() && t.control.Ready() && !t.crowded.Load()
 }
 
-// A turnstile whose link is in use by more than crowdedFrom is not ready, until
+// A gateway whose link is in use by more than crowdedFrom is not ready, until
 // it is by less than crowdedTo: clients are not spread evenly, and others have
 // room. That lasts for a while at most, since all may be crowded alike.
 const (
 	crowdedFrom = 0.9
 	crowdedTo   = 0.6
-	crowdedFor  = 4 * foundation.Second
+	crowdedFor  = 4 * kernel.Second
 	// fullWait is the wait at the link from which the least urgent requests are
 	// refused.
-	fullWait = 120 * foundation.Millisecond
+	fullWait = 120 * kernel.Millisecond
 )
 
 // watchLink keeps crowded up to date.
-func (t *Turnstile) watchLink(ctx context.Context) {
-	var since foundation.Micros
-	for foundation.Sleep(ctx, 100*foundation.Millisecond) {
+func (t *Gateway) watchLink(ctx context.Context) {
+	var since kernel.Micros
+	for kernel.Sleep(ctx, 100*kernel.Millisecond) {
 		_, use := t.gauge.load()
 		now := t.k.Clock.Now()
 		switch crowded := t.crowded.Load(); {
@@ -126,10 +126,10 @@
 }
 
 // Serve takes requests until ctx ends.
-func (t *Turnstile) Serve(ctx context.Context) error {
+func (t *Gateway) Serve(ctx context.Context) error {
 	ln, err := t.k.Net.Listen(t.cfg.ClientAddr)
 	if err != nil {
-		return fmt.Errorf("turnstile: %w", err)
+		return fmt.Errorf("gateway: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { t.srv.Close() })()
 	t.mu.Lock()
@@ -138,7 +138,7 @@
 	go t.watchGuests(ctx)
 	go t.watchLink(ctx)
 	if err := t.srv.Serve(gaugedListener{ln, t.gauge}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
-		return fmt.Errorf("turnstile: %w", err)
+		return fmt.Errorf("gateway: %w", err)
 	}
 	<-ctx.Done()
 	return nil
@@ -148,11 +148,11 @@
 // which may change while it is open.
 type guest struct {
 	state http.ConnState
-	since foundation.Micros
+	since kernel.Micros
 	busy  bool // a request has been read
 }
 
-func (t *Turnstile) noteState(c net.Conn, state http.ConnState) {
+func (t *Gateway) noteState(c net.Conn, state http.ConnState) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch state {
@@ -164,7 +164,7 @@
 }
 
 // inHand notes that a connection's request has been read, or is done.
-func (t *Turnstile) inHand(c net.Conn, busy bool) {
+func (t *Gateway) inHand(c net.Conn, busy bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if g := t.guests[c]; g != nil {
@@ -174,18 +174,18 @@
 
 // Bounds where the configuration has none.
 const (
-	defaultHeaderWait = 5 * foundation.Second
-	defaultIdle       = 60 * foundation.Second
+	defaultHeaderWait = 5 * kernel.Second
+	defaultIdle       = 60 * kernel.Second
 )
 
-func (t *Turnstile) limits() (header, idle foundation.Micros) {
+func (t *Gateway) limits() (header, idle kernel.Micros) {
 	header, idle = defaultHeaderWait, defaultIdle
-	if conf := t.card.Config(); conf != nil {
+	if conf := t.control.Config(); conf != nil {
 		if ms := conf.Limits.HeaderTimeoutMs; ms > 0 {
-			header = foundation.Micros(ms) * foundation.Millisecond
+			header = kernel.Micros(ms) * kernel.Millisecond
 		}
 		if ms := conf.Limits.IdleTimeoutMs; ms > 0 {
-			idle = foundation.Micros(ms) * foundation.Millisecond
+			idle = kernel.Micros(ms) * kernel.Millisecond
 		}
 	}
 	return header, idle
@@ -193,8 +193,8 @@
 
 // watchGuests closes connections that are idle, or take too long over a
 // request's head.
-func (t *Turnstile) watchGuests(ctx context.Context) {
-	for foundation.Sleep(ctx, 250*foundation.Millisecond) {
+func (t *Gateway) watchGuests(ctx context.Context) {
+	for kernel.Sleep(ctx, 250*kernel.Millisecond) {
 		header, idle := t.limits()
 		now := t.k.Clock.Now()
 		var late []net.Conn
@@ -210,7 +210,7 @@
 		}
 		t.mu.Unlock()
 		for _, c := range late {
-			t.k.Counters.Add("turnstile.late_guests", 1)
+			t.k.Counters.Add("gateway.late_guests", 1)
 			turnAway(c)
 		}
 	}
@@ -229,17 +229,17 @@
 type connKey struct{}
 
 // ServeHTTP implements http.Handler.
-func (t *Turnstile) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+func (t *Gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	if c, ok := q.Context().Value(connKey{}).(net.Conn); ok {
 		t.inHand(c, true)
 		defer t.inHand(c, false)
 	}
-	t.k.Counters.Add("turnstile.requests", 1)
+	t.k.Counters.Add("gateway.requests", 1)
 	h := w.Header()
 	if t.leaving.Load() {
 		h.Set("Connection", "close")
-	} else if _, idle := t.limits(); idle > 2*foundation.Second {
-		h.Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(idle/foundation.Second)-1, 10))
+	} else if _, idle := t.limits(); idle > 2*kernel.Second {
+		h.Set("Keep-Alive", "timeout="+strconv.FormatInt(int64(idle/kernel.Second)-1, 10))
 	}
 	if t.crowded.Load() {
 		h.Set("Connection", "close")
@@ -276,7 +276,7 @@
 }
 
 // pass hands a database's answer on.
-func (t *Turnstile) pass(w http.ResponseWriter, r *cart.Reply) {
+func (t *Gateway) pass(w http.ResponseWriter, r *httpconn.Reply) {
 	defer r.Close()
 	h := w.Header()
 	dropHops(r.Header)
@@ -297,27 +297,27 @@
 		_, err = io.Copy(w, r.Rest)
 	}
 	if err != nil {
-		t.k.Counters.Add("turnstile.answers_cut", 1)
+		t.k.Counters.Add("gateway.answers_cut", 1)
 		panic(http.ErrAbortHandler) // the client must not take it for whole
 	}
 }
 
-// refusal is an answer of the turnstile's own.
+// refusal is an answer of the gateway's own.
 type refusal struct {
 	status int
 	text   string
-	wait   foundation.Micros // when to come back
+	wait   kernel.Micros // when to come back
 }
 
-func (t *Turnstile) refuse(w http.ResponseWriter, no *refusal) {
-	t.k.Counters.Add("turnstile.answered_"+strconv.Itoa(no.status), 1)
+func (t *Gateway) refuse(w http.ResponseWriter, no *refusal) {
+	t.k.Counters.Add("gateway.answered_"+strconv.Itoa(no.status), 1)
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if no.wait > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(float64(no.wait)/float64(foundation.Second), 'f', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(float64(no.wait)/float64(kernel.Second), 'f', -1, 64))
 	}
 	w.WriteHeader(no.status)
 	if _, err := io.WriteString(w, no.text+"\n"); err != nil {
-		t.k.Counters.Add("turnstile.answers_cut", 1)
+		t.k.Counters.Add("gateway.answers_cut", 1)
 	}
 }
--- a/internal/turnstile/gauge.go
+++ b/internal/gateway/gauge.go
@@ -1,18 +1,18 @@
-package turnstile
+package gateway
 
 import (
 	"net"
 	"sync"
 	"sync/atomic"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // gauge tells how full the machine's own link is, from what this process sends
 // and receives. What waits at a full link waits for seconds, and the control
-// state's news with it; so a turnstile takes no more than its link carries.
+// state's news with it; so a gateway takes no more than its link carries.
 type gauge struct {
-	clock   foundation.Clock
+	clock   kernel.Clock
 	rate    float64 // bytes a microsecond that are counted on; 0 if not known
 	in, out way
 }
@@ -22,7 +22,7 @@
 	bytes atomic.Int64
 
 	mu      sync.Mutex
-	at      foundation.Micros
+	at      kernel.Micros
 	seen    int64
 	backlog float64 // bytes that must still be waiting
 	use     float64 // of late, as a part of the rate
@@ -35,15 +35,15 @@
 	// perWrite stands for the headers of what is sent or received in one piece.
 	perWrite = 80
 	// useOver is the time over which the use of a link is looked at.
-	useOver = foundation.Second
+	useOver = kernel.Second
 )
 
-func newGauge(clock foundation.Clock, mbps float64) *gauge {
+func newGauge(clock kernel.Clock, mbps float64) *gauge {
 	return &gauge{clock: clock, rate: linkUse * mbps / 8}
 }
 
 // look brings a way up to now.
-func (w *way) look(now foundation.Micros, rate float64) (backlog foundation.Micros, use float64) {
+func (w *way) look(now kernel.Micros, rate float64) (backlog kernel.Micros, use float64) {
 	if rate == 0 {
 		return 0, 0
 	}
@@ -57,12 +57,12 @@
 		w.use += weight * (fresh/(rate*span) - w.use)
 		w.at, w.seen = now, seen
 	}
-	return foundation.Micros(w.backlog / rate), w.use
+	return kernel.Micros(w.backlog / rate), w.use
 }
 
 // load returns how long what is sent now would wait, and how much of the link is
 // in use, in the fuller direction.
-func (g *gauge) load() (wait foundation.Micros, use float64) {
+func (g *gauge) load() (wait kernel.Micros, use float64) {
 	now := g.clock.Now()
 	inWait, inUse := g.in.look(now, g.rate)
 	outWait, outUse := g.out.look(now, g.rate)
--- a/internal/turnstile/job.go
+++ b/internal/gateway/job.go
@@ -1,4 +1,4 @@
-package turnstile
+package gateway
 
 import (
 	"bytes"
@@ -11,12 +11,12 @@
 	"strings"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/cart"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rota"
-	"indigowalk/internal/stacks"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/loadbalance"
+	"indigowalk/internal/routeconfig"
 )
 
 const (
@@ -26,15 +26,15 @@
 	// past it the client hears when to come back.
 	holdShare = 0.2
 	// borrowWait is how long one database is waited for before another is asked.
-	borrowWait = 40 * foundation.Millisecond
+	borrowWait = 40 * kernel.Millisecond
 	// comeBack is what a client that is refused is told, and half as much again.
-	comeBack = 150 * foundation.Millisecond
+	comeBack = 150 * kernel.Millisecond
 	// startHold is how long a request waits for a node that has just started, and
 	// startsIn when it is told to come back if that does not do.
-	startHold = 80 * foundation.Millisecond
-	startsIn  = foundation.Second
+	startHold = 80 * kernel.Millisecond
+	startsIn  = kernel.Second
 	// margin is kept of the deadline for the way back.
-	margin = 5 * foundation.Millisecond
+	margin = 5 * kernel.Millisecond
 	// Of an answer that takes this many times the usual, or this part of the
 	// aim, the request is sent to a second database too.
 	quietTimes = 2.5
@@ -46,31 +46,31 @@
 
 // job is one request on its way to a database.
 type job struct {
-	t        *Turnstile
+	t        *Gateway
 	in       *http.Request
 	target   *url.URL
 	id       string
 	header   http.Header
 	body     []byte
 	rest     *bounded // what follows a body that is not kept
-	route    *catalogue.Route
+	route    *routeconfig.Route
 	service  string
-	received foundation.Micros
-	deadline foundation.Micros
-	giveUp   foundation.Micros // until then a database is waited for
-	tries    int               // databases that it was sent to
+	received kernel.Micros
+	deadline kernel.Micros
+	giveUp   kernel.Micros // until then a database is waited for
+	tries    int           // databases that it was sent to
 	avoid    []string
 }
 
-func (j *job) now() foundation.Micros  { return j.t.k.Clock.Now() }
-func (j *job) left() foundation.Micros { return j.deadline - j.now() }
-func (j *job) safe() bool              { return j.route.Type == catalogue.Idempotent }
+func (j *job) now() kernel.Micros  { return j.t.k.Clock.Now() }
+func (j *job) left() kernel.Micros { return j.deadline - j.now() }
+func (j *job) safe() bool          { return j.route.Type == routeconfig.Idempotent }
 
 func malformed(text string) *refusal { return &refusal{status: http.StatusBadRequest, text: text} }
 
 // newJob reads a request, against one configuration.
-func (t *Turnstile) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
-	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(cart.RequestID)}
+func (t *Gateway) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
+	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(httpconn.RequestID)}
 	conf := j.configuration()
 	if conf == nil {
 		return nil, &refusal{http.StatusServiceUnavailable, "no configuration yet", startsIn}
@@ -82,7 +82,7 @@
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "head over " + strconv.FormatInt(n, 10) + " bytes"}
 	}
 	if j.id == "" {
-		return nil, malformed(cart.RequestID + " is missing")
+		return nil, malformed(httpconn.RequestID + " is missing")
 	}
 	var ok bool
 	if j.target, ok = target(q); !ok {
@@ -93,34 +93,34 @@
 		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
 	if wait, _ := t.gauge.load(); wait > fullWaits(j.route.Prio) {
-		t.k.Counters.Add("turnstile.link_full", 1)
+		t.k.Counters.Add("gateway.link_full", 1)
 		return nil, j.busy("this node's link is full")
 	}
 	j.service = j.route.Draw(rand.Float64())
-	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
-	if text := q.Header.Get(cart.DeadlineMs); text != "" {
+	span := kernel.Micros(j.route.DeadlineMs) * kernel.Millisecond
+	if text := q.Header.Get(httpconn.DeadlineMs); text != "" {
 		ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 		if err != nil || !(ms > 0) {
-			return nil, malformed(cart.DeadlineMs + " is no number of milliseconds")
+			return nil, malformed(httpconn.DeadlineMs + " is no number of milliseconds")
 		}
-		span = min(span, foundation.Micros(min(ms, float64(j.route.DeadlineMs))*float64(foundation.Millisecond)))
+		span = min(span, kernel.Micros(min(ms, float64(j.route.DeadlineMs))*float64(kernel.Millisecond)))
 	}
 	j.deadline = j.received + span
-	aim := foundation.Micros(j.route.TargetMs) * foundation.Millisecond
+	aim := kernel.Micros(j.route.TargetMs) * kernel.Millisecond
 	if aim == 0 {
 		aim = span
 	}
-	j.giveUp = j.received + foundation.Micros(holdShare*float64(min(aim, span)))
+	j.giveUp = j.received + kernel.Micros(holdShare*float64(min(aim, span)))
 	return j, j.read(w, conf.Limits.MaxBodyBytes)
 }
 
 // configuration returns what is in force; a node that has just started may learn
 // it in a moment.
-func (j *job) configuration() *catalogue.Index {
+func (j *job) configuration() *routeconfig.Index {
 	until := j.received + startHold
 	for {
-		changed := j.t.card.Changed()
-		conf, wait := j.t.card.Config(), until-j.now()
+		changed := j.t.control.Changed()
+		conf, wait := j.t.control.Config(), until-j.now()
 		if conf != nil || wait <= 0 {
 			return conf
 		}
@@ -135,8 +135,8 @@
 
 // fullWaits is the wait at the link from which requests of a rank are refused:
 // the less urgent go first.
-func fullWaits(prio int) foundation.Micros {
-	return fullWait * foundation.Micros(2+max(0, 2-prio)) / 2
+func fullWaits(prio int) kernel.Micros {
+	return fullWait * kernel.Micros(2+max(0, 2-prio)) / 2
 }
 
 func headSize(q *http.Request) (n int64) {
@@ -187,7 +187,7 @@
 		body = http.MaxBytesReader(w, j.in.Body, limit)
 	}
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(j.left().Duration())); err != nil {
-		j.t.k.Counters.Add("turnstile.no_read_deadline", 1)
+		j.t.k.Counters.Add("gateway.no_read_deadline", 1)
 	}
 	raw, err := io.ReadAll(io.LimitReader(body, maxKept+1))
 	var long *http.MaxBytesError
@@ -202,7 +202,7 @@
 	if j.body = raw; len(raw) > maxKept {
 		j.rest = &bounded{r: body}
 	} else if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
-		j.t.k.Counters.Add("turnstile.no_read_deadline", 1)
+		j.t.k.Counters.Add("gateway.no_read_deadline", 1)
 	}
 	return nil
 }
@@ -223,8 +223,8 @@
 // request is what is sent to a database.
 func (j *job) request(id string) *http.Request {
 	h := j.header.Clone()
-	h.Set(cart.DeadlineMs, strconv.FormatInt(max(1, (j.left()-margin).Millis()), 10))
-	h.Set(cart.Target, id)
+	h.Set(httpconn.DeadlineMs, strconv.FormatInt(max(1, (j.left()-margin).Millis()), 10))
+	h.Set(httpconn.Target, id)
 	if h["User-Agent"] == nil {
 		h["User-Agent"] = nil // or one would be made up
 	}
@@ -256,26 +256,26 @@
 
 // attempt is the request at one database.
 type attempt struct {
-	db    accessions.Database
-	conn  *cart.Conn
+	db    discovery.Database
+	conn  *httpconn.Conn
 	gen   int64
-	began foundation.Micros
-	ch    <-chan cart.Result
+	began kernel.Micros
+	ch    <-chan httpconn.Result
 }
 
 // serve has a database answer, a second one if the first does not.
-func (j *job) serve() (*cart.Reply, *refusal) {
+func (j *job) serve() (*httpconn.Reply, *refusal) {
 	a, no := j.first()
 	if no != nil {
 		return nil, no
 	}
 	sent := false // some database may have run it
 	for {
-		reply, err, quiet := j.await(a)
+		reply, quiet, err := j.await(a)
 		if quiet {
 			// The first goes on: whichever answers is the answer.
 			if b, ok := j.second(keepForFaults); ok {
-				reply, err, a = j.race(a, b)
+				a, reply, err = j.race(a, b)
 			} else {
 				reply, err = j.t.await(a.ch, j.left())
 			}
@@ -314,7 +314,7 @@
 		if j.t.over() {
 			return nil, j.busy("this node ends")
 		}
-		changed, health := j.t.card.Changed(), j.t.health.Changed()
+		changed, health := j.t.control.Changed(), j.t.health.Changed()
 		a, err := j.send()
 		if err == nil {
 			j.t.again.First(j.service)
@@ -325,7 +325,7 @@
 		}
 		if errors.Is(err, errNoPlace) {
 			j.avoid = j.avoid[:0]
-			t := time.NewTimer(min(j.giveUp-j.now(), 50*foundation.Millisecond).Duration())
+			t := time.NewTimer(min(j.giveUp-j.now(), 50*kernel.Millisecond).Duration())
 			select {
 			case <-changed:
 			case <-health:
@@ -338,7 +338,7 @@
 }
 
 // errNoPlace says that there is no database to send to now.
-var errNoPlace = errors.New("turnstile: no database can take it now")
+var errNoPlace = errors.New("gateway: no database can take it now")
 
 // second sends the request once more, to another database, if it may.
 func (j *job) second(keep float64) (*attempt, bool) {
@@ -347,7 +347,7 @@
 	}
 	for range 3 {
 		if a, err := j.send(); err == nil {
-			j.t.k.Counters.Add("turnstile.sent_again", 1)
+			j.t.k.Counters.Add("gateway.sent_again", 1)
 			return a, true
 		} else if errors.Is(err, errNoPlace) {
 			break
@@ -359,25 +359,25 @@
 // send picks a database and sends the request there.
 func (j *job) send() (*attempt, error) {
 	t := j.t
-	db, ok := t.rota.Pick(j.route.Host+j.route.Prefix, t.scene(j.service, j.avoid))
+	db, ok := t.balancer.Pick(j.route.Host+j.route.Prefix, t.scene(j.service, j.avoid))
 	if !ok {
 		return nil, errNoPlace
 	}
 	linkWait, _ := t.gauge.load()
-	began := t.rota.Begin(db.ID)
-	conn, err := t.conns.Borrow(db.ID, j.route.Prio, cart.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
+	began := t.balancer.Begin(db.ID)
+	conn, err := t.conns.Borrow(db.ID, j.route.Prio, httpconn.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
 	if err != nil {
 		j.avoid = append(j.avoid, db.ID)
-		t.rota.End("", db.ID, began, rota.Full)
+		t.balancer.End("", db.ID, began, loadbalance.Full)
 		return nil, err
 	}
-	var ch <-chan cart.Result
-	if err = t.card.MaySend(db.ID); err == nil {
+	var ch <-chan httpconn.Result
+	if err = t.control.MaySend(db.ID); err == nil {
 		ch, err = conn.Send(j.request(db.ID), j.id, j.left())
 	}
 	if err != nil {
 		t.conns.Return(conn)
-		t.rota.End("", db.ID, began, rota.Unused)
+		t.balancer.End("", db.ID, began, loadbalance.Unused)
 		return nil, err
 	}
 	j.tries++
@@ -386,62 +386,68 @@
 }
 
 // scene is what the choice of a database is made from.
-func (t *Turnstile) scene(service string, avoid []string) rota.Scene {
-	return rota.Scene{
-		Service: service, Databases: t.card.Serving(service), Zone: t.cfg.Zone,
+func (t *Gateway) scene(service string, avoid []string) loadbalance.Scene {
+	return loadbalance.Scene{
+		Service: service, Databases: t.control.Serving(service), Zone: t.cfg.Zone,
 		Self: t.ring.Self().Addr, Peers: t.ring.Near(), Up: t.health.Up, Avoid: avoid,
 	}
 }
 
 // await waits for an attempt; quiet says that it is time to ask another.
-func (j *job) await(a *attempt) (reply *cart.Reply, err error, quiet bool) {
-	wait := j.left()
-	if usual := j.t.rota.Usual(j.route.Host + j.route.Prefix); j.safe() && j.tries < j.route.Tries && usual > 0 {
-		soon := min(foundation.Micros(quietTimes*float64(usual)), foundation.Micros(quietShare*float64(j.route.TargetMs)*float64(foundation.Millisecond)))
-		if soon < wait {
-			if reply, err = j.t.await(a.ch, max(soon, margin)); !errors.Is(err, cart.ErrQuiet) {
-				return reply, err, false
-			}
-			return nil, nil, true
+func (j *job) await(a *attempt) (reply *httpconn.Reply, quiet bool, err error) {
+	if soon, ask := j.quietAfter(); ask {
+		if reply, err = j.t.await(a.ch, soon); !errors.Is(err, httpconn.ErrQuiet) {
+			return reply, false, err
 		}
+		return nil, true, nil
+	}
+	reply, err = j.t.await(a.ch, j.left())
+	return reply, false, err
+}
+
+// quietAfter is how long an answer may take before another database is asked too;
+// false if none may be.
+func (j *job) quietAfter() (kernel.Micros, bool) {
+	usual := j.t.balancer.Usual(j.route.Host + j.route.Prefix)
+	if !j.safe() || j.tries >= j.route.Tries || usual <= 0 {
+		return 0, false
 	}
-	reply, err = j.t.await(a.ch, wait)
-	return reply, err, false
+	aim := float64(j.route.TargetMs) * float64(kernel.Millisecond)
+	soon := kernel.Micros(min(quietTimes*float64(usual), quietShare*aim))
+	return max(soon, margin), soon < j.left()
 }
 
 // race waits for the first good answer of two attempts and leaves the other
 // behind.
-func (j *job) race(a, b *attempt) (*cart.Reply, error, *attempt) {
+func (j *job) race(a, b *attempt) (*attempt, *httpconn.Reply, error) {
 	t := time.NewTimer(j.left().Duration())
 	defer t.Stop()
-	for {
-		var r cart.Result
-		var won, other *attempt
-		select {
-		case r = <-a.ch:
-			won, other = a, b
-		case r = <-b.ch:
-			won, other = b, a
-		case <-t.C:
-			j.leave(b)
-			return nil, cart.ErrQuiet, a
-		case <-j.t.ending:
-			j.leave(b)
-			return nil, cart.ErrQuiet, a
-		}
-		if _, verdict := j.judge(r.Reply, r.Err); verdict == answer {
-			j.leave(other)
-			return r.Reply, r.Err, won
-		}
-		// The other one decides.
-		o, _ := j.judge(r.Reply, r.Err)
-		j.done(won, o, r.Reply, r.Err)
-		if r.Reply != nil {
-			r.Reply.Close()
-		}
-		reply, err := j.t.await(other.ch, j.left())
-		return reply, err, other
-	}
+	var r httpconn.Result
+	var won, other *attempt
+	select {
+	case r = <-a.ch:
+		won, other = a, b
+	case r = <-b.ch:
+		won, other = b, a
+	case <-t.C:
+		j.leave(b)
+		return a, nil, httpconn.ErrQuiet
+	case <-j.t.ending:
+		j.leave(b)
+		return a, nil, httpconn.ErrQuiet
+	}
+	outcome, verdict := j.judge(r.Reply, r.Err)
+	if verdict == answer {
+		j.leave(other)
+		return won, r.Reply, r.Err
+	}
+	// The other one decides.
+	j.done(won, outcome, r.Reply, r.Err)
+	if r.Reply != nil {
+		r.Reply.Close()
+	}
+	reply, err := j.t.await(other.ch, j.left())
+	return other, reply, err
 }
 
 // leave waits aside for an attempt whose answer is not needed any more.
@@ -467,24 +473,24 @@
 )
 
 // judge tells how an attempt ended.
-func (j *job) judge(r *cart.Reply, err error) (rota.Outcome, verdict) {
+func (j *job) judge(r *httpconn.Reply, err error) (loadbalance.Outcome, verdict) {
 	switch {
-	case errors.Is(err, cart.ErrUnsent):
-		return rota.Unused, unrun
+	case errors.Is(err, httpconn.ErrUnsent):
+		return loadbalance.Unused, unrun
 	case err != nil:
-		return rota.Failed, ran
+		return loadbalance.Failed, ran
 	case r.Status == http.StatusMisdirectedRequest:
-		return rota.Failed, unrun
-	case r.Header.Get(cart.NotRun) != "":
-		return rota.Full, unrun
+		return loadbalance.Failed, unrun
+	case r.Header.Get(httpconn.NotRun) != "":
+		return loadbalance.Full, unrun
 	case promises(r.Status), r.Status < 300 && (r.Header.Get(seal) == "" || r.Header.Get("Content-Encoding") != ""):
-		return rota.Failed, ran // it can't be passed on as what it is
+		return loadbalance.Failed, ran // it can't be passed on as what it is
 	case r.Status >= 500 && r.Status != http.StatusGatewayTimeout && j.safe():
-		return rota.Failed, ran
+		return loadbalance.Failed, ran
 	case r.Status >= 500:
-		return rota.Failed, answer
+		return loadbalance.Failed, answer
 	}
-	return rota.Served, answer
+	return loadbalance.Served, answer
 }
 
 // seal marks a database's success.
@@ -501,17 +507,17 @@
 }
 
 // done gives an attempt's connection back and notes how the database served.
-func (j *job) done(a *attempt, o rota.Outcome, r *cart.Reply, err error) {
+func (j *job) done(a *attempt, o loadbalance.Outcome, r *httpconn.Reply, err error) {
 	t := j.t
-	if err != nil && !errors.Is(err, cart.ErrUnsent) {
-		t.k.Counters.Add("turnstile.unanswered", 1)
-		if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
+	if err != nil && !errors.Is(err, httpconn.ErrUnsent) {
+		t.k.Counters.Add("gateway.unanswered", 1)
+		if silent := errors.Is(err, connpool.ErrSilent); silent || errors.Is(err, connpool.ErrBroken) {
 			t.health.Report(a.db.ID, a.gen, silent)
 		}
 		a.conn.Close()
 	}
 	if r != nil && r.Status == http.StatusMisdirectedRequest {
-		t.k.Counters.Add("turnstile.misdirected", 1)
+		t.k.Counters.Add("gateway.misdirected", 1)
 	}
 	if r == nil || r.Rest == nil {
 		t.conns.Return(a.conn)
@@ -521,5 +527,5 @@
 			t.conns.Return(a.conn)
 		}()
 	}
-	t.rota.End(j.route.Host+j.route.Prefix, a.db.ID, a.began, o)
+	t.balancer.End(j.route.Host+j.route.Prefix, a.db.ID, a.began, o)
 }
--- a/internal/turnstile/leave.go
+++ b/internal/gateway/leave.go
@@ -1,35 +1,35 @@
-package turnstile
+package gateway
 
 import (
 	"context"
 	"net/http"
 
-	"indigowalk/internal/cart"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
 )
 
 const (
-	// closeAfter is how long a leaving turnstile still takes connections: the entry
+	// closeAfter is how long a leaving gateway still takes connections: the entry
 	// asks every second and needs two misses.
-	closeAfter = 2200 * foundation.Millisecond
+	closeAfter = 2200 * kernel.Millisecond
 	// lastAnswers is kept of the grace for the answers to requests that are given
 	// up, and for the end of the process; lastWrites of it is for the answers.
-	lastAnswers = 600 * foundation.Millisecond
-	lastWrites  = 200 * foundation.Millisecond
+	lastAnswers = 600 * kernel.Millisecond
+	lastWrites  = 200 * kernel.Millisecond
 	// leaveStep is between two looks at the connections that are left.
-	leaveStep = 50 * foundation.Millisecond
+	leaveStep = 50 * kernel.Millisecond
 )
 
 // Leave ends in order: not ready at once, every answer tells that its connection
 // closes, no connection is taken any more after a while, those that rest are
 // closed, and what is under way ends. Requests that are still waited for at the end
 // are answered as they stand.
-func (t *Turnstile) Leave(ctx context.Context) {
+func (t *Gateway) Leave(ctx context.Context) {
 	start := t.k.Clock.Now()
 	t.leaving.Store(true)
 	t.k.Log.Info("leaving")
 	end := start + t.cfg.Grace() - lastAnswers
-	if !foundation.Sleep(ctx, min(closeAfter, end-start)) {
+	if !kernel.Sleep(ctx, min(closeAfter, end-start)) {
 		return
 	}
 	t.closeListener()
@@ -38,14 +38,14 @@
 		if now >= end && !t.over() {
 			close(t.ending)
 		}
-		if now >= end+lastWrites || !foundation.Sleep(ctx, leaveStep) {
-			t.k.Counters.Add("turnstile.cut_at_end", 1)
+		if now >= end+lastWrites || !kernel.Sleep(ctx, leaveStep) {
+			t.k.Counters.Add("gateway.cut_at_end", 1)
 			return
 		}
 	}
 }
 
-func (t *Turnstile) closeListener() {
+func (t *Gateway) closeListener() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.listener != nil {
@@ -55,7 +55,7 @@
 
 // turnAwayIdle ends the connections that rest and returns how many there are yet,
 // these among them.
-func (t *Turnstile) turnAwayIdle() int {
+func (t *Gateway) turnAwayIdle() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c, g := range t.guests {
@@ -67,7 +67,7 @@
 }
 
 // over tells whether whatever is still waited for is given up.
-func (t *Turnstile) over() bool {
+func (t *Gateway) over() bool {
 	select {
 	case <-t.ending:
 		return true
@@ -78,6 +78,6 @@
 
 // await waits for the answer to what was sent, until the end of the process at the
 // latest.
-func (t *Turnstile) await(ch <-chan cart.Result, wait foundation.Micros) (*cart.Reply, error) {
-	return cart.Await(ch, wait, t.ending)
+func (t *Gateway) await(ch <-chan httpconn.Result, wait kernel.Micros) (*httpconn.Reply, error) {
+	return httpconn.Await(ch, wait, t.ending)
 }
--- /dev/null
+++ b/internal/gateway/plugin.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"context"
+	"net"
+
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/loadbalance"
+	"indigowalk/internal/membership"
+	"indigowalk/internal/retrybudget"
+	"indigowalk/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "gateway", Rank: 80, Roles: []string{"gateway"},
+		Build: func(k *kernel.Kernel) error {
+			book := kernel.Need[*settings.Live](k)
+			s := book.Now()
+			if s.ClientAddr == "" {
+				return &settings.Error{Key: "listen.client_addr", Reason: "a gateway needs it"}
+			}
+			if s.ReadyAddr == "" {
+				return &settings.Error{Key: "listen.ready_addr", Reason: "a gateway needs it"}
+			}
+			subscriber := kernel.Need[*distribution.Subscriber](k)
+			kernel.Offer(k, httpconn.HealthPath(func(service string) string {
+				if svc := subscriber.Config().Service(service); svc != nil && svc.HealthPath != "" {
+					return svc.HealthPath
+				}
+				return "/healthz"
+			}))
+			again := retrybudget.New(k.Clock, func() float64 { return book.Now().RetryRatio }, kernel.Micros(s.RetryWindowS)*kernel.Second)
+			t := New(k, Config{
+				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
+				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
+			}, subscriber, kernel.Need[*httpconn.Pools](k), kernel.Need[*loadbalance.Balancer](k),
+				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again)
+			kernel.Offer[httpconn.Wrap](k, func(c net.Conn) net.Conn { return &gauged{c, t.gauge} })
+			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+				return context.WithValue(ctx, connKey{}, c)
+			}
+			k.Supervise("gateway", t.Serve)
+			k.OnLeave(t.Leave)
+			k.Supervise("ready", func(ctx context.Context) error { return kernel.ServeReady(ctx, k.Net, s.ReadyAddr, t.Ready) })
+			return nil
+		},
+	})
+}
--- a/internal/conservator/conservator.go
+++ b/internal/health/health.go
@@ -1,10 +1,10 @@
-// Package conservator is the health coordinator: it holds, for each database,
+// Package health is the health coordinator: it holds, for each database,
 // an up or down state and a local generation, from the faults that this
 // process's own sessions report and from the notices of its peers.
 //
 // The algorithm is the client-side session coordination of Petrauskas and
 // Baronas (2019); docs/design.md says what was kept and what was changed.
-package conservator
+package health
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Notice tells that a database is down as of a local generation.
@@ -39,11 +39,11 @@
 	up         bool
 	generation int64
 	checking   bool
-	own        bool              // the check is for a fault of a session here
-	due        foundation.Micros // of the next check while down
-	calm       foundation.Micros // until then peers' notices call for no check
-	tellers    []string          // peers that told of it of late, a few
-	echoed     foundation.Micros // when the last of them did
+	own        bool          // the check is for a fault of a session here
+	due        kernel.Micros // of the next check while down
+	calm       kernel.Micros // until then peers' notices call for no check
+	tellers    []string      // peers that told of it of late, a few
+	echoed     kernel.Micros // when the last of them did
 }
 
 // Coordinator is the state machine by itself: no clock, network or
@@ -156,17 +156,17 @@
 // Checker tries whether a database answers.
 type Checker func(ctx context.Context, id string) bool
 
-// Config is what a conservator is built from.
+// Config is what a health coordinator is built from.
 type Config struct {
-	Interval foundation.Micros // between checks of a database that is down
-	First    foundation.Micros // until the first check after a local report
-	Check    Checker
-	Self     string          // address under which peers hear of this process
-	Peers    func() []string // in the order in which they are told
-	Archives func() []string // of the peers, those that may move a lead
-	Tell     func(addrs []string, kind string, body any)
-	Heed     func() bool // whether peers' notices matter to this process now
-	Rate     float64     // bytes a microsecond that telling peers may take, 0 for no bound
+	Interval     kernel.Micros // between checks of a database that is down
+	First        kernel.Micros // until the first check after a local report
+	Check        Checker
+	Self         string          // address under which peers hear of this process
+	Peers        func() []string // in the order in which they are told
+	ControlNodes func() []string // of the peers, those that may move a lead
+	Tell         func(addrs []string, kind string, body any)
+	Heed         func() bool // whether peers' notices matter to this process now
+	Rate         float64     // bytes a microsecond that telling peers may take, 0 for no bound
 }
 
 // EventKind is the kind of record of an event.
@@ -182,7 +182,7 @@
 // Notices that are due together share a datagram: they are gathered for a
 // moment, and told in parts of a bounded size.
 const (
-	gather     = 5 * foundation.Millisecond
+	gather     = 5 * kernel.Millisecond
 	maxNotices = 64
 )
 
@@ -193,8 +193,8 @@
 // that its seniors tell the same leaves the rest to them. The most senior
 // tellers hear of none, so that some always tell all.
 const (
-	perPeer = foundation.Millisecond / 4
-	echo    = 200 * foundation.Millisecond
+	perPeer = kernel.Millisecond / 4
+	echo    = 200 * kernel.Millisecond
 	enough  = 2
 	atOnce  = 24 // peers told in one part
 	tellers = 8  // remembered for one database
@@ -205,20 +205,20 @@
 // link at most, as an average over a while: what is found meanwhile waits and is
 // told together.
 const (
-	tellFor    = 2 * foundation.Second
+	tellFor    = 2 * kernel.Second
 	noticeHead = 110 // bytes of a datagram, and of each database in it
 	noticeEach = 18
 )
 
 // purse holds the bytes that may be told yet. Its fields are guarded by the
-// conservator's mutex.
+// health coordinator's mutex.
 type purse struct {
 	bytes float64
-	at    foundation.Micros
+	at    kernel.Micros
 }
 
 // open tells whether something may be told now.
-func (p *purse) open(now foundation.Micros, rate float64) bool {
+func (p *purse) open(now kernel.Micros, rate float64) bool {
 	if rate == 0 {
 		return true
 	}
@@ -255,9 +255,9 @@
 	return false
 }
 
-// Conservator runs a coordinator beside the sessions of one process.
-type Conservator struct {
-	k   *foundation.Kernel
+// Monitor runs a coordinator beside the sessions of one process.
+type Monitor struct {
+	k   *kernel.Kernel
 	cfg Config
 
 	events chan Event
@@ -267,27 +267,27 @@
 	bindings map[string]map[*Binding]struct{}
 	purse    purse
 	faults   outbox // for all peers
-	doubts   outbox // for the archives
-	bell     foundation.Bell
+	doubts   outbox // for the control nodes
+	bell     kernel.Bell
 }
 
-// New returns a conservator.
-func New(k *foundation.Kernel, cfg Config) *Conservator {
-	return &Conservator{
+// New returns a health coordinator.
+func New(k *kernel.Kernel, cfg Config) *Monitor {
+	return &Monitor{
 		k: k, cfg: cfg, c: NewCoordinator(),
 		events: make(chan Event, 256), bindings: map[string]map[*Binding]struct{}{},
 	}
 }
 
 // State tells whether the database is held as up, and its generation.
-func (s *Conservator) State(id string) (bool, int64) {
+func (s *Monitor) State(id string) (bool, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.c.Up(id)
 }
 
 // Up tells whether the database is held as up.
-func (s *Conservator) Up(id string) bool {
+func (s *Monitor) Up(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	up, _ := s.c.Up(id)
@@ -295,7 +295,7 @@
 }
 
 // Down lists the databases held as down, with their generations.
-func (s *Conservator) Down() map[string]int64 {
+func (s *Monitor) Down() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := map[string]int64{}
@@ -306,10 +306,10 @@
 }
 
 // Changed closes at the next change of any database's state.
-func (s *Conservator) Changed() <-chan struct{} { return s.bell.Wait() }
+func (s *Monitor) Changed() <-chan struct{} { return s.bell.Wait() }
 
 // Bind binds a session to a database that is up.
-func (s *Conservator) Bind(id string) *Binding {
+func (s *Monitor) Bind(id string) *Binding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, g := s.c.Up(id)
@@ -322,7 +322,7 @@
 }
 
 // Release ends a binding.
-func (s *Conservator) Release(id string, b *Binding) {
+func (s *Monitor) Release(id string, b *Binding) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if delete(s.bindings[id], b); len(s.bindings[id]) == 0 {
@@ -334,9 +334,9 @@
 // is dropped: whoever meets the same fault next reports again. Sure faults
 // (silence, refusal) count at once. One broken connection alone may be that
 // connection's own trouble: such a fault counts after an own check, which a
-// database that crashed fails at once. Archives hear of a doubt right away: their
+// database that crashed fails at once. Control nodes hear of a doubt right away: their
 // own check then runs beside this one.
-func (s *Conservator) Report(id string, generation int64, sure bool) {
+func (s *Monitor) Report(id string, generation int64, sure bool) {
 	kind := "report"
 	if !sure {
 		kind = "doubt"
@@ -344,19 +344,19 @@
 	s.post(Event{Kind: kind, Database: id, Generation: generation})
 }
 
-func (s *Conservator) post(e Event) {
+func (s *Monitor) post(e Event) {
 	select {
 	case s.events <- e:
 	default:
-		s.k.Counters.Add("conservator.dropped", 1)
+		s.k.Counters.Add("health.dropped", 1)
 	}
 }
 
 // Notified takes a peer's datagram.
-func (s *Conservator) Notified(from string, body json.RawMessage) {
+func (s *Monitor) Notified(from string, body json.RawMessage) {
 	var n notice
 	if json.Unmarshal(body, &n) != nil || len(n.Databases) == 0 || slices.Contains(n.Databases, "") {
-		s.k.Counters.Add("conservator.malformed", 1)
+		s.k.Counters.Add("health.malformed", 1)
 		return
 	}
 	for _, id := range n.Databases {
@@ -366,7 +366,7 @@
 
 // Heard takes a peer's notice, however it came. One that tells nothing new is
 // only counted.
-func (s *Conservator) Heard(from, id string) {
+func (s *Monitor) Heard(from, id string) {
 	if !s.cfg.Heed() {
 		return
 	}
@@ -382,14 +382,14 @@
 	idle := !h.up || h.checking || now < h.calm
 	s.mu.Unlock()
 	if idle {
-		s.k.Counters.Add("conservator.notices", 1)
+		s.k.Counters.Add("health.notices", 1)
 		return
 	}
 	s.post(Event{Kind: "notice", Database: id})
 }
 
 // Serve works off reports, notices and checks until ctx ends.
-func (s *Conservator) Serve(ctx context.Context) error {
+func (s *Monitor) Serve(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -405,7 +405,7 @@
 	}
 }
 
-func (s *Conservator) work(ctx context.Context, e Event) {
+func (s *Monitor) work(ctx context.Context, e Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.k.Recorder.Add(EventKind, e)
@@ -417,18 +417,18 @@
 			s.wentDown(e.Database, e.Generation)
 			s.faults.add(s, ctx, e.Database, s.cfg.Peers, 2)
 		} else if e.Generation < h.generation {
-			s.k.Counters.Add("conservator.stale_reports", 1)
+			s.k.Counters.Add("health.stale_reports", 1)
 		}
 	case "doubt":
 		if up, gen := s.c.Up(e.Database); up && e.Generation >= gen {
 			if !h.own {
-				s.doubts.add(s, ctx, e.Database, s.cfg.Archives, 1)
+				s.doubts.add(s, ctx, e.Database, s.cfg.ControlNodes, 1)
 			}
 			h.own = true
 			s.check(ctx, e.Database)
 		}
 	case "notice":
-		s.k.Counters.Add("conservator.notices", 1)
+		s.k.Counters.Add("health.notices", 1)
 		if s.c.PeerNotice(e.Database) == ToCheck && s.k.Clock.Now() >= h.calm {
 			s.check(ctx, e.Database)
 		}
@@ -454,8 +454,8 @@
 }
 
 // wentDown tells the local sessions, under the local generation.
-func (s *Conservator) wentDown(id string, generation int64) {
-	s.k.Counters.Add("conservator.marked_down", 1)
+func (s *Monitor) wentDown(id string, generation int64) {
+	s.k.Counters.Add("health.marked_down", 1)
 	s.k.Log.Info("database down", "id", id, "generation", generation)
 	for b := range s.bindings[id] {
 		b.take(Notice{id, generation})
@@ -463,23 +463,23 @@
 	s.bell.Ring()
 }
 
-// outbox gathers notices. Its fields are guarded by the conservator's mutex.
+// outbox gathers notices. Its fields are guarded by the health coordinator's mutex.
 type outbox struct{ ids []string }
 
 // add puts a notice among those that leave next. They are sent so many times:
 // a lost one costs a peer a fault of its own, a doubled one nothing.
-func (o *outbox) add(s *Conservator, ctx context.Context, id string, to func() []string, times int) {
+func (o *outbox) add(s *Monitor, ctx context.Context, id string, to func() []string, times int) {
 	o.ids = append(o.ids, id)
 	if len(o.ids) > 1 {
 		return
 	}
 	go func() {
-		foundation.Sleep(ctx, gather+rand.N(perPeer*foundation.Micros(len(to())+1)))
+		kernel.Sleep(ctx, gather+rand.N(perPeer*kernel.Micros(len(to())+1)))
 		s.mu.Lock()
 		for !s.purse.open(s.k.Clock.Now(), s.cfg.Rate) {
 			s.mu.Unlock()
-			s.k.Counters.Add("conservator.notices_held", 1)
-			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
+			s.k.Counters.Add("health.notices_held", 1)
+			if !kernel.Sleep(ctx, 50*kernel.Millisecond) {
 				return
 			}
 			s.mu.Lock()
@@ -493,21 +493,21 @@
 			}
 			ids = s.untold(ids, func(string, string) bool { return true })
 			s.tell(ctx, ids, to())
-			if !foundation.Sleep(ctx, 50*foundation.Millisecond) {
+			if !kernel.Sleep(ctx, 50*kernel.Millisecond) {
 				return
 			}
 		}
 	}()
 }
 
-func (s *Conservator) mayTell() bool {
+func (s *Monitor) mayTell() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.purse.open(s.k.Clock.Now(), s.cfg.Rate)
 }
 
 // tell sends notices to peers, part by part.
-func (s *Conservator) tell(ctx context.Context, ids, peers []string) {
+func (s *Monitor) tell(ctx context.Context, ids, peers []string) {
 	senior := func(from, id string) bool { return rank(from, id) < rank(s.cfg.Self, id) }
 	for part := range slices.Chunk(peers, atOnce) {
 		for some := range slices.Chunk(ids, maxNotices) {
@@ -516,7 +516,7 @@
 			s.purse.bytes -= float64(len(part) * (noticeHead + noticeEach*len(some)))
 			s.mu.Unlock()
 		}
-		if len(ids) == 0 || len(peers) > atOnce && !foundation.Sleep(ctx, foundation.Millisecond) {
+		if len(ids) == 0 || len(peers) > atOnce && !kernel.Sleep(ctx, kernel.Millisecond) {
 			return
 		}
 		ids = s.untold(slices.Clone(ids), senior)
@@ -525,7 +525,7 @@
 
 // untold leaves out what enough others, of those that count, have told of
 // late.
-func (s *Conservator) untold(ids []string, counts func(from, id string) bool) []string {
+func (s *Monitor) untold(ids []string, counts func(from, id string) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.k.Clock.Now()
@@ -541,10 +541,10 @@
 }
 
 // nextCheck is the time until a check is due.
-func (s *Conservator) nextCheck() foundation.Micros {
+func (s *Monitor) nextCheck() kernel.Micros {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now, wait := s.k.Clock.Now(), 3600*foundation.Second
+	now, wait := s.k.Clock.Now(), 3600*kernel.Second
 	for _, h := range s.c.state {
 		if !h.up && !h.checking {
 			wait = min(wait, max(h.due-now, 0))
@@ -553,7 +553,7 @@
 	return wait
 }
 
-func (s *Conservator) startChecks(ctx context.Context) {
+func (s *Monitor) startChecks(ctx context.Context) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.k.Clock.Now()
@@ -564,13 +564,13 @@
 	}
 }
 
-func (s *Conservator) check(ctx context.Context, id string) {
+func (s *Monitor) check(ctx context.Context, id string) {
 	h := s.c.of(id)
 	if h.checking {
 		return
 	}
 	h.checking = true
-	s.k.Counters.Add("conservator.checks", 1)
+	s.k.Counters.Add("health.checks", 1)
 	generation := h.generation
 	go func() {
 		ok := s.cfg.Check(ctx, id)
@@ -582,7 +582,7 @@
 }
 
 // Forget drops what is known of a database that is gone.
-func (s *Conservator) Forget(id string) {
+func (s *Monitor) Forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.c.Forget(id)
--- a/internal/conservator/conservator_test.go
+++ b/internal/health/health_test.go
@@ -1,4 +1,4 @@
-package conservator
+package health
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 func TestDelayedReportOfAnOlderGenerationIsIgnored(t *testing.T) {
@@ -62,14 +62,14 @@
 	}
 }
 
-// desk returns a running conservator whose checks answer as running says.
-func desk(t *testing.T, running *atomic.Bool, checks *atomic.Int64, sent func(kind string)) *Conservator {
-	k := foundation.NewKernel("desk", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+// pooler returns a running health coordinator whose checks answer as running says.
+func pooler(t *testing.T, running *atomic.Bool, checks *atomic.Int64, sent func(kind string)) *Monitor {
+	k := kernel.NewKernel("pooler", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	c := New(k, Config{
-		Interval: foundation.Second, First: 100 * foundation.Millisecond,
-		Check:    func(context.Context, string) bool { checks.Add(1); return running.Load() },
-		Peers:    func() []string { return []string{"p1", "p2"} },
-		Archives: func() []string { return nil },
+		Interval: kernel.Second, First: 100 * kernel.Millisecond,
+		Check:        func(context.Context, string) bool { checks.Add(1); return running.Load() },
+		Peers:        func() []string { return []string{"p1", "p2"} },
+		ControlNodes: func() []string { return nil },
 		Tell: func(addrs []string, kind string, _ any) {
 			for range addrs {
 				sent(kind)
@@ -88,7 +88,7 @@
 		var running atomic.Bool
 		var checks, sent atomic.Int64
 		running.Store(true)
-		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c := pooler(t, &running, &checks, func(string) { sent.Add(1) })
 		body, _ := json.Marshal(notice{[]string{"a"}})
 		for range 3 { // doubled on the way
 			c.Notified("p1", body)
@@ -122,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var running atomic.Bool
 		var checks, sent atomic.Int64
-		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c := pooler(t, &running, &checks, func(string) { sent.Add(1) })
 		b := c.Bind("a")
 		c.Report("a", 0, true)
 		synctest.Wait()
@@ -145,7 +145,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var running atomic.Bool
 		var checks, sent atomic.Int64
-		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c := pooler(t, &running, &checks, func(string) { sent.Add(1) })
 		running.Store(true)
 		c.Report("a", 0, false)
 		synctest.Wait()
@@ -167,7 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var running atomic.Bool
 		var checks, sent atomic.Int64
-		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c := pooler(t, &running, &checks, func(string) { sent.Add(1) })
 		var ids []string
 		for i := range 90 {
 			ids = append(ids, fmt.Sprint("db-", i))
@@ -184,7 +184,7 @@
 		if n := checks.Load() - before; n != 0 {
 			t.Errorf("%d checks of databases that are held as down already", n)
 		}
-		// What two peers tell while this desk is about to needs no third.
+		// What two peers tell while this pooler is about to needs no third.
 		before = sent.Load()
 		c.Report("seen by all", 0, true)
 		body, _ = json.Marshal(notice{[]string{"seen by all"}})
@@ -203,7 +203,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var running atomic.Bool
 		var checks, sent atomic.Int64
-		c := desk(t, &running, &checks, func(string) { sent.Add(1) })
+		c := pooler(t, &running, &checks, func(string) { sent.Add(1) })
 		c.cfg.Peers = func() []string { return make([]string, 240) }
 		var senior, junior []string
 		for i := range 40 {
@@ -245,7 +245,7 @@
 	p := purse{}
 	const rate = 0.05 // bytes a microsecond: 50 KB a second
 	told := 0.0
-	for now := foundation.Micros(foundation.Second); now < 21*foundation.Second; now += 10 * foundation.Millisecond {
+	for now := kernel.Micros(kernel.Second); now < 21*kernel.Second; now += 10 * kernel.Millisecond {
 		if p.open(now, rate) {
 			const all = 92 * (noticeHead + noticeEach)
 			p.bytes -= all
--- a/internal/cart/conn.go
+++ b/internal/httpconn/conn.go
@@ -1,6 +1,6 @@
-// Package cart holds the connections on which databases are spoken to in HTTP
+// Package httpconn holds the connections on which databases are spoken to in HTTP
 // requests, one at a time on each.
-package cart
+package httpconn
 
 import (
 	"bufio"
@@ -18,9 +18,9 @@
 	"syscall"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/stacks"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
 )
 
 // Headers of the wire.
@@ -35,10 +35,10 @@
 // Errors of this layer.
 var (
 	// ErrUnsent says that no byte of the request has left.
-	ErrUnsent = errors.New("cart: not sent")
-	ErrQuiet  = errors.New("cart: no answer yet")
+	ErrUnsent = errors.New("httpconn: not sent")
+	ErrQuiet  = errors.New("httpconn: no answer yet")
 	// ErrMalformed says that the database sent something that is no answer.
-	ErrMalformed = errors.New("cart: malformed answer")
+	ErrMalformed = errors.New("httpconn: malformed answer")
 )
 
 const (
@@ -47,18 +47,18 @@
 	maxSurplus = 8        // answers to other requests, or before the final one, that are passed over
 	pollBuffer = 4 << 10
 	// nearEnd is kept to the time at which a database closes an idle connection.
-	nearEnd = 500 * foundation.Millisecond
+	nearEnd = 500 * kernel.Millisecond
 	// justUsed is how long a connection may have been idle to carry what must
 	// not run twice: one that is forgotten by the far end shows it only when it
 	// is written to.
-	justUsed = 100 * foundation.Millisecond
+	justUsed = 100 * kernel.Millisecond
 	// restWait is how long nothing may come of a long answer that has begun:
 	// longer than any deadline, so that silence alone ends none too soon.
-	restWait = 30 * foundation.Second
+	restWait = 30 * kernel.Second
 )
 
-// Stacks hold a turnstile's connections to all databases.
-type Stacks = stacks.Stacks[Want, *Conn]
+// Pools hold a gateway's connections to all databases.
+type Pools = connpool.Pools[Want, *Conn]
 
 // Want is what a borrower wishes of a connection.
 type Want struct {
@@ -99,7 +99,7 @@
 
 // Conn is one connection to a database.
 type Conn struct {
-	DB accessions.Database
+	DB discovery.Database
 
 	c     net.Conn
 	meter *meter
@@ -113,7 +113,7 @@
 	spoilt  bool               // the far end sent what nobody asked for
 	ids     [maxSurplus]string // of the last requests
 	sent    int                // requests
-	idleFor foundation.Micros  // the database keeps it open for, 0 if it did not say
+	idleFor kernel.Micros      // the database keeps it open for, 0 if it did not say
 	silent  bool
 	onDead  func(byUs, silent bool)
 }
@@ -140,9 +140,9 @@
 
 // Dialer opens connections.
 type Dialer struct {
-	Net     foundation.Network
-	Connect foundation.Micros
-	Silence foundation.Micros
+	Net     kernel.Network
+	Connect kernel.Micros
+	Silence kernel.Micros
 	Pace    chan struct{} // bounds those that are being made
 	Path    func(service string) string
 	Wrap    Wrap // of every connection
@@ -152,8 +152,8 @@
 type Wrap func(net.Conn) net.Conn
 
 // Open makes a connection.
-func (d *Dialer) Open(ctx context.Context, db accessions.Database, _ foundation.Micros) (*Conn, error) {
-	c, err := stacks.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
+func (d *Dialer) Open(ctx context.Context, db discovery.Database, _ kernel.Micros) (*Conn, error) {
+	c, err := connpool.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +168,7 @@
 // that database's own counts: whether it thinks itself well is not asked, as
 // its answer may be false either way. One that takes the connection and does
 // not answer in time is slow, which is no fault.
-func (d *Dialer) Probe(ctx context.Context, db accessions.Database, wait foundation.Micros) (*Conn, error) {
+func (d *Dialer) Probe(ctx context.Context, db discovery.Database, wait kernel.Micros) (*Conn, error) {
 	s, err := d.Open(ctx, db, wait)
 	if err != nil {
 		return nil, err
@@ -176,7 +176,7 @@
 	q, err := http.NewRequest(http.MethodGet, "http://"+db.Address+d.Path(db.Service), nil)
 	if err != nil {
 		s.Close()
-		return nil, fmt.Errorf("%w: %v", stacks.ErrRejected, err)
+		return nil, fmt.Errorf("%w: %v", connpool.ErrRejected, err)
 	}
 	q.Header["User-Agent"] = nil
 	ch, err := s.Send(q, "", wait)
@@ -188,20 +188,20 @@
 	switch {
 	case errors.Is(err, ErrQuiet):
 		s.Close()
-		return nil, stacks.ErrSlow
+		return nil, connpool.ErrSlow
 	case err != nil:
 		s.Close()
 		return nil, err
 	case r.Status == http.StatusMisdirectedRequest, r.Header.Get(Instance) != "" && r.Header.Get(Instance) != db.ID:
 		s.Close()
-		return nil, fmt.Errorf("%w: another has its address", stacks.ErrRejected)
+		return nil, fmt.Errorf("%w: another has its address", connpool.ErrRejected)
 	}
 	return s, nil
 }
 
 // Await waits for the answer to what was sent; ErrQuiet says that there is none
 // within the span, or when ending closes.
-func Await(ch <-chan Result, wait foundation.Micros, ending <-chan struct{}) (*Reply, error) {
+func Await(ch <-chan Result, wait kernel.Micros, ending <-chan struct{}) (*Reply, error) {
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
 	select {
@@ -221,7 +221,7 @@
 // Send writes a request within the span, unless one of the same id went this way
 // a moment ago: a surplus answer to that one could not be told from its own; the answer, or how it ended, comes on
 // the channel. If a body is not whole in memory it is streamed.
-func (s *Conn) Send(q *http.Request, id string, wait foundation.Micros) (<-chan Result, error) {
+func (s *Conn) Send(q *http.Request, id string, wait kernel.Micros) (<-chan Result, error) {
 	a := &asked{q, id, make(chan Result, 1)}
 	s.mu.Lock()
 	if s.now != nil || s.closed || s.spoilt || !s.Alive() {
@@ -313,11 +313,11 @@
 func ending(err error) error {
 	switch {
 	case errors.Is(err, syscall.ETIMEDOUT):
-		return stacks.ErrSilent
+		return connpool.ErrSilent
 	case errors.Is(err, ErrMalformed):
 		return err
 	}
-	return fmt.Errorf("%w: %v", stacks.ErrBroken, err)
+	return fmt.Errorf("%w: %v", connpool.ErrBroken, err)
 }
 
 func (s *Conn) read() error {
@@ -416,7 +416,7 @@
 	if rest != nil {
 		<-rest
 		if n, err := io.Copy(io.Discard, io.LimitReader(patient{r.Body, s.c}, maxWhole)); err != nil || n == maxWhole {
-			return fmt.Errorf("%w: body not taken in full", stacks.ErrBroken)
+			return fmt.Errorf("%w: body not taken in full", connpool.ErrBroken)
 		}
 		s.free()
 		return s.c.SetReadDeadline(time.Time{})
@@ -432,7 +432,7 @@
 	for part := range strings.SplitSeq(r.Header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if sec, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			s.idleFor = foundation.Micros(sec) * foundation.Second
+			s.idleFor = kernel.Micros(sec) * kernel.Second
 		}
 	}
 }
@@ -447,7 +447,7 @@
 	return s.closed
 }
 
-// Alive implements stacks.Line.
+// Alive implements connpool.Line.
 func (s *Conn) Alive() bool {
 	select {
 	case <-s.dead:
@@ -457,15 +457,15 @@
 	}
 }
 
-// Clean implements stacks.Line.
+// Clean implements connpool.Line.
 func (s *Conn) Clean() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.now == nil && !s.closed && !s.last && !s.spoilt
 }
 
-// Fit implements stacks.Line.
-func (s *Conn) Fit(want Want, idle foundation.Micros) int {
+// Fit implements connpool.Line.
+func (s *Conn) Fit(want Want, idle kernel.Micros) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if want.Sure && idle > justUsed || s.idleFor > 0 && idle > s.idleFor-nearEnd || s.spoilt {
@@ -474,7 +474,7 @@
 	return 0
 }
 
-// Attach implements stacks.Line.
+// Attach implements connpool.Line.
 func (s *Conn) Attach(_ int64, died func(byUs, silent bool)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/cart/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -1,4 +1,4 @@
-package cart_test
+package httpconn_test
 
 import (
 	"bufio"
@@ -13,22 +13,22 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/cart"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rehearsal"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/simulation"
 )
 
 // reply is an answer to a request.
 func reply(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", cart.RequestID, id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", httpconn.RequestID, id, len(body), body)
 }
 
 // connect plays a test with a connection to a hand-made database, which answers
 // the requests in turn with the texts; the connection ends after the last.
-func connect(t *testing.T, texts []string, f func(c *cart.Conn)) {
+func connect(t *testing.T, texts []string, f func(c *httpconn.Conn)) {
 	synctest.Test(t, func(t *testing.T) {
-		n := rehearsal.NewNet(1)
+		n := simulation.NewNet(1)
 		ln, err := n.Host("10.0.0.2").Listen("10.0.0.2:1")
 		if err != nil {
 			t.Fatal(err)
@@ -51,10 +51,10 @@
 			}
 			time.Sleep(time.Second)
 		}()
-		d := cart.Dialer{
-			Net: n.Host("10.0.0.1"), Connect: foundation.Second, Silence: foundation.Second, Wrap: func(c net.Conn) net.Conn { return c },
+		d := httpconn.Dialer{
+			Net: n.Host("10.0.0.1"), Connect: kernel.Second, Silence: kernel.Second, Wrap: func(c net.Conn) net.Conn { return c },
 		}
-		c, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "10.0.0.2:1"}, foundation.Second)
+		c, err := d.Open(t.Context(), discovery.Database{ID: "d", Address: "10.0.0.2:1"}, kernel.Second)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -66,16 +66,16 @@
 }
 
 // ask sends a request and waits for its answer; "" if there is none.
-func ask(c *cart.Conn, id string, wait foundation.Micros) string {
+func ask(c *httpconn.Conn, id string, wait kernel.Micros) string {
 	q, err := http.NewRequest(http.MethodPost, "http://d/", strings.NewReader("x"))
 	if err != nil {
 		panic(err)
 	}
-	ch, err := c.Send(q, id, foundation.Second)
+	ch, err := c.Send(q, id, kernel.Second)
 	if err != nil {
 		return ""
 	}
-	r, err := cart.Await(ch, wait, nil)
+	r, err := httpconn.Await(ch, wait, nil)
 	if err != nil {
 		return ""
 	}
@@ -90,13 +90,13 @@
 // Invariant REQUEST: an answer is given only to the request that it answers, and
 // a connection on which that is not sure is neither used nor lent again.
 func TestREQUESTTakesNoOthersAnswer(t *testing.T) {
-	const soon, late = 50 * foundation.Millisecond, 300 * foundation.Millisecond
+	const soon, late = 50 * kernel.Millisecond, 300 * kernel.Millisecond
 	long := strings.Repeat("y", 100<<10)
 	interim := "HTTP/1.1 100 Continue\r\n\r\n"
 	for name, c := range map[string]struct {
 		texts []string
 		ids   [2]string
-		wait  foundation.Micros // for the first answer
+		wait  kernel.Micros // for the first answer
 		first string
 		clean bool // the connection may serve others then
 		next  string
@@ -109,11 +109,11 @@
 		"answered twice":                {[]string{reply("a", "1") + reply("a", "1"), reply("b", "2")}, [2]string{"a", "b"}, late, "1", false, ""},
 		"the same id again":             {[]string{reply("a", "1"), reply("a", "1")}, [2]string{"a", "a"}, late, "1", true, ""},
 		"more behind a long answer":     {[]string{reply("a", long) + "HTTP", reply("b", "2")}, [2]string{"a", "b"}, late, "102400 <nil>", false, ""},
-		"cut off":                       {[]string{reply("a", long)[:5000]}, [2]string{"a", "b"}, 2 * foundation.Second, "", false, ""},
+		"cut off":                       {[]string{reply("a", long)[:5000]}, [2]string{"a", "b"}, 2 * kernel.Second, "", false, ""},
 		"an answer without its request": {[]string{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1", reply("b", "2")}, [2]string{"a", "b"}, late, "", false, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
-			connect(t, c.texts, func(conn *cart.Conn) {
+			connect(t, c.texts, func(conn *httpconn.Conn) {
 				if got := ask(conn, c.ids[0], c.wait); got != c.first {
 					t.Errorf("first answer %.20q", got)
 				} else if got != "" && conn.Clean() && !c.clean {
@@ -156,10 +156,10 @@
 		synctest.Test(t, func(t *testing.T) {
 			mine, theirs := net.Pipe()
 			go io.Copy(io.Discard, theirs)
-			d := cart.Dialer{
-				Net: wire{end: mine}, Connect: foundation.Second, Silence: foundation.Second, Wrap: func(c net.Conn) net.Conn { return &short{c, left} },
+			d := httpconn.Dialer{
+				Net: wire{end: mine}, Connect: kernel.Second, Silence: kernel.Second, Wrap: func(c net.Conn) net.Conn { return &short{c, left} },
 			}
-			c, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "d"}, foundation.Second)
+			c, err := d.Open(t.Context(), discovery.Database{ID: "d", Address: "d"}, kernel.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -167,12 +167,12 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			ch, err := c.Send(q, "a", foundation.Second)
-			if errors.Is(err, cart.ErrUnsent) != unsent {
+			ch, err := c.Send(q, "a", kernel.Second)
+			if errors.Is(err, httpconn.ErrUnsent) != unsent {
 				t.Errorf("%d bytes have left: %v", left, err)
 			}
 			if !unsent {
-				if _, err := cart.Await(ch, foundation.Second, nil); err == nil || errors.Is(err, cart.ErrQuiet) {
+				if _, err := httpconn.Await(ch, kernel.Second, nil); err == nil || errors.Is(err, httpconn.ErrQuiet) {
 					t.Errorf("%d bytes have left, then %v", left, err)
 				}
 			}
--- a/internal/cart/fuzz_test.go
+++ b/internal/httpconn/fuzz_test.go
@@ -1,4 +1,4 @@
-package cart_test
+package httpconn_test
 
 import (
 	"bytes"
@@ -11,25 +11,25 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/cart"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/httpconn"
+	"indigowalk/internal/kernel"
 )
 
 // wire is a network of one connection.
 type wire struct {
-	foundation.Network
+	kernel.Network
 	end net.Conn
 }
 
-func (w wire) Dial(context.Context, string, foundation.Micros) (net.Conn, error) { return w.end, nil }
+func (w wire) Dial(context.Context, string, kernel.Micros) (net.Conn, error) { return w.end, nil }
 
 // Whatever a database sends, in whatever pieces, an answer carries the id of the
 // request that it is given to and its bytes come from the stream; what is sent
 // after both requests are answered, or while none is out, ends the connection.
 func FuzzUpstream(f *testing.F) {
 	a, b := reply("a", "one"), reply("b", "two")
-	chunked := "HTTP/1.1 200 OK\r\n" + cart.RequestID + ": a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
+	chunked := "HTTP/1.1 200 OK\r\n" + httpconn.RequestID + ": a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n"
 	for _, s := range [][2]string{
 		{a, b}, {a + b, ""}, {"", a + b}, {b, a}, {a + a, b}, {a, a + b}, {a[:20], a[20:] + b}, {a[:len(a)-1], b}, {chunked, b}, {chunked[:len(chunked)-3], b},
 		{"HTTP/1.1 100 Continue\r\n\r\n" + a, b}, {strings.Replace(a, "200", "101", 1), b}, {strings.Replace(a, ": a", ": z", 1) + a, b},
@@ -42,8 +42,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			mine, theirs := net.Pipe()
 			go io.Copy(io.Discard, theirs)
-			d := cart.Dialer{Net: wire{end: mine}, Connect: foundation.Second, Silence: foundation.Second, Wrap: func(c net.Conn) net.Conn { return c }}
-			c, err := d.Open(t.Context(), accessions.Database{ID: "d", Address: "d"}, foundation.Second)
+			d := httpconn.Dialer{Net: wire{end: mine}, Connect: kernel.Second, Silence: kernel.Second, Wrap: func(c net.Conn) net.Conn { return c }}
+			c, err := d.Open(t.Context(), discovery.Database{ID: "d", Address: "d"}, kernel.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -54,7 +54,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				ch, err := c.Send(q, id, foundation.Second)
+				ch, err := c.Send(q, id, kernel.Second)
 				if err == nil && !clean {
 					t.Errorf("%s is sent on a connection that is not clean", id)
 				}
@@ -62,7 +62,7 @@
 				if err != nil {
 					return
 				}
-				r, err := cart.Await(ch, foundation.Second, nil)
+				r, err := httpconn.Await(ch, kernel.Second, nil)
 				if err != nil {
 					c.Close()
 					return
@@ -73,7 +73,7 @@
 					rest, _ := io.ReadAll(io.LimitReader(r.Rest, 1<<20))
 					body = append(bytes.Clone(body), rest...)
 				}
-				if r.Header.Get(cart.RequestID) != id || r.Status < 200 {
+				if r.Header.Get(httpconn.RequestID) != id || r.Status < 200 {
 					t.Errorf("%s got %d %v", id, r.Status, r.Header)
 				}
 				if r.Header.Get("Transfer-Encoding") == "" && r.Length >= 0 && !bytes.Contains(all, body) {
--- a/internal/foundation/host_test.go
+++ b/internal/kernel/host_test.go
@@ -1,4 +1,4 @@
-package foundation
+package kernel
 
 import (
 	"bytes"
--- a/internal/foundation/kernel.go
+++ b/internal/kernel/kernel.go
@@ -1,7 +1,7 @@
-// Package foundation is the kernel that every role of indigowalk stands on: a
+// Package kernel is the kernel that every role of indigowalk stands on: a
 // registry of plug-ins, the supervisor tree, the seams to clock, network and
 // disk, and the counters.
-package foundation
+package kernel
 
 import (
 	"context"
@@ -60,7 +60,7 @@
 		// tried again soon: nobody else does its work.
 		FailureBackoff: restartPause,
 		EventHook: func(e suture.Event) {
-			k.Counters.Add("foundation.supervisor_events", 1)
+			k.Counters.Add("kernel.supervisor_events", 1)
 			log.Warn("supervisor", "event", e.String())
 		},
 	})
@@ -75,7 +75,7 @@
 func Need[T any](k *Kernel) T {
 	v, ok := k.offered[reflect.TypeFor[T]()]
 	if !ok {
-		panic(fmt.Sprintf("foundation: no plug-in offers %v", reflect.TypeFor[T]()))
+		panic(fmt.Sprintf("kernel: no plug-in offers %v", reflect.TypeFor[T]()))
 	}
 	return v.(T)
 }
@@ -97,7 +97,7 @@
 			continue
 		}
 		if err := p.Build(k); err != nil {
-			return fmt.Errorf("foundation: plug-in %s: %w", p.Name, err)
+			return fmt.Errorf("kernel: plug-in %s: %w", p.Name, err)
 		}
 	}
 	return nil
--- a/internal/foundation/ready.go
+++ b/internal/kernel/ready.go
@@ -1,4 +1,4 @@
-package foundation
+package kernel
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 func ServeReady(ctx context.Context, n Network, addr string, ready func() bool) error {
 	ln, err := n.Listen(addr)
 	if err != nil {
-		return fmt.Errorf("foundation: ready: %w", err)
+		return fmt.Errorf("kernel: ready: %w", err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -23,7 +23,7 @@
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second}
 	defer context.AfterFunc(ctx, func() { srv.Close() })()
 	if err := srv.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("foundation: ready: %w", err)
+		return fmt.Errorf("kernel: ready: %w", err)
 	}
 	return nil
 }
--- a/internal/foundation/recorder.go
+++ b/internal/kernel/recorder.go
@@ -1,4 +1,4 @@
-package foundation
+package kernel
 
 import (
 	"encoding/json"
@@ -39,7 +39,7 @@
 func NewRecorder(k *Kernel, path, node string, size int64) (*Recorder, error) {
 	f, err := os.Create(path)
 	if err != nil {
-		return nil, fmt.Errorf("foundation: recording: %w", err)
+		return nil, fmt.Errorf("kernel: recording: %w", err)
 	}
 	r := &Recorder{clock: k.Clock, counters: k.Counters, f: f, left: size}
 	r.write(RecordingHead{RecordingFormat, node, k.Role})
@@ -53,7 +53,7 @@
 	}
 	raw, err := json.Marshal(body)
 	if err != nil {
-		r.counters.Add("foundation.unrecorded", 1)
+		r.counters.Add("kernel.unrecorded", 1)
 		return
 	}
 	r.write(Record{r.clock.Now(), kind, raw})
@@ -64,10 +64,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.left -= int64(len(raw)) + 1; err != nil || r.left < 0 {
-		r.counters.Add("foundation.unrecorded", 1)
+		r.counters.Add("kernel.unrecorded", 1)
 		return
 	}
 	if _, err := r.f.Write(append(raw, '\n')); err != nil {
-		r.counters.Add("foundation.unrecorded", 1)
+		r.counters.Add("kernel.unrecorded", 1)
 	}
 }
--- a/internal/folio/folio.go
+++ b/internal/lineprotocol/lineprotocol.go
@@ -1,5 +1,5 @@
-// Package folio is the codec of the wire that clients and databases speak.
-package folio
+// Package lineprotocol is the codec of the wire that clients and databases speak.
+package lineprotocol
 
 import (
 	"bufio"
@@ -32,8 +32,8 @@
 
 // Errors of this layer.
 var (
-	ErrOversize  = errors.New("folio: message too long")
-	ErrMalformed = errors.New("folio: malformed message")
+	ErrOversize  = errors.New("lineprotocol: message too long")
+	ErrMalformed = errors.New("lineprotocol: malformed message")
 )
 
 // Position is a place in a database's log.
--- a/internal/folio/folio_test.go
+++ b/internal/lineprotocol/lineprotocol_test.go
@@ -1,4 +1,4 @@
-package folio
+package lineprotocol
 
 import (
 	"errors"
--- a/internal/rota/rota.go
+++ b/internal/loadbalance/loadbalance.go
@@ -1,7 +1,7 @@
-// Package rota picks, for a request, one of many databases that could serve it
+// Package loadbalance picks, for a request, one of many databases that could serve it
 // alike. Nodes do not tell each other their loads: each keeps to a few of the
 // databases, so that what it sees of them is much of what there is to see.
-package rota
+package loadbalance
 
 import (
 	"cmp"
@@ -11,8 +11,8 @@
 	"slices"
 	"sync"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
 )
 
 // How a database's answers weigh: its pace is their time over what is usual on
@@ -21,14 +21,14 @@
 	paceWeight  = 0.12
 	mostPace    = 4 // of one answer: a long one may be the request's own
 	usualWeight = 0.02
-	fades       = 3 * foundation.Second // to what all nodes say
-	toldFades   = 20 * foundation.Second
+	fades       = 3 * kernel.Second // to what all nodes say
+	toldFades   = 20 * kernel.Second
 	illWeight   = 0.3
-	illFades    = 3 * foundation.Second
+	illFades    = 3 * kernel.Second
 	// illCost is how many requests a database that fails all seems to have.
 	illCost = 30
 	// fullFor is how long one that said it was full is passed over.
-	fullFor = 150 * foundation.Millisecond
+	fullFor = 150 * kernel.Millisecond
 	// shared is by how many nodes a database is used.
 	shared = 4
 	// fewest databases that a node uses, if there are as many.
@@ -43,18 +43,18 @@
 
 type standing struct {
 	open   int
-	began  []foundation.Micros // of the open ones
+	began  []kernel.Micros // of the open ones
 	pace   float64
-	paceAt foundation.Micros
+	paceAt kernel.Micros
 	ill    float64
-	illAt  foundation.Micros
-	full   foundation.Micros // until then it takes no more
-	seen   foundation.Micros // of the last answer
+	illAt  kernel.Micros
+	full   kernel.Micros // until then it takes no more
+	seen   kernel.Micros // of the last answer
 }
 
-// Rota remembers how databases have served of late.
-type Rota struct {
-	clock foundation.Clock
+// Balancer remembers how databases have served of late.
+type Balancer struct {
+	clock kernel.Clock
 
 	mu    sync.Mutex
 	of    map[string]*standing
@@ -67,7 +67,7 @@
 // told is what a request at a database costs, as all nodes together saw it.
 type told struct {
 	cost float64
-	at   foundation.Micros
+	at   kernel.Micros
 }
 
 // Sight is what this node saw of a database: how many answers, the sum of their
@@ -79,7 +79,7 @@
 }
 
 // Seen returns what was seen since it was last asked for.
-func (r *Rota) Seen() map[string]Sight {
+func (r *Balancer) Seen() map[string]Sight {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := r.sight
@@ -88,7 +88,7 @@
 }
 
 // Told takes in what all nodes saw, in hundredths of a usual answer.
-func (r *Rota) Told(costs map[string]int) {
+func (r *Balancer) Told(costs map[string]int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
@@ -98,7 +98,7 @@
 }
 
 // common is what all nodes say of a database, 1 if nothing.
-func (r *Rota) common(id string, now foundation.Micros) float64 {
+func (r *Balancer) common(id string, now kernel.Micros) float64 {
 	t, ok := r.told[id]
 	if !ok {
 		return 1
@@ -106,9 +106,9 @@
 	return faded(t.cost, 1, t.at, now, toldFades)
 }
 
-// New returns a rota that has seen nothing.
-func New(clock foundation.Clock) *Rota {
-	return &Rota{
+// New returns a load balancer that has seen nothing.
+func New(clock kernel.Clock) *Balancer {
+	return &Balancer{
 		clock: clock, of: map[string]*standing{}, usual: map[string]float64{}, lists: map[string]list{},
 		told: map[string]told{}, sight: map[string]Sight{},
 	}
@@ -117,7 +117,7 @@
 // Scene is what a choice is made from.
 type Scene struct {
 	Service   string
-	Databases []accessions.Database
+	Databases []discovery.Database
 	Self      string
 	Zone      string
 	Peers     []string // the nodes of this zone, this one included
@@ -127,11 +127,11 @@
 
 // list is the order in which this node looks at a service's databases.
 type list struct {
-	databases []accessions.Database // that it was made from
+	databases []discovery.Database // that it was made from
 	peers     []string
-	own       []accessions.Database // of the zone
-	away      []accessions.Database // of other zones
-	rest      []accessions.Database // all others
+	own       []discovery.Database // of the zone
+	away      []discovery.Database // of other zones
+	rest      []discovery.Database // all others
 }
 
 func hash(parts ...string) uint64 {
@@ -151,13 +151,13 @@
 // of a zone stand in the order of their hashes, and each node has a stretch of
 // the databases that begins at its own place: all are covered evenly, and who
 // comes or goes moves the stretches by a little.
-func (r *Rota) listOf(s Scene) list {
+func (r *Balancer) listOf(s Scene) list {
 	l := r.lists[s.Service]
 	if same(l.databases, s.Databases) && slices.Equal(l.peers, s.Peers) {
 		return l
 	}
 	l = list{databases: s.Databases, peers: s.Peers}
-	var near, far []accessions.Database
+	var near, far []discovery.Database
 	for _, d := range s.Databases {
 		switch {
 		case d.Draining:
@@ -180,7 +180,7 @@
 	size := max(fewest, (shared*len(near)+nodes-1)/nodes)
 	l.own, l.rest = stretch(near, before*len(near)/nodes, size)
 	if len(far) > 0 {
-		var others []accessions.Database
+		var others []discovery.Database
 		l.away, others = stretch(far, int(hash(s.Self)%uint64(len(far))), (size+1)/2)
 		l.rest = append(l.rest, others...)
 	}
@@ -189,23 +189,23 @@
 }
 
 // stretch cuts so many databases out of those in the order of their hashes.
-func stretch(all []accessions.Database, start, size int) (in, out []accessions.Database) {
+func stretch(all []discovery.Database, start, size int) (in, out []discovery.Database) {
 	places := make(map[string]uint64, len(all))
 	for _, d := range all {
 		places[d.ID] = hash(d.ID)
 	}
-	slices.SortFunc(all, func(a, b accessions.Database) int { return cmp.Compare(places[a.ID], places[b.ID]) })
+	slices.SortFunc(all, func(a, b discovery.Database) int { return cmp.Compare(places[a.ID], places[b.ID]) })
 	turned := append(slices.Clone(all[start:]), all[:start]...)
 	size = min(size, len(all))
 	return turned[:size:size], turned[size:]
 }
 
 // same tells whether two lists are one: they are never changed in place.
-func same(a, b []accessions.Database) bool {
+func same(a, b []discovery.Database) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-func (r *Rota) standing(id string) *standing {
+func (r *Balancer) standing(id string) *standing {
 	st := r.of[id]
 	if st == nil {
 		st = &standing{pace: 1}
@@ -214,12 +214,12 @@
 	return st
 }
 
-func faded(v, rest float64, at, now, span foundation.Micros) float64 {
+func faded(v, rest float64, at, now, span kernel.Micros) float64 {
 	return rest + (v-rest)*math.Exp(-float64(now-at)/float64(span))
 }
 
 // cost is the time to expect, in usual answers.
-func (r *Rota) cost(d accessions.Database, now foundation.Micros, usual float64) float64 {
+func (r *Balancer) cost(d discovery.Database, now kernel.Micros, usual float64) float64 {
 	st, common := r.of[d.ID], r.common(d.ID, now)
 	if st == nil {
 		return common
@@ -238,16 +238,16 @@
 }
 
 // Pick returns the database to send to, or false if there is none.
-func (r *Rota) Pick(route string, s Scene) (accessions.Database, bool) {
+func (r *Balancer) Pick(route string, s Scene) (discovery.Database, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, usual := r.clock.Now(), r.usual[route]
 	l := r.listOf(s)
-	var best accessions.Database
+	var best discovery.Database
 	least, found := 0.0, false
 	// look takes the better of a few drawn from those that are up, if it is
 	// better than what has been found.
-	look := func(all []accessions.Database, few int, more float64) {
+	look := func(all []discovery.Database, few int, more float64) {
 		at := rand.Perm(len(all))
 		for _, i := range at {
 			d := all[i]
@@ -275,7 +275,7 @@
 }
 
 // Begin counts a request as under way at a database.
-func (r *Rota) Begin(id string) (began foundation.Micros) {
+func (r *Balancer) Begin(id string) (began kernel.Micros) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st := r.standing(id)
@@ -287,7 +287,7 @@
 
 // End ends what Begin began. A time counts for the pace only if the answer was
 // a success.
-func (r *Rota) End(route, id string, began foundation.Micros, o Outcome) {
+func (r *Balancer) End(route, id string, began kernel.Micros, o Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	st, now := r.standing(id), r.clock.Now()
@@ -334,14 +334,14 @@
 )
 
 // Usual is how long an answer of the route usually takes, 0 if none was seen.
-func (r *Rota) Usual(route string) foundation.Micros {
+func (r *Balancer) Usual(route string) kernel.Micros {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return foundation.Micros(r.usual[route])
+	return kernel.Micros(r.usual[route])
 }
 
 // Answered is when the database last served a request.
-func (r *Rota) Answered(id string) foundation.Micros {
+func (r *Balancer) Answered(id string) kernel.Micros {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if st := r.of[id]; st != nil {
@@ -351,7 +351,7 @@
 }
 
 // Keep forgets databases that are no more.
-func (r *Rota) Keep(there map[string]accessions.Database) {
+func (r *Balancer) Keep(there map[string]discovery.Database) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, st := range r.of {
--- a/internal/rota/rota_test.go
+++ b/internal/loadbalance/loadbalance_test.go
@@ -1,16 +1,16 @@
-package rota
+package loadbalance
 
 import (
 	"fmt"
 	"testing"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
 )
 
-type clock struct{ now foundation.Micros }
+type clock struct{ now kernel.Micros }
 
-func (c *clock) Now() foundation.Micros { return c.now }
+func (c *clock) Now() kernel.Micros { return c.now }
 
 func scene(self int, nodes, near, far int) Scene {
 	s := Scene{Service: "s", Self: fmt.Sprint("node-", self), Zone: "a", Up: func(string) bool { return true }}
@@ -22,7 +22,7 @@
 		if i >= near {
 			zone = "b"
 		}
-		s.Databases = append(s.Databases, accessions.Database{ID: fmt.Sprint("i-", i), Zone: zone, Slots: 2})
+		s.Databases = append(s.Databases, discovery.Database{ID: fmt.Sprint("i-", i), Zone: zone, Slots: 2})
 	}
 	return s
 }
@@ -68,15 +68,15 @@
 // Slow, failing and hanging databases get few requests, and soon; a database
 // that all others found out about gets none even from a node that has not.
 func TestPickTurnsFromBadDatabases(t *testing.T) {
-	for name, serve := range map[string]func(r *Rota, c *clock, id string, began foundation.Micros){
-		"slow": func(r *Rota, c *clock, id string, began foundation.Micros) {
-			c.now += 600 * foundation.Millisecond
+	for name, serve := range map[string]func(r *Balancer, c *clock, id string, began kernel.Micros){
+		"slow": func(r *Balancer, c *clock, id string, began kernel.Micros) {
+			c.now += 600 * kernel.Millisecond
 			r.End("r", id, began, Served)
 		},
-		"failing": func(r *Rota, c *clock, id string, began foundation.Micros) { r.End("r", id, began, Failed) },
-		"hanging": func(*Rota, *clock, string, foundation.Micros) {},
+		"failing": func(r *Balancer, c *clock, id string, began kernel.Micros) { r.End("r", id, began, Failed) },
+		"hanging": func(*Balancer, *clock, string, kernel.Micros) {},
 	} {
-		c := &clock{foundation.Second}
+		c := &clock{kernel.Second}
 		r, s := New(c), scene(0, 1, 8, 0)
 		bad := 0
 		for n := range 400 {
@@ -85,20 +85,20 @@
 				t.Fatal("no database")
 			}
 			began := r.Begin(d.ID)
-			c.now += 20 * foundation.Millisecond
+			c.now += 20 * kernel.Millisecond
 			if d.ID == "i-3" && n > 100 {
 				bad++
 				serve(r, c, d.ID, began)
 				continue
 			}
-			c.now += 80 * foundation.Millisecond
+			c.now += 80 * kernel.Millisecond
 			r.End("r", d.ID, began, Served)
 		}
 		if bad > 20 {
 			t.Errorf("%s: %d of 300 requests", name, bad)
 		}
 	}
-	c := &clock{foundation.Second}
+	c := &clock{kernel.Second}
 	r, s := New(c), scene(0, 1, 8, 0)
 	r.Told(map[string]int{"i-3": 900})
 	for range 200 {
--- a/internal/circulation/circulation.go
+++ b/internal/membership/membership.go
@@ -1,7 +1,7 @@
-// Package circulation is the membership of indigowalk's processes: probes to a
+// Package membership is the membership of indigowalk's processes: probes to a
 // few others in turn, second opinions through third parties, and suspicion
 // before removal, as in SWIM, over datagrams.
-package circulation
+package membership
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Status of a member.
@@ -71,18 +71,18 @@
 type Config struct {
 	Self  Member
 	Seeds []string
-	Probe foundation.Micros // pause between probes; second opinions get the same again
+	Probe kernel.Micros // pause between probes; second opinions get the same again
 }
 
 type entry struct {
 	Member
-	since foundation.Micros // of the present status
-	sends int               // how often its news may be passed on yet
+	since kernel.Micros // of the present status
+	sends int           // how often its news may be passed on yet
 }
 
 // Ring is one process's view of the members.
 type Ring struct {
-	k   *foundation.Kernel
+	k   *kernel.Kernel
 	cfg Config
 
 	mu        sync.Mutex
@@ -97,12 +97,12 @@
 	nextSeq   uint64
 	waiting   map[uint64]chan struct{}
 	handlers  map[string]func(from string, body json.RawMessage)
-	bell      foundation.Bell
+	bell      kernel.Bell
 }
 
 // New returns a ring; its life starts with the time of day, so that a restart
 // outranks what was said of the life before.
-func New(k *foundation.Kernel, cfg Config) *Ring {
+func New(k *kernel.Kernel, cfg Config) *Ring {
 	cfg.Self.Life = time.Now().UnixMicro()
 	r := &Ring{
 		k: k, cfg: cfg, self: cfg.Self,
@@ -217,11 +217,11 @@
 	for _, addr := range addrs {
 		to, err := netip.ParseAddrPort(addr)
 		if err != nil {
-			r.k.Counters.Add("circulation.malformed", 1)
+			r.k.Counters.Add("membership.malformed", 1)
 			continue
 		}
 		if _, err := conn.WriteTo(raw, net.UDPAddrFromAddrPort(to)); err != nil {
-			r.k.Counters.Add("circulation.send_failed", 1)
+			r.k.Counters.Add("membership.send_failed", 1)
 		}
 	}
 }
@@ -269,7 +269,7 @@
 func (r *Ring) Serve(ctx context.Context) error {
 	conn, err := r.k.Net.ListenPacket(r.cfg.Self.Addr)
 	if err != nil {
-		return fmt.Errorf("circulation: %w", err)
+		return fmt.Errorf("membership: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	defer conn.Close()
@@ -284,11 +284,11 @@
 			if ctx.Err() != nil {
 				return nil
 			}
-			return fmt.Errorf("circulation: %w", err)
+			return fmt.Errorf("membership: %w", err)
 		}
 		var p packet
 		if json.Unmarshal(buf[:n], &p) != nil || p.From == "" {
-			r.k.Counters.Add("circulation.malformed", 1)
+			r.k.Counters.Add("membership.malformed", 1)
 			continue
 		}
 		r.take(ctx, p)
@@ -336,7 +336,7 @@
 		if h := r.handlers[p.Kind]; h != nil {
 			h(p.From, p.Body)
 		} else {
-			r.k.Counters.Add("circulation.malformed", 1)
+			r.k.Counters.Add("membership.malformed", 1)
 		}
 	}
 }
@@ -392,7 +392,7 @@
 		}
 		if m.Life > r.self.Life || m.Status != Alive && m.Life == r.self.Life {
 			r.self.Life, r.roll = m.Life+1, nil // object
-			r.k.Counters.Add("circulation.objections", 1)
+			r.k.Counters.Add("membership.objections", 1)
 		}
 		return Member{}, false
 	}
@@ -402,7 +402,7 @@
 			return Member{}, false
 		}
 		if len(r.members) >= maxMembers {
-			r.k.Counters.Add("circulation.too_many", 1)
+			r.k.Counters.Add("membership.too_many", 1)
 			return Member{}, false
 		}
 		e = &entry{Member: m, since: r.k.Clock.Now()}
@@ -431,7 +431,7 @@
 }
 
 // ask sends p and waits for the ack.
-func (r *Ring) ask(ctx context.Context, addr string, p packet, wait foundation.Micros) bool {
+func (r *Ring) ask(ctx context.Context, addr string, p packet, wait kernel.Micros) bool {
 	ch := make(chan struct{})
 	r.mu.Lock()
 	r.nextSeq++
@@ -461,7 +461,7 @@
 
 func (r *Ring) probeLoop(ctx context.Context) {
 	r.joinSeeds(ctx)
-	for round := 0; foundation.Sleep(ctx, r.cfg.Probe); round++ {
+	for round := 0; kernel.Sleep(ctx, r.cfg.Probe); round++ {
 		r.bury()
 		target, n := r.next()
 		if target == "" || round%8 == 7 {
@@ -489,7 +489,7 @@
 
 // wellInformed picks one of those whom all who start greet.
 func (r *Ring) wellInformed() string {
-	known := r.Peers("archive")
+	known := r.Peers("control")
 	if len(known) == 0 {
 		known = r.cfg.Seeds
 	}
@@ -561,7 +561,7 @@
 	if e := r.members[addr]; e != nil && e.Status == Alive {
 		e.Status, e.since = Suspect, r.k.Clock.Now()
 		r.changed(e, r.rumour())
-		r.k.Counters.Add("circulation.suspected", 1)
+		r.k.Counters.Add("membership.suspected", 1)
 	}
 }
 
--- a/internal/circulation/circulation_test.go
+++ b/internal/membership/membership_test.go
@@ -1,4 +1,4 @@
-package circulation
+package membership
 
 import (
 	"encoding/json"
@@ -8,7 +8,7 @@
 	"net"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // wire notes the sizes of what a ring sends.
@@ -24,8 +24,8 @@
 
 func ring(t *testing.T, members int) (*Ring, *wire) {
 	t.Helper()
-	k := foundation.NewKernel("desk", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	r := New(k, Config{Self: Member{Addr: "10.0.0.1:7441", Role: "desk"}, Probe: foundation.Second})
+	k := kernel.NewKernel("pooler", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r := New(k, Config{Self: Member{Addr: "10.0.0.1:7441", Role: "pooler"}, Probe: kernel.Second})
 	w := &wire{}
 	r.conn = w
 	for i := range members {
@@ -35,7 +35,7 @@
 }
 
 func member(i int) Member {
-	return Member{Addr: fmt.Sprintf("10.1.%d.%d:7441", i/200, i%200+1), Name: fmt.Sprint("edge-", i), Role: "desk", Zone: "z", Life: 1}
+	return Member{Addr: fmt.Sprintf("10.1.%d.%d:7441", i/200, i%200+1), Name: fmt.Sprint("edge-", i), Role: "pooler", Zone: "z", Life: 1}
 }
 
 // Of three hundred members only the parts that differ are told, in datagrams
@@ -43,7 +43,7 @@
 func TestComparingTellsWhatDiffers(t *testing.T) {
 	a, toB := ring(t, 300)
 	b, toA := ring(t, 298)
-	b.learn(Member{Addr: "10.9.0.1:7441", Role: "archive", Life: 1}, false)
+	b.learn(Member{Addr: "10.9.0.1:7441", Role: "control", Life: 1}, false)
 	b.self.Addr, b.roll = "10.0.0.2:7441", nil
 	a.learn(b.Self(), false)
 	b.learn(a.Self(), false)
@@ -89,7 +89,7 @@
 	w.sent = nil
 	r.take(t.Context(), packet{Kind: ping, From: "nowhere"})
 	r.take(t.Context(), packet{Kind: "none", From: "10.3.0.1:1"})
-	if r.k.Counters.Of("circulation.malformed").Load() != 2 || len(w.sent) != 0 {
+	if r.k.Counters.Of("membership.malformed").Load() != 2 || len(w.sent) != 0 {
 		t.Errorf("%d datagrams sent, counters %v", len(w.sent), r.k.Counters.Snapshot())
 	}
 }
@@ -115,8 +115,8 @@
 }
 
 func BenchmarkPacket(b *testing.B) {
-	k := foundation.NewKernel("desk", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	r := New(k, Config{Self: Member{Addr: "10.0.0.1:7441", Role: "desk"}, Probe: foundation.Second})
+	k := kernel.NewKernel("pooler", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r := New(k, Config{Self: Member{Addr: "10.0.0.1:7441", Role: "pooler"}, Probe: kernel.Second})
 	r.conn = &wire{}
 	for i := range 300 {
 		r.learn(member(i), false)
@@ -125,7 +125,7 @@
 	for b.Loop() {
 		r.send(packet{Kind: ping, News: r.aboutSelf()}, "10.1.0.1:7441")
 		r.conn.(*wire).sent = nil
-		if len(r.Peers("desk")) != 300 {
+		if len(r.Peers("pooler")) != 300 {
 			b.Fatal("members lost")
 		}
 	}
--- a/internal/desk/outage.go
+++ b/internal/pooler/outage.go
@@ -1,9 +1,9 @@
-package desk
+package pooler
 
 import (
 	"sync"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // outages remembers since when nothing could run for a service and kind of
@@ -12,7 +12,7 @@
 // told to come back instead of being held.
 type outages struct {
 	mu    sync.Mutex
-	since map[outage]foundation.Micros
+	since map[outage]kernel.Micros
 }
 
 type outage struct {
@@ -21,10 +21,10 @@
 }
 
 const (
-	patience = 1500 * foundation.Millisecond
+	patience = 1500 * kernel.Millisecond
 	// leastHold is how long a statement is held all the same, for one of the
 	// moments in between.
-	leastHold = 50 * foundation.Millisecond
+	leastHold = 50 * kernel.Millisecond
 )
 
 // over notes that a statement found its place.
@@ -36,13 +36,13 @@
 
 // holdUntil notes that there is no place for a statement that came at
 // received, and returns until when it may be held.
-func (o *outages) holdUntil(what outage, now, received foundation.Micros) foundation.Micros {
+func (o *outages) holdUntil(what outage, now, received kernel.Micros) kernel.Micros {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	since, ok := o.since[what]
 	if !ok {
 		if o.since == nil {
-			o.since = map[outage]foundation.Micros{}
+			o.since = map[outage]kernel.Micros{}
 		}
 		since = now
 		o.since[what] = now
--- a/internal/desk/outage_test.go
+++ b/internal/pooler/outage_test.go
@@ -1,14 +1,14 @@
-package desk
+package pooler
 
 import (
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 func TestLongOutagesAreNotWaitedFor(t *testing.T) {
 	var o outages
-	at := foundation.Micros(1_000_000)
+	at := kernel.Micros(1_000_000)
 	reads, writes := outage{"svc", false}, outage{"svc", true}
 	if got := o.holdUntil(writes, at, at); got != at+patience {
 		t.Errorf("at the start held until %d", got)
--- /dev/null
+++ b/internal/pooler/plugin.go
@@ -0,0 +1,39 @@
+package pooler
+
+import (
+	"context"
+
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/readrouting"
+	"indigowalk/internal/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "pooler", Rank: 80, Roles: []string{"pooler"},
+		Build: func(k *kernel.Kernel) error {
+			book := kernel.Need[*settings.Live](k)
+			s := book.Now()
+			if s.ClientAddr == "" {
+				return &settings.Error{Key: "listen.client_addr", Reason: "a pooler needs it"}
+			}
+			if s.ReadyAddr == "" {
+				return &settings.Error{Key: "listen.ready_addr", Reason: "a pooler needs it"}
+			}
+			d := New(k, Config{
+				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs),
+				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
+			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
+				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k))
+			k.Supervise("pooler", d.Serve)
+			k.OnLeave(d.Leave)
+			k.Supervise("ready", func(ctx context.Context) error {
+				return kernel.ServeReady(ctx, k.Net, s.ReadyAddr, d.Ready)
+			})
+			return nil
+		},
+	})
+}
