--- a/internal/desk/desk.go
+++ b/internal/pooler/pooler.go
@@ -1,5 +1,5 @@
-// Package desk carries the clients' sessions.
-package desk
+// Package pooler carries the clients' sessions.
+package pooler
 
 import (
 	"context"
@@ -10,38 +10,38 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/findingaid"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/shelf"
-	"indigowalk/internal/subscription"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/readrouting"
+	"indigowalk/internal/routeconfig"
 )
 
-// Config is what a desk is built from.
+// Config is what a pooler is built from.
 type Config struct {
 	ClientAddr string
 	Zone       string
-	Grace      func() foundation.Micros
-	Quiet      foundation.Micros // an answer that takes longer casts doubt on its database
+	Grace      func() kernel.Micros
+	Quiet      kernel.Micros // an answer that takes longer casts doubt on its database
 }
 
-// Desk takes sessions and runs their statements.
-type Desk struct {
-	k      *foundation.Kernel
-	cfg    Config
-	card   *subscription.Card
-	aid    *findingaid.Aid
-	shelf  *shelf.Shelf
-	health *conservator.Conservator
+// Pooler takes sessions and runs their statements.
+type Pooler struct {
+	k       *kernel.Kernel
+	cfg     Config
+	control *distribution.Subscriber
+	router  *readrouting.Router
+	pool    *dbconn.Pool
+	health  *health.Monitor
 
 	leaving atomic.Bool
 	ending  chan struct{} // closes when whatever is still waited for is given up
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
-	ended    foundation.Bell
+	ended    kernel.Bell
 
 	second  allowance
 	outages outages
@@ -49,25 +49,25 @@
 	statements, retries *atomic.Int64
 }
 
-// New returns a desk.
-func New(k *foundation.Kernel, cfg Config, card *subscription.Card, aid *findingaid.Aid, sh *shelf.Shelf, health *conservator.Conservator) *Desk {
-	return &Desk{
-		k: k, cfg: cfg, card: card, aid: aid, shelf: sh, health: health,
+// New returns a pooler.
+func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor) *Pooler {
+	return &Pooler{
+		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
-		statements: k.Counters.Of("desk.statements"),
-		retries:    k.Counters.Of("desk.retries"),
+		statements: k.Counters.Of("pooler.statements"),
+		retries:    k.Counters.Of("pooler.retries"),
 	}
 }
 
 // Ready tells whether clients should be sent here.
-func (d *Desk) Ready() bool { return !d.leaving.Load() && d.card.Ready() }
+func (d *Pooler) Ready() bool { return !d.leaving.Load() && d.control.Ready() }
 
 // Serve takes sessions until ctx ends.
-func (d *Desk) Serve(ctx context.Context) error {
+func (d *Pooler) Serve(ctx context.Context) error {
 	ln, err := d.k.Net.Listen(d.cfg.ClientAddr)
 	if err != nil {
-		return fmt.Errorf("desk: %w", err)
+		return fmt.Errorf("pooler: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	defer ln.Close()
@@ -81,9 +81,9 @@
 			if errors.As(err, &ne) && ne.Timeout() {
 				continue
 			}
-			return fmt.Errorf("desk: %w", err)
+			return fmt.Errorf("pooler: %w", err)
 		}
-		d.k.Counters.Add("desk.sessions", 1)
+		d.k.Counters.Add("pooler.sessions", 1)
 		s := newSession(d, c)
 		d.mu.Lock()
 		d.sessions[s] = struct{}{}
@@ -98,24 +98,24 @@
 	}
 }
 
-// closeAfter is how long a leaving desk still takes new sessions: the entry
+// closeAfter is how long a leaving pooler still takes new sessions: the entry
 // asks every second and needs two misses.
-const closeAfter = 2200 * foundation.Millisecond
+const closeAfter = 2200 * kernel.Millisecond
 
 const (
 	// lastAnswers is kept of the grace for the answers to statements that are
 	// given up, and for the end of the process.
-	lastAnswers = 600 * foundation.Millisecond
+	lastAnswers = 600 * kernel.Millisecond
 	// lastWrites of it is for the answers.
-	lastWrites = 200 * foundation.Millisecond
+	lastWrites = 200 * kernel.Millisecond
 )
 
 // longestHold bounds how long a statement waits for a place to run: one that came
-// before a leaving desk hurries its sessions has its answer before the end.
-func (d *Desk) longestHold() foundation.Micros { return max(0, d.cfg.Grace()/2-lastAnswers) }
+// before a leaving pooler hurries its sessions has its answer before the end.
+func (d *Pooler) longestHold() kernel.Micros { return max(0, d.cfg.Grace()/2-lastAnswers) }
 
-// over tells whether the desk gives up whatever is still waited for.
-func (d *Desk) over() bool {
+// over tells whether the pooler gives up whatever is still waited for.
+func (d *Pooler) over() bool {
 	select {
 	case <-d.ending:
 		return true
@@ -127,7 +127,7 @@
 // Leave ends in order: not ready at once, idle sessions close, statements
 // finish, and open transactions have half of the grace. Statements that are still
 // waited for then are answered as they stand.
-func (d *Desk) Leave(ctx context.Context) {
+func (d *Pooler) Leave(ctx context.Context) {
 	start := d.k.Clock.Now()
 	d.leaving.Store(true)
 	d.k.Log.Info("leaving")
@@ -151,7 +151,7 @@
 		if left == 0 && now >= min(start+closeAfter, end) || now >= end+lastWrites || ctx.Err() != nil {
 			return
 		}
-		t := time.NewTimer((100 * foundation.Millisecond).Duration())
+		t := time.NewTimer((100 * kernel.Millisecond).Duration())
 		select {
 		case <-changed:
 		case <-t.C:
@@ -160,7 +160,7 @@
 	}
 }
 
-func (d *Desk) each(f func(*session)) {
+func (d *Pooler) each(f func(*session)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for s := range d.sessions {
@@ -169,23 +169,23 @@
 }
 
 // route finds the route and service of a database name.
-func (d *Desk) route(name string) (*catalogue.Route, *catalogue.Service, *catalogue.Index) {
-	conf := d.card.Config()
+func (d *Pooler) route(name string) (*routeconfig.Route, *routeconfig.Service, *routeconfig.Index) {
+	conf := d.control.Config()
 	r, svc := conf.Find(name)
 	return r, svc, conf
 }
 
 // place picks a database for the request as things are now.
-func (d *Desk) place(q findingaid.Request) (findingaid.Choice, bool) {
-	dbs, lead := d.card.Databases(q.Service)
-	_, err := d.card.Primary(q.Service)
-	return d.aid.Pick(q, findingaid.Scene{
+func (d *Pooler) place(q readrouting.Request) (readrouting.Choice, bool) {
+	dbs, lead := d.control.Databases(q.Service)
+	_, err := d.control.Primary(q.Service)
+	return d.router.Pick(q, readrouting.Scene{
 		Databases: dbs, Lead: lead, Leased: err == nil, Zone: d.cfg.Zone,
-		Up: d.health.Up, Busy: d.shelf.Busy, Idle: d.shelf.Idle,
+		Up: d.health.Up, Busy: d.pool.Busy, Idle: d.pool.Idle,
 	})
 }
 
-// refusal is an answer of the desk's own.
-func refusal(code, text string, state byte) *folio.Answer {
-	return &folio.Answer{Code: code, Text: text, State: state}
+// refusal is an answer of the pooler's own.
+func refusal(code, text string, state byte) *lineprotocol.Answer {
+	return &lineprotocol.Answer{Code: code, Text: text, State: state}
 }
--- a/internal/desk/session.go
+++ b/internal/pooler/session.go
@@ -1,4 +1,4 @@
-package desk
+package pooler
 
 import (
 	"errors"
@@ -6,32 +6,32 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/shelf"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // Bounds of one session.
 const (
 	maxNames  = 4096
-	loginWait = 3 * foundation.Second
-	// a leaving desk closes a session that asked nothing for this long
-	restBeforeClose = 150 * foundation.Millisecond
-	writeWait       = 5 * foundation.Second
-	holdLogin       = foundation.Second // for the first configuration
-	endWait         = foundation.Second // for a roll-back
+	loginWait = 3 * kernel.Second
+	// a leaving pooler closes a session that asked nothing for this long
+	restBeforeClose = 150 * kernel.Millisecond
+	writeWait       = 5 * kernel.Second
+	holdLogin       = kernel.Second // for the first configuration
+	endWait         = kernel.Second // for a roll-back
 )
 
 // session is one client connection.
 type session struct {
-	d *Desk
+	d *Pooler
 	c net.Conn
-	r *folio.Reader
+	r *lineprotocol.Reader
 
 	database string
 	values   map[string]string
-	names    map[string]shelf.Shape
-	last     folio.Position // of the session's own last commit
+	names    map[string]dbconn.Prepared
+	last     lineprotocol.Position // of the session's own last commit
 	tx       *transaction
 	out      []byte
 
@@ -41,9 +41,9 @@
 	rushed bool // end an open transaction too, and wait for nothing
 }
 
-func newSession(d *Desk, c net.Conn) *session {
+func newSession(d *Pooler, c net.Conn) *session {
 	return &session{
-		d: d, c: c, r: folio.NewReader(c), values: map[string]string{}, names: map[string]shelf.Shape{},
+		d: d, c: c, r: lineprotocol.NewReader(c), values: map[string]string{}, names: map[string]dbconn.Prepared{},
 		asked: true, ending: d.leaving.Load(),
 	}
 }
@@ -65,16 +65,16 @@
 			s.unreadable(err)
 			return
 		}
-		word, rest := folio.Word(line)
-		var a *folio.Answer
+		word, rest := lineprotocol.Word(line)
+		var a *lineprotocol.Answer
 		switch string(word) {
 		case "QUIT":
 			return
 		case "QUERY":
-			id, text := folio.Word(rest)
+			id, text := lineprotocol.Word(rest)
 			a = s.query(string(id), string(text))
 		default:
-			a = refusal(folio.Malformed, "unknown message", s.state())
+			a = refusal(lineprotocol.Malformed, "unknown message", s.state())
 		}
 		if !s.answer(a) {
 			return
@@ -82,7 +82,7 @@
 	}
 }
 
-// leave closes the session once it rests; it is called when the desk starts
+// leave closes the session once it rests; it is called when the pooler starts
 // to leave.
 func (s *session) leave() {
 	s.mu.Lock()
@@ -110,48 +110,48 @@
 		s.unreadable(err)
 		return false
 	}
-	word, rest := folio.Word(line)
-	name, who := folio.Word(rest)
+	word, rest := lineprotocol.Word(line)
+	name, who := lineprotocol.Word(rest)
 	if string(word) != "LOGIN" || len(name) == 0 || len(who) == 0 {
-		s.end(folio.Malformed, "LOGIN database who")
+		s.end(lineprotocol.Malformed, "LOGIN database who")
 		return false
 	}
 	s.database = string(name)
-	for end := s.d.k.Clock.Now() + holdLogin; !s.d.card.Ready() && s.d.k.Clock.Now() < end; {
-		t := time.NewTimer((100 * foundation.Millisecond).Duration())
+	for end := s.d.k.Clock.Now() + holdLogin; !s.d.control.Ready() && s.d.k.Clock.Now() < end; {
+		t := time.NewTimer((100 * kernel.Millisecond).Duration())
 		select {
-		case <-s.d.card.Changed():
+		case <-s.d.control.Changed():
 		case <-t.C:
 		}
 		t.Stop()
 	}
 	if r, _, _ := s.d.route(s.database); r == nil {
-		if !s.d.card.Ready() {
-			s.end(folio.Retry, hint(foundation.Second))
+		if !s.d.control.Ready() {
+			s.end(lineprotocol.Retry, hint(kernel.Second))
 		} else {
-			s.end(folio.NoDB, s.database)
+			s.end(lineprotocol.NoDB, s.database)
 		}
 		return false
 	}
-	s.out = folio.AppendMessage(s.out[:0], "IDLE", "I", "-")
+	s.out = lineprotocol.AppendMessage(s.out[:0], "IDLE", "I", "-")
 	return s.flush()
 }
 
 // end sends an error after which the connection closes.
 func (s *session) end(code, text string) {
-	s.out = folio.AppendMessage(s.out[:0], "ERROR", code, text)
+	s.out = lineprotocol.AppendMessage(s.out[:0], "ERROR", code, text)
 	s.flush()
 }
 
 func (s *session) unreadable(err error) {
 	switch {
-	case errors.Is(err, folio.ErrOversize):
-		s.d.k.Counters.Add("desk.oversize", 1)
-		s.end(folio.Oversize, "message over 1 MiB")
+	case errors.Is(err, lineprotocol.ErrOversize):
+		s.d.k.Counters.Add("pooler.oversize", 1)
+		s.end(lineprotocol.Oversize, "message over 1 MiB")
 		s.drainInput()
-	case errors.Is(err, folio.ErrMalformed):
-		s.d.k.Counters.Add("desk.malformed", 1)
-		s.end(folio.Malformed, "lines end with CR LF")
+	case errors.Is(err, lineprotocol.ErrMalformed):
+		s.d.k.Counters.Add("pooler.malformed", 1)
+		s.end(lineprotocol.Malformed, "lines end with CR LF")
 		s.drainInput()
 	}
 }
@@ -159,7 +159,7 @@
 // drainInput reads on for a moment, so that closing does not reset the
 // connection before the error has been read.
 func (s *session) drainInput() {
-	s.c.SetReadDeadline(time.Now().Add((300 * foundation.Millisecond).Duration()))
+	s.c.SetReadDeadline(time.Now().Add((300 * kernel.Millisecond).Duration()))
 	buf := make([]byte, 4096)
 	for {
 		if _, err := s.c.Read(buf); err != nil {
@@ -169,13 +169,13 @@
 }
 
 // next waits for a message. An open transaction that rests too long, or for
-// which a leaving desk has no more time, is rolled back meanwhile.
+// which a leaving pooler has no more time, is rolled back meanwhile.
 func (s *session) next() ([]byte, error) {
 	for came := 0; ; {
-		rest := foundation.Micros(0)
+		rest := kernel.Micros(0)
 		if s.tx != nil && !s.tx.over {
 			if _, _, conf := s.d.route(s.database); conf != nil {
-				rest = foundation.Micros(conf.Limits.TxnIdleMs) * foundation.Millisecond
+				rest = kernel.Micros(conf.Limits.TxnIdleMs) * kernel.Millisecond
 			}
 		}
 		if !s.listen(rest) {
@@ -193,7 +193,7 @@
 				continue
 			}
 			if s.tx != nil && !s.tx.over {
-				s.d.k.Counters.Add("desk.rested_too_long", 1)
+				s.d.k.Counters.Add("pooler.rested_too_long", 1)
 				s.tx.drop()
 			}
 			continue
@@ -210,7 +210,7 @@
 
 // listen sets how long the next message may take (for ever if rest is 0); it
 // reports false if the session is to end now.
-func (s *session) listen(rest foundation.Micros) bool {
+func (s *session) listen(rest kernel.Micros) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked = false
@@ -228,7 +228,7 @@
 	return true
 }
 
-// mayClose tells whether the session is to end, since the desk leaves; one whose
+// mayClose tells whether the session is to end, since the pooler leaves; one whose
 // next message is on its way ends only in a hurry.
 func (s *session) mayClose(more bool) bool {
 	s.mu.Lock()
@@ -237,7 +237,7 @@
 }
 
 // answer sends the answer to the client.
-func (s *session) answer(a *folio.Answer) bool {
+func (s *session) answer(a *lineprotocol.Answer) bool {
 	s.out = a.Append(s.out[:0])
 	return s.flush()
 }
@@ -263,48 +263,48 @@
 }
 
 // query works one statement off.
-func (s *session) query(id, text string) *folio.Answer {
+func (s *session) query(id, text string) *lineprotocol.Answer {
 	s.d.statements.Add(1)
 	s.d.second.earn()
-	q := folio.ParseStatement(id, text)
-	if id == "" || q.Verb == folio.Bad {
-		s.d.k.Counters.Add("desk.malformed", 1)
-		return refusal(folio.Malformed, "unknown text", s.state())
+	q := lineprotocol.ParseStatement(id, text)
+	if id == "" || q.Verb == lineprotocol.Bad {
+		s.d.k.Counters.Add("pooler.malformed", 1)
+		return refusal(lineprotocol.Malformed, "unknown text", s.state())
 	}
 	if s.tx != nil {
 		return s.inside(q)
 	}
 	switch q.Verb {
-	case folio.Begin, folio.BeginFetch:
+	case lineprotocol.Begin, lineprotocol.BeginFetch:
 		t, a := s.begin(q)
 		s.tx = t
 		return a
-	case folio.Commit, folio.Abort:
-		return refusal(folio.Malformed, "no transaction", 'I')
-	case folio.Fetch, folio.Put, folio.Run:
+	case lineprotocol.Commit, lineprotocol.Abort:
+		return refusal(lineprotocol.Malformed, "no transaction", 'I')
+	case lineprotocol.Fetch, lineprotocol.Put, lineprotocol.Run:
 		return s.single(q)
 	}
 	return s.local(q)
 }
 
 // local answers what concerns the session alone.
-func (s *session) local(q folio.Statement) *folio.Answer {
+func (s *session) local(q lineprotocol.Statement) *lineprotocol.Answer {
 	switch q.Verb {
-	case folio.Option:
+	case lineprotocol.Option:
 		if _, ok := s.values[q.Name]; !ok && len(s.values) >= maxNames {
-			return refusal(folio.Malformed, "too many values", s.state())
+			return refusal(lineprotocol.Malformed, "too many values", s.state())
 		}
 		s.values[q.Name] = q.Rest
-	case folio.Parse:
+	case lineprotocol.Parse:
 		if len(s.names) >= maxNames {
-			return refusal(folio.Malformed, "too many prepared names", s.state())
+			return refusal(lineprotocol.Malformed, "too many prepared names", s.state())
 		}
-		s.names[q.Name] = shelf.Shape{Kind: q.Kind, Text: q.Rest}
-	case folio.Close:
+		s.names[q.Name] = dbconn.Prepared{Kind: q.Kind, Text: q.Rest}
+	case lineprotocol.Close:
 		if _, ok := s.names[q.Name]; !ok {
-			return refusal(folio.NoSuch, q.Name, s.state())
+			return refusal(lineprotocol.NoSuch, q.Name, s.state())
 		}
 		delete(s.names, q.Name)
 	}
-	return &folio.Answer{Seal: "-", State: s.state()}
+	return &lineprotocol.Answer{Seal: "-", State: s.state()}
 }
--- a/internal/desk/transaction.go
+++ b/internal/pooler/transaction.go
@@ -1,26 +1,26 @@
-package desk
+package pooler
 
 import (
 	"errors"
 
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/findingaid"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/shelf"
-	"indigowalk/internal/stacks"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/health"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/readrouting"
 )
 
 // transaction is a client's open transaction. It takes a connection only with
 // its first statement, and holds it to the end.
 type transaction struct {
 	s       *session
-	begin   folio.Statement
+	begin   lineprotocol.Statement
 	plain   bool
-	conn    *shelf.Conn
-	choice  findingaid.Choice
+	conn    *dbconn.Conn
+	choice  readrouting.Choice
 	service string
 	term    int64 // in which the primary led when it began
-	b       *conservator.Binding
+	b       *health.Binding
 	wrote   bool
 	ran     int  // statements answered inside it
 	failed  bool // the database holds it as failed: state E
@@ -28,11 +28,11 @@
 }
 
 // begin opens a transaction for the client; no database hears of it yet.
-func (s *session) begin(q folio.Statement) (*transaction, *folio.Answer) {
+func (s *session) begin(q lineprotocol.Statement) (*transaction, *lineprotocol.Answer) {
 	if r, _, _ := s.d.route(s.database); r == nil {
-		return nil, refusal(folio.NoDB, s.database, 'I')
+		return nil, refusal(lineprotocol.NoDB, s.database, 'I')
 	}
-	return &transaction{s: s, begin: q, plain: q.Verb == folio.Begin}, &folio.Answer{Seal: "-", State: 'T'}
+	return &transaction{s: s, begin: q, plain: q.Verb == lineprotocol.Begin}, &lineprotocol.Answer{Seal: "-", State: 'T'}
 }
 
 // drop ends the transaction without the client: whatever it did is rolled
@@ -54,39 +54,39 @@
 	}
 	d := t.s.d
 	d.health.Release(t.conn.DB.ID, t.b)
-	d.shelf.Return(t.conn)
+	d.pool.Return(t.conn)
 	if t.choice.Primary {
-		d.card.Done(t.service)
+		d.control.Done(t.service)
 	}
 	t.conn = nil
 }
 
 // inside works off a statement in an open transaction.
-func (s *session) inside(q folio.Statement) *folio.Answer {
+func (s *session) inside(q lineprotocol.Statement) *lineprotocol.Answer {
 	t := s.tx
 	switch {
 	case t.over:
 		s.tx = nil
-		if q.Verb == folio.Abort {
-			return &folio.Answer{Seal: "-", State: 'I'}
+		if q.Verb == lineprotocol.Abort {
+			return &lineprotocol.Answer{Seal: "-", State: 'I'}
 		}
 		return s.rolledBack("the transaction was ended")
-	case q.Verb == folio.Abort:
+	case q.Verb == lineprotocol.Abort:
 		s.tx = nil
 		t.letGo(true)
-		return &folio.Answer{Seal: "-", State: 'I'}
-	case t.failed && q.Verb == folio.Commit:
+		return &lineprotocol.Answer{Seal: "-", State: 'I'}
+	case t.failed && q.Verb == lineprotocol.Commit:
 		s.tx = nil
 		t.letGo(true)
 		return s.rolledBack("the transaction had failed")
-	case t.failed, q.Verb == folio.Begin, q.Verb == folio.BeginFetch:
-		return refusal(folio.Malformed, "inside a transaction", s.state())
-	case q.Verb == folio.Option, q.Verb == folio.Parse, q.Verb == folio.Close:
+	case t.failed, q.Verb == lineprotocol.Begin, q.Verb == lineprotocol.BeginFetch:
+		return refusal(lineprotocol.Malformed, "inside a transaction", s.state())
+	case q.Verb == lineprotocol.Option, q.Verb == lineprotocol.Parse, q.Verb == lineprotocol.Close:
 		return s.local(q)
 	}
 	j, a := s.newJob(q)
 	if a != nil {
-		if a.Code == folio.NoDB && t.conn != nil {
+		if a.Code == lineprotocol.NoDB && t.conn != nil {
 			return s.abandon("the route is gone")
 		}
 		return a
@@ -94,13 +94,13 @@
 	return j.insideTx(t)
 }
 
-func (s *session) rolledBack(why string) *folio.Answer {
-	s.d.k.Counters.Add("desk.rolled_back", 1)
-	return refusal(folio.RolledBack, why, 'I')
+func (s *session) rolledBack(why string) *lineprotocol.Answer {
+	s.d.k.Counters.Add("pooler.rolled_back", 1)
+	return refusal(lineprotocol.RolledBack, why, 'I')
 }
 
 // abandon ends the open transaction; nothing of it is kept.
-func (s *session) abandon(why string) *folio.Answer {
+func (s *session) abandon(why string) *lineprotocol.Answer {
 	t := s.tx
 	s.tx = nil
 	t.letGo(true)
@@ -109,7 +109,7 @@
 
 // insideTx runs a statement of the transaction, starting the transaction at a
 // database if this is its first.
-func (j *job) insideTx(t *transaction) *folio.Answer {
+func (j *job) insideTx(t *transaction) *lineprotocol.Answer {
 	for {
 		if t.conn == nil {
 			again, a := j.start(t)
@@ -129,7 +129,7 @@
 }
 
 // start borrows a connection and begins the transaction on it.
-func (j *job) start(t *transaction) (again bool, a *folio.Answer) {
+func (j *job) start(t *transaction) (again bool, a *lineprotocol.Answer) {
 	d := j.s.d
 	conn, choice, err := j.find(t.plain)
 	if err != nil {
@@ -139,7 +139,7 @@
 	t.conn, t.choice, t.service = conn, choice, j.route.Service
 	t.b = d.health.Bind(conn.DB.ID)
 	if choice.Primary {
-		t.term = d.card.Begin(t.service)
+		t.term = d.control.Begin(t.service)
 	}
 	own := *j
 	own.q = t.begin
@@ -156,8 +156,8 @@
 		j.lost(t, err)
 	} else {
 		switch a.Code {
-		case folio.Lagging:
-			d.aid.Lagging(conn.DB.ID)
+		case lineprotocol.Lagging:
+			d.router.Lagging(conn.DB.ID)
 			j.shun(conn.DB.ID)
 		default:
 			j.tries++
@@ -173,7 +173,7 @@
 
 // lost reports a broken connection and closes one without an answer.
 func (j *job) lost(t *transaction, err error) {
-	if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
+	if silent := errors.Is(err, connpool.ErrSilent); silent || errors.Is(err, connpool.ErrBroken) {
 		_, gen := t.b.Bound()
 		j.s.d.health.Report(t.conn.DB.ID, min(gen, t.conn.Generation), silent)
 		j.shun(t.conn.DB.ID)
@@ -185,7 +185,7 @@
 // step runs the statement on the transaction's connection. Nothing of an
 // unfinished transaction is kept once its connection is closed, so every
 // failure but that of COMMIT can be promised.
-func (j *job) step(t *transaction) (a *folio.Answer, again bool) {
+func (j *job) step(t *transaction) (a *lineprotocol.Answer, again bool) {
 	s := j.s
 	if db, _ := t.b.Bound(); db == "" && t.ran > 0 {
 		t.conn.Close()
@@ -196,7 +196,7 @@
 	if err == nil {
 		text, err = j.text(t.conn)
 	}
-	commit := j.q.Verb == folio.Commit
+	commit := j.q.Verb == lineprotocol.Commit
 	// The first statement may start the transaction anew: the one left behind
 	// is rolled back when its connection closes.
 	j.twice = t.ran == 0 && !commit && j.tries == 0
@@ -209,7 +209,7 @@
 		}
 		a, err = j.run(t.conn, t.choice, t.b, text, at)
 	}
-	if errors.Is(err, shelf.ErrQuiet) {
+	if errors.Is(err, dbconn.ErrQuiet) {
 		left := *t
 		t.conn = nil
 		j.leaveBehind(left.conn, left.choice, func() {
@@ -224,8 +224,8 @@
 		if commit && t.wrote && !unsent {
 			t.letGo(false)
 			s.tx = nil
-			s.d.k.Counters.Add("desk.unknown", 1)
-			return refusal(folio.Unknown, "no answer to COMMIT", 'I'), false
+			s.d.k.Counters.Add("pooler.unknown", 1)
+			return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I'), false
 		}
 		t.letGo(false)
 		if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
@@ -239,10 +239,10 @@
 		t.wrote = t.wrote || j.write
 		if a.State != 'T' {
 			s.tx = nil
-			if commit && t.wrote && !s.d.card.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
+			if commit && t.wrote && !s.d.control.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
 				a = s.d.leftMeanwhile(t.conn.DB.ID)
 			} else if commit && t.wrote {
-				if pos, ok := folio.ParsePosition(a.Pos); ok && s.last.Less(pos) {
+				if pos, ok := lineprotocol.ParsePosition(a.Pos); ok && s.last.Less(pos) {
 					s.last = pos
 				}
 			}
@@ -255,24 +255,24 @@
 
 // refusedInside deals with an error that the database answered inside the
 // transaction.
-func (j *job) refusedInside(t *transaction, a *folio.Answer) (*folio.Answer, bool) {
+func (j *job) refusedInside(t *transaction, a *lineprotocol.Answer) (*lineprotocol.Answer, bool) {
 	s := j.s
 	j.tries++
 	more := j.tries <= j.route.Tries && j.left() > 0
 	switch {
-	case a.Code == folio.NoSuch:
+	case a.Code == lineprotocol.NoSuch:
 		t.conn.Lost(j.shape)
 		if a.State == 'T' && more {
 			return nil, true
 		}
-	case a.Code == folio.Retry && a.State == 'T':
+	case a.Code == lineprotocol.Retry && a.State == 'T':
 		if more && j.pauseAfter(a.Code) {
 			return nil, true
 		}
 	}
 	if t.ran == 0 && promised(a.Code) && more {
-		if a.Code == folio.Lagging {
-			s.d.aid.Lagging(t.conn.DB.ID)
+		if a.Code == lineprotocol.Lagging {
+			s.d.router.Lagging(t.conn.DB.ID)
 			j.shun(t.conn.DB.ID)
 		}
 		t.letGo(true)
--- a/internal/desk/work.go
+++ b/internal/pooler/work.go
@@ -1,4 +1,4 @@
-package desk
+package pooler
 
 import (
 	"errors"
@@ -6,27 +6,27 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/findingaid"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/shelf"
-	"indigowalk/internal/stacks"
-	"indigowalk/internal/subscription"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/readrouting"
+	"indigowalk/internal/routeconfig"
 )
 
 // job is one statement, or the start of a transaction, on its way to a
 // database.
 type job struct {
 	s        *session
-	q        folio.Statement
-	shape    shelf.Shape // of a RUN
+	q        lineprotocol.Statement
+	shape    dbconn.Prepared // of a RUN
 	write    bool
-	received foundation.Micros
-	deadline foundation.Micros
-	giveUp   foundation.Micros // until then a place to run is waited for
-	route    *catalogue.Route
+	received kernel.Micros
+	deadline kernel.Micros
+	giveUp   kernel.Micros // until then a place to run is waited for
+	route    *routeconfig.Route
 	tries    int
 	avoid    map[string]bool
 	twice    bool // may be sent a second time while the first is unanswered
@@ -36,7 +36,7 @@
 // run; past it the client hears RETRY, and when to come back.
 const holdShare = 0.4
 
-func hint(m foundation.Micros) string { return strconv.FormatInt(m.Millis(), 10) }
+func hint(m kernel.Micros) string { return strconv.FormatInt(m.Millis(), 10) }
 
 // quietTimes is how many times the usual an answer may take before it is
 // taken for lost, or its database for silent.
@@ -75,7 +75,7 @@
 // promised tells whether an error code promises that nothing is kept.
 func promised(code string) bool {
 	switch code {
-	case folio.Retry, folio.RolledBack, folio.Lagging, folio.ReadOnly, folio.WrongNode, folio.MaxConn, folio.NoSuch:
+	case lineprotocol.Retry, lineprotocol.RolledBack, lineprotocol.Lagging, lineprotocol.ReadOnly, lineprotocol.WrongNode, lineprotocol.MaxConn, lineprotocol.NoSuch:
 		return true
 	}
 	return false
@@ -83,42 +83,42 @@
 
 // newJob looks the statement's route up; an answer instead means that there
 // is nothing to run.
-func (s *session) newJob(q folio.Statement) (*job, *folio.Answer) {
+func (s *session) newJob(q lineprotocol.Statement) (*job, *lineprotocol.Answer) {
 	j := &job{s: s, q: q, received: s.d.k.Clock.Now()}
 	if j.route, _, _ = s.d.route(s.database); j.route == nil {
-		return nil, refusal(folio.NoDB, s.database, s.state())
+		return nil, refusal(lineprotocol.NoDB, s.database, s.state())
 	}
 	if a := j.resolve(); a != nil {
 		return nil, a
 	}
-	span := foundation.Micros(j.route.DeadlineMs) * foundation.Millisecond
+	span := kernel.Micros(j.route.DeadlineMs) * kernel.Millisecond
 	j.deadline = j.received + span
-	j.giveUp = j.received + min(foundation.Micros(holdShare*float64(span)), s.d.longestHold())
+	j.giveUp = j.received + min(kernel.Micros(holdShare*float64(span)), s.d.longestHold())
 	return j, nil
 }
 
 // resolve finds out what the statement is: a RUN is what its name stands for.
-func (j *job) resolve() *folio.Answer {
+func (j *job) resolve() *lineprotocol.Answer {
 	switch j.q.Verb {
-	case folio.Put:
+	case lineprotocol.Put:
 		j.write = true
-	case folio.Run:
+	case lineprotocol.Run:
 		shape, ok := j.s.names[j.q.Name]
 		if !ok {
-			return refusal(folio.NoSuch, j.q.Name, j.s.state())
+			return refusal(lineprotocol.NoSuch, j.q.Name, j.s.state())
 		}
-		j.shape, j.write = shape, shape.Kind == folio.Put
+		j.shape, j.write = shape, shape.Kind == lineprotocol.Put
 	}
 	return nil
 }
 
-func (j *job) now() foundation.Micros  { return j.s.d.k.Clock.Now() }
-func (j *job) left() foundation.Micros { return j.deadline - j.now() }
+func (j *job) now() kernel.Micros  { return j.s.d.k.Clock.Now() }
+func (j *job) left() kernel.Micros { return j.deadline - j.now() }
 
-func (j *job) request(write bool) findingaid.Request {
-	return findingaid.Request{
+func (j *job) request(write bool) readrouting.Request {
+	return readrouting.Request{
 		Service: j.route.Service, Type: j.route.Type,
-		Stale:    foundation.Micros(j.route.StaleMs) * foundation.Millisecond,
+		Stale:    kernel.Micros(j.route.StaleMs) * kernel.Millisecond,
 		Received: j.received, Last: j.s.last, Write: write, Avoid: j.avoid,
 	}
 }
@@ -131,26 +131,26 @@
 }
 
 // errNoPlace says that no database can run the statement at present.
-var errNoPlace = errors.New("desk: no database can run it now")
+var errNoPlace = errors.New("pooler: no database can run it now")
 
 // find waits for a database that can run the job and borrows a connection.
-func (j *job) find(write bool) (*shelf.Conn, findingaid.Choice, error) {
+func (j *job) find(write bool) (*dbconn.Conn, readrouting.Choice, error) {
 	d := j.s.d
 	for {
 		if d.over() {
-			return nil, findingaid.Choice{}, errNoPlace
+			return nil, readrouting.Choice{}, errNoPlace
 		}
-		changed, health := d.card.Changed(), d.health.Changed()
+		changed, health := d.control.Changed(), d.health.Changed()
 		c, ok := d.place(j.request(write))
 		until := j.giveUp
-		what := outage{j.route.Service, write || j.route.Type == catalogue.Primary}
+		what := outage{j.route.Service, write || j.route.Type == routeconfig.Primary}
 		if ok {
 			d.outages.over(what)
-			conn, err := d.shelf.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
+			conn, err := d.pool.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
 			if err == nil {
 				return conn, c, nil
 			}
-			if errors.Is(err, stacks.ErrFull) || errors.Is(err, stacks.ErrDeadline) {
+			if errors.Is(err, connpool.ErrFull) || errors.Is(err, connpool.ErrDeadline) {
 				return nil, c, errNoPlace
 			}
 			j.shun(c.Database.ID)
@@ -158,7 +158,7 @@
 		if !ok {
 			until = min(until, d.outages.holdUntil(what, j.now(), j.received))
 		}
-		wait := min(until-j.now(), 200*foundation.Millisecond)
+		wait := min(until-j.now(), 200*kernel.Millisecond)
 		if wait <= 0 {
 			return nil, c, errNoPlace
 		}
@@ -179,8 +179,8 @@
 
 // text is what the database is sent: the client's own, but for the prepared
 // name.
-func (j *job) text(c *shelf.Conn) (string, error) {
-	if j.q.Verb != folio.Run {
+func (j *job) text(c *dbconn.Conn) (string, error) {
+	if j.q.Verb != lineprotocol.Run {
 		return j.q.Text, nil
 	}
 	name, err := c.Name(j.shape, j.left())
@@ -191,7 +191,7 @@
 }
 
 // errUnsent marks a failure before the statement was sent in full.
-var errUnsent = errors.New("desk: not sent")
+var errUnsent = errors.New("pooler: not sent")
 
 // phase is where a statement stands in a transaction.
 type phase int
@@ -206,20 +206,20 @@
 // primary it is sent only under the read lease, unless it goes on with a
 // transaction that was begun under it; a database that leaves is sent nothing
 // that begins there once its time is over.
-func (j *job) run(conn *shelf.Conn, choice findingaid.Choice, b *conservator.Binding, text string, at phase) (*folio.Answer, error) {
+func (j *job) run(conn *dbconn.Conn, choice readrouting.Choice, b *health.Binding, text string, at phase) (*lineprotocol.Answer, error) {
 	d := j.s.d
-	if !choice.Primary && at == opening && choice.After != (folio.Position{}) {
+	if !choice.Primary && at == opening && choice.After != (lineprotocol.Position{}) {
 		text = "WAITPOS " + choice.After.String() + " " + text
 	}
-	msg := folio.AppendMessage(nil, "QUERY", j.q.ID, text)
+	msg := lineprotocol.AppendMessage(nil, "QUERY", j.q.ID, text)
 	sent := j.now()
 	gated := choice.Primary && at == opening
 	gate := func(write func() error) (err error) {
 		if gated {
-			sent, err = d.card.Send(j.route.Service, choice.Database.ID, write)
+			sent, err = d.control.Send(j.route.Service, choice.Database.ID, write)
 			return err
 		}
-		if err = d.card.MaySend(choice.Database.ID); err != nil {
+		if err = d.control.MaySend(choice.Database.ID); err != nil {
 			return err
 		}
 		return write()
@@ -230,12 +230,12 @@
 	if err := conn.Send(msg, j.left(), gate); err != nil {
 		return nil, errors.Join(errUnsent, err)
 	}
-	watch := shelf.Watch{Ending: d.ending, Quiet: max(d.cfg.Quiet, quietTimes*d.aid.Usual(j.route.Host)), Doubt: func() bool {
+	watch := dbconn.Watch{Ending: d.ending, Quiet: max(d.cfg.Quiet, quietTimes*d.router.Usual(j.route.Host)), Doubt: func() bool {
 		_, gen := b.Bound()
 		d.health.Report(choice.Database.ID, min(gen, conn.Generation), false)
 		return !j.twice || !d.second.take()
 	}}
-	if !j.write && j.q.Verb != folio.Commit {
+	if !j.write && j.q.Verb != lineprotocol.Commit {
 		// A read goes elsewhere as soon as the database is held as down; what
 		// a write did is only known by waiting.
 		watch.Unbound = b.Unbound()
@@ -244,20 +244,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if a.Code == "" && !j.write && (j.q.Verb == folio.Fetch || j.q.Verb == folio.Run) {
-		d.aid.Took(j.route.Host, choice.Database.ID, j.now()-sent)
+	if a.Code == "" && !j.write && (j.q.Verb == lineprotocol.Fetch || j.q.Verb == lineprotocol.Run) {
+		d.router.Took(j.route.Host, choice.Database.ID, j.now()-sent)
 	}
 	if gated && a.Code == "" {
-		if pos, ok := folio.ParsePosition(a.Pos); ok {
-			d.aid.Observe(j.route.Service, sent, pos)
-			d.card.Observe(j.route.Service, sent, pos)
+		if pos, ok := lineprotocol.ParsePosition(a.Pos); ok {
+			d.router.Observe(j.route.Service, sent, pos)
+			d.control.Observe(j.route.Service, sent, pos)
 		}
 	}
 	return a, nil
 }
 
 // single runs a statement outside a transaction.
-func (s *session) single(q folio.Statement) *folio.Answer {
+func (s *session) single(q lineprotocol.Statement) *lineprotocol.Answer {
 	j, a := s.newJob(q)
 	if a != nil {
 		return a
@@ -277,18 +277,18 @@
 
 // attempt runs the statement once on conn and gives conn back. It returns the
 // client's answer, or says that another attempt may be made.
-func (j *job) attempt(conn *shelf.Conn, choice findingaid.Choice) (a *folio.Answer, again bool) {
+func (j *job) attempt(conn *dbconn.Conn, choice readrouting.Choice) (a *lineprotocol.Answer, again bool) {
 	d, id := j.s.d, choice.Database.ID
 	b := d.health.Bind(id)
 	var term int64
 	if choice.Primary {
-		term = d.card.Begin(j.route.Service)
+		term = d.control.Begin(j.route.Service)
 	}
 	release := func() {
-		d.shelf.Return(conn)
+		d.pool.Return(conn)
 		d.health.Release(id, b)
 		if choice.Primary {
-			d.card.Done(j.route.Service)
+			d.control.Done(j.route.Service)
 		}
 	}
 	// A lost answer does not end a read: it is sent once more, elsewhere if it
@@ -304,7 +304,7 @@
 	} else {
 		a, err = j.run(conn, choice, b, text, opening)
 	}
-	if errors.Is(err, shelf.ErrQuiet) {
+	if errors.Is(err, dbconn.ErrQuiet) {
 		j.leaveBehind(conn, choice, release)
 		return nil, true
 	}
@@ -312,22 +312,22 @@
 	if err != nil {
 		return j.failed(conn, b, err)
 	}
-	if j.write && a.Code == "" && !d.card.Acknowledge(j.route.Service, id, term, a.Pos) {
+	if j.write && a.Code == "" && !d.control.Acknowledge(j.route.Service, id, term, a.Pos) {
 		return d.leftMeanwhile(id), false
 	}
 	return j.judge(conn, choice, a)
 }
 
 // leaveBehind waits aside for an answer that is taken for lost.
-func (j *job) leaveBehind(conn *shelf.Conn, choice findingaid.Choice, release func()) {
-	j.s.d.k.Counters.Add("desk.sent_twice", 1)
+func (j *job) leaveBehind(conn *dbconn.Conn, choice readrouting.Choice, release func()) {
+	j.s.d.k.Counters.Add("pooler.sent_twice", 1)
 	j.tries++
 	if !choice.Primary {
 		j.shun(choice.Database.ID)
 	}
 	wait := j.left()
 	go func() {
-		if _, err := conn.Receive(wait, shelf.Watch{}); err != nil {
+		if _, err := conn.Receive(wait, dbconn.Watch{}); err != nil {
 			conn.Close()
 		}
 		release()
@@ -335,68 +335,68 @@
 }
 
 // leftMeanwhile is the answer to a write whose database has acknowledged it after
-// this desk had left it: whether it is kept is not known.
-func (d *Desk) leftMeanwhile(id string) *folio.Answer {
-	d.k.Counters.Add("desk.left_meanwhile", 1)
-	return refusal(folio.Unknown, "the lead moved from "+id, 'I')
+// this pooler had left it: whether it is kept is not known.
+func (d *Pooler) leftMeanwhile(id string) *lineprotocol.Answer {
+	d.k.Counters.Add("pooler.left_meanwhile", 1)
+	return refusal(lineprotocol.Unknown, "the lead moved from "+id, 'I')
 }
 
 // failed deals with an attempt that got no answer.
-func (j *job) failed(conn *shelf.Conn, b *conservator.Binding, err error) (*folio.Answer, bool) {
+func (j *job) failed(conn *dbconn.Conn, b *health.Binding, err error) (*lineprotocol.Answer, bool) {
 	d, id := j.s.d, conn.DB.ID
-	if silent := errors.Is(err, stacks.ErrSilent); silent || errors.Is(err, stacks.ErrBroken) {
+	if silent := errors.Is(err, connpool.ErrSilent); silent || errors.Is(err, connpool.ErrBroken) {
 		_, gen := b.Bound()
 		d.health.Report(id, min(gen, conn.Generation), silent)
 	}
-	if !errors.Is(err, subscription.ErrNoLease) {
+	if !errors.Is(err, distribution.ErrNoLease) {
 		conn.Close()
 	}
 	unsent := errors.Is(err, errUnsent)
 	switch {
 	case j.write && !unsent:
-		d.k.Counters.Add("desk.unknown", 1)
-		return refusal(folio.Unknown, "no answer from "+id, 'I'), false
+		d.k.Counters.Add("pooler.unknown", 1)
+		return refusal(lineprotocol.Unknown, "no answer from "+id, 'I'), false
 	case j.left() <= 0:
 		if unsent {
 			return j.refuse(), false
 		}
-		d.k.Counters.Add("desk.expired", 1)
-		return refusal(folio.Expired, "deadline passed", 'I'), false
+		d.k.Counters.Add("pooler.expired", 1)
+		return refusal(lineprotocol.Expired, "deadline passed", 'I'), false
 	}
-	if !errors.Is(err, subscription.ErrNoLease) {
+	if !errors.Is(err, distribution.ErrNoLease) {
 		j.shun(id)
 	}
 	return nil, true
 }
 
 // judge decides what becomes of a database's answer outside a transaction.
-func (j *job) judge(conn *shelf.Conn, choice findingaid.Choice, a *folio.Answer) (*folio.Answer, bool) {
+func (j *job) judge(conn *dbconn.Conn, choice readrouting.Choice, a *lineprotocol.Answer) (*lineprotocol.Answer, bool) {
 	d, id := j.s.d, choice.Database.ID
 	switch a.Code {
 	case "":
 		if j.write {
-			if pos, ok := folio.ParsePosition(a.Pos); ok && j.s.last.Less(pos) {
+			if pos, ok := lineprotocol.ParsePosition(a.Pos); ok && j.s.last.Less(pos) {
 				j.s.last = pos
 			}
 		}
 		return a, false
-	case folio.Lagging:
-		d.aid.Lagging(id)
+	case lineprotocol.Lagging:
+		d.router.Lagging(id)
 		j.shun(id)
 		return nil, j.left() > 0
-	case folio.NoSuch:
+	case lineprotocol.NoSuch:
 		conn.Lost(j.shape)
-	case folio.Retry:
+	case lineprotocol.Retry:
 		if !choice.Primary {
 			j.shun(id)
 		}
 	}
-	if promised(a.Code) || a.Code == folio.Failed && !j.write {
+	if promised(a.Code) || a.Code == lineprotocol.Failed && !j.write {
 		j.tries++
 		if j.tries <= j.route.Tries && j.pauseAfter(a.Code) {
 			return nil, true
 		}
-		if a.Code != folio.Failed {
+		if a.Code != lineprotocol.Failed {
 			return j.refuse(), false
 		}
 	}
@@ -406,12 +406,12 @@
 // pauseAfter waits a little where trying again at once would meet the same
 // answer; it reports whether there is time for another try.
 func (j *job) pauseAfter(code string) bool {
-	var wait foundation.Micros
+	var wait kernel.Micros
 	switch code {
-	case folio.ReadOnly:
-		wait = 60 * foundation.Millisecond
-	case folio.Retry:
-		wait = foundation.Micros(10*j.tries) * foundation.Millisecond
+	case lineprotocol.ReadOnly:
+		wait = 60 * kernel.Millisecond
+	case lineprotocol.Retry:
+		wait = kernel.Micros(10*j.tries) * kernel.Millisecond
 	}
 	if j.left() < 2*wait {
 		return false
@@ -421,7 +421,7 @@
 }
 
 // refuse gives the statement up, unrun, and says when to come back.
-func (j *job) refuse() *folio.Answer {
-	j.s.d.k.Counters.Add("desk.refused", 1)
-	return refusal(folio.Retry, hint(200*foundation.Millisecond), j.s.state())
+func (j *job) refuse() *lineprotocol.Answer {
+	j.s.d.k.Counters.Add("pooler.refused", 1)
+	return refusal(lineprotocol.Retry, hint(200*kernel.Millisecond), j.s.state())
 }
--- a/internal/findingaid/findingaid.go
+++ b/internal/readrouting/readrouting.go
@@ -1,45 +1,45 @@
-// Package findingaid picks the database for a statement.
+// Package readrouting picks the database for a statement.
 //
 // The position rule: the position in an answer of a primary, dated by when
 // its statement was sent, covers every commit acknowledged before that time.
 // A replica that has reached a position dated after a read's bound is
 // therefore fresh enough for the read.
-package findingaid
+package readrouting
 
 import (
 	"math"
 	"math/rand/v2"
 	"sync"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/routeconfig"
 )
 
 // Choice is where a statement may go.
 type Choice struct {
-	Database accessions.Database
-	Primary  bool           // under the read lease, with no position asked for
-	After    folio.Position // what a replica must have reached
+	Database discovery.Database
+	Primary  bool                  // under the read lease, with no position asked for
+	After    lineprotocol.Position // what a replica must have reached
 }
 
 // Request describes a statement that is to be placed.
 type Request struct {
 	Service  string
 	Type     string // of the route
-	Stale    foundation.Micros
-	Received foundation.Micros // when its first byte was here at the latest
-	Last     folio.Position    // the session's own last commit
-	Write    bool              // or a plain transaction
-	Avoid    map[string]bool   // tried in vain
+	Stale    kernel.Micros
+	Received kernel.Micros         // when its first byte was here at the latest
+	Last     lineprotocol.Position // the session's own last commit
+	Write    bool                  // or a plain transaction
+	Avoid    map[string]bool       // tried in vain
 }
 
 // Scene is what a choice is made from.
 type Scene struct {
-	Databases []accessions.Database
-	Lead      custodian.Lead
+	Databases []discovery.Database
+	Lead      failover.Lead
 	Leased    bool // the read lease covers the lead now
 	Zone      string
 	Up        func(id string) bool
@@ -48,24 +48,24 @@
 }
 
 type observation struct {
-	sent foundation.Micros
-	pos  folio.Position
+	sent kernel.Micros
+	pos  lineprotocol.Position
 }
 
 // Observations that are kept: spaced by gap, none older than keep.
 const (
-	gap  = 40 * foundation.Millisecond
-	keep = 10 * foundation.Second
+	gap  = 40 * kernel.Millisecond
+	keep = 10 * kernel.Second
 )
 
 // behind is for how long a replica that answered LAGGING is passed over at
 // first; it doubles up to behindMax while it keeps doing so.
 const (
-	behind    = 100 * foundation.Millisecond
-	behindMax = 800 * foundation.Millisecond
+	behind    = 100 * kernel.Millisecond
+	behindMax = 800 * kernel.Millisecond
 )
 
-type laggard struct{ until, span foundation.Micros }
+type laggard struct{ until, span kernel.Micros }
 
 // How answers' times weigh: each database's pace is its answers' time over
 // what is usual on their route, of late; a pace not heard of for a while fades
@@ -73,24 +73,24 @@
 const (
 	paceWeight  = 0.15
 	usualWeight = 0.02
-	fades       = 1500 * foundation.Millisecond
+	fades       = 1500 * kernel.Millisecond
 )
 
 type pace struct {
 	ratio float64
-	at    foundation.Micros
+	at    kernel.Micros
 }
 
-func (p pace) now(now foundation.Micros) float64 {
+func (p pace) now(now kernel.Micros) float64 {
 	if p.at == 0 {
 		return 1
 	}
 	return 1 + (p.ratio-1)*math.Exp(-float64(now-p.at)/float64(fades))
 }
 
-// Aid remembers observations of the primaries, and who lags.
-type Aid struct {
-	clock foundation.Clock
+// Router remembers observations of the primaries, and who lags.
+type Router struct {
+	clock kernel.Clock
 
 	mu   sync.Mutex
 	seen map[string][]observation
@@ -99,16 +99,16 @@
 	used map[string]float64 // usual time by route, in microseconds
 }
 
-// New returns an aid without observations.
-func New(clock foundation.Clock) *Aid {
-	return &Aid{
+// New returns a router without observations.
+func New(clock kernel.Clock) *Router {
+	return &Router{
 		clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{},
 		pace: map[string]pace{}, used: map[string]float64{},
 	}
 }
 
 // Observe notes a position that covers all commits acknowledged before sent.
-func (a *Aid) Observe(service string, sent foundation.Micros, pos folio.Position) {
+func (a *Router) Observe(service string, sent kernel.Micros, pos lineprotocol.Position) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	list := a.seen[service]
@@ -124,7 +124,7 @@
 
 // covering returns the oldest position dated at or after t: of those that
 // serve, the one that replicas are most likely to have reached.
-func (a *Aid) covering(service string, t foundation.Micros) (folio.Position, bool) {
+func (a *Router) covering(service string, t kernel.Micros) (lineprotocol.Position, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, o := range a.seen[service] {
@@ -132,11 +132,11 @@
 			return o.pos, true
 		}
 	}
-	return folio.Position{}, false
+	return lineprotocol.Position{}, false
 }
 
 // Lagging notes that a replica has not reached a position yet.
-func (a *Aid) Lagging(id string) {
+func (a *Router) Lagging(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
@@ -151,14 +151,14 @@
 	a.lag[id] = l
 }
 
-func (a *Aid) lags(id string) bool {
+func (a *Router) lags(id string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.clock.Now() < a.lag[id].until
 }
 
 // Took notes how long a read of the route took at a database.
-func (a *Aid) Took(route, id string, span foundation.Micros) {
+func (a *Router) Took(route, id string, span kernel.Micros) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	usual, known := a.used[route]
@@ -173,21 +173,21 @@
 }
 
 // Usual is how long a read of the route usually takes, 0 if none was seen.
-func (a *Aid) Usual(route string) foundation.Micros {
+func (a *Router) Usual(route string) kernel.Micros {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return foundation.Micros(a.used[route])
+	return kernel.Micros(a.used[route])
 }
 
-func (a *Aid) paceOf(id string) float64 {
+func (a *Router) paceOf(id string) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.pace[id].now(a.clock.Now())
 }
 
 // Pick returns a choice, or false if there is none at present.
-func (a *Aid) Pick(q Request, s Scene) (Choice, bool) {
-	if q.Type != catalogue.Primary && !q.Write {
+func (a *Router) Pick(q Request, s Scene) (Choice, bool) {
+	if q.Type != routeconfig.Primary && !q.Write {
 		if c, ok := a.replica(q, s); ok {
 			return c, true
 		}
@@ -203,12 +203,12 @@
 	return Choice{}, false
 }
 
-func (a *Aid) replica(q Request, s Scene) (Choice, bool) {
+func (a *Router) replica(q Request, s Scene) (Choice, bool) {
 	pos, ok := a.covering(q.Service, q.Received-q.Stale)
 	if !ok {
 		return Choice{}, false
 	}
-	if q.Type == catalogue.Nearest && pos.Less(q.Last) {
+	if q.Type == routeconfig.Nearest && pos.Less(q.Last) {
 		pos = q.Last
 	}
 	best, cost := -1, 0.0
@@ -216,7 +216,7 @@
 		if d.ID == s.Lead.ID || d.Draining || q.Avoid[d.ID] || !s.Up(d.ID) || a.lags(d.ID) {
 			continue
 		}
-		// The wait to expect: this desk's own share of the busy slots, at the
+		// The wait to expect: this pooler's own share of the busy slots, at the
 		// database's pace. Another zone is like half a statement more, a
 		// connection that must be opened first like a whole one.
 		c := a.paceOf(d.ID) * (1 + float64(s.Busy(d.ID)) + 0.2*rand.Float64())
--- a/internal/findingaid/findingaid_test.go
+++ b/internal/readrouting/readrouting_test.go
@@ -1,38 +1,38 @@
-package findingaid
+package readrouting
 
 import (
 	"testing"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
-type fixed struct{ now foundation.Micros }
+type fixed struct{ now kernel.Micros }
 
-func (f *fixed) Now() foundation.Micros { return f.now }
+func (f *fixed) Now() kernel.Micros { return f.now }
 
 func TestPick(t *testing.T) {
-	const ms = foundation.Millisecond
-	clock := &fixed{100 * foundation.Second}
+	const ms = kernel.Millisecond
+	clock := &fixed{100 * kernel.Second}
 	a := New(clock)
-	pos := func(n int64) folio.Position { return folio.Position{Term: 1, Number: n} }
+	pos := func(n int64) lineprotocol.Position { return lineprotocol.Position{Term: 1, Number: n} }
 	a.Observe("svc", clock.now-2000*ms, pos(5))
 	a.Observe("svc", clock.now-1000*ms, pos(8))
 	a.Observe("svc", clock.now-500*ms, pos(9))
 	down := map[string]bool{}
 	busy := map[string]int{}
 	s := Scene{
-		Databases: []accessions.Database{
+		Databases: []discovery.Database{
 			{ID: "p", Zone: "z1", Slots: 7}, {ID: "near", Zone: "z1", Slots: 7}, {ID: "far", Zone: "z2", Slots: 7},
 		},
-		Lead: custodian.Lead{ID: "p"}, Leased: true, Zone: "z1",
+		Lead: failover.Lead{ID: "p"}, Leased: true, Zone: "z1",
 		Up: func(id string) bool { return !down[id] }, Busy: func(id string) int { return busy[id] },
 		Idle: func(string) bool { return true },
 	}
 	q := Request{Service: "svc", Type: "bounded", Stale: 1500 * ms, Received: clock.now}
-	expect := func(what, id string, after folio.Position) {
+	expect := func(what, id string, after lineprotocol.Position) {
 		t.Helper()
 		if c, ok := a.Pick(q, s); !ok && id != "" || c.Database.ID != id || c.After != after {
 			t.Errorf("%s: %q after %v (%v)", what, c.Database.ID, c.After, ok)
@@ -52,13 +52,13 @@
 	a.Lagging("far")
 	expect("the other replica", "near", pos(12))
 	down["near"] = true
-	expect("the primary", "p", folio.Position{})
+	expect("the primary", "p", lineprotocol.Position{})
 	s.Leased = false
-	expect("nobody", "", folio.Position{})
+	expect("nobody", "", lineprotocol.Position{})
 	down["near"], s.Leased = false, true
 	q.Received += 1100 * ms
-	expect("no observation is young enough", "p", folio.Position{})
+	expect("no observation is young enough", "p", lineprotocol.Position{})
 	q.Received -= 1100 * ms
 	q.Type = "primary"
-	expect("a primary route", "p", folio.Position{})
+	expect("a primary route", "p", lineprotocol.Position{})
 }
--- a/internal/registrar/export_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package registrar
-
-import "net/http"
-
-// InTerm has a handler answer as the control address does.
-func (r *Registrar) InTerm(h http.HandlerFunc) http.HandlerFunc { return r.primary(h) }
--- a/internal/renewals/renewals.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,10 +1,10 @@
-// Package renewals bounds how often a node sends something again.
-package renewals
+// Package retrybudget bounds how often a node sends something again.
+package retrybudget
 
 import (
 	"sync"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // parts is how many steps a window is kept in.
@@ -15,9 +15,9 @@
 // share of its first ones, and so do those of all nodes together, with nothing
 // to be agreed on.
 type Allowance struct {
-	clock foundation.Clock
+	clock kernel.Clock
 	ratio func() float64
-	step  foundation.Micros
+	step  kernel.Micros
 
 	mu sync.Mutex
 	of map[string]*sends // by service
@@ -30,7 +30,7 @@
 }
 
 // New returns an allowance of a share of the first sends of a window.
-func New(clock foundation.Clock, ratio func() float64, window foundation.Micros) *Allowance {
+func New(clock kernel.Clock, ratio func() float64, window kernel.Micros) *Allowance {
 	return &Allowance{clock: clock, ratio: ratio, step: max(window/parts, 1), of: map[string]*sends{}}
 }
 
--- a/internal/renewals/renewals_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -1,26 +1,26 @@
-package renewals
+package retrybudget
 
 import (
 	"math/rand/v2"
 	"testing"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
-type clock struct{ now foundation.Micros }
+type clock struct{ now kernel.Micros }
 
-func (c *clock) Now() foundation.Micros { return c.now }
+func (c *clock) Now() kernel.Micros { return c.now }
 
 // In every window that ends with a further send, these stay below their share of
 // the first sends in it, whatever the traffic does; and most of the share can be
 // used.
 func TestFurtherSendsStayBelowTheirShare(t *testing.T) {
-	const ratio, window = 0.2, 10 * foundation.Second
+	const ratio, window = 0.2, 10 * kernel.Second
 	rnd := rand.New(rand.NewPCG(1, 1))
-	c := &clock{now: foundation.Second}
+	c := &clock{now: kernel.Second}
 	a := New(c, func() float64 { return ratio }, window)
-	var firsts, agains []foundation.Micros
-	within := func(list []foundation.Micros) (n int) {
+	var firsts, agains []kernel.Micros
+	within := func(list []kernel.Micros) (n int) {
 		for _, at := range list {
 			if at > c.now-window {
 				n++
@@ -29,9 +29,9 @@
 		return n
 	}
 	for range 20_000 {
-		pause := foundation.Millisecond
+		pause := kernel.Millisecond
 		if rnd.IntN(400) == 0 {
-			pause = foundation.Micros(rnd.Int64N(int64(12 * foundation.Second)))
+			pause = kernel.Micros(rnd.Int64N(int64(12 * kernel.Second)))
 		}
 		c.now += rand.N(40 * pause)
 		if rnd.IntN(3) > 0 {
--- a/internal/catalogue/index.go
+++ b/internal/routeconfig/index.go
@@ -1,4 +1,4 @@
-package catalogue
+package routeconfig
 
 import (
 	"encoding/json"
@@ -7,7 +7,7 @@
 	"strings"
 )
 
-// Index is a configuration as desks look things up in it: by database name,
+// Index is a configuration as poolers look things up in it: by database name,
 // without the names that only people read.
 type Index struct {
 	Rev      int64
--- a/internal/catalogue/ledger.go
+++ b/internal/routeconfig/ledger.go
@@ -1,4 +1,4 @@
-package catalogue
+package routeconfig
 
 import (
 	"crypto/sha256"
@@ -7,7 +7,7 @@
 	"fmt"
 	"strconv"
 
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
 )
 
 // order is a change of version Base to version Rev. Sum is of its kind and
@@ -34,11 +34,11 @@
 // grow with the changes before it.
 type ledger struct {
 	size    int64
-	decoded *vault.Decoded[order]
+	decoded *controlstate.Decoded[order]
 }
 
 func newLedger(size int64) *ledger {
-	return &ledger{size, vault.NewDecoded[order](orderPrefix)}
+	return &ledger{size, controlstate.NewDecoded[order](orderPrefix)}
 }
 
 // place is the entry of the nth order.
--- a/internal/catalogue/ledger_test.go
+++ b/internal/routeconfig/ledger_test.go
@@ -1,4 +1,4 @@
-package catalogue
+package routeconfig
 
 import (
 	"bytes"
@@ -11,8 +11,8 @@
 	"strings"
 	"testing"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
 )
 
 // memory is a control state without a disk that counts what changes write.
@@ -23,7 +23,7 @@
 
 func (m *memory) Read(key string) (json.RawMessage, error) { return m.entries[key], nil }
 
-func (m *memory) Update(_ context.Context, change vault.ChangeFunc) error {
+func (m *memory) Update(_ context.Context, change controlstate.ChangeFunc) error {
 	changes, err := change(m.entries)
 	if err != nil {
 		return err
@@ -43,9 +43,9 @@
 	return n
 }
 
-func onMemory(orders int64) (*Catalogue, *memory) {
+func onMemory(orders int64) (*Registry, *memory) {
 	m := &memory{entries: map[string]json.RawMessage{}}
-	return New(foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), m, orders), m
+	return New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), m, orders), m
 }
 
 func body(rev int64, mark int) []byte {
@@ -53,7 +53,7 @@
 }
 
 // grow makes changes until there were n, each on top of the one before.
-func grow(t testing.TB, c *Catalogue, from, n int64) {
+func grow(t testing.TB, c *Registry, from, n int64) {
 	t.Helper()
 	for rev := from + 1; rev <= n; rev++ {
 		if err := c.Replace(t.Context(), rev-1, body(rev, 1)); err != nil {
@@ -77,7 +77,7 @@
 	}
 }
 
-// BenchmarkChange is the catalogue's part of a change, after so many others.
+// BenchmarkChange is the route configuration's part of a change, after so many others.
 func BenchmarkChange(b *testing.B) {
 	for _, before := range []int64{100, 1000, 10_000, 100_000} {
 		b.Run(fmt.Sprint("after-", before), func(b *testing.B) {
--- a/internal/catalogue/catalogue.go
+++ b/internal/routeconfig/routeconfig.go
@@ -1,6 +1,6 @@
-// Package catalogue keeps the configuration: it checks what the operator
+// Package routeconfig keeps the configuration: it checks what the operator
 // sends, lets one change win on each version, and answers what is in force.
-package catalogue
+package routeconfig
 
 import (
 	"bytes"
@@ -13,8 +13,8 @@
 
 	"github.com/go-playground/validator/v10"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
 )
 
 // Types of routes: of sessions the first three, of requests the others.
@@ -175,41 +175,41 @@
 }
 
 // MaxBody bounds a configuration, as it is sent and as it is kept: half of what
-// one call between archives carries, and some 10,000 routes.
+// one call between control nodes carries, and some 10,000 routes.
 const MaxBody = 2 << 20
 
 // Errors of this layer.
 var (
-	ErrOtherVersion = errors.New("catalogue: another version is in place")
-	ErrUnavailable  = errors.New("catalogue: can't be changed now")
+	ErrOtherVersion = errors.New("routeconfig: another version is in place")
+	ErrUnavailable  = errors.New("routeconfig: can't be changed now")
 	// ErrForgotten says that an order may have been taken long ago: the ledger
 	// does not reach back as far.
-	ErrForgotten = errors.New("catalogue: whether this was taken is not known any more")
+	ErrForgotten = errors.New("routeconfig: whether this was taken is not known any more")
 )
 
 // Invalid lists the faults for which a configuration was refused.
 type Invalid struct{ Faults []Fault }
 
-func (e *Invalid) Error() string { return "catalogue: invalid configuration" }
+func (e *Invalid) Error() string { return "routeconfig: invalid configuration" }
 
-// controlState is what the catalogue needs of the vault.
+// controlState is what the route configuration needs of the control state.
 type controlState interface {
-	Update(ctx context.Context, change vault.ChangeFunc) error
+	Update(ctx context.Context, change controlstate.ChangeFunc) error
 	Read(key string) (json.RawMessage, error)
 }
 
-// Catalogue is the archive's side. The versions that were ever in force form a
+// Registry keeps the configuration at a control node. The versions that were ever in force form a
 // chain: each was made by the one order that was taken on top of the version
 // before it, and its number is higher.
-type Catalogue struct {
-	k      *foundation.Kernel
+type Registry struct {
+	k      *kernel.Kernel
 	v      controlState
 	ledger *ledger
 }
 
-// New returns the catalogue kept in v; its ledger holds that many orders.
-func New(k *foundation.Kernel, v controlState, orders int64) *Catalogue {
-	return &Catalogue{k, v, newLedger(orders)}
+// New returns the route configuration kept in v; its ledger holds that many orders.
+func New(k *kernel.Kernel, v controlState, orders int64) *Registry {
+	return &Registry{k, v, newLedger(orders)}
 }
 
 // Decode returns the configuration in an entry of the control state.
@@ -219,17 +219,17 @@
 	}
 	var s stored
 	if err := json.Unmarshal(entry, &s); err != nil {
-		return nil, nil, fmt.Errorf("catalogue: %w", err)
+		return nil, nil, fmt.Errorf("routeconfig: %w", err)
 	}
 	c = &Configuration{} // it was checked when it was taken
 	if err := json.Unmarshal(s.Body, c); err != nil {
-		return nil, nil, fmt.Errorf("catalogue: %w", err)
+		return nil, nil, fmt.Errorf("routeconfig: %w", err)
 	}
 	return s.Body, c, nil
 }
 
 // Replace puts a configuration that builds on base in force.
-func (c *Catalogue) Replace(ctx context.Context, base int64, raw []byte) error {
+func (c *Registry) Replace(ctx context.Context, base int64, raw []byte) error {
 	conf, faults := Parse(raw)
 	if faults != nil {
 		return c.refuse(&Invalid{faults})
@@ -244,7 +244,7 @@
 }
 
 // Update changes named items of the configuration base.
-func (c *Catalogue) Update(ctx context.Context, base int64, raw []byte) error {
+func (c *Registry) Update(ctx context.Context, base int64, raw []byte) error {
 	p, err := parsePatch(raw)
 	if err != nil {
 		return c.refuse(err)
@@ -276,7 +276,7 @@
 // change puts what next makes of the body in place in force, if the order
 // builds on that version. One that was taken before is acknowledged again, and
 // one of which that can't be told is left without a clear answer.
-func (c *Catalogue) change(ctx context.Context, o order, next func(json.RawMessage) (json.RawMessage, error)) error {
+func (c *Registry) change(ctx context.Context, o order, next func(json.RawMessage) (json.RawMessage, error)) error {
 	if o.Rev <= o.Base { // no version was ever made like this
 		return c.refuse(&Invalid{[]Fault{{"rev", fmt.Sprintf("is not higher than %d, on which it builds", o.Base)}}})
 	}
@@ -312,35 +312,35 @@
 	})
 	switch {
 	case err == nil && fresh:
-		c.k.Counters.Add("catalogue.taken", 1)
+		c.k.Counters.Add("routeconfig.taken", 1)
 		c.k.Log.Info("configuration in force", "rev", o.Rev)
 		return nil
 	case err == nil:
-		c.k.Counters.Add("catalogue.taken_before", 1)
+		c.k.Counters.Add("routeconfig.taken_before", 1)
 		return nil
-	case errors.Is(err, vault.ErrNotPrimary), errors.Is(err, vault.ErrUnavailable):
+	case errors.Is(err, controlstate.ErrNotPrimary), errors.Is(err, controlstate.ErrUnavailable):
 		err = fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	return c.refuse(err)
 }
 
 // refuse counts a change that is not taken, or not surely.
-func (c *Catalogue) refuse(err error) error {
+func (c *Registry) refuse(err error) error {
 	switch {
 	case errors.Is(err, ErrOtherVersion):
-		c.k.Counters.Add("catalogue.lost_race", 1)
+		c.k.Counters.Add("routeconfig.lost_race", 1)
 	case errors.Is(err, ErrForgotten):
-		c.k.Counters.Add("catalogue.forgotten", 1)
+		c.k.Counters.Add("routeconfig.forgotten", 1)
 	case errors.Is(err, ErrUnavailable):
-		c.k.Counters.Add("catalogue.unavailable", 1)
+		c.k.Counters.Add("routeconfig.unavailable", 1)
 	default:
-		c.k.Counters.Add("catalogue.invalid", 1)
+		c.k.Counters.Add("routeconfig.invalid", 1)
 	}
 	return err
 }
 
 // Fetch returns the newest configuration as it was sent.
-func (c *Catalogue) Fetch() (json.RawMessage, error) {
+func (c *Registry) Fetch() (json.RawMessage, error) {
 	entry, err := c.v.Read(Key)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -1,4 +1,4 @@
-package catalogue
+package routeconfig
 
 import (
 	"encoding/json"
@@ -45,7 +45,7 @@
 	}
 }
 
-// A desk that follows step by step finds what one finds that was told all,
+// A pooler that follows step by step finds what one finds that was told all,
 // and a step of a large configuration is small.
 func TestStepsLeadToTheWhole(t *testing.T) {
 	conf := &Configuration{Rev: 1, Services: []Service{{Name: "s", MaxConns: 96}}}
--- a/internal/rpc/fuzz_test.go
+++ b/internal/rpc/fuzz_test.go
@@ -12,20 +12,20 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
 
 // wire is a network of one connection.
 type wire struct {
-	foundation.Network
+	kernel.Network
 	end net.Conn
 	in  chan net.Conn
 }
 
-func (w wire) Dial(context.Context, string, foundation.Micros) (net.Conn, error) { return w.end, nil }
-func (w wire) Listen(string) (net.Listener, error)                               { return w, nil }
-func (w wire) Addr() net.Addr                                                    { return nil }
+func (w wire) Dial(context.Context, string, kernel.Micros) (net.Conn, error) { return w.end, nil }
+func (w wire) Listen(string) (net.Listener, error)                           { return w, nil }
+func (w wire) Addr() net.Addr                                                { return nil }
 
 func (w wire) Accept() (net.Conn, error) {
 	if c, ok := <-w.in; ok {
@@ -90,7 +90,7 @@
 	f.Fuzz(func(t *testing.T, input []byte, at uint16) {
 		synctest.Test(t, func(t *testing.T) {
 			mine, theirs := net.Pipe()
-			k := foundation.NewKernel("desk", wire{end: mine}, slog.New(slog.DiscardHandler))
+			k := kernel.NewKernel("pooler", wire{end: mine}, slog.New(slog.DiscardHandler))
 			e := rpc.NewEndpoint(k, self)
 			go io.Copy(io.Discard, theirs)
 			got := [3]string{}
@@ -98,7 +98,7 @@
 			for id := 1; id <= 2; id++ {
 				wg.Go(func() {
 					var body string
-					if e.Call(t.Context(), other, "op", 1, &body, foundation.Second) == nil {
+					if e.Call(t.Context(), other, "op", 1, &body, kernel.Second) == nil {
 						got[id] = "=" + body
 					}
 				})
@@ -141,20 +141,20 @@
 func TestAWriteThatTakesLongEndsNoCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mine, theirs := net.Pipe()
-		e := rpc.NewEndpoint(foundation.NewKernel("desk", wire{end: mine}, slog.New(slog.DiscardHandler)), self)
+		e := rpc.NewEndpoint(kernel.NewKernel("pooler", wire{end: mine}, slog.New(slog.DiscardHandler)), self)
 		began := time.Now()
-		call := func(wait foundation.Micros) (body string, err error, took time.Duration) {
+		call := func(wait kernel.Micros) (body string, took time.Duration, err error) {
 			err = e.Call(t.Context(), other, "op", 1, &body, wait)
-			return body, err, time.Since(began)
+			return body, time.Since(began), err
 		}
 		var wg sync.WaitGroup
 		for n := range 3 {
 			wg.Go(func() {
 				if n == 1 { // between two that wait less
-					if body, err, _ := call(foundation.Second); body != "two" || err != nil {
+					if body, _, err := call(kernel.Second); body != "two" || err != nil {
 						t.Errorf("%q %v", body, err)
 					}
-				} else if _, err, took := call(100 * foundation.Millisecond); err == nil || took > 110*time.Millisecond {
+				} else if _, took, err := call(100 * kernel.Millisecond); err == nil || took > 110*time.Millisecond {
 					t.Errorf("%v after %v", err, took)
 				}
 			})
@@ -189,7 +189,7 @@
 			mine, theirs := net.Pipe()
 			in := make(chan net.Conn, 1)
 			in <- mine
-			k := foundation.NewKernel("archive", wire{in: in}, slog.New(slog.DiscardHandler))
+			k := kernel.NewKernel("control", wire{in: in}, slog.New(slog.DiscardHandler))
 			e := rpc.NewEndpoint(k, other)
 			var mu sync.Mutex
 			ran := 0
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // hello begins a connection, in both directions. The caller's goes ahead of its
@@ -45,7 +45,7 @@
 const maxKnown = 10_000
 
 // helloWait is how long a caller may take for its greeting.
-const helloWait = 5 * foundation.Second
+const helloWait = 5 * kernel.Second
 
 // Errors of a connection.
 var (
@@ -173,7 +173,7 @@
 // peer is the process at an address, as this one calls it.
 type peer struct {
 	addr    string
-	dialing foundation.Gate
+	dialing kernel.Gate
 
 	mu   sync.Mutex
 	link *link
@@ -184,8 +184,8 @@
 type link struct {
 	c       net.Conn
 	addr    string
-	sending foundation.Gate // lines leave whole and in the order of their numbers
-	hello   []byte          // until it was sent
+	sending kernel.Gate // lines leave whole and in the order of their numbers
+	hello   []byte      // until it was sent
 
 	mu     sync.Mutex
 	queued int // calls that wait to be sent
@@ -241,7 +241,7 @@
 	}
 	b.mu.Unlock()
 	raw, err := line{Hello: h}.encode()
-	return &link{c: c, addr: addr, sending: foundation.NewGate(), hello: raw, calls: map[uint64]chan line{}}, err
+	return &link{c: c, addr: addr, sending: kernel.NewGate(), hello: raw, calls: map[uint64]chan line{}}, err
 }
 
 // call sends a call once and waits for its answer.
--- a/internal/rpc/plugin.go
+++ b/internal/rpc/plugin.go
@@ -1,20 +1,20 @@
 package rpc
 
 import (
-	"indigowalk/internal/charter"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/settings"
 )
 
 func init() {
-	foundation.Register(foundation.Plugin{
-		Name: "rpc", Rank: 10, Roles: []string{"desk", "turnstile", "archive", "hollow"},
-		Build: func(k *foundation.Kernel) error {
-			port := charter.DeskPort
-			if k.Role == "archive" {
-				port = charter.ArchivePort
+	kernel.Register(kernel.Plugin{
+		Name: "rpc", Rank: 10, Roles: []string{"pooler", "gateway", "control", "hollow"},
+		Build: func(k *kernel.Kernel) error {
+			port := settings.CarrierPort
+			if k.Role == "control" {
+				port = settings.ControlPort
 			}
-			b := NewEndpoint(k, foundation.Need[*charter.Book](k).Now().Port(port))
-			foundation.Offer(k, b)
+			b := NewEndpoint(k, kernel.Need[*settings.Live](k).Now().Port(port))
+			kernel.Offer(k, b)
 			k.Supervise("rpc", b.Serve)
 			return nil
 		},
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -19,7 +19,7 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // maxLine bounds one line: a whole control state with the largest
@@ -31,12 +31,12 @@
 const maxCalls = 256
 
 // silence is how long a peer may leave what was sent unacknowledged.
-const silence = 1500 * foundation.Millisecond
+const silence = 1500 * kernel.Millisecond
 
 // connectWait bounds the making of a connection. A peer without power answers
 // nothing, and an opening packet that was lost is sent again far too late: the
 // caller does better to ask another peer, or this one anew.
-const connectWait = 150 * foundation.Millisecond
+const connectWait = 150 * kernel.Millisecond
 
 // ErrUnreachable says that a call got no answer; whether it was carried out
 // is not known.
@@ -83,7 +83,7 @@
 
 // Endpoint takes and makes calls for one process.
 type Endpoint struct {
-	k    *foundation.Kernel
+	k    *kernel.Kernel
 	addr string
 
 	mu       sync.Mutex
@@ -97,7 +97,7 @@
 // NewEndpoint returns an endpoint that will listen at addr. Its life begins
 // with the time of day, so that a restart outranks the life before; where the
 // clock stepped back, whoever knows a later life says so and it takes the next.
-func NewEndpoint(k *foundation.Kernel, addr string) *Endpoint {
+func NewEndpoint(k *kernel.Kernel, addr string) *Endpoint {
 	return &Endpoint{
 		k: k, addr: addr, handlers: map[string]Handler{}, peers: map[string]*peer{},
 		life: time.Now().UnixMicro(), known: map[string]*process{},
@@ -221,7 +221,7 @@
 // Call asks the process at addr; answer may be nil. It waits at most for the
 // span. Whatever it returns, the call was sent once at most: it is sent anew
 // only if the other end has refused the connection before it read any call.
-func (b *Endpoint) Call(ctx context.Context, addr, op string, ask, answer any, wait foundation.Micros) error {
+func (b *Endpoint) Call(ctx context.Context, addr, op string, ask, answer any, wait kernel.Micros) error {
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	body, err := encode(ask)
@@ -234,7 +234,7 @@
 	b.mu.Lock()
 	p := b.peers[addr]
 	if p == nil {
-		p = &peer{addr: addr, dialing: foundation.NewGate()}
+		p = &peer{addr: addr, dialing: kernel.NewGate()}
 		b.peers[addr] = p
 	}
 	b.mu.Unlock()
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -14,9 +14,9 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/rehearsal"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
+	"indigowalk/internal/simulation"
 )
 
 const (
@@ -27,7 +27,7 @@
 
 type bench struct {
 	*testing.T
-	n   *rehearsal.Net
+	n   *simulation.Net
 	ctx context.Context
 }
 
@@ -35,7 +35,7 @@
 func play(t *testing.T, f func(b bench)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		b := bench{t, rehearsal.NewNet(1), ctx}
+		b := bench{t, simulation.NewNet(1), ctx}
 		f(b)
 		cancel()
 		for _, host := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
@@ -47,8 +47,8 @@
 
 func host(addr string) string { return addr[:strings.IndexByte(addr, ':')] }
 
-func (b bench) endpoint(addr string) (*rpc.Endpoint, *foundation.Counters) {
-	k := foundation.NewKernel("archive", b.n.Host(host(addr)), slog.New(slog.DiscardHandler))
+func (b bench) endpoint(addr string) (*rpc.Endpoint, *kernel.Counters) {
+	k := kernel.NewKernel("control", b.n.Host(host(addr)), slog.New(slog.DiscardHandler))
 	return rpc.NewEndpoint(k, addr), k.Counters
 }
 
@@ -137,7 +137,7 @@
 				})
 				defer e.HangUp()
 				call := func() (a string, err error) {
-					err = e.Call(b.ctx, other, "op", 1, &a, foundation.Second)
+					err = e.Call(b.ctx, other, "op", 1, &a, kernel.Second)
 					return a, err
 				}
 				if a, err := call(); a != "ok" || err != nil {
@@ -176,18 +176,18 @@
 		waits := make(chan error, 1)
 		go func() {
 			var a string
-			err := e.Call(b.ctx, other, "slow", "long", &a, foundation.Second)
+			err := e.Call(b.ctx, other, "slow", "long", &a, kernel.Second)
 			if err == nil && a != "long" {
 				err = errors.New(a)
 			}
 			waits <- err
 		}()
 		time.Sleep(100 * time.Millisecond)
-		if err := e.Call(b.ctx, other, "slow", "short", nil, 100*foundation.Millisecond); !errors.Is(err, rpc.ErrUnreachable) {
+		if err := e.Call(b.ctx, other, "slow", "short", nil, 100*kernel.Millisecond); !errors.Is(err, rpc.ErrUnreachable) {
 			b.Error(err)
 		}
 		var a string
-		if err := e.Call(b.ctx, other, "slow", "next", &a, foundation.Second); err != nil || a != "next" {
+		if err := e.Call(b.ctx, other, "slow", "next", &a, kernel.Second); err != nil || a != "next" {
 			b.Errorf("%q %v", a, err)
 		}
 		if err := <-waits; err != nil || counts.Snapshot()["rpc.unasked"] != 0 {
@@ -274,7 +274,7 @@
 			return func() { cancel(); time.Sleep(10 * time.Millisecond) }
 		}
 		call := func(e *rpc.Endpoint, addr string) {
-			if err := e.Call(b.ctx, addr, "op", 1, nil, 200*foundation.Millisecond); err != nil {
+			if err := e.Call(b.ctx, addr, "op", 1, nil, 200*kernel.Millisecond); err != nil {
 				b.Error(err)
 			}
 		}
@@ -305,12 +305,12 @@
 		ctx, cancel := context.WithCancel(b.ctx)
 		time.AfterFunc(10*time.Millisecond, cancel)
 		began := time.Now()
-		if err := e.Call(ctx, other, "op", 1, nil, foundation.Second); !errors.Is(err, rpc.ErrUnreachable) || time.Since(began) > 20*time.Millisecond {
+		if err := e.Call(ctx, other, "op", 1, nil, kernel.Second); !errors.Is(err, rpc.ErrUnreachable) || time.Since(began) > 20*time.Millisecond {
 			b.Error(err, time.Since(began))
 		}
 		b.n.Cut(host(self), host(other), false)
 		for range 3 {
-			if err := e.Call(b.ctx, other, "op", 1, nil, foundation.Second); err != nil {
+			if err := e.Call(b.ctx, other, "op", 1, nil, kernel.Second); err != nil {
 				b.Error(err)
 			}
 			e.HangUp()
--- a/internal/stocktake/hollow.go
+++ b/internal/scalebench/hollow.go
@@ -1,7 +1,7 @@
-// Package stocktake measures what the control state costs at a number of nodes:
-// real archives as processes, and hollow nodes, which take part in membership
+// Package scalebench measures what the control state costs at a number of nodes:
+// real control nodes as processes, and hollow nodes, which take part in membership
 // and hear the news but carry no traffic, many of them in a process.
-package stocktake
+package scalebench
 
 import (
 	"context"
@@ -14,23 +14,23 @@
 	"sync/atomic"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/charter"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/stacks"
-	"indigowalk/internal/subscription"
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/settings"
 )
 
 // Role is that of hollow nodes.
 const Role = "hollow"
 
 func init() {
-	foundation.Register(foundation.Plugin{
+	kernel.Register(kernel.Plugin{
 		Name: "hollow", Rank: 50, Roles: []string{Role},
-		Build: func(k *foundation.Kernel) error {
-			foundation.Offer(k, stacks.Stocker(func(map[string]accessions.Database) {}))
-			foundation.Offer[conservator.Checker](k, func(context.Context, string) bool { return true })
+		Build: func(k *kernel.Kernel) error {
+			kernel.Offer(k, connpool.Updater(func(map[string]discovery.Database) {}))
+			kernel.Offer[health.Checker](k, func(context.Context, string) bool { return true })
 			return nil
 		},
 	})
@@ -38,7 +38,7 @@
 
 // metered counts what goes through a network.
 type metered struct {
-	foundation.HostNetwork
+	kernel.HostNetwork
 	in, out *atomic.Int64
 }
 
@@ -59,8 +59,8 @@
 	return n, err
 }
 
-// Dial implements foundation.Network.
-func (m metered) Dial(ctx context.Context, addr string, silence foundation.Micros) (net.Conn, error) {
+// Dial implements kernel.Network.
+func (m metered) Dial(ctx context.Context, addr string, silence kernel.Micros) (net.Conn, error) {
 	c, err := m.HostNetwork.Dial(ctx, addr, silence)
 	if err != nil {
 		return nil, err
@@ -85,7 +85,7 @@
 	return n, err
 }
 
-// ListenPacket implements foundation.Network.
+// ListenPacket implements kernel.Network.
 func (m metered) ListenPacket(addr string) (net.PacketConn, error) {
 	p, err := m.HostNetwork.ListenPacket(addr)
 	if err != nil {
@@ -112,21 +112,21 @@
 	revs, learnt := make([]int64, count), make([]time.Time, count)
 	var running sync.WaitGroup
 	for i := range count {
-		s, err := charter.Parse([]byte(settings(first+i, Role, seeds, "")))
+		s, err := settings.Parse([]byte(settingsOf(first+i, Role, seeds, "")))
 		if err != nil {
-			return fmt.Errorf("stocktake: %w", err)
+			return fmt.Errorf("scalebench: %w", err)
 		}
-		k := foundation.NewKernel(Role, m, slog.New(slog.DiscardHandler))
-		foundation.Offer(k, charter.NewBook(s))
+		k := kernel.NewKernel(Role, m, slog.New(slog.DiscardHandler))
+		kernel.Offer(k, settings.NewLive(s))
 		if err := k.Assemble(); err != nil {
-			return fmt.Errorf("stocktake: %w", err)
+			return fmt.Errorf("scalebench: %w", err)
 		}
-		card := foundation.Need[*subscription.Card](k)
+		subscriber := kernel.Need[*distribution.Subscriber](k)
 		running.Go(func() { k.Run(ctx) })
 		running.Go(func() {
 			for ctx.Err() == nil {
-				changed := card.Changed()
-				if _, _, rev, _ := card.Version(); card.Ready() {
+				changed := subscriber.Changed()
+				if _, _, rev, _ := subscriber.Version(); subscriber.Ready() {
 					mu.Lock()
 					if rev > revs[i] {
 						revs[i], learnt[i] = rev, time.Now()
@@ -141,7 +141,7 @@
 		})
 	}
 	e := json.NewEncoder(out)
-	for foundation.Sleep(ctx, 50*foundation.Millisecond) {
+	for kernel.Sleep(ctx, 50*kernel.Millisecond) {
 		l := line{In: m.in.Load(), Out: m.out.Load()}
 		mu.Lock()
 		for i, rev := range revs {
@@ -156,7 +156,7 @@
 		}
 		mu.Unlock()
 		if err := e.Encode(l); err != nil {
-			return fmt.Errorf("stocktake: %w", err)
+			return fmt.Errorf("scalebench: %w", err)
 		}
 	}
 	running.Wait()
@@ -168,8 +168,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", 10+node/40000, node/200%200, node%200+1)
 }
 
-// settings are those of a node.
-func settings(node int, role, seeds, dir string) string {
+// settingsOf returns the settings file of a node.
+func settingsOf(node int, role, seeds, dir string) string {
 	ip := address(node)
 	return fmt.Sprintf(`node_name=%[2]s-%[1]d
 ip=%[3]s
--- a/internal/stocktake/stocktake.go
+++ b/internal/scalebench/scalebench.go
@@ -1,4 +1,4 @@
-package stocktake
+package scalebench
 
 import (
 	"bufio"
@@ -21,15 +21,15 @@
 
 // Config says what is measured.
 type Config struct {
-	Program   string // this program, to run archives and hollow nodes with
-	Dir       string // for settings and stores
-	Nodes     int
-	Archives  int
-	Databases int
-	Routes    int
-	Changes   int           // of the configuration
-	Quiet     time.Duration // for which nothing is asked of it
-	Sessions  int           // idle ones at one desk
+	Program      string // this program, to run control nodes and hollow nodes with
+	Dir          string // for settings and stores
+	Nodes        int
+	ControlNodes int
+	Databases    int
+	Routes       int
+	Changes      int           // of the configuration
+	Quiet        time.Duration // for which nothing is asked of it
+	Sessions     int           // idle ones at one pooler
 }
 
 // Size is what was measured at one number of nodes. Processor time is in
@@ -43,12 +43,12 @@
 	NodeCPU      float64 `json:"node_cpu"`    // of a node, quiet
 	NodeKB       float64 `json:"node_kb"`     // of memory a node
 	PrimaryCPU   float64 `json:"primary_cpu"` // quiet
-	ArchiveCPU   float64 `json:"archive_cpu"` // of the busiest other
+	ControlCPU   float64 `json:"control_cpu"` // of the busiest other
 	PrimaryMB    float64 `json:"primary_mb"`
 	ChangeMs     []int64 `json:"change_ms"`               // from sending until in force everywhere
 	ChangeBytes  float64 `json:"change_bytes"`            // to and from a node for one change, beyond the quiet
 	TakeoverMs   int64   `json:"takeover_ms"`             // from the primary's kill until a change is in force everywhere
-	DeskMB       float64 `json:"desk_mb,omitempty"`       // of a desk without sessions
+	PoolerMB     float64 `json:"pooler_mb,omitempty"`     // of a pooler without sessions
 	SessionBytes float64 `json:"session_bytes,omitempty"` // of its memory, an idle session
 }
 
@@ -58,7 +58,7 @@
 // wait bounds each step.
 const wait = 60 * time.Second
 
-var errTooLong = errors.New("stocktake: a step takes too long")
+var errTooLong = errors.New("scalebench: a step takes too long")
 
 // Run measures one size.
 func Run(ctx context.Context, cfg Config) (*Size, error) {
@@ -67,11 +67,11 @@
 	r := &run{cfg: cfg, size: &Size{Nodes: cfg.Nodes, Databases: cfg.Databases, Routes: cfg.Routes}}
 	defer r.end()
 	var seeds []string
-	for i := range min(3, cfg.Archives) {
+	for i := range min(3, cfg.ControlNodes) {
 		seeds = append(seeds, address(i)+":8782")
 	}
-	for i := range cfg.Archives {
-		if err := r.startArchive(ctx, i, strings.Join(seeds, ",")); err != nil {
+	for i := range cfg.ControlNodes {
+		if err := r.startControl(ctx, i, strings.Join(seeds, ",")); err != nil {
 			return nil, err
 		}
 	}
@@ -81,7 +81,7 @@
 	}
 	began := time.Now()
 	for first := 0; first < cfg.Nodes; first += perProcess {
-		if err := r.startHollow(ctx, cfg.Archives+first, min(perProcess, cfg.Nodes-first), strings.Join(seeds, ",")); err != nil {
+		if err := r.startHollow(ctx, cfg.ControlNodes+first, min(perProcess, cfg.Nodes-first), strings.Join(seeds, ",")); err != nil {
 			return nil, err
 		}
 	}
@@ -109,11 +109,11 @@
 }
 
 type run struct {
-	cfg      Config
-	size     *Size
-	archives []*process
-	hollow   []*process
-	rev      int64
+	cfg          Config
+	size         *Size
+	controlNodes []*process
+	hollow       []*process
+	rev          int64
 }
 
 func (r *run) start(ctx context.Context, env string, args ...string) (*process, io.Reader, error) {
@@ -124,7 +124,7 @@
 		err = p.cmd.Start()
 	}
 	if err != nil {
-		return nil, nil, fmt.Errorf("stocktake: %w", err)
+		return nil, nil, fmt.Errorf("scalebench: %w", err)
 	}
 	return p, out, nil
 }
@@ -132,33 +132,33 @@
 // startReal starts a daemon as it is.
 func (r *run) startReal(ctx context.Context, node int, role, seeds string) (*process, error) {
 	path := filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%d.conf", role, node))
-	text := settings(node, role, seeds, filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%d", role, node)))
+	text := settingsOf(node, role, seeds, filepath.Join(r.cfg.Dir, fmt.Sprintf("%s-%d", role, node)))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		return nil, fmt.Errorf("stocktake: %w", err)
+		return nil, fmt.Errorf("scalebench: %w", err)
 	}
 	p, _, err := r.start(ctx, "INDIGOWALK_SETTINGS="+path, role)
 	return p, err
 }
 
-func (r *run) startArchive(ctx context.Context, node int, seeds string) error {
-	p, err := r.startReal(ctx, node, "archive", seeds)
-	r.archives = append(r.archives, p)
+func (r *run) startControl(ctx context.Context, node int, seeds string) error {
+	p, err := r.startReal(ctx, node, "control", seeds)
+	r.controlNodes = append(r.controlNodes, p)
 	return err
 }
 
-// sessions measures what idle sessions cost a desk.
+// sessions measures what idle sessions cost a pooler.
 func (r *run) sessions(ctx context.Context, seeds string) error {
 	if r.cfg.Sessions == 0 {
 		return nil
 	}
-	node := r.cfg.Archives + r.cfg.Nodes
-	desk, err := r.startReal(ctx, node, "desk", seeds)
+	node := r.cfg.ControlNodes + r.cfg.Nodes
+	pooler, err := r.startReal(ctx, node, "pooler", seeds)
 	if err != nil {
 		return err
 	}
 	defer func() {
-		desk.cmd.Process.Kill()
-		desk.cmd.Wait()
+		pooler.cmd.Process.Kill()
+		pooler.cmd.Wait()
 	}()
 	var open []net.Conn
 	defer func() {
@@ -178,7 +178,7 @@
 		}
 		answer, err := bufio.NewReader(c).ReadString('\n')
 		if err != nil || !strings.HasPrefix(answer, "IDLE") {
-			return fmt.Errorf("stocktake: log-in answered %q: %v", answer, err)
+			return fmt.Errorf("scalebench: log-in answered %q: %v", answer, err)
 		}
 		return nil
 	}
@@ -188,21 +188,21 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	_, before := desk.used()
+	_, before := pooler.used()
 	for range r.cfg.Sessions {
 		if err := login(); err != nil {
 			return err
 		}
 	}
 	time.Sleep(3 * time.Second)
-	_, after := desk.used()
-	r.size.DeskMB = float64(before) / (1 << 20)
+	_, after := pooler.used()
+	r.size.PoolerMB = float64(before) / (1 << 20)
 	r.size.SessionBytes = float64(after-before) / float64(r.cfg.Sessions)
 	return nil
 }
 
 func (r *run) startHollow(ctx context.Context, first, count int, seeds string) error {
-	p, out, err := r.start(ctx, "", "stocktake", "--hollow", fmt.Sprintf("%d,%d", first, count), seeds)
+	p, out, err := r.start(ctx, "", "scalebench", "--hollow", fmt.Sprintf("%d,%d", first, count), seeds)
 	if err != nil {
 		return err
 	}
@@ -223,7 +223,7 @@
 
 // end ends every process that this run started.
 func (r *run) end() {
-	for _, p := range append(r.archives, r.hollow...) {
+	for _, p := range append(r.controlNodes, r.hollow...) {
 		if p != nil {
 			p.cmd.Process.Kill()
 			p.cmd.Wait()
@@ -250,9 +250,9 @@
 
 var client = &http.Client{Timeout: time.Second}
 
-// call sends to any archive that takes it.
+// call sends to any control node that takes it.
 func (r *run) call(path string, header map[string]string, body []byte) bool {
-	for i := range r.cfg.Archives {
+	for i := range r.cfg.ControlNodes {
 		q, err := http.NewRequest(http.MethodPost, "http://"+address(i)+":8782"+path, bytes.NewReader(body))
 		if err != nil {
 			return false
@@ -291,7 +291,7 @@
 	}
 	body, err := json.Marshal(map[string]any{"rev": rev, "routes": routes, "services": services})
 	if err != nil {
-		return fmt.Errorf("stocktake: %w", err)
+		return fmt.Errorf("scalebench: %w", err)
 	}
 	for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if r.call("/Conf.Replace", map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(r.rev, 10)}, body) {
@@ -354,7 +354,7 @@
 // quiet measures a span in which nothing is asked, and returns the bytes a
 // second of all nodes.
 func (r *run) quiet() float64 {
-	all := append(append([]*process{}, r.archives...), r.hollow...)
+	all := append(append([]*process{}, r.controlNodes...), r.hollow...)
 	before := make([]time.Duration, len(all))
 	for i, p := range all {
 		before[i], _ = p.used()
@@ -368,16 +368,16 @@
 	for i, p := range all {
 		cpu, bytes := p.used()
 		cores := 1000 * float64(cpu-before[i]) / float64(span)
-		if i >= len(r.archives) {
+		if i >= len(r.controlNodes) {
 			nodes += cpu - before[i]
 			memory += bytes
 			continue
 		}
 		if cores > r.size.PrimaryCPU {
-			r.size.ArchiveCPU = max(r.size.ArchiveCPU, r.size.PrimaryCPU)
+			r.size.ControlCPU = max(r.size.ControlCPU, r.size.PrimaryCPU)
 			r.size.PrimaryCPU, r.size.PrimaryMB = cores, float64(bytes)/(1<<20)
 		} else {
-			r.size.ArchiveCPU = max(r.size.ArchiveCPU, cores)
+			r.size.ControlCPU = max(r.size.ControlCPU, cores)
 		}
 	}
 	n := float64(r.cfg.Nodes)
@@ -407,19 +407,19 @@
 	return nil
 }
 
-// takeover kills the primary, which is the busiest archive, and measures until a
+// takeover kills the primary, which is the busiest control node, and measures until a
 // change is in force everywhere again.
 func (r *run) takeover() error {
 	var primary int
 	var most time.Duration
-	for i, p := range r.archives {
+	for i, p := range r.controlNodes {
 		if cpu, _ := p.used(); cpu > most {
 			primary, most = i, cpu
 		}
 	}
 	start := time.Now()
-	if err := r.archives[primary].cmd.Process.Kill(); err != nil {
-		return fmt.Errorf("stocktake: %w", err)
+	if err := r.controlNodes[primary].cmd.Process.Kill(); err != nil {
+		return fmt.Errorf("scalebench: %w", err)
 	}
 	if err := r.change(r.rev + 1); err != nil {
 		return err
--- a/internal/charter/plugin.go
+++ b/internal/settings/plugin.go
@@ -1,4 +1,4 @@
-package charter
+package settings
 
 import (
 	"context"
@@ -7,27 +7,27 @@
 	"path/filepath"
 	"syscall"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 func init() {
-	foundation.Register(foundation.Plugin{
-		Name: "charter", Rank: 0, Roles: []string{"desk", "turnstile", "archive", "hollow"},
-		Build: func(k *foundation.Kernel) error {
-			b := foundation.Need[*Book](k)
+	kernel.Register(kernel.Plugin{
+		Name: "settings", Rank: 0, Roles: []string{"pooler", "gateway", "control", "hollow"},
+		Build: func(k *kernel.Kernel) error {
+			b := kernel.Need[*Live](k)
 			if s := b.Now(); s.RecordKB > 0 {
 				dir := s.DataDir
 				if dir == "" {
 					dir = os.TempDir()
 				}
-				r, err := foundation.NewRecorder(k, filepath.Join(dir, k.Role+".recording"), s.NodeName, s.RecordKB<<10)
+				r, err := kernel.NewRecorder(k, filepath.Join(dir, k.Role+".recording"), s.NodeName, s.RecordKB<<10)
 				if err != nil {
 					return err
 				}
 				k.Recorder = r
 			}
 			if b.path != "" {
-				k.Supervise("charter", func(ctx context.Context) error { return b.watch(ctx, k) })
+				k.Supervise("settings", func(ctx context.Context) error { return b.watch(ctx, k) })
 			}
 			return nil
 		},
@@ -35,14 +35,14 @@
 }
 
 // watch reloads at SIGHUP and when the file changes by itself.
-func (b *Book) watch(ctx context.Context, k *foundation.Kernel) error {
+func (b *Live) watch(ctx context.Context, k *kernel.Kernel) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	seen := b.loaded
 	tick := make(chan struct{}, 1)
 	go func() {
-		for foundation.Sleep(ctx, foundation.Second) {
+		for kernel.Sleep(ctx, kernel.Second) {
 			select {
 			case tick <- struct{}{}:
 			default:
@@ -63,11 +63,11 @@
 			seen = stamp(b.path)
 		}
 		if err := b.Reload(); err != nil {
-			k.Counters.Add("charter.reload_refused", 1)
+			k.Counters.Add("settings.reload_refused", 1)
 			k.Log.Warn("settings not reloaded, old values kept", "error", err)
 			continue
 		}
-		k.Counters.Add("charter.reloads", 1)
+		k.Counters.Add("settings.reloads", 1)
 	}
 }
 
--- a/internal/charter/charter.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
-// Package charter reads, checks and reloads the settings of a process.
-package charter
+// Package settings reads, checks and reloads the settings of a process.
+package settings
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/magiconair/properties"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // EnvVar names the variable that holds the path of the settings file.
@@ -64,15 +64,15 @@
 
 	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
 
-	VaultLeaseMs  int64 `key:"tune.vault_lease_ms" default:"1200" validate:"gte=100"`
-	WitnessAwayMs int64 `key:"tune.witness_away_ms" default:"3000" validate:"gte=100"`
-	ReaderLeaseMs int64 `key:"tune.reader_lease_ms" default:"2500" validate:"gte=100"`
-	PollMs        int64 `key:"tune.poll_ms" default:"600" validate:"gte=20"`
-	ProbeMs       int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
-	CheckMs       int64 `key:"tune.check_ms" default:"1000" validate:"gte=20"`
-	CheckWaitMs   int64 `key:"tune.check_wait_ms" default:"150" validate:"gte=10"`
-	QuietMs       int64 `key:"tune.quiet_ms" default:"100" validate:"gte=10"`
-	SilenceMs     int64 `key:"tune.silence_ms" default:"700" validate:"gte=50"`
+	ControlLeaseMs int64 `key:"tune.control_lease_ms" default:"1200" validate:"gte=100"`
+	WitnessAwayMs  int64 `key:"tune.witness_away_ms" default:"3000" validate:"gte=100"`
+	ReaderLeaseMs  int64 `key:"tune.reader_lease_ms" default:"2500" validate:"gte=100"`
+	PollMs         int64 `key:"tune.poll_ms" default:"600" validate:"gte=20"`
+	ProbeMs        int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
+	CheckMs        int64 `key:"tune.check_ms" default:"1000" validate:"gte=20"`
+	CheckWaitMs    int64 `key:"tune.check_wait_ms" default:"150" validate:"gte=10"`
+	QuietMs        int64 `key:"tune.quiet_ms" default:"100" validate:"gte=10"`
+	SilenceMs      int64 `key:"tune.silence_ms" default:"700" validate:"gte=50"`
 	// OrdersKept is how many orders of operators are known again when they are sent
 	// again; an older one gets no clear answer.
 	OrdersKept int64 `key:"tune.orders_kept" default:"512" validate:"gte=64,lte=4096"`
@@ -80,7 +80,7 @@
 }
 
 // Span converts a setting in milliseconds.
-func Span(ms int64) foundation.Micros { return foundation.Micros(ms) * foundation.Millisecond }
+func Span(ms int64) kernel.Micros { return kernel.Micros(ms) * kernel.Millisecond }
 
 // Port returns the nth free port of the range as an address on this machine.
 func (s *Settings) Port(n int) string { return net.JoinHostPort(s.IP, strconv.Itoa(s.port(n))) }
@@ -96,18 +96,18 @@
 
 // Ports of the range, by use.
 const (
-	ArchivePort = 0 // calls and datagrams of an archive
-	DeskPort    = 1 // calls and datagrams of a desk or turnstile
+	ControlPort = 0 // calls and datagrams of a control node
+	CarrierPort = 1 // calls and datagrams of a pooler or gateway
 )
 
 // SeedPeers turns the seeds' control addresses into the inner addresses of the
-// archives there: every machine has the same ports.
+// control nodes there: every machine has the same ports.
 func (s *Settings) SeedPeers() []string {
 	out := make([]string, 0, len(s.Seeds))
 	for _, seed := range s.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err == nil {
-			out = append(out, net.JoinHostPort(host, strconv.Itoa(s.port(ArchivePort))))
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(s.port(ControlPort))))
 		}
 	}
 	return out
@@ -171,40 +171,40 @@
 	return out
 }
 
-// Book holds the settings in force and tells of changes.
-type Book struct {
+// Live holds the settings in force and tells of changes.
+type Live struct {
 	path   string
 	loaded fileStamp // of the file before it was read first
 	mu     sync.Mutex
 	now    *Settings
-	bell   foundation.Bell
+	bell   kernel.Bell
 }
 
 // Open reads settings from path. A change of the file from then on is noticed.
-func Open(path string) (*Book, error) {
+func Open(path string) (*Live, error) {
 	before := stamp(path)
 	s, err := Load(path)
 	if err != nil {
 		return nil, err
 	}
-	return &Book{path: path, loaded: before, now: s}, nil
+	return &Live{path: path, loaded: before, now: s}, nil
 }
 
-// NewBook wraps settings that do not change.
-func NewBook(s *Settings) *Book { return &Book{now: s} }
+// NewLive wraps settings that do not change.
+func NewLive(s *Settings) *Live { return &Live{now: s} }
 
 // Now returns the settings in force; they are not to be changed.
-func (b *Book) Now() *Settings {
+func (b *Live) Now() *Settings {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.now
 }
 
 // Changed returns a channel that closes at the next change.
-func (b *Book) Changed() <-chan struct{} { return b.bell.Wait() }
+func (b *Live) Changed() <-chan struct{} { return b.bell.Wait() }
 
 // Reload reads the file again. A bad file leaves the old values in force.
-func (b *Book) Reload() error {
+func (b *Live) Reload() error {
 	s, err := Load(b.path)
 	if err != nil {
 		return err
--- a/internal/rehearsal/calls_test.go
+++ b/internal/simulation/calls_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -9,17 +9,17 @@
 	"testing"
 	"time"
 
-	"indigowalk/internal/catalogue"
+	"indigowalk/internal/routeconfig"
 )
 
-// post makes one call at one archive.
+// post makes one call at one control node.
 func (w *World) post(zone int, path string, header map[string]string, body []byte) int {
 	code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(zone)+":8782", path, header, body)
 	return code
 }
 
 // LEFT-STAYS: a database that has left stays away, though a late beat of it
-// comes to an archive that has led for a moment only; its leaving sent again, and
+// comes to a control node that has led for a moment only; its leaving sent again, and
 // that of one that nobody knows, are acknowledged and change nothing.
 func TestLeftStays(t *testing.T) {
 	core(t, 4, 1, func(w *World, g *Group) {
@@ -27,7 +27,7 @@
 		g.Add("ledger-4", "10.4.64.9", "z4", "replica").Deaf(false)
 		time.Sleep(2 * time.Second)
 		entry := func(id string) string {
-			raw, err := w.Process("archive", vaultPrimary(w)).vault().Read("database/" + id)
+			raw, err := w.Process("control", controlPrimary(w)).replica().Read("database/" + id)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -45,11 +45,11 @@
 		if code := leave(2, "never-heard"); code != 200 {
 			t.Errorf("the leaving of one that nobody knows: %d", code)
 		}
-		z := vaultPrimary(w)
-		w.Process("archive", z).Kill()
-		w.Until("another primary", 5*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		z := controlPrimary(w)
+		w.Process("control", z).Kill()
+		w.Until("another primary", 5*time.Second, func() bool { return controlPrimary(w) != 0 })
 		for _, id := range []string{d.ID, "never-heard"} {
-			if code := w.post(vaultPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code != 200 || entry(id) != "" {
+			if code := w.post(controlPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code != 200 || entry(id) != "" {
 				t.Errorf("a late beat of %s: %d, and it is listed as %s", id, code, entry(id))
 			}
 			for other := 1; other <= 4; other++ {
@@ -65,12 +65,12 @@
 				})
 			}
 		}
-		w.Start("archive", z, false)
+		w.Start("control", z, false)
 	})
 }
 
 // LEFT-STAYS: a database that crashed and returned under a new id is not displaced by a late
-// beat of a life before, however many lives ago, at the archive that heard them
+// beat of a life before, however many lives ago, at the control node that heard them
 // all nor at another; nor is one of another service at that address.
 func TestLateBeatOfAnEarlierLife(t *testing.T) {
 	core(t, 4, 1, func(w *World, g *Group) {
@@ -78,12 +78,12 @@
 		late := func(id string) {
 			t.Helper()
 			beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":6,"status":"up","call_seq":1}`, d.addr)
-			if code := w.post(vaultPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code >= 400 && code < 500 {
+			if code := w.post(controlPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code >= 400 && code < 500 {
 				t.Errorf("a late beat of %s: %d", id, code)
 			}
 		}
 		listed := func() (out []string) {
-			state, err := w.Process("archive", vaultPrimary(w)).vault().Durable()
+			state, err := w.Process("control", controlPrimary(w)).replica().Durable()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -109,15 +109,15 @@
 		}
 		late(first)
 		expect("third")
-		w.Process("archive", vaultPrimary(w)).Kill()
-		w.Until("another primary", 5*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		w.Process("control", controlPrimary(w)).Kill()
+		w.Until("another primary", 5*time.Second, func() bool { return controlPrimary(w) != 0 })
 		late(first)
 		late("second")
 		expect("third")
 		d.Crash(false)
 		other := fmt.Appendf(nil, `{"svc":"lookup","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":9}`, d.addr)
 		w.Until("another's beat is taken", 3*time.Second, func() bool {
-			return w.post(vaultPrimary(w), "/Servers.Heartbeat/other", nil, other) == 200
+			return w.post(controlPrimary(w), "/Servers.Heartbeat/other", nil, other) == 200
 		})
 		late("third")
 		expect("other")
@@ -129,8 +129,8 @@
 func TestCallsWithOrders(t *testing.T) {
 	core(t, 4, 1, func(w *World, g *Group) {
 		base := func(text string) map[string]string { return map[string]string{"X-Indigowalk-Base-Version": text} }
-		z := vaultPrimary(w)
-		counted := func(name string) int64 { return w.Process("archive", z).Kernel.Counters.Snapshot()[name] }
+		z := controlPrimary(w)
+		counted := func(name string) int64 { return w.Process("control", z).Kernel.Counters.Snapshot()[name] }
 		for _, c := range []struct {
 			what   string
 			header map[string]string
@@ -141,7 +141,7 @@
 			{"no number", base("one"), w.Configuration(3), 400},
 			{"below the first", base("-1"), w.Configuration(3), 400},
 			{"blanks around it", base(" 1 "), w.Configuration(2), 200},
-			{"too large", base("2"), append(w.Configuration(3), make([]byte, catalogue.MaxBody)...), 413},
+			{"too large", base("2"), append(w.Configuration(3), make([]byte, routeconfig.MaxBody)...), 413},
 			{"cut off", base("2"), w.Configuration(3)[:99], 400},
 			{"9000 routes", base("2"), many(3, 9000), 200},
 			{"9000 routes again", base("2"), many(3, 9000), 200},
@@ -173,12 +173,12 @@
 			}
 			return got
 		}
-		for name, want := range map[string]int64{"registrar.answered_400": 4, "registrar.answered_408": 1, "registrar.answered_412": 1, "registrar.answered_413": 1} {
+		for name, want := range map[string]int64{"controlapi.answered_400": 4, "controlapi.answered_408": 1, "controlapi.answered_412": 1, "controlapi.answered_413": 1} {
 			if got := counted(name); got != want {
 				t.Errorf("counted %d of %s, want %d", got, name, want)
 			}
 		}
-		taken, lost, again := counted("catalogue.taken"), counted("catalogue.lost_race"), counted("catalogue.taken_before")
+		taken, lost, again := counted("routeconfig.taken"), counted("routeconfig.lost_race"), counted("routeconfig.taken_before")
 		if got := at(func(i int) []byte { return many(4, 3+i) }); got[200] != 1 || got[412] != 7 {
 			t.Errorf("eight orders under one number: %v", got)
 		}
@@ -191,7 +191,7 @@
 		if got := at(func(int) []byte { return many(4, routes) }); got[200] != 8 {
 			t.Errorf("one order eight times: %v", got)
 		}
-		if taken, lost, again = counted("catalogue.taken")-taken, counted("catalogue.lost_race")-lost, counted("catalogue.taken_before")-again; taken != 1 || lost != 14 || again != 9 {
+		if taken, lost, again = counted("routeconfig.taken")-taken, counted("routeconfig.lost_race")-lost, counted("routeconfig.taken_before")-again; taken != 1 || lost != 14 || again != 9 {
 			t.Errorf("counted %d taken, %d lost, %d taken before", taken, lost, again)
 		}
 
--- a/internal/rehearsal/catchup_test.go
+++ b/internal/simulation/catchup_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -9,25 +9,25 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
 )
 
-// members returns the zones whose archives keep the control state.
+// members returns the zones whose control nodes keep the control state.
 func members(w *World) (zones []int) {
-	z := vaultPrimary(w)
+	z := controlPrimary(w)
 	if z == 0 {
 		return nil
 	}
-	view, _ := w.Process("archive", z).vault().Primary()
+	view, _ := w.Process("control", z).replica().Primary()
 	for z := 1; z <= w.Zones; z++ {
-		if p := w.Process("archive", z); p != nil && view.Has(p.vault().Self()) {
+		if p := w.Process("control", z); p != nil && view.Has(p.replica().Self()) {
 			zones = append(zones, z)
 		}
 	}
 	return zones
 }
 
-// other returns the zone of a running archive that is none of those.
+// other returns the zone of a running control node that is none of those.
 func other(w *World, zones ...int) int {
 next:
 	for z := 1; z <= w.Zones; z++ {
@@ -36,7 +36,7 @@
 				continue next
 			}
 		}
-		if w.Process("archive", z) != nil {
+		if w.Process("control", z) != nil {
 			return z
 		}
 	}
@@ -45,11 +45,11 @@
 
 // change sets entries at the primary, and reports whether that was acknowledged.
 func change(w *World, entries map[string]string) bool {
-	z := vaultPrimary(w)
+	z := controlPrimary(w)
 	if z == 0 {
 		return false
 	}
-	return w.Process("archive", z).vault().Update(context.Background(), func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+	return w.Process("control", z).replica().Update(context.Background(), func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		out := map[string]json.RawMessage{}
 		for key, text := range entries {
 			raw, err := json.Marshal(text)
@@ -63,13 +63,13 @@
 }
 
 // durable returns the state at the primary.
-func durable(w *World) vault.State {
-	if z := vaultPrimary(w); z != 0 {
-		if s, err := w.Process("archive", z).vault().Durable(); err == nil {
+func durable(w *World) controlstate.State {
+	if z := controlPrimary(w); z != 0 {
+		if s, err := w.Process("control", z).replica().Durable(); err == nil {
 			return s
 		}
 	}
-	return vault.State{}
+	return controlstate.State{}
 }
 
 // A state of 5 MB, with single entries far above a chunk, travels over links of
@@ -87,23 +87,23 @@
 		for i := range 10 {
 			w.Until("a large entry is taken", 3*time.Second, func() bool { return change(w, map[string]string{fmt.Sprint("large/", i): big}) })
 		}
-		p := vaultPrimary(w)
+		p := controlPrimary(w)
 		backup := members(w)[0] + members(w)[1] - p
 
-		w.Process("archive", backup).Kill()
+		w.Process("control", backup).Kill()
 		took := w.Until("another backup", 10*time.Second, func() bool {
-			if vaultPrimary(w) != p || len(durable(w).Entries) == 0 {
+			if controlPrimary(w) != p || len(durable(w).Entries) == 0 {
 				t.Fatal("the primary lost its lease")
 			}
 			return len(members(w)) == 2
 		})
 		t.Logf("another backup after %v", took)
 		w.Until("a change is taken", time.Second, func() bool { return change(w, map[string]string{"small": "1"}) })
-		w.Start("archive", backup, false)
+		w.Start("control", backup, false)
 		time.Sleep(3 * time.Second)
 
-		w.Process("archive", p).Kill()
-		took = w.Until("the backup leads", 10*time.Second, func() bool { return vaultPrimary(w) != 0 })
+		w.Process("control", p).Kill()
+		took = w.Until("the backup leads", 10*time.Second, func() bool { return controlPrimary(w) != 0 })
 		t.Logf("taken over after %v", took)
 		w.Until("a change is taken", 3*time.Second, func() bool { return change(w, map[string]string{"small": "2"}) })
 		if s := durable(w); len(s.Entries["large/9"]) != len(big)+2 || string(s.Entries["small"]) != `"2"` {
@@ -112,7 +112,7 @@
 	})
 }
 
-// An archive that was away for some changes is needed again as a backup, while
+// A control node that was away for some changes is needed again as a backup, while
 // others change the state all the time: it is sent little more than what
 // changed, it has that within a second, and with its old state it never leads.
 func TestMemberCatchesUp(t *testing.T) {
@@ -144,9 +144,9 @@
 				}
 				w.Until("the entries are taken", time.Second, func() bool { return change(w, all) })
 				w.Until("a change is taken", time.Second, func() bool { return change(w, map[string]string{"entry/0": text}) })
-				p := vaultPrimary(w)
+				p := controlPrimary(w)
 				away := members(w)[0] + members(w)[1] - p
-				w.Process("archive", away).Kill()
+				w.Process("control", away).Kill()
 				w.Until("another backup", 5*time.Second, func() bool { return len(members(w)) == 2 })
 				last := 0
 				next := func() bool {
@@ -172,14 +172,14 @@
 					}
 				}()
 				before, _ := w.Net.Sent(ip(away))
-				w.Start("archive", away, false)
+				w.Start("control", away, false)
 				lost := other(w, away, p)
 				if c.primary {
 					lost, p = p, lost
 				}
-				w.Process("archive", lost).Kill()
+				w.Process("control", lost).Kill()
 				took := w.Until("it is a backup again", 5*time.Second, func() bool {
-					if vaultPrimary(w) == away {
+					if controlPrimary(w) == away {
 						t.Fatal("it leads with old state")
 					}
 					return len(members(w)) == 2
@@ -191,13 +191,13 @@
 				}
 				close(stop)
 				<-stopped
-				w.Start("archive", lost, false)
+				w.Start("control", lost, false)
 				time.Sleep(3 * time.Second) // until its register may vote again
 				w.Until("a change is taken", time.Second, next)
 				want := durable(w)
-				w.Process("archive", p).Kill()
-				w.Until("it leads", 5*time.Second, func() bool { return vaultPrimary(w) == away })
-				if got, err := w.Process("archive", away).vault().Read(fmt.Sprint("entry/", last%entries)); err != nil || string(got) != string(want.Entries[fmt.Sprint("entry/", last%entries)]) {
+				w.Process("control", p).Kill()
+				w.Until("it leads", 5*time.Second, func() bool { return controlPrimary(w) == away })
+				if got, err := w.Process("control", away).replica().Read(fmt.Sprint("entry/", last%entries)); err != nil || string(got) != string(want.Entries[fmt.Sprint("entry/", last%entries)]) {
 					t.Errorf("it leads with %.40s, %v", got, err)
 				}
 			})
--- a/internal/rehearsal/client.go
+++ b/internal/simulation/client.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -11,14 +11,14 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/folio"
+	"indigowalk/internal/lineprotocol"
 )
 
-// Session is a client's session at a desk.
+// Session is a client's session at a pooler.
 type Session struct {
 	w     *World
 	c     net.Conn
-	r     *folio.Reader
+	r     *lineprotocol.Reader
 	State string
 	ids   int
 	name  string
@@ -29,7 +29,7 @@
 	n int
 }
 
-// Login opens a session; ok is false if the desk answered with an error or
+// Login opens a session; ok is false if the pooler answered with an error or
 // not at all.
 func (w *World) Login(zone int, database string) (*Session, string) {
 	host := w.Net.Host(fmt.Sprintf("10.250.%d.2", zone))
@@ -41,10 +41,10 @@
 	}
 	sessionCount.Lock()
 	sessionCount.n++
-	s := &Session{w: w, c: c, r: folio.NewReader(c), name: "s" + strconv.Itoa(sessionCount.n)}
+	s := &Session{w: w, c: c, r: lineprotocol.NewReader(c), name: "s" + strconv.Itoa(sessionCount.n)}
 	sessionCount.Unlock()
 	c.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if _, err := c.Write(folio.AppendMessage(nil, "LOGIN", database, "who")); err != nil {
+	if _, err := c.Write(lineprotocol.AppendMessage(nil, "LOGIN", database, "who")); err != nil {
 		return nil, "cut"
 	}
 	line, err := s.r.Line()
@@ -64,33 +64,33 @@
 func (s *Session) Close() { s.c.Close() }
 
 // Raw sends bytes as they are and reads one answer.
-func (s *Session) Raw(b []byte, wait time.Duration) *folio.Answer {
+func (s *Session) Raw(b []byte, wait time.Duration) *lineprotocol.Answer {
 	s.c.SetReadDeadline(time.Now().Add(wait))
 	if _, err := s.c.Write(b); err != nil {
-		return &folio.Answer{Code: "cut"}
+		return &lineprotocol.Answer{Code: "cut"}
 	}
 	return s.Answer()
 }
 
 // Answer reads one answer; a connection that ends gives the code "cut".
-func (s *Session) Answer() *folio.Answer {
-	a, err := folio.ReadAnswer(s.r)
+func (s *Session) Answer() *lineprotocol.Answer {
+	a, err := lineprotocol.ReadAnswer(s.r)
 	if err != nil {
-		return &folio.Answer{Code: "cut", Text: err.Error()}
+		return &lineprotocol.Answer{Code: "cut", Text: err.Error()}
 	}
 	s.State = string(a.State)
 	return a
 }
 
 // Query runs one text and returns its answer and the id it had.
-func (s *Session) Query(text string) (*folio.Answer, string) {
+func (s *Session) Query(text string) (*lineprotocol.Answer, string) {
 	s.ids++
 	id := s.name + "." + strconv.Itoa(s.ids)
-	return s.Raw(folio.AppendMessage(nil, "QUERY", id, text), 6*time.Second), id
+	return s.Raw(lineprotocol.AppendMessage(nil, "QUERY", id, text), 6*time.Second), id
 }
 
 // Row returns the first field of the first row.
-func Row(a *folio.Answer) string {
+func Row(a *lineprotocol.Answer) string {
 	f := strings.Fields(string(a.Rows))
 	if len(f) < 2 {
 		return ""
@@ -121,7 +121,7 @@
 	at time.Time
 }
 
-// NewLoad starts writers and readers of the group at the desks of these zones,
+// NewLoad starts writers and readers of the group at the poolers of these zones,
 // of all if none are named.
 func (w *World) NewLoad(g *Group, seed uint64, zones ...int) *Load {
 	l := &Load{w: w, g: g, acks: map[string][]ack{}, promised: map[string]bool{}, stop: make(chan struct{}), lastServed: time.Now()}
@@ -185,7 +185,7 @@
 
 func promise(code string) bool {
 	switch code {
-	case folio.Retry, folio.RolledBack, folio.Lagging, folio.ReadOnly, folio.WrongNode, folio.MaxConn:
+	case lineprotocol.Retry, lineprotocol.RolledBack, lineprotocol.Lagging, lineprotocol.ReadOnly, lineprotocol.WrongNode, lineprotocol.MaxConn:
 		return true
 	}
 	return false
@@ -227,7 +227,7 @@
 	}
 }
 
-func (l *Load) note(a *folio.Answer, thing string, n int, id string) {
+func (l *Load) note(a *lineprotocol.Answer, thing string, n int, id string) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -248,7 +248,7 @@
 	}
 }
 
-// longestGap is the longest time between two writes served at a zone's desk.
+// longestGap is the longest time between two writes served at a zone's pooler.
 func (l *Load) longestGap(zone int) (longest time.Duration) {
 	var at []time.Time
 	for i := range 2 {
@@ -323,7 +323,7 @@
 	}
 }
 
-func (l *Load) check(a *folio.Answer, s *Session, kind, thing string, want int, id string) {
+func (l *Load) check(a *lineprotocol.Answer, s *Session, kind, thing string, want int, id string) {
 	got, _ := strconv.Atoi(Row(a))
 	l.g.mu.Lock()
 	defer l.g.mu.Unlock()
--- a/internal/rehearsal/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/rpc"
-	"indigowalk/internal/toolbox"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/tools"
 )
 
 // play runs a scenario on a booted and configured cluster of four zones with
@@ -180,16 +180,16 @@
 	})
 }
 
-func TestVaultPrimaryLostWithItsDisk(t *testing.T) {
+func TestControlPrimaryLostWithItsDisk(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		l := under(w, g, func() {
-			z := vaultPrimary(w)
-			w.Process("archive", z).Kill()
-			w.Until("another archive leads", 4*time.Second, func() bool { return vaultPrimary(w) != 0 })
+			z := controlPrimary(w)
+			w.Process("control", z).Kill()
+			w.Until("another control node leads", 4*time.Second, func() bool { return controlPrimary(w) != 0 })
 			w.Until("a change is taken", 4*time.Second, func() bool { return w.Replace(1+z%4, 1, w.Configuration(3)) == 200 })
-			p := &Process{w: w, dir: w.dir + "/archive-" + strconv.Itoa(z)}
+			p := &Process{w: w, dir: w.dir + "/control node-" + strconv.Itoa(z)}
 			p.Wipe()
-			w.Start("archive", z, false)
+			w.Start("control", z, false)
 			time.Sleep(4 * time.Second)
 		})
 		served(t, l, 2500*time.Millisecond)
@@ -199,10 +199,10 @@
 	})
 }
 
-// The desks' read leases outlast the silence of the archive that grants them.
-func TestDesksOutlastADarkVaultPrimary(t *testing.T) {
+// The poolers' read leases outlast the silence of the control node that grants them.
+func TestPoolersOutlastADarkControlPrimary(t *testing.T) {
 	play(t, func(w *World, g *Group) {
-		z := vaultPrimary(w)
+		z := controlPrimary(w)
 		if z == 1 {
 			g.DB(0).Drain() // so that the lead is not lost with the machine's zone
 			time.Sleep(3 * time.Second)
@@ -222,8 +222,8 @@
 			g.DB(1).Slow(1500 * time.Millisecond)
 			time.Sleep(6 * time.Second)
 			for z := 1; z <= 4; z++ {
-				if h := foundation.Need[*conservator.Conservator](w.Process("desk", z).Kernel); !h.Up(g.DB(1).ID) {
-					t.Errorf("desk %d holds the slow replica as down", z)
+				if h := kernel.Need[*health.Monitor](w.Process("pooler", z).Kernel); !h.Up(g.DB(1).ID) {
+					t.Errorf("pooler %d holds the slow replica as down", z)
 				}
 			}
 			g.DB(1).Slow(0)
@@ -247,7 +247,7 @@
 			t.Errorf("a read whose answer was lost: %q after %v", a.Code, time.Since(start))
 		}
 		g.Lead().Lose(1)
-		if a, _ := s.Query("PUT k 1"); a.Code != folio.Unknown {
+		if a, _ := s.Query("PUT k 1"); a.Code != lineprotocol.Unknown {
 			t.Errorf("a write whose answer was lost: %q", a.Code)
 		}
 		if a, _ := s.Query("FETCH k"); Row(a) != "1" {
@@ -256,19 +256,19 @@
 	})
 }
 
-// A release right after the archives changed hands must not wait for leases
-// that desks have acknowledged leaving.
+// A release right after the control nodes changed hands must not wait for leases
+// that poolers have acknowledged leaving.
 func TestReleaseAfterHandOver(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		old := g.Lead()
 		l := under(w, g, func() {
-			z := vaultPrimary(w)
+			z := controlPrimary(w)
 			go func() {
 				time.Sleep(300 * time.Millisecond)
 				old.Drain()
 			}()
-			w.Process("archive", z).Term()
-			w.Start("archive", z, false)
+			w.Process("control", z).Term()
+			w.Start("control", z, false)
 			w.Until("the next lead", 3*time.Second, func() bool { l := g.Lead(); return l != nil && l != old })
 		})
 		served(t, l, 1500*time.Millisecond)
@@ -295,8 +295,8 @@
 // What a faulty peer sends is counted and dropped.
 func TestFaultyPeer(t *testing.T) {
 	play(t, func(w *World, g *Group) {
-		z := vaultPrimary(w)
-		k := w.Process("archive", z).Kernel
+		z := controlPrimary(w)
+		k := w.Process("control", z).Kernel
 		host := w.Net.Host("10.250.0.9")
 		for _, text := range []string{"{\n", `{"id":1,"op":"nothing"}` + "\n"} {
 			c, err := host.Dial(context.Background(), ip(z)+":7440", 0)
@@ -317,46 +317,46 @@
 		u.WriteTo([]byte(`{"k":"fault","f":"10.250.0.9:7440","b":7}`), address(ip(z)+":7440"))
 		u.Close()
 
-		b := rpc.NewEndpoint(foundation.NewKernel("peer", host, slog.New(slog.DiscardHandler)), "10.250.0.9:7440")
+		b := rpc.NewEndpoint(kernel.NewKernel("peer", host, slog.New(slog.DiscardHandler)), "10.250.0.9:7440")
 		defer b.HangUp()
-		stranger := vault.Member{Name: "stranger", Addr: "10.250.0.9:7440", Disk: "foreign"}
+		stranger := controlstate.Member{Name: "stranger", Addr: "10.250.0.9:7440", Disk: "foreign"}
 		for op, ask := range map[string]any{
-			"vault.write":       map[string]any{"epoch": 0, "seq": 1, "changes": map[string]any{"configuration": nil}},
-			"vault.copy":        map[string]any{"epoch": 99, "seq": 9},
-			"subscription.poll": map[string]any{"desk": "", "life": 0},
+			"controlstate.write": map[string]any{"epoch": 0, "seq": 1, "changes": map[string]any{"configuration": nil}},
+			"controlstate.copy":  map[string]any{"epoch": 99, "seq": 9},
+			"distribution.poll":  map[string]any{"pooler": "", "life": 0},
 		} {
 			var refused *rpc.Refused
-			if err := b.Call(context.Background(), ip(z)+":7440", op, ask, nil, foundation.Second); !errors.As(err, &refused) {
+			if err := b.Call(context.Background(), ip(z)+":7440", op, ask, nil, kernel.Second); !errors.As(err, &refused) {
 				t.Errorf("%s: %v", op, err)
 			}
 		}
 		var renewed struct{ Granted bool }
-		old := vault.View{Epoch: 0, Primary: stranger, Backups: []vault.Member{stranger}}
-		if err := b.Call(context.Background(), ip(z)+":7440", "vault.renew", map[string]any{"view": old}, &renewed, foundation.Second); err != nil || renewed.Granted {
+		old := controlstate.View{Epoch: 0, Primary: stranger, Backups: []controlstate.Member{stranger}}
+		if err := b.Call(context.Background(), ip(z)+":7440", "controlstate.renew", map[string]any{"view": old}, &renewed, kernel.Second); err != nil || renewed.Granted {
 			t.Errorf("a stranger's lease: %v %v", renewed, err)
 		}
 		time.Sleep(time.Second)
 		n := k.Counters.Snapshot()
-		for _, c := range []string{"rpc.malformed", "circulation.malformed", "conservator.malformed", "subscription.malformed", "vault.old_epoch_refused"} {
+		for _, c := range []string{"rpc.malformed", "membership.malformed", "health.malformed", "distribution.malformed", "controlstate.old_epoch_refused"} {
 			if n[c] == 0 {
 				t.Errorf("%s is not counted", c)
 			}
 		}
-		if vaultPrimary(w) != z || w.Fetch() != 1 {
+		if controlPrimary(w) != z || w.Fetch() != 1 {
 			t.Error("a stranger changed the control state")
 		}
 	})
 }
 
-// vaultPrimary returns the zone of the archive that leads, after checking that
+// controlPrimary returns the zone of the control node that leads, after checking that
 // there is at most one per epoch.
-func vaultPrimary(w *World) int {
+func controlPrimary(w *World) int {
 	found := 0
 	for z := 1; z <= w.Zones; z++ {
-		if p := w.Process("archive", z); p != nil {
-			if _, left := foundation.Need[*vault.Vault](p.Kernel).Lease(); left > 0 {
+		if p := w.Process("control", z); p != nil {
+			if _, left := kernel.Need[*controlstate.Replica](p.Kernel).Lease(); left > 0 {
 				if found != 0 {
-					w.T.Errorf("archives %d and %d both hold a lease", found, z)
+					w.T.Errorf("control nodes %d and %d both hold a lease", found, z)
 				}
 				found = z
 			}
@@ -365,14 +365,14 @@
 	return found
 }
 
-func TestArchivesRestartOneAfterAnother(t *testing.T) {
+func TestControlNodesRestartOneAfterAnother(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		rev := int64(1)
 		l := under(w, g, func() {
 			for z := 1; z <= 4; z++ {
-				w.Process("archive", z).Term()
-				w.Until("a lead in order", 1500*time.Millisecond, func() bool { return vaultPrimary(w) != 0 })
-				w.Start("archive", z, false)
+				w.Process("control", z).Term()
+				w.Until("a lead in order", 1500*time.Millisecond, func() bool { return controlPrimary(w) != 0 })
+				w.Start("control", z, false)
 				w.Until("a change is taken", 3*time.Second, func() bool { return w.Replace(z, rev, w.Configuration(rev+2)) == 200 })
 				rev += 2
 				time.Sleep(time.Second)
@@ -391,10 +391,10 @@
 			t.Fatalf("answered %d", code)
 		}
 		for z := 1; z <= 4; z++ {
-			w.Process("archive", z).Kill()
+			w.Process("control", z).Kill()
 		}
 		for z := 1; z <= 4; z++ {
-			w.Start("archive", z, false)
+			w.Start("control", z, false)
 		}
 		w.Until("the version is read back", 8*time.Second, func() bool { return w.Fetch() == 9 })
 	})
@@ -423,24 +423,24 @@
 	})
 }
 
-// A desk that can't reach the archives must stop serving as at a primary when
+// A pooler that can't reach the control nodes must stop serving as at a primary when
 // its lease ends, and must not hold a promotion up for longer.
-func TestDeskCutFromArchives(t *testing.T) {
+func TestPoolerCutFromControlNodes(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		s, _ := w.Login(4, "p.ledger")
 		for z := 1; z <= 3; z++ {
 			w.Net.Cut(ip(4), ip(z), true)
 		}
-		w.Process("archive", 4).Kill()
+		w.Process("control", 4).Kill()
 		time.Sleep(3 * time.Second)
-		if a, _ := s.Query("FETCH t1"); a.Code != folio.Retry {
+		if a, _ := s.Query("FETCH t1"); a.Code != lineprotocol.Retry {
 			t.Errorf("a read at the primary without a lease: %q", a.Code)
 		}
 		s.Close()
 		lead := g.Lead()
 		lead.Crash(false)
 		z, _ := w.Login(1, "p.ledger")
-		w.Until("the other desks are served", 6*time.Second, func() bool {
+		w.Until("the other poolers are served", 6*time.Second, func() bool {
 			a, _ := z.Query("PUT t1 1")
 			return a.Code == ""
 		})
@@ -448,7 +448,7 @@
 	})
 }
 
-func TestDeskLeavesInOrder(t *testing.T) {
+func TestPoolerLeavesInOrder(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		idle, _ := w.Login(1, "p.ledger")
 		open, _ := w.Login(1, "p.ledger")
@@ -456,7 +456,7 @@
 		open.Query("PUT x 1")
 		done := make(chan struct{})
 		start := time.Now()
-		go func() { w.Process("desk", 1).Term(); close(done) }()
+		go func() { w.Process("pooler", 1).Term(); close(done) }()
 		time.Sleep(100 * time.Millisecond)
 		if code, _ := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(1)+":8785", "/readyz", nil, nil); code != 503 {
 			t.Errorf("ready while leaving: %d", code)
@@ -493,10 +493,10 @@
 						}
 						switch z := 1 + r.IntN(4); r.IntN(4) {
 						case 0:
-							if p := w.Process("archive", z); p != nil {
+							if p := w.Process("control", z); p != nil {
 								p.Kill()
 								time.Sleep(1500 * time.Millisecond)
-								w.Start("archive", z, false)
+								w.Start("control", z, false)
 							}
 						case 1:
 							if d := g.Lead(); d != nil {
@@ -509,12 +509,12 @@
 							time.Sleep(2 * time.Second)
 							w.Net.Cut(ip(z), ip(1+z%4), false)
 						case 3:
-							p := w.Process("desk", z)
+							p := w.Process("pooler", z)
 							p.Kill()
 							time.Sleep(time.Second)
-							w.Start("desk", z, false)
+							w.Start("pooler", z, false)
 						}
-						vaultPrimary(w)
+						controlPrimary(w)
 						time.Sleep(4 * time.Second)
 					}
 				})
@@ -527,13 +527,13 @@
 func TestBadInput(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		for _, c := range []struct{ text, code, state string }{
-			{"WAITPOS 1.1 FETCH x", folio.Malformed, "I"},
-			{"STAT", folio.Malformed, "I"},
-			{"FETCH", folio.Malformed, "I"},
-			{"RUN nobody x", folio.NoSuch, "I"},
-			{"CLOSE nobody", folio.NoSuch, "I"},
-			{"COMMIT", folio.Malformed, "I"},
-			{"PARSE a DROP x", folio.Malformed, "I"},
+			{"WAITPOS 1.1 FETCH x", lineprotocol.Malformed, "I"},
+			{"STAT", lineprotocol.Malformed, "I"},
+			{"FETCH", lineprotocol.Malformed, "I"},
+			{"RUN nobody x", lineprotocol.NoSuch, "I"},
+			{"CLOSE nobody", lineprotocol.NoSuch, "I"},
+			{"COMMIT", lineprotocol.Malformed, "I"},
+			{"PARSE a DROP x", lineprotocol.Malformed, "I"},
 			{"PUT x 1", "", "I"},
 		} {
 			s, _ := w.Login(1, "p.ledger")
@@ -542,12 +542,12 @@
 			}
 			s.Close()
 		}
-		if _, code := w.Login(1, "nowhere"); code != folio.NoDB {
+		if _, code := w.Login(1, "nowhere"); code != lineprotocol.NoDB {
 			t.Errorf("an unknown database: %q", code)
 		}
 		for _, c := range []struct{ sent, code string }{
-			{"QUERY 1 PUT x " + strings.Repeat("y", 1<<20) + "\r\n", folio.Oversize},
-			{"QUERY 1 FETCH x\n", folio.Malformed},
+			{"QUERY 1 PUT x " + strings.Repeat("y", 1<<20) + "\r\n", lineprotocol.Oversize},
+			{"QUERY 1 FETCH x\n", lineprotocol.Malformed},
 		} {
 			s, _ := w.Login(1, "p.ledger")
 			s.c.Write([]byte(c.sent))
@@ -589,7 +589,7 @@
 			t.Errorf("an open transaction shows: %s", x.Rows)
 		}
 		time.Sleep(4 * time.Second)
-		if x, _ := a.Query("COMMIT"); x.Code != folio.RolledBack || a.State != "I" {
+		if x, _ := a.Query("COMMIT"); x.Code != lineprotocol.RolledBack || a.State != "I" {
 			t.Errorf("after a long rest: %s in state %s", x.Code, a.State)
 		}
 		if x, _ := b.Query("FETCH k"); Row(x) != "1" {
@@ -604,9 +604,9 @@
 // follows, and what is missing is said.
 func TestStatusAndPlan(t *testing.T) {
 	play(t, func(w *World, g *Group) {
-		z := vaultPrimary(w)
+		z := controlPrimary(w)
 		host := w.Net.Host("10.250.0.9")
-		sys := toolbox.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
+		sys := tools.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
 		if len(sys.Reports) != 8 || len(sys.Missing) != 0 || sys.Primary() == nil {
 			t.Fatalf("%d reports, %v missing", len(sys.Reports), sys.Missing)
 		}
@@ -619,34 +619,34 @@
 			t.Errorf("status says:\n%s", text)
 		}
 		if text := says(false, ""); strings.Contains(text, "database ledger-1") || !strings.Contains(text, "databases: 3 of 1 services, 1 with a lead; 0 down") ||
-			!strings.Contains(text, "desks: 4 asked, 4 as most are, 0 differ") {
+			!strings.Contains(text, "poolers: 4 asked, 4 as most are, 0 differ") {
 			t.Errorf("in short:\n%s", text)
 		}
-		if text := says(false, "desk-2"); !strings.Contains(text, "desk desk-2 in z2") || strings.Contains(text, "desk-3") {
-			t.Errorf("of one desk:\n%s", text)
+		if text := says(false, "pooler-2"); !strings.Contains(text, "pooler pooler-2 in z2") || strings.Contains(text, "pooler-3") {
+			t.Errorf("of one pooler:\n%s", text)
 		}
 		p, err := sys.Make("release", "ledger-1", nil)
 		if err != nil || len(p.Warnings) != 0 || !strings.Contains(p.Effects[0], "[ledger-2 ledger-3]") || p.Headroom["ledger"] != 14 || p.Conns["ledger"] != 20 {
 			t.Errorf("release: %+v %v", p, err)
 		}
-		p, err = sys.Make("lose", fmt.Sprintf("archive-%d", z), nil)
-		if err != nil || !strings.Contains(strings.Join(p.Effects, "\n"), "takes over") || !strings.HasSuffix(p.Restart[7], fmt.Sprintf("archive-%d", z)) {
+		p, err = sys.Make("lose", fmt.Sprintf("control-%d", z), nil)
+		if err != nil || !strings.Contains(strings.Join(p.Effects, "\n"), "takes over") || !strings.HasSuffix(p.Restart[7], fmt.Sprintf("control-%d", z)) {
 			t.Errorf("loss: %+v %v", p, err)
 		}
 		p, err = sys.Make("grow", "40", nil)
 		if err != nil || p.Conns["ledger"] != 2 || len(p.Warnings) != 0 || !strings.Contains(strings.Join(p.Effects, "\n"), "44 members") {
-			t.Errorf("40 desks: %+v %v", p, err)
+			t.Errorf("40 poolers: %+v %v", p, err)
 		}
 		if p, err = sys.Make("grow", "91", nil); err != nil || len(p.Warnings) != 1 {
-			t.Errorf("91 desks on 90 connections: %+v %v", p, err)
+			t.Errorf("91 poolers on 90 connections: %+v %v", p, err)
 		}
 		if _, err := sys.Make("drain", "nothing", nil); err == nil {
 			t.Error("a drain of an unknown database was planned")
 		}
-		w.Process("desk", 2).Kill()
-		sys = toolbox.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
+		w.Process("pooler", 2).Kill()
+		sys = tools.Ask(context.Background(), host, []string{ip(z) + ":7440"}, true)
 		if len(sys.Reports) != 7 || len(sys.Missing) != 1 {
-			t.Errorf("with a desk gone: %d reports, %v missing", len(sys.Reports), sys.Missing)
+			t.Errorf("with a pooler gone: %d reports, %v missing", len(sys.Reports), sys.Missing)
 		}
 	})
 }
--- a/internal/rehearsal/cutoff_test.go
+++ b/internal/simulation/cutoff_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -11,14 +11,14 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
-	"indigowalk/internal/subscription"
-	"indigowalk/internal/toolbox"
+	"indigowalk/internal/tools"
 )
 
-// cutFromCore runs a scenario on a cluster of six zones, four with an archive,
+// cutFromCore runs a scenario on a cluster of six zones, four with a control node,
 // under a little load, with one machine of the core cut off from the others of the core
 // while f runs, and from nothing else. It returns the longest time for which no
 // write was served there.
@@ -26,12 +26,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := NewWorld(t, 1, 6)
-		w.Archives = 4
+		w.ControlNodes = 4
 		defer w.Close()
 		g := w.Group("ledger")
 		w.Boot()
 		w.Configure()
-		cut := vaultPrimary(w)
+		cut := controlPrimary(w)
 		if !leads {
 			cut = 1 + cut%4
 		}
@@ -47,7 +47,7 @@
 	return longest
 }
 
-// CutOffCarrierIsHelped: a carrier that reaches no archive but the one beside
+// CutOffCarrierIsHelped: a carrier that reaches no control node but the one beside
 // it, cut off as well, has its polls passed on by a peer. Its clients are served
 // on, it hears of a new configuration and of a new lead, and a move of a lead
 // does not wait for its lease.
@@ -60,8 +60,8 @@
 		longest := cutFromCore(t, leads, func(w *World, g *Group, cut int) {
 			end := time.Now().Add(span)
 			time.Sleep(4 * time.Second)
-			card := foundation.Need[*subscription.Card](w.Process("desk", cut).Kernel)
-			rev := func() int64 { _, _, rev, _ := card.Version(); return rev }
+			subscriber := kernel.Need[*distribution.Subscriber](w.Process("pooler", cut).Kernel)
+			rev := func() int64 { _, _, rev, _ := subscriber.Version(); return rev }
 			w.Until("a change is taken", 2*time.Second, func() bool { return w.Replace(1+cut%4, 1, w.Configuration(2)) == 200 })
 			if took := w.Until("the change is known there", 3*time.Second, func() bool { return rev() == 2 }); took > time.Second {
 				t.Errorf("a change was known after %v", took)
@@ -73,7 +73,7 @@
 				t.Errorf("a lead moved after %v", took)
 			}
 			time.Sleep(time.Until(end))
-			if _, _, _, left := card.Version(); left <= 0 {
+			if _, _, _, left := subscriber.Version(); left <= 0 {
 				t.Error("no lease")
 			}
 		})
@@ -84,62 +84,62 @@
 	}
 }
 
-// PassedOnOnce: of three carriers the second reaches the archive through the
+// PassedOnOnce: of three carriers the second reaches the control node through the
 // first only, and the third the second only. The second has a lease, measured from
 // before it asked; the third has none, since what was passed on once is not passed
 // on again, and it asks in moderation.
 func TestPassedOnOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const late, lease = 200 * time.Millisecond, 2500 * foundation.Millisecond
+		const late, lease = 200 * time.Millisecond, 2500 * kernel.Millisecond
 		n := NewNet(1)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		endpoint := func(host, addr string) (*foundation.Kernel, *rpc.Endpoint) {
-			k := foundation.NewKernel("desk", n.Host(host), slog.New(slog.DiscardHandler))
+		endpoint := func(host, addr string) (*kernel.Kernel, *rpc.Endpoint) {
+			k := kernel.NewKernel("pooler", n.Host(host), slog.New(slog.DiscardHandler))
 			return k, rpc.NewEndpoint(k, addr)
 		}
-		_, archive := endpoint("10.0.0.9", "10.0.0.9:7440")
-		archive.Handle("subscription.poll", func(context.Context, json.RawMessage) (any, error) {
+		_, controlNode := endpoint("10.0.0.9", "10.0.0.9:7440")
+		controlNode.Handle("distribution.poll", func(context.Context, json.RawMessage) (any, error) {
 			time.Sleep(late)
 			return map[string]any{"epoch": 1, "seq": 1, "lease_us": lease}, nil
 		})
-		go archive.Serve(ctx)
+		go controlNode.Serve(ctx)
 		hosts := []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"}
 		n.Cut(hosts[1], "10.0.0.9", true)
 		n.Cut(hosts[2], "10.0.0.9", true)
 		n.Cut(hosts[2], hosts[0], true)
-		cards, kernels := make([]*subscription.Card, 3), make([]*foundation.Kernel, 3)
+		subscribers, kernels := make([]*distribution.Subscriber, 3), make([]*kernel.Kernel, 3)
 		for i, host := range hosts {
 			k, b := endpoint(host, host+":7441")
 			peers := slices.DeleteFunc([]string{"10.0.0.1:7441", "10.0.0.2:7441", "10.0.0.3:7441"}, func(a string) bool { return a == host+":7441" })
-			cards[i], kernels[i] = subscription.NewCard(k, b, subscription.CardConfig{
-				Desk: host, Lease: lease, Poll: func() foundation.Micros { return 600 * foundation.Millisecond },
-				Archives: func() []string { return []string{"10.0.0.9:7440"} },
-				Peers:    func() []string { return peers },
-				Down:     func() map[string]int64 { return nil },
-				Applied:  func(map[string]accessions.Database) {},
-				Bounds:   func() subscription.DrainBounds { return subscription.DrainBounds{} },
+			subscribers[i], kernels[i] = distribution.NewSubscriber(k, b, distribution.SubscriberConfig{
+				Pooler: host, Lease: lease, Poll: func() kernel.Micros { return 600 * kernel.Millisecond },
+				ControlNodes: func() []string { return []string{"10.0.0.9:7440"} },
+				Peers:        func() []string { return peers },
+				Down:         func() map[string]int64 { return nil },
+				Applied:      func(map[string]discovery.Database) {},
+				Bounds:       func() distribution.DrainBounds { return distribution.DrainBounds{} },
 			}), k
 			go b.Serve(ctx)
-			go cards[i].Serve(ctx)
+			go subscribers[i].Serve(ctx)
 		}
 		time.Sleep(4 * time.Second)
-		most := foundation.Micros(0)
+		most := kernel.Micros(0)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
-			_, _, _, left := cards[1].Version()
+			_, _, _, left := subscribers[1].Version()
 			if most = max(most, left); left <= 0 {
 				t.Fatal("the second has no lease")
 			}
-			if _, _, _, left := cards[2].Version(); left > 0 {
+			if _, _, _, left := subscribers[2].Version(); left > 0 {
 				t.Fatal("a poll was passed on twice")
 			}
 		}
-		if most > lease-foundation.Micros(late.Microseconds()) {
+		if most > lease-kernel.Micros(late.Microseconds()) {
 			t.Errorf("a lease ran for %d us after its answer", most)
 		}
 		asked, refused := kernels[0].Counters.Snapshot(), kernels[2].Counters.Snapshot()
-		if asked["subscription.passed_on"] == 0 || asked["subscription.relayed"] != 0 || refused["subscription.relay_failed"] > 14*12 {
+		if asked["distribution.passed_on"] == 0 || asked["distribution.relayed"] != 0 || refused["distribution.relay_failed"] > 14*12 {
 			t.Errorf("the first: %v, the third: %v", asked, refused)
 		}
 		cancel()
@@ -156,13 +156,13 @@
 func TestMemberThatHearsNothingSendsOn(t *testing.T) {
 	for _, silent := range []bool{false, true} { // the primary; else the primary is the one that is cut off
 		core(t, 5, 2, func(w *World, g *Group) {
-			p := vaultPrimary(w)
-			view, _ := w.Process("archive", p).vault().Primary()
+			p := controlPrimary(w)
+			view, _ := w.Process("control", p).replica().Primary()
 			cut := p
 			if silent {
 				w.Net.Dark(ip(p), true)
 				for z := 1; z <= 5; z++ {
-					if z != p && !view.Has(w.Process("archive", z).vault().Self()) {
+					if z != p && !view.Has(w.Process("control", z).replica().Self()) {
 						cut = z
 					}
 				}
@@ -188,22 +188,22 @@
 	}
 }
 
-// UnsureIsNotCurrent: what an archive tells that does not lead is not shown as
+// UnsureIsNotCurrent: what a control node tells that does not lead is not shown as
 // the current state, nor planned on.
 func TestUnsureIsNotCurrent(t *testing.T) {
 	core(t, 4, 1, func(w *World, g *Group) {
-		cut := vaultPrimary(w)
+		cut := controlPrimary(w)
 		host, addr := w.Net.Host("10.250.0.9"), func(z int) string { return ip(z) + ":7440" }
-		before := toolbox.Ask(context.Background(), host, []string{addr(cut)}, false)
+		before := tools.Ask(context.Background(), host, []string{addr(cut)}, false)
 		w.Isolate(cut, true)
 		time.Sleep(4 * time.Second)
-		says := func(sys *toolbox.System) string {
+		says := func(sys *tools.System) string {
 			var text strings.Builder
 			sys.Print(&text, false, "")
 			return text.String()
 		}
-		alone := toolbox.Ask(context.Background(), host, []string{addr(cut)}, false)
-		name := fmt.Sprintf("archive-%d", cut)
+		alone := tools.Ask(context.Background(), host, []string{addr(cut)}, false)
+		name := fmt.Sprintf("control-%d", cut)
 		if text := says(alone); !strings.Contains(text, "not current, no primary among those asked; the last that "+name+" heard of is epoch") ||
 			!strings.Contains(text, "hears no primary") || strings.Contains(text, "configuration: version") {
 			t.Errorf("the one that is cut off says:\n%s", text)
@@ -211,15 +211,15 @@
 		if _, err := alone.Make("restart", "", nil); err == nil {
 			t.Error("planned on what a member says that does not lead")
 		}
-		all := toolbox.Ask(context.Background(), host, []string{addr(1), addr(2), addr(3), addr(4)}, false)
+		all := tools.Ask(context.Background(), host, []string{addr(1), addr(2), addr(3), addr(4)}, false)
 		if p := all.Primary(); p == nil || p.Node == name || strings.Contains(says(all), "not current") || !strings.Contains(says(all), name+" in") {
 			t.Errorf("all say:\n%s", says(all))
 		}
 		// What was asked before the cut, beside what others have heard since.
-		mixed := &toolbox.System{Reports: append(before.Reports, toolbox.Ask(context.Background(), host, []string{addr(1 + cut%4)}, false).Reports...)}
+		mixed := &tools.System{Reports: append(before.Reports, tools.Ask(context.Background(), host, []string{addr(1 + cut%4)}, false).Reports...)}
 		mixed.Reports[1].LeaseUs = 0
 		plan, err := mixed.Make("restart", "", nil)
-		if !strings.Contains(says(mixed), "not current: archive-") || err != nil || len(plan.Warnings) != 1 {
+		if !strings.Contains(says(mixed), "not current: control-") || err != nil || len(plan.Warnings) != 1 {
 			t.Errorf("mixed, %v, %v:\n%s", plan, err, says(mixed))
 		}
 	})
--- a/internal/rehearsal/database.go
+++ b/internal/simulation/database.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/folio"
+	"indigowalk/internal/lineprotocol"
 )
 
 // Group is a service's databases and what must hold between them.
@@ -30,7 +30,7 @@
 }
 
 type entry struct {
-	pos         folio.Position
+	pos         lineprotocol.Position
 	id          string
 	thing, data string
 }
@@ -50,7 +50,7 @@
 	deaf     bool
 	alive    bool
 	draining bool
-	leftAt   time.Time // when an archive first acknowledged that it drains
+	leftAt   time.Time // when a control node first acknowledged that it drains
 	seq      int64
 	beatAddr string
 	stop     chan struct{}
@@ -203,22 +203,22 @@
 	}
 }
 
-func (d *Database) pos() folio.Position {
+func (d *Database) pos() lineprotocol.Position {
 	if len(d.log) == 0 {
-		return folio.Position{Term: d.term}
+		return lineprotocol.Position{Term: d.term}
 	}
 	return d.log[len(d.log)-1].pos
 }
 
 // commit appends at the primary and waits until one replica has received it.
-func (d *Database) commit(writes []entry) (folio.Position, bool) {
+func (d *Database) commit(writes []entry) (lineprotocol.Position, bool) {
 	g := d.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if d.role != "primary" {
-		return folio.Position{}, false
+		return lineprotocol.Position{}, false
 	}
-	pos := folio.Position{Term: d.term, Number: int64(len(d.log)) + 1}
+	pos := lineprotocol.Position{Term: d.term, Number: int64(len(d.log)) + 1}
 	for _, e := range writes {
 		if d.ran[e.id] {
 			g.broke("TWICE: %s took effect twice", e.id)
@@ -229,7 +229,7 @@
 	}
 	for {
 		if !d.alive || d.role != "primary" {
-			return folio.Position{}, false
+			return lineprotocol.Position{}, false
 		}
 		received := false
 		for _, r := range g.dbs {
@@ -336,7 +336,7 @@
 	}
 }
 
-// call makes a call to the first archive that acknowledges it, if any does.
+// call makes a call to the first control node that acknowledges it, if any does.
 func (d *Database) call(path string, body []byte) bool {
 	for _, a := range d.g.w.ControlAddrs() {
 		if code, _ := d.g.w.Call(d.Host, "POST", a, path, nil, body); code == 200 {
@@ -362,7 +362,7 @@
 // serve speaks the wire with one caller.
 func (d *Database) serve(c net.Conn) {
 	defer c.Close()
-	r := folio.NewReader(c)
+	r := lineprotocol.NewReader(c)
 	line, err := r.Line()
 	if err != nil {
 		return
@@ -372,7 +372,7 @@
 	id, alive := d.ID, d.alive
 	d.g.mu.Unlock()
 	if len(f) < 3 || f[0] != "LOGIN" || f[1] != d.g.Service || len(f) > 3 && f[3] != id {
-		c.Write(folio.AppendMessage(nil, "ERROR", folio.WrongNode, id))
+		c.Write(lineprotocol.AppendMessage(nil, "ERROR", lineprotocol.WrongNode, id))
 		return
 	}
 	if !alive {
@@ -380,7 +380,7 @@
 	}
 	d.work(2 * time.Millisecond)
 	s := &dbSession{d: d, state: 'I', values: map[string]string{}, names: map[string]string{}}
-	out := folio.AppendMessage(nil, "IDLE", "I", d.position())
+	out := lineprotocol.AppendMessage(nil, "IDLE", "I", d.position())
 	for {
 		if len(out) > 0 {
 			if _, err := c.Write(out); err != nil {
@@ -390,11 +390,11 @@
 		if line, err = r.Line(); err != nil {
 			return
 		}
-		word, rest := folio.Word(line)
+		word, rest := lineprotocol.Word(line)
 		if string(word) != "QUERY" {
 			return
 		}
-		qid, text := folio.Word(rest)
+		qid, text := lineprotocol.Word(rest)
 		a := s.query(string(qid), string(text))
 		if a == nil {
 			return
@@ -421,13 +421,15 @@
 	begun  bool // a transaction, in which nothing has run yet
 }
 
-func fail(code, text string) *folio.Answer { return &folio.Answer{Code: code, Text: text} }
+func fail(code, text string) *lineprotocol.Answer {
+	return &lineprotocol.Answer{Code: code, Text: text}
+}
 
 // query runs one text; nil cuts the connection.
-func (s *dbSession) query(id, text string) *folio.Answer {
+func (s *dbSession) query(id, text string) *lineprotocol.Answer {
 	d, g := s.d, s.d.g
 	verb, rest, _ := strings.Cut(text, " ")
-	done := &folio.Answer{Seal: "-"}
+	done := &lineprotocol.Answer{Seal: "-"}
 	switch verb {
 	case "OPTION":
 		k, v, _ := strings.Cut(rest, " ")
@@ -445,17 +447,17 @@
 		return d.control(verb, rest)
 	case "WAITPOS":
 		p, then, _ := strings.Cut(rest, " ")
-		want, ok := folio.ParsePosition(p)
+		want, ok := lineprotocol.ParsePosition(p)
 		g.mu.Lock()
 		behind := d.pos().Less(want)
 		g.mu.Unlock()
 		if !ok || behind {
-			return fail(folio.Lagging, d.ID)
+			return fail(lineprotocol.Lagging, d.ID)
 		}
 		return s.query(id, then)
 	case "BEGIN":
 		if rest == "" && d.Role() != "primary" {
-			return fail(folio.ReadOnly, d.ID)
+			return fail(lineprotocol.ReadOnly, d.ID)
 		}
 		s.state, s.writes, s.begun = 'T', nil, true
 		return done
@@ -466,7 +468,7 @@
 		name, arg, _ := strings.Cut(rest, " ")
 		shape, ok := s.names[name]
 		if !ok {
-			return fail(folio.NoSuch, name)
+			return fail(lineprotocol.NoSuch, name)
 		}
 		verb, _, _ = strings.Cut(shape, " ")
 		rest = arg
@@ -487,7 +489,7 @@
 	case "PUT":
 		thing, data, _ := strings.Cut(rest, " ")
 		if d.Role() != "primary" {
-			return s.failed(folio.ReadOnly)
+			return s.failed(lineprotocol.ReadOnly)
 		}
 		s.writes = append(s.writes, entry{id: id, thing: thing, data: data})
 		if s.state == 'T' {
@@ -498,24 +500,24 @@
 		s.state = 'I'
 		return s.commit()
 	}
-	return fail(folio.Malformed, text)
+	return fail(lineprotocol.Malformed, text)
 }
 
-func (s *dbSession) failed(code string) *folio.Answer {
+func (s *dbSession) failed(code string) *lineprotocol.Answer {
 	if s.state == 'T' {
 		s.state = 'E'
 	}
 	return fail(code, s.d.ID)
 }
 
-func (g *Group) seal() *folio.Answer {
+func (g *Group) seal() *lineprotocol.Answer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.seals++
-	return &folio.Answer{Seal: "seal." + strconv.Itoa(g.seals)}
+	return &lineprotocol.Answer{Seal: "seal." + strconv.Itoa(g.seals)}
 }
 
-func (s *dbSession) commit() *folio.Answer {
+func (s *dbSession) commit() *lineprotocol.Answer {
 	writes := s.writes
 	s.writes = nil
 	if len(writes) == 0 {
@@ -528,12 +530,12 @@
 		if !alive {
 			return nil
 		}
-		return fail(folio.ReadOnly, s.d.ID)
+		return fail(lineprotocol.ReadOnly, s.d.ID)
 	}
 	return s.d.g.seal()
 }
 
-func (s *dbSession) fetch(thing string) *folio.Answer {
+func (s *dbSession) fetch(thing string) *lineprotocol.Answer {
 	g := s.d.g
 	a := g.seal()
 	g.mu.Lock()
@@ -549,7 +551,7 @@
 			value = e.data
 		}
 	}
-	a.Rows = folio.AppendMessage(nil, "ROW", value, s.shown())
+	a.Rows = lineprotocol.AppendMessage(nil, "ROW", value, s.shown())
 	return a
 }
 
@@ -558,7 +560,7 @@
 	return fmt.Sprint(len(s.values), ":", s.values["colour"])
 }
 
-func (d *Database) control(verb, arg string) *folio.Answer {
+func (d *Database) control(verb, arg string) *lineprotocol.Answer {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
 	term, _ := strconv.ParseInt(arg, 10, 64)
@@ -566,7 +568,7 @@
 	case "PAUSE":
 		if d.role == "replica" { // a primary answers, and is not paused
 			if term <= d.term || term < d.held {
-				return fail(folio.Malformed, "term")
+				return fail(lineprotocol.Malformed, "term")
 			}
 			d.held = term
 		}
@@ -580,5 +582,5 @@
 	}
 	var row bytes.Buffer
 	fmt.Fprintf(&row, "%s %d %s %d 0 0 0", d.role, d.term, d.pos(), d.held)
-	return &folio.Answer{Rows: folio.AppendMessage(nil, "ROW", row.String()), Seal: "-"}
+	return &lineprotocol.Answer{Rows: lineprotocol.AppendMessage(nil, "ROW", row.String()), Seal: "-"}
 }
--- a/internal/rehearsal/drain_test.go
+++ b/internal/simulation/drain_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"testing"
--- a/internal/rehearsal/full_test.go
+++ b/internal/simulation/full_test.go
@@ -1,18 +1,18 @@
-package rehearsal
+package simulation
 
 import (
 	"testing"
 	"time"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/subscription"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/kernel"
 )
 
-// taken tells whether every desk has the version of the configuration.
+// taken tells whether every pooler has the version of the configuration.
 func (w *World) taken(rev int64) bool {
 	for z := 1; z <= w.Zones; z++ {
-		card := foundation.Need[*subscription.Card](w.Process("desk", z).Kernel)
-		if _, _, has, _ := card.Version(); has < rev {
+		subscriber := kernel.Need[*distribution.Subscriber](w.Process("pooler", z).Kernel)
+		if _, _, has, _ := subscriber.Version(); has < rev {
 			return false
 		}
 	}
@@ -20,7 +20,7 @@
 }
 
 // NewsInTime: a primary that takes no bytes holds up those who send to it, and
-// nothing else: desks take a new configuration, and their other work goes on.
+// nothing else: poolers take a new configuration, and their other work goes on.
 func TestAPrimaryThatTakesNothing(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		l := under(w, g, func() {
@@ -28,7 +28,7 @@
 			w.Net.Full(lead.Host.IP, true)
 			time.Sleep(500 * time.Millisecond)
 			changed(w, 1, 7)
-			w.Until("all desks have it", time.Second, func() bool { return w.taken(7) })
+			w.Until("all poolers have it", time.Second, func() bool { return w.taken(7) })
 			time.Sleep(2 * time.Second)
 			w.Net.Full(lead.Host.IP, false)
 		})
--- a/internal/rehearsal/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 )
 
 // serveRequests runs a scenario on a booted and configured cluster of four
-// zones whose turnstiles serve one service of eight databases.
+// zones whose gateways serve one service of eight databases.
 func serveRequests(t *testing.T, f func(w *World, s *Service)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -222,8 +222,8 @@
 	})
 }
 
-// A turnstile that leaves answers what it has taken, and tells clients to go.
-func TestTurnstileLeaves(t *testing.T) {
+// A gateway that leaves answers what it has taken, and tells clients to go.
+func TestGatewayLeaves(t *testing.T) {
 	serveRequests(t, func(w *World, s *Service) {
 		s.DB(0).Work, s.DB(1).Work = 300*time.Millisecond, 300*time.Millisecond
 		ends := make(chan Answer, 6)
@@ -231,7 +231,7 @@
 			go func() { ends <- s.Ask(1, fmt.Sprint("under-way-", i), false, "x") }()
 		}
 		time.Sleep(100 * time.Millisecond)
-		go w.Process("turnstile", 1).Term()
+		go w.Process("gateway", 1).Term()
 		for range 6 {
 			if a := <-ends; a.Status != 200 {
 				t.Errorf("what was under way ended with %d", a.Status)
@@ -239,7 +239,7 @@
 		}
 		a := s.Ask(1, "late", true, "")
 		if a.Status != 200 || !a.Closes {
-			t.Errorf("a request of a leaving turnstile: %d, its connection closes: %v", a.Status, a.Closes)
+			t.Errorf("a request of a leaving gateway: %d, its connection closes: %v", a.Status, a.Closes)
 		}
 		time.Sleep(7 * time.Second)
 	})
@@ -249,12 +249,12 @@
 func TestGatewayReturns(t *testing.T) {
 	serveRequests(t, func(w *World, s *Service) {
 		for z := 1; z <= 4; z++ {
-			w.Process("archive", z).Kill()
-			w.Process("turnstile", z).Kill()
+			w.Process("control", z).Kill()
+			w.Process("gateway", z).Kill()
 		}
 		for z := 1; z <= 4; z++ {
-			w.Start("archive", z, false)
-			w.Start("turnstile", z, false)
+			w.Start("control", z, false)
+			w.Start("gateway", z, false)
 		}
 		w.Until("requests are served", 6*time.Second, func() bool {
 			return s.Ask(2, fmt.Sprint("again-", time.Now().UnixMicro()), true, "").Status == 200
@@ -266,7 +266,7 @@
 }
 
 // Changes of named items: taken once, on the version that they build on, and
-// followed by every turnstile.
+// followed by every gateway.
 func TestUpdateOfNamedItems(t *testing.T) {
 	serveRequests(t, func(w *World, s *Service) {
 		send := func(base int, body string) int {
--- a/internal/rehearsal/grown_test.go
+++ b/internal/simulation/grown_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"encoding/json"
@@ -7,21 +7,21 @@
 	"testing/synctest"
 	"time"
 
-	"indigowalk/internal/circulation"
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/subscription"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/membership"
 )
 
-// Some three hundred desks and a hundred services: what each desk is sent in a
+// Some three hundred poolers and a hundred services: what each pooler is sent in a
 // quiet second, for one change and for one crash must not grow with what there
 // is.
-func TestManyDesksAndServices(t *testing.T) {
+func TestManyPoolersAndServices(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const desks, archives, services = 300, 6, 120
-		w := NewWorld(t, 1, desks)
-		w.Archives, w.Losses, w.MaxConns = archives, 2, 1200
+		const poolers, controlNodes, services = 300, 6, 120
+		w := NewWorld(t, 1, poolers)
+		w.ControlNodes, w.Losses, w.MaxConns = controlNodes, 2, 1200
 		defer w.Close()
 		for i := range services {
 			w.Group(fmt.Sprintf("ledger%02d", i))
@@ -37,12 +37,12 @@
 				"svc": "ledger00", "deadline_ms": 4000, "target_ms": 600, "prio": 2, "tries": 2, "stale_ms": 1500,
 			})
 		}
-		// during returns the most that any desk without an archive was sent in
+		// during returns the most that any pooler without a control node was sent in
 		// that span.
 		during := func(span time.Duration) (bytes, datagrams int) {
 			type sent struct{ bytes, datagrams int }
 			before := map[int]sent{}
-			for z := archives + 1; z <= desks; z++ {
+			for z := controlNodes + 1; z <= poolers; z++ {
 				b, d := w.Net.Sent(ip(z))
 				before[z] = sent{b, d}
 			}
@@ -63,49 +63,49 @@
 		}
 		send(1, 0)
 		if got, _ := during(3 * time.Second); got > 200_000 {
-			t.Errorf("up to %d bytes to a desk while all start", got)
+			t.Errorf("up to %d bytes to a pooler while all start", got)
 		}
 		time.Sleep(4 * time.Second)
 		if got, datagrams := during(7 * time.Second); got > 7*3000 || datagrams > 7*15 {
-			t.Errorf("up to %d bytes in %d datagrams to a desk in 7 quiet seconds", got, datagrams)
+			t.Errorf("up to %d bytes in %d datagrams to a pooler in 7 quiet seconds", got, datagrams)
 		}
-		for z := 1; z <= desks; z++ {
-			k := w.Process("desk", z).Kernel
-			if n := len(foundation.Need[*circulation.Ring](k).Members()); n != desks+archives {
-				t.Errorf("desk %d knows %d members", z, n)
+		for z := 1; z <= poolers; z++ {
+			k := w.Process("pooler", z).Kernel
+			if n := len(kernel.Need[*membership.Ring](k).Members()); n != poolers+controlNodes {
+				t.Errorf("pooler %d knows %d members", z, n)
 			}
-			if !foundation.Need[*subscription.Card](k).Ready() {
-				t.Errorf("desk %d is not ready", z)
+			if !kernel.Need[*distribution.Subscriber](k).Ready() {
+				t.Errorf("pooler %d is not ready", z)
 			}
 		}
 		quiet, _ := during(time.Second)
 		conf["routes"].([]any)[7].(map[string]any)["deadline_ms"] = 1500
 		send(2, 1)
 		if got, _ := during(time.Second); got > quiet+4000 {
-			t.Errorf("a change of one of 1590 routes: up to %d bytes to a desk, %d in a quiet second", got, quiet)
+			t.Errorf("a change of one of 1590 routes: up to %d bytes to a pooler, %d in a quiet second", got, quiet)
 		}
 
 		g := w.Groups["ledger07"]
 		lead := g.Lead()
-		for z := 1; z <= desks; z++ { // every desk has a connection to it
+		for z := 1; z <= poolers; z++ { // every pooler has a connection to it
 			s, code := w.Login(z, "p.ledger07")
 			if s == nil {
-				t.Fatalf("login at desk %d: %s", z, code)
+				t.Fatalf("login at pooler %d: %s", z, code)
 			}
 			if a, _ := s.Query("FETCH k"); a.Code != "" {
-				t.Fatalf("desk %d: %s", z, a.Code)
+				t.Fatalf("pooler %d: %s", z, a.Code)
 			}
 			defer s.Close()
 		}
 		lead.Crash(false)
 		if bytes, datagrams := during(500 * time.Millisecond); bytes > 10_000 || datagrams > 40 {
-			t.Errorf("a crash that all desks saw: up to %d bytes in %d datagrams to a desk", bytes, datagrams)
+			t.Errorf("a crash that all poolers saw: up to %d bytes in %d datagrams to a pooler", bytes, datagrams)
 		}
 		w.Until("the next lead", 3*time.Second, func() bool { l := g.Lead(); return l != nil && l != lead })
 		time.Sleep(time.Second)
-		for z := 1; z <= desks; z++ {
-			if down := foundation.Need[*conservator.Conservator](w.Process("desk", z).Kernel).Down(); len(down) != 1 {
-				t.Errorf("desk %d holds as down %v", z, down)
+		for z := 1; z <= poolers; z++ {
+			if down := kernel.Need[*health.Monitor](w.Process("pooler", z).Kernel).Down(); len(down) != 1 {
+				t.Errorf("pooler %d holds as down %v", z, down)
 			}
 		}
 		if n := w.Calls(); n != 1 {
@@ -114,14 +114,14 @@
 	})
 }
 
-// The primary archive is lost right after it has acknowledged a change that few
-// have heard of: another, which has followed what changed, tells each desk that
+// The primary control node is lost right after it has acknowledged a change that few
+// have heard of: another, which has followed what changed, tells each pooler that
 // and not all there is.
 func TestAnotherPrimaryTellsWhatChanged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const desks, archives = 24, 4
-		w := NewWorld(t, 1, desks)
-		w.Archives = archives
+		const poolers, controlNodes = 24, 4
+		w := NewWorld(t, 1, poolers)
+		w.ControlNodes = controlNodes
 		defer w.Close()
 		for i := range 40 {
 			w.Group(fmt.Sprintf("ledger%02d", i))
@@ -130,30 +130,30 @@
 		w.Configure()
 		time.Sleep(5 * time.Second)
 		lost := 0
-		for z := 1; z <= archives; z++ {
-			if _, leads := foundation.Need[*vault.Vault](w.Process("archive", z).Kernel).Primary(); leads {
+		for z := 1; z <= controlNodes; z++ {
+			if _, leads := kernel.Need[*controlstate.Replica](w.Process("control", z).Kernel).Primary(); leads {
 				lost = z
 			}
 		}
 		if code := w.Replace(lost, 1, w.Configuration(2)); code != 200 {
 			t.Fatalf("the change is answered %d", code)
 		}
-		w.Process("archive", lost).Kill()
+		w.Process("control", lost).Kill()
 		most := 0
 		before := map[int]int{}
-		for z := archives + 1; z <= desks; z++ {
+		for z := controlNodes + 1; z <= poolers; z++ {
 			before[z], _ = w.Net.Sent(ip(z))
 		}
 		time.Sleep(4 * time.Second)
-		for z := archives + 1; z <= desks; z++ {
+		for z := controlNodes + 1; z <= poolers; z++ {
 			now, _ := w.Net.Sent(ip(z))
 			most = max(most, now-before[z])
-			if _, _, rev, _ := foundation.Need[*subscription.Card](w.Process("desk", z).Kernel).Version(); rev != 2 {
-				t.Errorf("desk %d has version %d", z, rev)
+			if _, _, rev, _ := kernel.Need[*distribution.Subscriber](w.Process("pooler", z).Kernel).Version(); rev != 2 {
+				t.Errorf("pooler %d has version %d", z, rev)
 			}
 		}
 		if most > 11_000 {
-			t.Errorf("up to %d bytes to a desk", most)
+			t.Errorf("up to %d bytes to a pooler", most)
 		}
 	})
 }
--- a/internal/rehearsal/leaving_test.go
+++ b/internal/simulation/leaving_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -16,10 +16,10 @@
 	return bytes.ReplaceAll(w.Configuration(rev), []byte(`"deadline_ms":2000`), []byte(`"deadline_ms":30000`))
 }
 
-// EveryStatementIsAnswered: a desk that leaves answers whatever it has read, also
+// EveryStatementIsAnswered: a pooler that leaves answers whatever it has read, also
 // statements that wait for a place at a database, for an answer that never comes,
 // or, in a transaction, for either; each as far as is known of it.
-func TestALeavingDeskAnswersEverything(t *testing.T) {
+func TestALeavingPoolerAnswersEverything(t *testing.T) {
 	for name, c := range map[string]struct {
 		before []string // statements that are answered before
 		ask    string
@@ -51,7 +51,7 @@
 					busy(w, 60)
 				}
 				start := time.Now()
-				time.AfterFunc(10*time.Millisecond, w.Process("desk", 1).Term)
+				time.AfterFunc(10*time.Millisecond, w.Process("pooler", 1).Term)
 				a := s.Raw(fmt.Appendf(nil, "QUERY q1 %s\r\n", c.ask), 20*time.Second)
 				if took := time.Since(start); a.Code != c.want || took > grace-200*time.Millisecond {
 					t.Errorf("answered %q %q after %v, want %s", a.Code, a.Text, took, c.want)
@@ -113,7 +113,7 @@
 		go func() { answers <- ask("GET", "/safe/a") }()
 		go func() { answers <- ask("POST", "/unsafe/b") }()
 		time.Sleep(100 * time.Millisecond)
-		w.Process("turnstile", 1).Kernel.Leave(context.Background())
+		w.Process("gateway", 1).Kernel.Leave(context.Background())
 		for range 2 {
 			if a := <-answers; a.Status != 502 || a.Took > grace {
 				t.Errorf("answered %d after %v", a.Status, a.Took)
--- a/internal/rehearsal/net.go
+++ b/internal/simulation/net.go
@@ -1,8 +1,8 @@
-// Package rehearsal is a simulated world for tests: hosts on one network with
+// Package simulation is a simulated world for tests: hosts on one network with
 // delay, loss, duplication and cuts, databases and a platform that follow
 // their published protocol, and whole clusters of indigowalk's own processes,
 // all inside one test process on the test's clock.
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
 )
 
 // Net is the network between hosts, by IP address.
@@ -213,7 +213,7 @@
 	once   sync.Once
 }
 
-// Listen implements foundation.Network.
+// Listen implements kernel.Network.
 func (h *Host) Listen(addr string) (net.Listener, error) {
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
@@ -253,8 +253,8 @@
 func (address) Network() string  { return "tcp" }
 func (a address) String() string { return string(a) }
 
-// Dial implements foundation.Network.
-func (h *Host) Dial(ctx context.Context, addr string, silence foundation.Micros) (net.Conn, error) {
+// Dial implements kernel.Network.
+func (h *Host) Dial(ctx context.Context, addr string, silence kernel.Micros) (net.Conn, error) {
 	n := h.n
 	fail := func(err error) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Addr: address(addr), Err: err}
@@ -424,7 +424,7 @@
 	c.wake.Broadcast()
 }
 
-// TryWrite implements foundation.TryWriter.
+// TryWrite implements kernel.TryWriter.
 func (c *conn) TryWrite(b []byte) (int, error) {
 	if c.n.takesNothing(c.remote) {
 		return 0, nil
@@ -507,7 +507,7 @@
 	b    []byte
 }
 
-// ListenPacket implements foundation.Network.
+// ListenPacket implements kernel.Network.
 func (h *Host) ListenPacket(addr string) (net.PacketConn, error) {
 	h.n.mu.Lock()
 	defer h.n.mu.Unlock()
--- a/internal/rehearsal/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -14,9 +14,9 @@
 	"testing"
 	"time"
 
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/routeconfig"
 )
 
 // body is the order as it is sent, to routes of the service.
@@ -51,7 +51,7 @@
 
 // readBack is what a configuration holds; 0 if there is none.
 func readBack(raw []byte) (rev int64, routes map[string]int64) {
-	var c catalogue.Configuration
+	var c routeconfig.Configuration
 	if len(raw) == 0 || json.Unmarshal(raw, &c) != nil {
 		return 0, nil
 	}
@@ -68,7 +68,7 @@
 
 func (s *crashing) Read(key string) (json.RawMessage, error) { return s.lasting[key], nil }
 
-func (s *crashing) Update(_ context.Context, change vault.ChangeFunc) error {
+func (s *crashing) Update(_ context.Context, change controlstate.ChangeFunc) error {
 	changes, err := change(s.next)
 	if err == nil {
 		maps.Copy(s.next, changes)
@@ -86,8 +86,8 @@
 		rng := rand.New(rand.NewPCG(seed, 2))
 		s := &crashing{lasting: map[string]json.RawMessage{}}
 		h := &history{}
-		start := func() *catalogue.Catalogue {
-			return catalogue.New(foundation.NewKernel("archive", nil, slog.New(slog.DiscardHandler)), s, kept)
+		start := func() *routeconfig.Registry {
+			return routeconfig.New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), s, kept)
 		}
 		c := start()
 		known := make([]int64, 4) // by operator
@@ -128,13 +128,13 @@
 				code, asked := 200, h.tick()
 				err := take(t.Context(), o.base, o.body("s"))
 				switch {
-				case errors.As(err, new(*catalogue.Invalid)):
+				case errors.As(err, new(*routeconfig.Invalid)):
 					code = 400
 					refused++
-				case errors.Is(err, catalogue.ErrOtherVersion):
+				case errors.Is(err, routeconfig.ErrOtherVersion):
 					code = 412
 					refused++
-				case errors.Is(err, catalogue.ErrForgotten):
+				case errors.Is(err, routeconfig.ErrForgotten):
 					code = 503
 					forgotten++
 					if i := slices.Index(newest, n); i >= 0 && i >= len(newest)-kept {
@@ -180,7 +180,7 @@
 	}
 }
 
-// send makes one call with an order, at one archive; 0 stands for no clear
+// send makes one call with an order, at one control node; 0 stands for no clear
 // answer.
 func (w *World) send(zone int, o order) int {
 	call := "/Conf.Replace"
@@ -194,7 +194,7 @@
 	return code
 }
 
-// fetch reads the configuration back at one archive into the history.
+// fetch reads the configuration back at one control node into the history.
 func (w *World) fetch(h *history, zone int) (int64, bool) {
 	asked := h.tick()
 	code, raw := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(zone)+":8782", "/Conf.Fetch", nil, nil)
@@ -209,7 +209,7 @@
 }
 
 // Operators that pick equal numbers, eight orders under way, lost answers and
-// sends to other nodes, while archives are killed, end, fall silent, lose their
+// sends to other nodes, while control nodes are killed, end, fall silent, lose their
 // disks or all their power.
 func TestOrdersAcrossTakeOvers(t *testing.T) {
 	const seed = 1
@@ -287,15 +287,15 @@
 	}
 }
 
-// trouble strikes an archive, the primary mostly, or all of them, and waits
+// trouble strikes a control node, the primary mostly, or all of them, and waits
 // until what was struck counts as back.
 func (w *World) trouble(rng *rand.Rand) {
-	z := vaultPrimary(w)
+	z := controlPrimary(w)
 	if z == 0 || rng.IntN(4) == 0 {
 		z = 1 + rng.IntN(4)
 	}
-	again := func(z int) { w.Start("archive", z, false) }
-	switch p := w.Process("archive", z); rng.IntN(6) {
+	again := func(z int) { w.Start("control", z, false) }
+	switch p := w.Process("control", z); rng.IntN(6) {
 	case 0:
 		p.Kill()
 		again(z)
@@ -316,7 +316,7 @@
 		again(z)
 	case 5:
 		for z := 1; z <= 4; z++ {
-			w.Process("archive", z).Kill()
+			w.Process("control", z).Kill()
 		}
 		for z := 1; z <= 4; z++ {
 			again(z)
@@ -332,14 +332,14 @@
 func TestOrderAtEachStepOfATakeOver(t *testing.T) {
 	for _, c := range []struct {
 		what          string
-		struck, wiped int // archives from the primary on
+		struck, wiped int // control nodes from the primary on
 	}{{"the primary ends", 1, 0}, {"all lose power", 4, 0}, {"and the primary its disk", 4, 1}} {
 		var held, dropped int
 		core(t, 4, 1, func(w *World, g *Group) {
 			h := &history{}
 			known := int64(1)
 			for step := range 8 {
-				z := vaultPrimary(w)
+				z := controlPrimary(w)
 				first, second := h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 7}}), h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 8}})
 				asked, got := h.tick(), make(chan int)
 				go func() { got <- w.send(z, h.get(first)) }()
@@ -350,7 +350,7 @@
 					}
 				}
 				strike(func(i, z int) {
-					p := w.Process("archive", z)
+					p := w.Process("control", z)
 					p.Kill()
 					if i < c.wiped {
 						p.Wipe()
@@ -358,7 +358,7 @@
 				})
 				h.answered(first, asked, <-got)
 				if c.struck > 1 {
-					strike(func(_, z int) { w.Start("archive", z, false) })
+					strike(func(_, z int) { w.Start("control", z, false) })
 				}
 				clear := func(n int) (code int) {
 					asked := h.tick()
@@ -376,7 +376,7 @@
 				}
 				known++
 				if c.struck == 1 {
-					w.Start("archive", z, false)
+					w.Start("control", z, false)
 				}
 				w.Until("read back", 6*time.Second, func() bool { rev, ok := w.fetch(h, z); return ok && rev == known })
 				time.Sleep(4 * time.Second) // until what was struck counts as back
--- a/internal/rehearsal/replacement_test.go
+++ b/internal/simulation/replacement_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"fmt"
@@ -13,20 +13,20 @@
 
 // backups lists the zones of the primary's backups.
 func backups(w *World) (out []int) {
-	p := w.Process("archive", vaultPrimary(w)).vault()
+	p := w.Process("control", controlPrimary(w)).replica()
 	view, _ := p.Primary()
 	for z := 1; z <= w.Zones; z++ {
-		if a := w.Process("archive", z); a != nil && a.vault() != p && view.Has(a.vault().Self()) {
+		if a := w.Process("control", z); a != nil && a.replica() != p && view.Has(a.replica().Self()) {
 			out = append(out, z)
 		}
 	}
 	return out
 }
 
-// lose ends archives for good, with their disks.
+// lose ends control nodes for good, with their disks.
 func (w *World) lose(zones ...int) {
 	for _, z := range zones {
-		p := w.Process("archive", z)
+		p := w.Process("control", z)
 		p.Kill()
 		p.Wipe()
 	}
@@ -37,7 +37,7 @@
 	w.T.Helper()
 	w.Until("a change is taken", 5*time.Second, func() bool {
 		for z := 1; z <= w.Zones; z++ {
-			if w.Process("archive", z) != nil && w.Replace(z, from, w.Configuration(to)) == 200 {
+			if w.Process("control", z) != nil && w.Replace(z, from, w.Configuration(to)) == 200 {
 				return true
 			}
 		}
@@ -60,27 +60,27 @@
 		changed(w, 1, 7)
 		z := backups(w)[0]
 		w.lose(z)
-		w.Start("archive", z, false)
+		w.Start("control", z, false)
 		time.Sleep(catchup)
-		w.lose(vaultPrimary(w))
+		w.lose(controlPrimary(w))
 		lasts(w, 7)
 	})
 }
 
-// AcknowledgedSurvives: an archive that leaves in order is the last to hold the
+// AcknowledgedSurvives: a control node that leaves in order is the last to hold the
 // state, since the other that held it is lost before a later view is formed. It
 // goes only once others have the state, within its grace.
 func TestLastHolderLeaves(t *testing.T) {
 	for _, who := range []string{"backup", "primary"} {
 		core(t, 4, 1, func(w *World, g *Group) {
 			changed(w, 1, 7)
-			leaving, lost := backups(w)[0], vaultPrimary(w)
+			leaving, lost := backups(w)[0], controlPrimary(w)
 			if who == "primary" {
 				leaving, lost = lost, leaving
 			}
 			start, gone := time.Now(), make(chan time.Duration, 1)
 			go func() {
-				w.Process("archive", leaving).Term()
+				w.Process("control", leaving).Term()
 				gone <- time.Since(start)
 			}()
 			w.lose(lost)
@@ -102,16 +102,16 @@
 			}
 			changed(w, 1, 7)
 			for z := 1; z <= zones; z++ {
-				if w.Process("archive", z) == nil {
-					w.Start("archive", z, false)
+				if w.Process("control", z) == nil {
+					w.Start("control", z, false)
 				}
 			}
 			time.Sleep(catchup)
-			w.lose(append(backups(w)[:1], vaultPrimary(w))...)
+			w.lose(append(backups(w)[:1], controlPrimary(w))...)
 			time.Sleep(time.Second)
 			for z := 1; z <= zones; z++ {
-				if w.Process("archive", z) == nil {
-					w.Start("archive", z, false)
+				if w.Process("control", z) == nil {
+					w.Start("control", z, false)
 				}
 			}
 			lasts(w, 7)
@@ -126,7 +126,7 @@
 	for _, c := range []struct{ zones, losses int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}} {
 		core(t, c.zones, c.losses, func(w *World, g *Group) {
 			changed(w, 1, 7)
-			lost := []int{vaultPrimary(w)}
+			lost := []int{controlPrimary(w)}
 			if c.losses == 2 {
 				lost = append(lost, backups(w)[0])
 			}
@@ -134,14 +134,14 @@
 			time.Sleep(100 * time.Millisecond)
 			for range lost {
 				w.Zones++
-				w.Start("archive", w.Zones, false)
+				w.Start("control", w.Zones, false)
 			}
 			time.Sleep(catchup)
-			z := vaultPrimary(w)
-			view, _ := w.Process("archive", z).vault().Primary()
+			z := controlPrimary(w)
+			view, _ := w.Process("control", z).replica().Primary()
 			lost = append(lost[:0], z)
 			for other := 1; other <= w.Zones && len(lost) < c.losses; other++ {
-				if p := w.Process("archive", other); p != nil && other != z && view.Has(p.vault().Self()) {
+				if p := w.Process("control", other); p != nil && other != z && view.Has(p.replica().Self()) {
 					lost = append(lost, other)
 				}
 			}
@@ -158,7 +158,7 @@
 	for delay := 800 * time.Millisecond; delay <= 3*time.Second; delay += 600 * time.Millisecond {
 		core(t, 5, 2, func(w *World, g *Group) {
 			changed(w, 1, 7)
-			p, kept := vaultPrimary(w), backups(w)
+			p, kept := controlPrimary(w), backups(w)
 			var witness int
 			for z := 1; z <= 5; z++ {
 				if z != p && !slices.Contains(kept, z) {
@@ -167,7 +167,7 @@
 			}
 			w.lose(witness)
 			w.Zones++
-			w.Start("archive", 6, false)
+			w.Start("control", 6, false)
 			time.Sleep(delay)
 			w.lose(p)
 			time.Sleep(catchup - delay)
@@ -180,23 +180,23 @@
 	}
 }
 
-// An archive that leaves while all others are there does not wait.
+// A control node that leaves while all others are there does not wait.
 func TestLeavingIsQuick(t *testing.T) {
 	core(t, 4, 1, func(w *World, g *Group) {
 		for rev := int64(1); rev <= 3; rev++ {
-			z := vaultPrimary(w)
+			z := controlPrimary(w)
 			if rev > 1 {
 				z = backups(w)[0]
 			}
 			start := time.Now()
-			w.Process("archive", z).Term()
+			w.Process("control", z).Term()
 			if took := time.Since(start); took > 300*time.Millisecond {
 				t.Errorf("went after %v", took)
 			} else {
 				t.Logf("went after %v", took)
 			}
 			changed(w, rev, rev+1)
-			w.Start("archive", z, false)
+			w.Start("control", z, false)
 			time.Sleep(catchup)
 		}
 	})
--- a/internal/rehearsal/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/folio"
-	"indigowalk/internal/toolbox"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/tools"
 )
 
 // next waits for a lead other than old.
@@ -31,15 +31,15 @@
 // status is what the tool says of the system in short.
 func (w *World) status() string {
 	var b bytes.Buffer
-	toolbox.Ask(context.Background(), w.Net.Host("10.250.0.9"), []string{ip(vaultPrimary(w)) + ":7440"}, true).Print(&b, false, "")
+	tools.Ask(context.Background(), w.Net.Host("10.250.0.9"), []string{ip(controlPrimary(w)) + ":7440"}, true).Print(&b, false, "")
 	return b.String()
 }
 
 // A second loss right after two replacements: a replica and the primary leave,
 // the next lead crashes after two seconds, and the one after that is lost before
-// the first is back, just when those that leave were needed. If a desk is lost
+// the first is back, just when those that leave were needed. If a pooler is lost
 // with it, nothing says that the others hold everything while two databases are
-// away; when one is back they do, though those that left are gone. If all desks
+// away; when one is back they do, though those that left are gone. If all poolers
 // tell what they acknowledged, a database that has received that leads at once.
 func TestSecondLossAfterReplacements(t *testing.T) {
 	for _, told := range []bool{true, false} {
@@ -48,7 +48,7 @@
 				second, third := lossAfterReplacements(g)
 				third.Crash(told)
 				if !told {
-					w.Process("desk", 4).Kill()
+					w.Process("pooler", 4).Kill()
 				} else {
 					g.next(third, 2*time.Second)
 					second.Return(second.ID + "b")
@@ -63,7 +63,7 @@
 				}
 				second.Return(second.ID + "b")
 				g.next(third, 2*time.Second)
-				w.Start("desk", 4, false)
+				w.Start("pooler", 4, false)
 			})
 			served(t, l, 9*time.Second)
 			if text := w.status(); strings.Contains(text, "waits") {
@@ -151,7 +151,7 @@
 			}
 			moves := int64(0)
 			for z := 1; z <= 4; z++ {
-				moves += w.Process("archive", z).Kernel.Counters.Snapshot()["custodian.moves"]
+				moves += w.Process("control", z).Kernel.Counters.Snapshot()["failover.moves"]
 			}
 			if moves != 2 {
 				t.Errorf("%d moves were begun", moves)
@@ -207,35 +207,35 @@
 	})
 }
 
-// AcknowledgedIsKnown: a desk is lost just before the lead is. What it acknowledged
+// AcknowledgedIsKnown: a pooler is lost just before the lead is. What it acknowledged
 // last is not known, so the lead is followed only once the silent replica is back.
-func TestADeskIsLostWithTheLead(t *testing.T) {
+func TestAPoolerIsLostWithTheLead(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		served(t, under(w, g, func() {
 			g.DB(2).Crash(false)
 			time.Sleep(2 * time.Second)
 			lead := g.Lead()
-			w.Process("desk", 2).Kill()
+			w.Process("pooler", 2).Kill()
 			lead.Crash(false)
 			time.Sleep(5 * time.Second)
 			if g.Lead() != nil {
-				t.Error("a database was promoted, though the lost desk may have acknowledged more")
+				t.Error("a database was promoted, though the lost pooler may have acknowledged more")
 			}
 			g.DB(2).Return("ledger-3b")
 			g.next(lead, 2*time.Second)
-			w.Start("desk", 2, false)
+			w.Start("pooler", 2, false)
 		}), 9*time.Second)
 	})
 }
 
-// AcknowledgedIsKnown: a desk is lost, and the lead some seconds later. By then
-// other desks have seen positions that cover all that the lost one acknowledged.
-func TestADeskIsLostBeforeTheLead(t *testing.T) {
+// AcknowledgedIsKnown: a pooler is lost, and the lead some seconds later. By then
+// other poolers have seen positions that cover all that the lost one acknowledged.
+func TestAPoolerIsLostBeforeTheLead(t *testing.T) {
 	play(t, func(w *World, g *Group) {
 		served(t, under(w, g, func() {
 			g.DB(2).Crash(true)
 			time.Sleep(2 * time.Second)
-			w.Process("desk", 2).Kill()
+			w.Process("pooler", 2).Kill()
 			time.Sleep(4 * time.Second)
 			lead := g.Lead()
 			lead.Crash(true)
@@ -243,7 +243,7 @@
 				t.Error("the replica that had received everything does not lead")
 			}
 			g.Add("ledger-4", "10.4.64.9", "z4", "replica")
-			w.Start("desk", 2, false)
+			w.Start("pooler", 2, false)
 		}), 5*time.Second)
 	})
 }
@@ -286,14 +286,14 @@
 			lead.Return("ledger-1b") // it alone holds them
 			w.Until("a lead", 3*time.Second, func() bool { return g.Lead() == lead })
 			entry := func(id string) string {
-				raw, err := w.Process("archive", vaultPrimary(w)).vault().Read("database/" + id)
+				raw, err := w.Process("control", controlPrimary(w)).replica().Read("database/" + id)
 				if err != nil {
 					t.Error(err)
 				}
 				return string(raw)
 			}
 			w.Until("the old one is forgotten", 5*time.Second, func() bool { return entry("ledger-2") == "" })
-			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(vaultPrimary(w))+":8782", "/Servers.Heartbeat/ledger-2", nil,
+			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(controlPrimary(w))+":8782", "/Servers.Heartbeat/ledger-2", nil,
 				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":"draining","target_role":"replica","call_seq":999}`, g.DB(1).addr))
 			if entry("ledger-2") != "" || entry("ledger-9") == "" {
 				t.Errorf("a late beat, answered %d, put the old one back", code)
@@ -350,7 +350,7 @@
 	})
 }
 
-// The chosen replica is promoted while the archive that chose it is lost, and
+// The chosen replica is promoted while the control node that chose it is lost, and
 // crashes before anyone has heard of it. The other one, which held as much, leads;
 // if that is lost too, the first does once it returns as the primary that it was
 // made.
@@ -361,7 +361,7 @@
 				first := g.Lead()
 				first.Crash(true)
 				w.Until("the platform is called", 4*time.Second, func() bool { return w.Calls() == 1 })
-				w.Process("archive", vaultPrimary(w)).Kill()
+				w.Process("control", controlPrimary(w)).Kill()
 				second := g.next(first, time.Second)
 				second.Crash(false)
 				if !both {
@@ -387,16 +387,16 @@
 		under(w, g, func() {
 			d := g.DB(2)
 			d.Leave(8*time.Second, true)
-			state := func() (held int64, received, limit folio.Position) {
-				s, err := w.Process("archive", vaultPrimary(w)).vault().Durable()
+			state := func() (held int64, received, limit lineprotocol.Position) {
+				s, err := w.Process("control", controlPrimary(w)).replica().Durable()
 				if err != nil {
 					t.Fatal(err)
 				}
-				known, err := accessions.Decode(s.Entries)
+				known, err := discovery.Decode(s.Entries)
 				if err != nil {
 					t.Fatal(err)
 				}
-				limit, _ = folio.ParsePosition(known[d.ID].Limit)
+				limit, _ = lineprotocol.ParsePosition(known[d.ID].Limit)
 				g.mu.Lock()
 				defer g.mu.Unlock()
 				return d.held, d.pos(), limit
--- a/internal/rehearsal/resets_test.go
+++ b/internal/simulation/resets_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
 )
 
 // tallied is a history of additions to one number: how many were acknowledged, how
@@ -39,21 +39,21 @@
 	}
 }
 
-// add adds one to a number in the control state, at whichever archive leads.
+// add adds one to a number in the control state, at whichever control node leads.
 func add(w *World, key string) (acked, sent bool) {
 	for z := 1; z <= w.Zones; z++ {
-		p := w.Process("archive", z)
+		p := w.Process("control", z)
 		if p == nil {
 			continue
 		}
-		v := foundation.Need[*vault.Vault](p.Kernel)
+		v := kernel.Need[*controlstate.Replica](p.Kernel)
 		if _, left := v.Lease(); left <= 0 {
 			continue
 		}
 		err := v.Update(context.Background(), func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 			return map[string]json.RawMessage{key: json.RawMessage(fmt.Sprint(number(entries, key) + 1))}, nil
 		})
-		return err == nil, !errors.Is(err, vault.ErrNotPrimary)
+		return err == nil, !errors.Is(err, controlstate.ErrNotPrimary)
 	}
 	return false, false
 }
@@ -135,7 +135,7 @@
 					return false
 				})
 				l.Stop()
-				state, err := foundation.Need[*vault.Vault](w.Process("archive", vaultPrimary(w)).Kernel).Durable()
+				state, err := kernel.Need[*controlstate.Replica](w.Process("control", controlPrimary(w)).Kernel).Durable()
 				if err != nil {
 					t.Fatal(err)
 				}
--- a/internal/rehearsal/service.go
+++ b/internal/simulation/service.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bufio"
@@ -308,7 +308,7 @@
 	}
 }
 
-// Answer is what a client of a turnstile was told.
+// Answer is what a client of a gateway was told.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -317,7 +317,7 @@
 	Took   time.Duration
 }
 
-// Ask sends one request to a zone's turnstile; safe ones may run more than once.
+// Ask sends one request to a zone's gateway; safe ones may run more than once.
 // Status is 0 if there was no whole answer.
 func (s *Service) Ask(zone int, id string, safe bool, body string) Answer {
 	path, method := "/safe/"+id+"?x=%2F%41", "GET"
@@ -382,7 +382,7 @@
 	}
 }
 
-// Requests is a load of requests on all zones' turnstiles.
+// Requests is a load of requests on all zones' gateways.
 type Requests struct {
 	s    *Service
 	stop chan struct{}
--- a/internal/rehearsal/stray_test.go
+++ b/internal/simulation/stray_test.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"testing"
@@ -15,17 +15,17 @@
 	})
 }
 
-// A CONTINUE of a custodian that has lost its term since comes late, between the
+// A CONTINUE of a failover manager that has lost its term since comes late, between the
 // choice and the promotion: what was under way at the old primary is acknowledged
 // by the replica that it wakes, and the chosen one must not lack it.
 func TestALateContinueLosesNothing(t *testing.T) {
 	play(t, func(w *World, g *Group) {
-		z := vaultPrimary(w)
+		z := controlPrimary(w)
 		under(w, g, func() {
 			g.DB(1).Deaf(true)
 			g.DB(2).Deaf(true) // so that writes are under way when they are paused
 			time.Sleep(100 * time.Millisecond)
-			w.Net.Cut(ip(z), g.DB(0).Host.IP, true) // only the custodian finds it down
+			w.Net.Cut(ip(z), g.DB(0).Host.IP, true) // only the failover manager finds it down
 			heldReplicas(w, g)
 			time.Sleep(30 * time.Millisecond)
 			g.DB(2).control("CONTINUE", "")
@@ -41,7 +41,7 @@
 // the move for which it was paused.
 func TestALostContinueIsSaidAgain(t *testing.T) {
 	play(t, func(w *World, g *Group) {
-		z := vaultPrimary(w)
+		z := controlPrimary(w)
 		g.DB(2).Crash(true)
 		w.Net.Cut(ip(z), g.DB(0).Host.IP, true)
 		l := w.NewLoad(g, 3)
--- a/internal/rehearsal/world.go
+++ b/internal/simulation/world.go
@@ -1,4 +1,4 @@
-package rehearsal
+package simulation
 
 import (
 	"bytes"
@@ -18,24 +18,24 @@
 	"sync"
 	"time"
 
-	"indigowalk/internal/charter"
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/settings"
 
 	// The parts that a cluster is made of register themselves.
-	_ "indigowalk/internal/accessions"
-	_ "indigowalk/internal/cart"
-	_ "indigowalk/internal/catalogue"
-	_ "indigowalk/internal/circulation"
-	_ "indigowalk/internal/conservator"
-	_ "indigowalk/internal/custodian"
-	_ "indigowalk/internal/desk"
-	_ "indigowalk/internal/findingaid"
-	_ "indigowalk/internal/registrar"
+	_ "indigowalk/internal/controlapi"
+	_ "indigowalk/internal/controlstate"
+	_ "indigowalk/internal/dbconn"
+	_ "indigowalk/internal/discovery"
+	_ "indigowalk/internal/distribution"
+	_ "indigowalk/internal/failover"
+	_ "indigowalk/internal/gateway"
+	_ "indigowalk/internal/health"
+	_ "indigowalk/internal/httpconn"
+	_ "indigowalk/internal/membership"
+	_ "indigowalk/internal/pooler"
+	_ "indigowalk/internal/readrouting"
+	_ "indigowalk/internal/routeconfig"
 	_ "indigowalk/internal/rpc"
-	_ "indigowalk/internal/shelf"
-	_ "indigowalk/internal/subscription"
-	_ "indigowalk/internal/turnstile"
-	_ "indigowalk/internal/vault"
 )
 
 // TB is what the world needs of a test.
@@ -49,20 +49,20 @@
 
 // World is a deployment in one process.
 type World struct {
-	T        TB
-	Net      *Net
-	Zones    int
-	Groups   map[string]*Group
-	Services map[string]*Service
-	Deploy   string // kind of deployment; a pooler's if ""
-	dir      string
-	procs    map[string]*Process
-	platform *platform
-	Poll     int      // tune.poll_ms
-	Losses   int      // tolerate.hosts
-	MaxConns int      // max_conns of the services
-	Archives int      // zones with an archive, the first ones; all if 0
-	Seeds    []string // of processes started from now on; the first zones' if nil
+	T            TB
+	Net          *Net
+	Zones        int
+	Groups       map[string]*Group
+	Services     map[string]*Service
+	Deploy       string // kind of deployment; a pooler's if ""
+	dir          string
+	procs        map[string]*Process
+	platform     *platform
+	Poll         int      // tune.poll_ms
+	Losses       int      // tolerate.hosts
+	MaxConns     int      // max_conns of the services
+	ControlNodes int      // zones with a control node, the first ones; all if 0
+	Seeds        []string // of processes started from now on; the first zones' if nil
 }
 
 // Process is one daemon.
@@ -71,7 +71,7 @@
 	Name   string
 	Role   string
 	IP     string
-	Kernel *foundation.Kernel
+	Kernel *kernel.Kernel
 	cancel context.CancelFunc
 	done   chan struct{}
 	dir    string
@@ -80,8 +80,8 @@
 // platformIP is where the platform stands.
 const platformIP = "10.200.0.1"
 
-// NewWorld returns a world with a disk machine in each zone, where an archive
-// and a desk run, and a platform.
+// NewWorld returns a world with a disk machine in each zone, where a control node
+// and a pooler run, and a platform.
 func NewWorld(t TB, seed uint64, zones int) *World {
 	w := &World{
 		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, Services: map[string]*Service{}, dir: t.TempDir(),
@@ -94,22 +94,22 @@
 
 func ip(zone int) string { return fmt.Sprintf("10.%d.%d.1", 1+(zone-1)%200, (zone-1)/200) }
 
-// ControlAddrs lists the archives' control addresses.
+// ControlAddrs lists the control nodes' control addresses.
 func (w *World) ControlAddrs() []string {
 	var out []string
 	for z := 1; z <= w.Zones; z++ {
-		if w.Archives == 0 || z <= w.Archives {
+		if w.ControlNodes == 0 || z <= w.ControlNodes {
 			out = append(out, ip(z)+":8782")
 		}
 	}
 	return out
 }
 
-// Boot starts every archive and desk for the first time.
+// Boot starts every control node and pooler for the first time.
 func (w *World) Boot() {
 	for z := 1; z <= w.Zones; z++ {
-		if w.Archives == 0 || z <= w.Archives {
-			w.Start("archive", z, true)
+		if w.ControlNodes == 0 || z <= w.ControlNodes {
+			w.Start("control", z, true)
 		}
 		w.Start(w.Carrier(), z, true)
 	}
@@ -117,10 +117,10 @@
 
 // Carrier is the role that carries the traffic.
 func (w *World) Carrier() string {
-	if w.Deploy == charter.API {
-		return "turnstile"
+	if w.Deploy == settings.API {
+		return "gateway"
 	}
-	return "desk"
+	return "pooler"
 }
 
 // Start starts a process of a zone's machine.
@@ -146,14 +146,14 @@
 tolerate.hosts=%[9]d
 deploy=%[10]s
 `, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses, cmp.Or(w.Deploy, "pooler"))
-	s, err := charter.Parse([]byte(text))
+	s, err := settings.Parse([]byte(text))
 	if err != nil {
 		w.T.Fatalf("settings: %v", err)
 	}
-	k := foundation.NewKernel(role, w.Net.Host(p.IP), slog.New(slog.NewTextHandler(logTo{w, name}, nil)))
+	k := kernel.NewKernel(role, w.Net.Host(p.IP), slog.New(slog.NewTextHandler(logTo{w, name}, nil)))
 	// What a killed process wrote is there; power is not lost in this world.
 	k.Sync = func(*os.File) error { return nil }
-	foundation.Offer(k, charter.NewBook(s))
+	kernel.Offer(k, settings.NewLive(s))
 	if err := k.Assemble(); err != nil {
 		w.T.Fatalf("%s: %v", name, err)
 	}
@@ -175,7 +175,7 @@
 }
 
 func (l logTo) Write(b []byte) (int, error) {
-	if os.Getenv("REHEARSAL_LOG") != "" {
+	if os.Getenv("SIMULATION_LOG") != "" {
 		l.w.T.Logf("%s %s", l.name, bytes.TrimSpace(b))
 	}
 	return len(b), nil
@@ -189,7 +189,7 @@
 // Kill ends the process without notice.
 func (p *Process) Kill() {
 	ports := []string{"7441", "8784", "8785"}
-	if p.Role == "archive" {
+	if p.Role == "control" {
 		ports = []string{"7440", "8782"}
 	}
 	p.cancel()
@@ -346,7 +346,7 @@
 	return a.StatusCode, raw
 }
 
-// Replace sends a configuration once, to one archive.
+// Replace sends a configuration once, to one control node.
 func (w *World) Replace(zone int, base int64, body []byte) int {
 	code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(zone)+":8782", "/Conf.Replace",
 		map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(base, 10)}, body)
@@ -368,12 +368,12 @@
 }
 
 // Configure sends the first configuration until it is taken and waits until
-// every desk is ready.
+// every pooler is ready.
 func (w *World) Configure() {
 	w.T.Helper()
 	body := w.Configuration(1)
 	w.Until("a configuration is taken", 10*time.Second, func() bool { return w.Replace(1, 0, body) == 200 })
-	w.Until("every desk is ready", 10*time.Second, func() bool {
+	w.Until("every pooler is ready", 10*time.Second, func() bool {
 		for z := 1; z <= w.Zones; z++ {
 			if code, _ := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(z)+":8785", "/readyz", nil, nil); code != 200 {
 				return false
--- a/internal/toolbox/check.go
+++ b/internal/tools/check.go
@@ -1,4 +1,4 @@
-package toolbox
+package tools
 
 import (
 	"errors"
@@ -12,11 +12,11 @@
 	"github.com/BurntSushi/toml"
 	"github.com/go-playground/validator/v10"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/charter"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/settings"
 )
 
 // Fault is something wrong, with its place.
@@ -41,9 +41,9 @@
 	if faults != nil {
 		return faults
 	}
-	_, err := charter.Parse(raw)
+	_, err := settings.Parse(raw)
 	var all interface{ Unwrap() []error }
-	var one *charter.Error
+	var one *settings.Error
 	switch {
 	case errors.As(err, &all):
 		for _, e := range all.Unwrap() {
@@ -123,7 +123,7 @@
 	if faults != nil {
 		return faults
 	}
-	conf, found := catalogue.Parse(raw)
+	conf, found := routeconfig.Parse(raw)
 	for _, f := range found {
 		faults = append(faults, Fault{f.Field, f.Reason})
 	}
@@ -134,7 +134,7 @@
 	if missing != nil {
 		return append(faults, missing...)
 	}
-	old, found := catalogue.Parse(raw)
+	old, found := routeconfig.Parse(raw)
 	for _, f := range found {
 		faults = append(faults, Fault{"base: " + f.Field, f.Reason})
 	}
@@ -144,12 +144,12 @@
 	return faults
 }
 
-// CheckStore checks the store of a stopped archive. It works on a copy.
+// CheckStore checks the store of a stopped control node. It works on a copy.
 func CheckStore(dir string) []Fault {
-	if _, err := os.Stat(filepath.Join(dir, vault.StoreFile)); err != nil {
-		return []Fault{{dir, "no store of an archive: " + err.Error()}}
+	if _, err := os.Stat(filepath.Join(dir, controlstate.StoreFile)); err != nil {
+		return []Fault{{dir, "no store of a control node: " + err.Error()}}
 	}
-	raw, faults := read(filepath.Join(dir, vault.StoreFile))
+	raw, faults := read(filepath.Join(dir, controlstate.StoreFile))
 	if faults != nil {
 		return faults
 	}
@@ -158,10 +158,10 @@
 		return []Fault{{dir, err.Error()}}
 	}
 	defer os.RemoveAll(tmp)
-	if err := os.WriteFile(filepath.Join(tmp, vault.StoreFile), raw, 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(tmp, controlstate.StoreFile), raw, 0o600); err != nil {
 		return []Fault{{dir, err.Error()}}
 	}
-	s, err := vault.OpenStore(tmp)
+	s, err := controlstate.OpenStore(tmp)
 	if err != nil {
 		return []Fault{{dir, err.Error()}}
 	}
@@ -176,13 +176,13 @@
 	if err := s.CheckRegister(); err != nil {
 		faults = append(faults, Fault{"register", err.Error()})
 	}
-	if _, _, err := catalogue.Decode(state.Entries[catalogue.Key]); err != nil {
-		faults = append(faults, Fault{"state: " + catalogue.Key, err.Error()})
+	if _, _, err := routeconfig.Decode(state.Entries[routeconfig.Key]); err != nil {
+		faults = append(faults, Fault{"state: " + routeconfig.Key, err.Error()})
 	}
-	if _, err := accessions.Decode(state.Entries); err != nil {
+	if _, err := discovery.Decode(state.Entries); err != nil {
 		faults = append(faults, Fault{"state: databases", err.Error()})
 	}
-	if _, err := custodian.Decode(state.Entries); err != nil {
+	if _, err := failover.Decode(state.Entries); err != nil {
 		faults = append(faults, Fault{"state: leads", err.Error()})
 	}
 	return faults
