--- a/internal/toolbox/plan.go
+++ b/internal/tools/plan.go
@@ -1,4 +1,4 @@
-package toolbox
+package tools
 
 import (
 	"encoding/json"
@@ -10,10 +10,10 @@
 	"strconv"
 	"strings"
 
-	"indigowalk/internal/accessions"
-	"indigowalk/internal/catalogue"
-	"indigowalk/internal/subscription"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/routeconfig"
 )
 
 // Plan is what a step would do; it changes nothing.
@@ -21,7 +21,7 @@
 	Step     string         `json:"step"`
 	Effects  []string       `json:"effects"`
 	Warnings []string       `json:"warnings,omitempty"`
-	Conns    map[string]int `json:"connections"` // per desk and database, by service
+	Conns    map[string]int `json:"connections"` // per pooler and database, by service
 	Headroom map[string]int `json:"headroom"`    // slots of a service's other databases
 	Restart  []string       `json:"restart"`     // in which order to restart the processes
 }
@@ -40,14 +40,14 @@
 
 // Make plans a step: "config" with a parsed configuration, "drain" or
 // "release" of a database, "lose" of a node, "restart" of all, or "grow" to a
-// number of desks.
-func (s *System) Make(step, what string, conf *catalogue.Configuration) (*Plan, error) {
+// number of poolers.
+func (s *System) Make(step, what string, conf *routeconfig.Configuration) (*Plan, error) {
 	p := s.Primary()
 	if p == nil {
-		return nil, fmt.Errorf("the view holds no archive with a lease: ask all members")
+		return nil, fmt.Errorf("the view holds no control node with a lease: ask all members")
 	}
 	plan := &Plan{Step: strings.TrimSpace(step + " " + what), Conns: map[string]int{}, Headroom: map[string]int{}}
-	desks := len(s.nodes("desk")) + len(s.nodes("turnstile"))
+	poolers := len(s.nodes("pooler")) + len(s.nodes("gateway"))
 	var lost string
 	switch step {
 	case "config":
@@ -65,7 +65,7 @@
 			if r.Node == what {
 				found = true
 				if carries(r.Role) {
-					desks--
+					poolers--
 				}
 				plan.lose(s, p, r)
 			}
@@ -77,19 +77,19 @@
 	case "grow":
 		n, err := strconv.Atoi(what)
 		if err != nil || n < 1 {
-			return nil, fmt.Errorf("%q is not a number of desks", what)
+			return nil, fmt.Errorf("%q is not a number of poolers", what)
 		}
-		if err := plan.grow(p, desks, n); err != nil {
+		if err := plan.grow(p, poolers, n); err != nil {
 			return nil, err
 		}
-		desks = n
+		poolers = n
 	default:
 		return nil, fmt.Errorf("unknown step %q", step)
 	}
 	if conf == nil {
 		conf = p.Config
 	}
-	plan.count(p, conf, desks, lost)
+	plan.count(p, conf, poolers, lost)
 	plan.Restart = s.restartOrder(p)
 	if why := s.outdated(p); why != "" {
 		plan.warn("%s", why)
@@ -117,8 +117,8 @@
 	p.Warnings = append(p.Warnings, fmt.Sprintf(format, args...))
 }
 
-func (p *Plan) configure(r *Report, conf *catalogue.Configuration) {
-	old := map[string]catalogue.Route{}
+func (p *Plan) configure(r *Report, conf *routeconfig.Configuration) {
+	old := map[string]routeconfig.Route{}
 	if r.Config != nil {
 		if conf.Rev <= r.Config.Rev {
 			p.warn("version %d would be refused: %d is in force", conf.Rev, r.Config.Rev)
@@ -142,7 +142,7 @@
 	slices.Sort(p.Effects)
 }
 
-func (p *Plan) release(r *Report, d accessions.Database) {
+func (p *Plan) release(r *Report, d discovery.Database) {
 	if _, led := r.Leads[d.Service]; !led {
 		p.effect("%s gets no more requests of %s: they go to the others", d.ID, d.Service)
 		return
@@ -174,11 +174,11 @@
 
 func (p *Plan) lose(s *System, prim, r *Report) {
 	p.effect("%s %s is lost", r.Role, r.Node)
-	if r.Role != "archive" {
+	if r.Role != "control" {
 		return
 	}
 	spares := 0
-	for _, a := range s.nodes("archive") {
+	for _, a := range s.nodes("control") {
 		if !slices.Contains(prim.Witnesses, a.Addr) && a.Addr != r.Addr {
 			spares++
 		}
@@ -186,14 +186,14 @@
 	switch {
 	case r.Addr == prim.View.Primary.Addr:
 		p.effect("%s, a backup, takes over after the lease", prim.View.Backups[0].Name)
-	case slices.ContainsFunc(prim.View.Backups, func(m vault.Member) bool { return m.Addr == r.Addr }):
+	case slices.ContainsFunc(prim.View.Backups, func(m controlstate.Member) bool { return m.Addr == r.Addr }):
 		p.effect("the primary takes another backup")
 	}
 	if slices.Contains(prim.Witnesses, r.Addr) && spares > 0 {
-		p.effect("another archive becomes a witness in its place")
+		p.effect("another control node becomes a witness in its place")
 	}
 	left := 0
-	for _, a := range s.nodes("archive") {
+	for _, a := range s.nodes("control") {
 		if a.Addr != r.Addr && slices.Contains(prim.View.Witnesses, a.Addr) && !a.Abstains {
 			left++
 		}
@@ -203,14 +203,14 @@
 	} else if more := s.bearable(prim, r.Addr); int64(more) < prim.Tolerates {
 		p.effect("%d of %d witnesses remain; %d more may be lost, of the %d to be tolerated", left, n, more, prim.Tolerates)
 	}
-	if len(s.nodes("archive")) <= 2 {
+	if len(s.nodes("control")) <= 2 {
 		p.warn("without a backup nothing can be acknowledged")
 	}
 }
 
-// grow tells what a number of desks costs in connections, and what a desk that
+// grow tells what a number of poolers costs in connections, and what a pooler that
 // comes is sent before it serves.
-func (p *Plan) grow(r *Report, now, desks int) error {
+func (p *Plan) grow(r *Report, now, poolers int) error {
 	if r.Config == nil {
 		return fmt.Errorf("no configuration is in force yet")
 	}
@@ -218,7 +218,7 @@
 	if err != nil {
 		return fmt.Errorf("members: %w", err)
 	}
-	var h catalogue.History
+	var h routeconfig.History
 	h.Turn(r.Config, 1)
 	conf, err := json.Marshal(h.Since(0, true))
 	if err != nil {
@@ -229,27 +229,27 @@
 		return fmt.Errorf("databases: %w", err)
 	}
 	known := len(r.Members)
-	p.effect("a desk that comes is sent some %d KB: %d members, the configuration of %d routes and %d databases",
-		(len(members)*(known+desks-now)/max(known, 1)+len(conf)+len(state))>>10, known+desks-now, len(r.Config.Routes), len(r.Databases))
+	p.effect("a pooler that comes is sent some %d KB: %d members, the configuration of %d routes and %d databases",
+		(len(members)*(known+poolers-now)/max(known, 1)+len(conf)+len(state))>>10, known+poolers-now, len(r.Config.Routes), len(r.Databases))
 	for _, s := range r.Config.Services {
 		if s.MaxConns == 0 {
 			continue
 		}
-		each := subscription.Split(s.MaxConns, desks)
-		p.effect("%s: up to %d of its %d connections to each database", s.Name, each*desks, s.MaxConns)
-		if each*desks > s.MaxConns {
-			p.warn("%s: %d desks with one connection each are over its max_conns of %d", s.Name, desks, s.MaxConns)
+		each := distribution.Split(s.MaxConns, poolers)
+		p.effect("%s: up to %d of its %d connections to each database", s.Name, each*poolers, s.MaxConns)
+		if each*poolers > s.MaxConns {
+			p.warn("%s: %d poolers with one connection each are over its max_conns of %d", s.Name, poolers, s.MaxConns)
 		}
 	}
 	return nil
 }
 
-func (p *Plan) count(r *Report, conf *catalogue.Configuration, desks int, lost string) {
+func (p *Plan) count(r *Report, conf *routeconfig.Configuration, poolers int, lost string) {
 	if conf == nil {
 		return
 	}
 	for _, svc := range conf.Services {
-		p.Conns[svc.Name] = subscription.Split(svc.MaxConns, desks)
+		p.Conns[svc.Name] = distribution.Split(svc.MaxConns, poolers)
 		for id, d := range r.Databases {
 			if d.Service == svc.Name && id != lost && !d.Gone && !d.Draining {
 				p.Headroom[svc.Name] += d.Slots
@@ -258,21 +258,21 @@
 	}
 }
 
-// restartOrder: carriers zone by zone, then archives, the primary last of all
+// restartOrder: carriers zone by zone, then control nodes, the primary last of all
 // and its backups before it.
 func (s *System) restartOrder(p *Report) (out []string) {
-	for _, d := range append(s.nodes("desk"), s.nodes("turnstile")...) {
+	for _, d := range append(s.nodes("pooler"), s.nodes("gateway")...) {
 		out = append(out, d.Role+" "+d.Node)
 	}
 	var last []string
-	for _, a := range s.nodes("archive") {
+	for _, a := range s.nodes("control") {
 		switch {
 		case a.Addr == p.View.Primary.Addr:
-			last = append(last, "archive "+a.Node)
-		case slices.ContainsFunc(p.View.Backups, func(m vault.Member) bool { return m.Addr == a.Addr }):
-			last = append([]string{"archive " + a.Node}, last...)
+			last = append(last, "control node "+a.Node)
+		case slices.ContainsFunc(p.View.Backups, func(m controlstate.Member) bool { return m.Addr == a.Addr }):
+			last = append([]string{"control node " + a.Node}, last...)
 		default:
-			out = append(out, "archive "+a.Node)
+			out = append(out, "control node "+a.Node)
 		}
 	}
 	return append(out, last...)
--- a/internal/toolbox/replay.go
+++ b/internal/tools/replay.go
@@ -1,4 +1,4 @@
-package toolbox
+package tools
 
 import (
 	"bytes"
@@ -7,10 +7,10 @@
 	"fmt"
 	"io"
 
-	"indigowalk/internal/conservator"
-	"indigowalk/internal/custodian"
-	"indigowalk/internal/foundation"
-	"indigowalk/internal/vault"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
 )
 
 // Replayed is what a recording showed.
@@ -25,20 +25,20 @@
 // of state to w and checks what must hold at each record.
 func Replay(raw []byte, w io.Writer) (*Replayed, error) {
 	lines := bytes.SplitAfter(raw, []byte("\n"))
-	var head foundation.RecordingHead
+	var head kernel.RecordingHead
 	if json.Unmarshal(lines[0], &head) != nil || head.Recording == 0 {
 		return nil, fmt.Errorf("not a recording")
 	}
-	if head.Recording > foundation.RecordingFormat {
-		return nil, fmt.Errorf("a recording of format %d; this program reads up to %d", head.Recording, foundation.RecordingFormat)
+	if head.Recording > kernel.RecordingFormat {
+		return nil, fmt.Errorf("a recording of format %d; this program reads up to %d", head.Recording, kernel.RecordingFormat)
 	}
-	p := &player{w: w, c: conservator.NewCoordinator()}
+	p := &player{w: w, c: health.NewCoordinator()}
 	out := &Replayed{}
 	for _, line := range lines[1:] {
 		if len(line) == 0 {
 			continue
 		}
-		var r foundation.Record
+		var r kernel.Record
 		if line[len(line)-1] != '\n' {
 			out.CutOff = true
 			break
@@ -60,8 +60,8 @@
 
 type player struct {
 	w     io.Writer
-	c     *conservator.Coordinator
-	at    foundation.Micros
+	c     *health.Coordinator
+	at    kernel.Micros
 	epoch int64
 
 	promised, accepted int64 // by this witness
@@ -69,26 +69,26 @@
 }
 
 // play returns the rule that the record breaks, if it does.
-func (p *player) play(r foundation.Record) (rule string, err error) {
+func (p *player) play(r kernel.Record) (rule string, err error) {
 	if r.At < p.at {
 		return "time goes back", nil
 	}
 	p.at = r.At
 	switch r.Kind {
-	case conservator.EventKind:
-		var e conservator.Event
+	case health.EventKind:
+		var e health.Event
 		if err := json.Unmarshal(r.Body, &e); err != nil {
 			return "", err
 		}
 		return p.health(e), nil
-	case vault.VoteKind:
-		var v vault.Vote
+	case controlstate.VoteKind:
+		var v controlstate.Vote
 		if err := json.Unmarshal(r.Body, &v); err != nil {
 			return "", err
 		}
 		return p.vote(v), nil
-	case custodian.ChoiceKind:
-		var c custodian.Choice
+	case failover.ChoiceKind:
+		var c failover.Choice
 		if err := json.Unmarshal(r.Body, &c); err != nil {
 			return "", err
 		}
@@ -97,7 +97,7 @@
 	return "", fmt.Errorf("unknown kind %q", r.Kind)
 }
 
-func (p *player) health(e conservator.Event) string {
+func (p *player) health(e health.Event) string {
 	up, gen := p.c.Up(e.Database)
 	if e.Generation > gen {
 		return fmt.Sprintf("an event of %s under generation %d, before there is one after %d", e.Database, e.Generation, gen)
@@ -118,7 +118,7 @@
 	return ""
 }
 
-func (p *player) vote(v vault.Vote) string {
+func (p *player) vote(v controlstate.Vote) string {
 	if !v.Granted {
 		return ""
 	}
@@ -137,8 +137,8 @@
 	return ""
 }
 
-func (p *player) choice(c custodian.Choice) string {
-	to, why := custodian.Choose(c.Situation)
+func (p *player) choice(c failover.Choice) string {
+	to, why := failover.Choose(c.Situation)
 	fmt.Fprintf(p.w, "%d us: lead of %s: %s\n", p.at, c.Service, cmp.Or(to, "waits, "+why))
 	if c.Epoch < p.epoch {
 		return fmt.Sprintf("a choice in epoch %d after epoch %d", c.Epoch, p.epoch)
--- /dev/null
+++ b/internal/tools/report.go
@@ -0,0 +1,115 @@
+// Package tools holds the tools round the daemons: check, plan, replay and
+// status, on the daemons' own packages.
+package tools
+
+import (
+	"context"
+
+	"indigowalk/internal/connpool"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/distribution"
+	"indigowalk/internal/failover"
+	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/membership"
+	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/rpc"
+	"indigowalk/internal/settings"
+)
+
+const statusOp = "status"
+
+// Report is one process's view.
+type Report struct {
+	Node      string                        `json:"node"`
+	Role      string                        `json:"role"`
+	Addr      string                        `json:"addr"`
+	Zone      string                        `json:"zone"`
+	Tolerates int64                         `json:"tolerates"` // machines with a disk that may be lost at once
+	Members   []membership.Member           `json:"members"`
+	Epoch     int64                         `json:"epoch"`
+	Rev       int64                         `json:"rev"`
+	LeaseUs   kernel.Micros                 `json:"lease_us"` // control state's lease, or a pooler's read lease
+	View      *controlstate.View            `json:"view,omitempty"`
+	Witnesses []string                      `json:"witnesses,omitempty"`
+	Abstains  bool                          `json:"abstains,omitempty"` // as a witness
+	Unsure    bool                          `json:"unsure,omitempty"`   // a control node that neither leads nor heard the primary within a lease: its view may be old
+	HeardUs   map[string]kernel.Micros      `json:"heard_us,omitempty"` // since each control node last took part, on the primary
+	Config    *routeconfig.Configuration    `json:"config,omitempty"`
+	Databases map[string]discovery.Database `json:"databases,omitempty"`
+	Leads     map[string]failover.Lead      `json:"leads,omitempty"`
+	Waits     map[string]string             `json:"waits,omitempty"` // by service, why the move of its lead waits
+	Roles     map[string]string             `json:"roles,omitempty"` // as the databases see themselves
+	Down      map[string]int64              `json:"down,omitempty"`  // with the generation
+	Conns     map[string][2]int             `json:"conns,omitempty"` // open and idle, by database
+	Counters  map[string]int64              `json:"counters"`
+}
+
+func init() {
+	kernel.Register(kernel.Plugin{
+		Name: "status", Rank: 90, Roles: []string{"pooler", "gateway", "control"},
+		Build: func(k *kernel.Kernel) error {
+			b := kernel.Need[*rpc.Endpoint](k)
+			rpc.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
+			return nil
+		},
+	})
+}
+
+func report(k *kernel.Kernel, b *rpc.Endpoint) (*Report, error) {
+	s := kernel.Need[*settings.Live](k).Now()
+	r := &Report{
+		Node: s.NodeName, Role: k.Role, Addr: b.Addr(), Zone: s.Zone, Tolerates: s.TolerateHosts,
+		Members: kernel.Need[*membership.Ring](k).Members(),
+		Down:    kernel.Need[*health.Monitor](k).Down(), Counters: k.Counters.Snapshot(),
+	}
+	if k.Role != "control" {
+		r.Epoch, _, r.Rev, r.LeaseUs = kernel.Need[*distribution.Subscriber](k).Version()
+		r.Conns = kernel.Need[connpool.Counts](k)()
+		return r, nil
+	}
+	v := kernel.Need[*controlstate.Replica](k)
+	term, err := v.Term()
+	if err == nil {
+		if err := r.lead(k, v); err != nil {
+			return nil, err
+		}
+	}
+	view, _ := v.Primary()
+	r.View, r.Epoch, r.Witnesses, r.Abstains = &view, view.Epoch, v.Witnesses(), v.Abstains()
+	if _, r.LeaseUs = term.Lease(); r.LeaseUs == 0 {
+		// What was read in a term that is over is not told.
+		r.HeardUs, r.Config, r.Rev, r.Databases, r.Leads, r.Roles = nil, nil, 0, nil, nil, nil
+		_, known := v.Known()
+		r.Unsure = !known
+	}
+	return r, nil
+}
+
+// lead adds what only the control state's primary knows.
+func (r *Report) lead(k *kernel.Kernel, v *controlstate.Replica) error {
+	r.HeardUs = v.Heard()
+	state, err := v.Durable()
+	if err != nil {
+		return nil // it has just ceased to be the primary
+	}
+	if _, r.Config, err = routeconfig.Decode(state.Entries[routeconfig.Key]); err != nil {
+		return err
+	}
+	if r.Config != nil {
+		r.Rev = r.Config.Rev
+	}
+	if r.Databases, err = discovery.Decode(state.Entries); err != nil {
+		return err
+	}
+	if r.Leads, err = failover.Decode(state.Entries); err != nil {
+		return err
+	}
+	r.Waits = kernel.Need[*failover.Manager](k).Waits()
+	r.Roles = map[string]string{}
+	for id, soft := range kernel.Need[*discovery.Registry](k).Soft() {
+		r.Roles[id] = soft.Role
+	}
+	return nil
+}
--- a/internal/toolbox/status.go
+++ b/internal/tools/status.go
@@ -1,4 +1,4 @@
-package toolbox
+package tools
 
 import (
 	"cmp"
@@ -12,9 +12,9 @@
 	"strings"
 	"sync"
 
-	"indigowalk/internal/foundation"
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
-	"indigowalk/internal/vault"
 )
 
 // System is the reports of several processes, and who gave none.
@@ -23,12 +23,12 @@
 	Missing map[string]string `json:"missing,omitempty"` // by address, with the reason
 }
 
-const askWait = 2 * foundation.Second
+const askWait = 2 * kernel.Second
 
 // Ask asks the processes at the inner addresses, and with all set every
 // member that they know too.
-func Ask(ctx context.Context, n foundation.Network, addrs []string, all bool) *System {
-	k := foundation.NewKernel("toolbox", n, slog.New(slog.DiscardHandler))
+func Ask(ctx context.Context, n kernel.Network, addrs []string, all bool) *System {
+	k := kernel.NewKernel("tools", n, slog.New(slog.DiscardHandler))
 	b := rpc.NewEndpoint(k, "")
 	defer b.HangUp()
 	sys := &System{Missing: map[string]string{}}
@@ -68,21 +68,21 @@
 	return sys
 }
 
-// Primary is the report of the archive that holds the lease, the newest if
+// Primary is the report of the control node that holds the lease, the newest if
 // several held one when they were asked; nil if none does.
 func (s *System) Primary() (p *Report) {
 	for _, r := range s.Reports {
-		if r.Role == "archive" && r.LeaseUs > 0 && (p == nil || r.Epoch > p.Epoch) {
+		if r.Role == "control" && r.LeaseUs > 0 && (p == nil || r.Epoch > p.Epoch) {
 			p = r
 		}
 	}
 	return p
 }
 
-// newest is the report of an archive that knows the newest view, nil if no
-// archive gave one.
+// newest is the report of a control node that knows the newest view, nil if no
+// control node gave one.
 func (s *System) newest() (n *Report) {
-	for _, r := range s.nodes("archive") {
+	for _, r := range s.nodes("control") {
 		if n == nil || r.Epoch > n.Epoch {
 			n = r
 		}
@@ -123,7 +123,7 @@
 		fmt.Fprintf(w, "configuration: version %d\n", p.Rev)
 		s.printDatabases(w, p, all, only)
 	}
-	for _, role := range []string{"archive", "desk", "turnstile"} {
+	for _, role := range []string{"control", "pooler", "gateway"} {
 		s.printNodes(w, role, all, only)
 	}
 	for _, addr := range slices.Sorted(maps.Keys(s.Missing)) {
@@ -131,8 +131,16 @@
 	}
 }
 
+// process names a process of a role.
+func process(role string) string {
+	if role == "control" {
+		return "control node"
+	}
+	return role
+}
+
 // carries tells whether processes of a role carry clients' traffic.
-func carries(role string) bool { return role == "desk" || role == "turnstile" }
+func carries(role string) bool { return role == "pooler" || role == "gateway" }
 
 // named tells whether one of the names contains what is looked for.
 func named(only string, names ...string) bool {
@@ -244,17 +252,17 @@
 		if !all && len(points) == 0 && only == "" || !named(only, r.Node, r.Role, r.Zone) {
 			continue
 		}
-		line := fmt.Sprintf("  %s %s in %s: epoch %d, configuration %d, lease %d ms more, %d members", r.Role, r.Node, r.Zone, r.Epoch, r.Rev, r.LeaseUs.Millis(), len(r.Members))
+		line := fmt.Sprintf("  %s %s in %s: epoch %d, configuration %d, lease %d ms more, %d members", process(r.Role), r.Node, r.Zone, r.Epoch, r.Rev, r.LeaseUs.Millis(), len(r.Members))
 		if carries(r.Role) {
 			open := 0
 			for _, c := range r.Conns {
 				open += c[0]
 			}
 			line += fmt.Sprintf(", %d server connections, %d databases down, ", open, len(r.Down))
-			if r.Role == "desk" {
-				line += fmt.Sprintf("%d statements, %d refused", r.Counters["desk.statements"], r.Counters["desk.refused"])
+			if r.Role == "pooler" {
+				line += fmt.Sprintf("%d statements, %d refused", r.Counters["pooler.statements"], r.Counters["pooler.refused"])
 			} else {
-				line += fmt.Sprintf("%d requests, %d sent again, %d refused", r.Counters["turnstile.requests"], r.Counters["turnstile.sent_again"], r.Counters["turnstile.answered_503"])
+				line += fmt.Sprintf("%d requests, %d sent again, %d refused", r.Counters["gateway.requests"], r.Counters["gateway.sent_again"], r.Counters["gateway.answered_503"])
 			}
 		}
 		if len(points) > 0 {
@@ -262,29 +270,29 @@
 		}
 		lines = append(lines, line)
 	}
-	if len(peers) == 0 && role != "archive" {
+	if len(peers) == 0 && role != "control" {
 		return
 	}
-	fmt.Fprintf(w, "%ss: %d asked, %d as most are, %d differ\n", role, len(peers), len(peers)-odd, odd)
+	fmt.Fprintf(w, "%ss: %d asked, %d as most are, %d differ\n", process(role), len(peers), len(peers)-odd, odd)
 	for _, line := range lines {
 		fmt.Fprintln(w, line)
 	}
 }
 
-// bearable is how many archives may be lost at once, with their disks, so that
+// bearable is how many control nodes may be lost at once, with their disks, so that
 // the state survives and a majority of the witnesses can still vote or be
 // restored; lost is one that is taken for gone already.
 func (s *System) bearable(p *Report, lost string) int {
 	taking := 0
 	copies := 0
-	for _, a := range s.nodes("archive") {
+	for _, a := range s.nodes("control") {
 		if a.Addr == lost {
 			continue
 		}
 		if slices.Contains(p.View.Witnesses, a.Addr) && !a.Abstains {
 			taking++
 		}
-		if a.Addr == p.View.Primary.Addr || slices.ContainsFunc(p.View.Backups, func(m vault.Member) bool { return m.Addr == a.Addr }) {
+		if a.Addr == p.View.Primary.Addr || slices.ContainsFunc(p.View.Backups, func(m controlstate.Member) bool { return m.Addr == a.Addr }) {
 			copies++
 		}
 	}
