Stand-ins of databases, platform and clients in a package of their own

Moved out of the simulation, behind a small view of the network, so that they can be played beside real processes as well.

--- a/internal/simulation/calls_test.go
+++ b/internal/simulation/calls_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/standin"
 )
 
 // post makes one call at one control node.
@@ -33,7 +34,7 @@
 			}
 			return string(raw)
 		}
-		beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":1}`, d.addr)
+		beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":1}`, d.Addr)
 		leave := func(zone int, id string) int { return w.post(zone, "/Servers.Deregister/"+id, nil, nil) }
 		d.Drain()
 		time.Sleep(2 * time.Second)
@@ -77,7 +78,7 @@
 		d, first := g.DB(2), g.DB(2).ID
 		late := func(id string) {
 			t.Helper()
-			beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":6,"status":"up","call_seq":1}`, d.addr)
+			beat := fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z3","slots":6,"status":"up","call_seq":1}`, d.Addr)
 			if code := w.post(controlPrimary(w), "/Servers.Heartbeat/"+id, nil, beat); code >= 400 && code < 500 {
 				t.Errorf("a late beat of %s: %d", id, code)
 			}
@@ -88,7 +89,7 @@
 				t.Fatal(err)
 			}
 			for key, raw := range state.Entries {
-				if strings.HasPrefix(key, "database/") && strings.Contains(string(raw), d.addr) && !strings.Contains(string(raw), `"gone":true`) {
+				if strings.HasPrefix(key, "database/") && strings.Contains(string(raw), d.Addr) && !strings.Contains(string(raw), `"gone":true`) {
 					out = append(out, strings.TrimPrefix(key, "database/"))
 				}
 			}
@@ -115,7 +116,7 @@
 		late("second")
 		expect("third")
 		d.Crash(false)
-		other := fmt.Appendf(nil, `{"svc":"lookup","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":9}`, d.addr)
+		other := fmt.Appendf(nil, `{"svc":"lookup","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":9}`, d.Addr)
 		w.Until("another's beat is taken", 3*time.Second, func() bool {
 			return w.post(controlPrimary(w), "/Servers.Heartbeat/other", nil, other) == 200
 		})
@@ -198,7 +199,7 @@
 		// Without the others the primary itself takes nothing and refuses nothing;
 		// it may send the caller on.
 		here := func(path string, header map[string]string, body []byte) int {
-			code, _ := w.call(w.Net.Host("10.250.0.1"), 0, "POST", ip(z)+":8782", path, header, body)
+			code, _ := standin.CallFollowing(w.Net.Host("10.250.0.1"), 0, "POST", ip(z)+":8782", path, header, body)
 			return code
 		}
 		for other := 1; other <= 4; other++ {
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -17,6 +17,7 @@
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/rpc"
+	"indigowalk/internal/standin"
 	"indigowalk/internal/tools"
 )
 
@@ -250,7 +251,7 @@
 		if a, _ := s.Query("PUT k 1"); a.Code != lineprotocol.Unknown {
 			t.Errorf("a write whose answer was lost: %q", a.Code)
 		}
-		if a, _ := s.Query("FETCH k"); Row(a) != "1" {
+		if a, _ := s.Query("FETCH k"); standin.Row(a) != "1" {
 			t.Errorf("the write that ran shows as %s", a.Rows)
 		}
 	})
@@ -502,7 +503,7 @@
 							if d := g.Lead(); d != nil {
 								d.Crash(r.IntN(2) == 0)
 								time.Sleep(3 * time.Second)
-								d.Return(fmt.Sprint(d.addr, "-", round))
+								d.Return(fmt.Sprint(d.Addr, "-", round))
 							}
 						case 2:
 							w.Net.Cut(ip(z), ip(1+z%4), true)
@@ -550,8 +551,8 @@
 			{"QUERY 1 FETCH x\n", lineprotocol.Malformed},
 		} {
 			s, _ := w.Login(1, "p.ledger")
-			s.c.Write([]byte(c.sent))
-			if line, err := s.r.Line(); err != nil || !strings.HasPrefix(string(line), "ERROR "+c.code) {
+			s.Send([]byte(c.sent))
+			if line, err := s.Line(); err != nil || !strings.HasPrefix(line, "ERROR "+c.code) {
 				t.Errorf("%.20q: %s %v", c.sent, line, err)
 			}
 			s.Close()
@@ -573,26 +574,26 @@
 			if x, _ := a.Query(fmt.Sprintf("RUN s thing %d", i)); x.Code != "" {
 				t.Fatalf("RUN of a PUT: %s", x.Code)
 			}
-			if x, _ := b.Query("RUN s thing"); Row(x) != strconv.Itoa(i) || !strings.Contains(string(x.Rows), "1:blue") {
+			if x, _ := b.Query("RUN s thing"); standin.Row(x) != strconv.Itoa(i) || !strings.Contains(string(x.Rows), "1:blue") {
 				t.Fatalf("RUN of a FETCH: %s %s", x.Code, x.Rows)
 			}
 		}
-		a.c.Write([]byte("QUERY 1 PUT k 1\r\nQUERY 2 FET"))
+		a.Send([]byte("QUERY 1 PUT k 1\r\nQUERY 2 FET"))
 		first := a.Answer()
-		a.c.Write([]byte("CH k\r\n"))
-		if second := a.Answer(); first.Code != "" || Row(second) != "1" {
+		a.Send([]byte("CH k\r\n"))
+		if second := a.Answer(); first.Code != "" || standin.Row(second) != "1" {
 			t.Errorf("pipelined and split: %v %v", first, second)
 		}
 		a.Query("BEGIN")
 		a.Query("PUT k 2")
-		if x, _ := b.Query("FETCH k"); Row(x) != "1" {
+		if x, _ := b.Query("FETCH k"); standin.Row(x) != "1" {
 			t.Errorf("an open transaction shows: %s", x.Rows)
 		}
 		time.Sleep(4 * time.Second)
 		if x, _ := a.Query("COMMIT"); x.Code != lineprotocol.RolledBack || a.State != "I" {
 			t.Errorf("after a long rest: %s in state %s", x.Code, a.State)
 		}
-		if x, _ := b.Query("FETCH k"); Row(x) != "1" {
+		if x, _ := b.Query("FETCH k"); standin.Row(x) != "1" {
 			t.Errorf("a rolled-back transaction shows: %s", x.Rows)
 		}
 		a.Close()
--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -137,7 +137,7 @@
 		d := g.DB(1)
 		beat := func(status string, seq int) int {
 			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(controlPrimary(w))+":8782", "/Servers.Heartbeat/"+d.ID, nil,
-				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":%q,"target_role":"replica","call_seq":%d}`, d.addr, status, seq))
+				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":%q,"target_role":"replica","call_seq":%d}`, d.Addr, status, seq))
 			return code
 		}
 		if code := beat("draining", 1000); code != 200 {
--- a/internal/simulation/cutoff_test.go
+++ b/internal/simulation/cutoff_test.go
@@ -42,7 +42,7 @@
 		w.Isolate(cut, false, 1, 2, 3, 4)
 		time.Sleep(3 * time.Second)
 		l.Stop()
-		longest = l.longestGap(cut)
+		longest = l.LongestGap(cut)
 	})
 	return longest
 }
--- a/internal/simulation/full_test.go
+++ b/internal/simulation/full_test.go
@@ -25,12 +25,12 @@
 	play(t, func(w *World, g *Group) {
 		l := under(w, g, func() {
 			lead := g.Lead()
-			w.Net.Full(lead.Host.IP, true)
+			w.Net.Full(lead.IP, true)
 			time.Sleep(500 * time.Millisecond)
 			changed(w, 1, 7)
 			w.Until("all poolers have it", time.Second, func() bool { return w.taken(7) })
 			time.Sleep(2 * time.Second)
-			w.Net.Full(lead.Host.IP, false)
+			w.Net.Full(lead.IP, false)
 		})
 		served(t, l, 6*time.Second)
 	})
--- /dev/null
+++ b/internal/simulation/group.go
@@ -0,0 +1,70 @@
+package simulation
+
+import (
+	"fmt"
+
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/standin"
+)
+
+// Group is a service's databases in a world.
+type Group struct {
+	*standin.Group
+	w *World
+}
+
+// Database is a stand-in for one database.
+type Database = standin.Database
+
+// Session is a client's session at a pooler.
+type Session = standin.Session
+
+// Load is a workload that checks what clients are promised.
+type Load = standin.Load
+
+// Group adds a service with a primary and two replicas.
+func (w *World) Group(service string) *Group {
+	g := &Group{standin.NewGroup(environment{w}, service), w}
+	w.Groups[service] = g
+	for z, role := range []string{"primary", "replica", "replica"} {
+		g.Add(fmt.Sprintf("%s-%d", service, z+1), fmt.Sprintf("10.%d.64.%d", z+1, len(w.Groups)), fmt.Sprintf("z%d", z+1), role)
+	}
+	return g
+}
+
+// clients is the host of a zone's clients.
+func (w *World) clients(zone int) *Host { return w.Net.Host(fmt.Sprintf("10.250.%d.2", zone)) }
+
+// Login opens a session at a zone's pooler; if that fails the code says how.
+func (w *World) Login(zone int, database string) (*Session, string) {
+	return standin.Login(w.clients(zone), ip(zone)+":8784", database)
+}
+
+// NewLoad starts writers and readers of the group at the poolers of these zones,
+// of all if none are named.
+func (w *World) NewLoad(g *Group, seed uint64, zones ...int) *Load {
+	if len(zones) == 0 {
+		for z := range w.Zones {
+			zones = append(zones, z+1)
+		}
+	}
+	var poolers []standin.Pooler
+	for _, z := range zones {
+		poolers = append(poolers, standin.Pooler{Number: z, Addr: ip(z) + ":8784", Network: w.clients(z)})
+	}
+	return standin.NewLoad(g.Group, seed, poolers, nil)
+}
+
+// environment is the world as stand-ins see it.
+type environment struct{ w *World }
+
+func (e environment) Network(ip string) kernel.Network { return e.w.Net.Host(ip) }
+func (e environment) Controls() []string               { return e.w.ControlAddrs() }
+func (e environment) Silence(ip string, silent bool)   { e.w.Net.Dark(ip, silent) }
+func (e environment) Reset(ip string)                  { e.w.Net.Reset(ip) }
+
+func (e environment) Reaches(from, to string) bool {
+	e.w.Net.mu.Lock()
+	defer e.w.Net.mu.Unlock()
+	return e.w.Net.open(from, to)
+}
--- a/internal/simulation/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -21,13 +21,6 @@
 	return g.Lead()
 }
 
-// commits is how many have been acknowledged.
-func (g *Group) commits() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.acked)
-}
-
 // status is what the tool says of the system in short.
 func (w *World) status() string {
 	var b bytes.Buffer
@@ -88,7 +81,7 @@
 	second.Crash(false)
 	third = g.next(second, 3*time.Second)
 	time.Sleep(time.Second)
-	for _, d := range g.dbs[1:] {
+	for _, d := range g.Databases()[1:] {
 		if d != g.DB(2) && d != second && d != third { // it alone stays
 			d.Deaf(true)
 			time.Sleep(1500 * time.Millisecond) // those that leave are let receive
@@ -131,9 +124,9 @@
 			time.Sleep(time.Second)
 			g.DB(1).Leave(12*time.Second, true)
 			time.Sleep(time.Second)
-			before := g.commits()
+			before := g.Acked()
 			time.Sleep(time.Second)
-			if n := g.commits() - before; n < 20 {
+			if n := g.Acked() - before; n < 20 {
 				t.Errorf("%d commits in a second", n)
 			}
 			lead := g.Lead()
@@ -294,7 +287,7 @@
 			}
 			w.Until("the old one is forgotten", 5*time.Second, func() bool { return entry("ledger-2") == "" })
 			code, _ := w.Call(w.Net.Host("10.250.0.1"), "POST", ip(controlPrimary(w))+":8782", "/Servers.Heartbeat/ledger-2", nil,
-				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":"draining","target_role":"replica","call_seq":999}`, g.DB(1).addr))
+				fmt.Appendf(nil, `{"svc":"ledger","address":%q,"zone":"z2","slots":7,"status":"draining","target_role":"replica","call_seq":999}`, g.DB(1).Addr))
 			if entry("ledger-2") != "" || entry("ledger-9") == "" {
 				t.Errorf("a late beat, answered %d, put the old one back", code)
 			}
@@ -332,13 +325,13 @@
 		first := g.Lead()
 		cut := func(cut bool) {
 			for z := 1; z <= 4; z++ {
-				w.Net.Cut(first.Host.IP, ip(z), cut)
+				w.Net.Cut(first.IP, ip(z), cut)
 			}
 		}
 		l := under(w, g, func() {
 			cut(true)
-			w.Net.Cut(first.Host.IP, g.DB(1).Host.IP, true)
-			w.Net.Cut(first.Host.IP, g.DB(2).Host.IP, true)
+			w.Net.Cut(first.IP, g.DB(1).IP, true)
+			w.Net.Cut(first.IP, g.DB(2).IP, true)
 			second := g.next(first, 5*time.Second)
 			time.Sleep(time.Second)
 			second.Crash(true)
@@ -368,7 +361,7 @@
 					g.next(second, 5*time.Second)
 					return
 				}
-				g.DB(3 - slices.Index(g.dbs, second)).Crash(true)
+				g.DB(3 - slices.Index(g.Databases(), second)).Crash(true)
 				time.Sleep(5 * time.Second)
 				second.Return(second.ID + "b")
 				w.Until("it leads again", 3*time.Second, func() bool { return strings.Contains(w.status(), "1 services, 1 with a lead") })
@@ -397,9 +390,8 @@
 					t.Fatal(err)
 				}
 				limit, _ = lineprotocol.ParsePosition(known[d.ID].Limit)
-				g.mu.Lock()
-				defer g.mu.Unlock()
-				return d.held, d.pos(), limit
+				received, held = d.Position()
+				return held, received, limit
 			}
 			confined := func() bool {
 				held, received, limit := state()
@@ -407,7 +399,7 @@
 			}
 			w.Until("the leaving replica is confined", 3*time.Second, confined)
 			_, _, before := state()
-			d.control("CONTINUE", "")
+			d.Control("CONTINUE", "")
 			time.Sleep(100 * time.Millisecond) // the load writes
 			w.Until("it is confined again", 2*time.Second, confined)
 			if _, _, limit := state(); !before.Less(limit) {
--- a/internal/simulation/stray_test.go
+++ b/internal/simulation/stray_test.go
@@ -9,9 +9,9 @@
 func heldReplicas(w *World, g *Group) {
 	w.T.Helper()
 	w.Until("the replicas are paused", 10*time.Second, func() bool {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return g.dbs[1].held > 0 && g.dbs[2].held > 0
+		_, first := g.DB(1).Position()
+		_, second := g.DB(2).Position()
+		return first > 0 && second > 0
 	})
 }
 
@@ -25,14 +25,14 @@
 			g.DB(1).Deaf(true)
 			g.DB(2).Deaf(true) // so that writes are under way when they are paused
 			time.Sleep(100 * time.Millisecond)
-			w.Net.Cut(ip(z), g.DB(0).Host.IP, true) // only the failover manager finds it down
+			w.Net.Cut(ip(z), g.DB(0).IP, true) // only the failover manager finds it down
 			heldReplicas(w, g)
 			time.Sleep(30 * time.Millisecond)
-			g.DB(2).control("CONTINUE", "")
+			g.DB(2).Control("CONTINUE", "")
 			g.DB(2).Deaf(false)
 			time.Sleep(3 * time.Second)
 			g.DB(1).Deaf(false)
-			w.Net.Cut(ip(z), g.DB(0).Host.IP, false)
+			w.Net.Cut(ip(z), g.DB(0).IP, false)
 		})
 	})
 }
@@ -43,23 +43,20 @@
 	play(t, func(w *World, g *Group) {
 		z := controlPrimary(w)
 		g.DB(2).Crash(true)
-		w.Net.Cut(ip(z), g.DB(0).Host.IP, true)
+		w.Net.Cut(ip(z), g.DB(0).IP, true)
 		l := w.NewLoad(g, 3)
 		w.Until("a replica is paused", 10*time.Second, func() bool {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return g.dbs[1].held > 0
+			_, held := g.DB(1).Position()
+			return held > 0
 		})
-		w.Net.Cut(ip(z), g.DB(1).Host.IP, true)
-		w.Net.Cut(ip(z), g.DB(0).Host.IP, false)
+		w.Net.Cut(ip(z), g.DB(1).IP, true)
+		w.Net.Cut(ip(z), g.DB(0).IP, false)
 		time.Sleep(5 * time.Second)
-		w.Net.Cut(ip(z), g.DB(1).Host.IP, false)
+		w.Net.Cut(ip(z), g.DB(1).IP, false)
 		time.Sleep(5 * time.Second)
-		g.mu.Lock()
-		if g.dbs[1].held > 0 {
+		if _, held := g.DB(1).Position(); held > 0 {
 			t.Error("a replica is still paused")
 		}
-		g.mu.Unlock()
 		l.Stop()
 	})
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -6,16 +6,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"indigowalk/internal/kernel"
@@ -36,6 +33,7 @@
 	_ "indigowalk/internal/readrouting"
 	_ "indigowalk/internal/routeconfig"
 	_ "indigowalk/internal/rpc"
+	"indigowalk/internal/standin"
 )
 
 // TB is what the world needs of a test.
@@ -57,7 +55,7 @@
 	Deploy       string // kind of deployment; a pooler's if ""
 	dir          string
 	procs        map[string]*Process
-	platform     *platform
+	platform     *standin.Platform
 	Poll         int      // tune.poll_ms
 	Losses       int      // tolerate.hosts
 	MaxConns     int      // max_conns of the services
@@ -87,11 +85,31 @@
 		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, Services: map[string]*Service{}, dir: t.TempDir(),
 		procs: map[string]*Process{}, Poll: 600, Losses: 1, MaxConns: 90,
 	}
-	w.platform = &platform{w: w, fences: map[string]int64{}}
-	w.platform.serve()
+	w.platform = &standin.Platform{Promote: w.promote}
+	ln, err := w.Net.Host(platformIP).Listen(platformIP + ":8783")
+	if err != nil {
+		t.Fatalf("platform: %v", err)
+	}
+	go http.Serve(ln, w.platform)
 	return w
 }
 
+// promote is what the platform does.
+func (w *World) promote(service, id string) int {
+	g := w.Groups[service]
+	if g == nil {
+		return http.StatusBadRequest
+	}
+	return g.PromoteTo(id)
+}
+
+// Refuse has the platform answer the next calls with these codes; 0 leaves a
+// call unanswered.
+func (w *World) Refuse(codes ...int) { w.platform.Refuse(codes...) }
+
+// Calls is how often the platform was called.
+func (w *World) Calls() int { return w.platform.Calls() }
+
 func ip(zone int) string { return fmt.Sprintf("10.%d.%d.1", 1+(zone-1)%200, (zone-1)/200) }
 
 // ControlAddrs lists the control nodes' control addresses.
@@ -227,11 +245,7 @@
 func (w *World) Close() {
 	w.Net.Heal()
 	for _, g := range w.Groups {
-		for _, d := range g.dbs {
-			if d.alive {
-				d.Crash(false)
-			}
-		}
+		g.End()
 	}
 	for _, s := range w.Services {
 		for _, d := range s.dbs {
@@ -244,7 +258,7 @@
 	w.Net.Reset(platformIP)
 	time.Sleep(2 * time.Minute)
 	for _, g := range w.Groups {
-		for _, b := range g.Broken {
+		for _, b := range g.Broken() {
 			w.T.Errorf("%s: %s", g.Service, b)
 		}
 	}
@@ -253,36 +267,11 @@
 			w.T.Errorf("%s: %s", s.Name, b)
 		}
 	}
-	for _, b := range w.platform.broken {
+	for _, b := range w.platform.Broken() {
 		w.T.Errorf("platform: %s", b)
 	}
 }
 
-// Group adds a service with a primary and two replicas.
-func (w *World) Group(service string) *Group {
-	g := &Group{w: w, Service: service, term: 1, acked: map[string]entry{}, Promote: 300 * time.Millisecond}
-	w.Groups[service] = g
-	for z, role := range []string{"primary", "replica", "replica"} {
-		g.Add(fmt.Sprintf("%s-%d", service, z+1), fmt.Sprintf("10.%d.64.%d", z+1, len(w.Groups)), fmt.Sprintf("z%d", z+1), role)
-	}
-	return g
-}
-
-// DB returns the group's databases in the order in which they were added.
-func (g *Group) DB(i int) *Database { return g.dbs[i] }
-
-// Lead returns the database that leads the newest term and runs.
-func (g *Group) Lead() *Database {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, d := range g.dbs {
-		if d.role == "primary" && d.term == g.term && d.alive {
-			return d
-		}
-	}
-	return nil
-}
-
 // Configuration is a configuration with one route of each type for each
 // service: p.SERVICE, b.SERVICE and n.SERVICE.
 func (w *World) Configuration(rev int64) []byte {
@@ -311,39 +300,9 @@
 	return raw
 }
 
-// Call makes an HTTP call from a host, following 307 twice.
+// Call makes one call of a host to a control address, and follows 307 twice.
 func (w *World) Call(from *Host, method, addr, path string, header map[string]string, body []byte) (int, []byte) {
-	return w.call(from, 2, method, addr, path, header, body)
-}
-
-// call follows 307 so many times.
-func (w *World) call(from *Host, hops int, method, addr, path string, header map[string]string, body []byte) (int, []byte) {
-	tr := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, a string) (net.Conn, error) {
-		return from.Dial(ctx, a, 0)
-	}}
-	client := &http.Client{Transport: tr, Timeout: time.Second, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
-		if len(via) > hops {
-			return http.ErrUseLastResponse
-		}
-		return nil
-	}}
-	q, err := http.NewRequest(method, "http://"+addr+path, bytes.NewReader(body))
-	if err != nil {
-		return 0, nil
-	}
-	for k, v := range header {
-		q.Header.Set(k, v)
-	}
-	a, err := client.Do(q)
-	if err != nil {
-		return 0, nil
-	}
-	defer a.Body.Close()
-	raw, err := io.ReadAll(a.Body)
-	if err != nil {
-		return 0, nil
-	}
-	return a.StatusCode, raw
+	return standin.Call(from, method, addr, path, header, body)
 }
 
 // Replace sends a configuration once, to one control node.
@@ -396,84 +355,3 @@
 	}
 	return time.Since(start)
 }
-
-// platform stands in for the platform and checks the fence.
-type platform struct {
-	w      *World
-	mu     sync.Mutex
-	fences map[string]int64 // by holder
-	last   int64
-	holder string
-	broken []string
-	calls  int
-	forced []int // answers given before any call is carried out
-}
-
-// Refuse has the platform answer the next calls with these codes; 0 leaves a
-// call unanswered.
-func (w *World) Refuse(codes ...int) {
-	w.platform.mu.Lock()
-	defer w.platform.mu.Unlock()
-	w.platform.forced = codes
-}
-
-// Calls is how often the platform was called.
-func (w *World) Calls() int {
-	w.platform.mu.Lock()
-	defer w.platform.mu.Unlock()
-	return w.platform.calls
-}
-
-func (p *platform) refusal() (int, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.forced) == 0 {
-		return 0, false
-	}
-	code := p.forced[0]
-	p.forced = p.forced[1:]
-	return code, true
-}
-
-func (p *platform) serve() {
-	ln, err := p.w.Net.Host(platformIP).Listen(platformIP + ":8783")
-	if err != nil {
-		panic(err)
-	}
-	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		var body struct{ Svc, ID string }
-		if json.NewDecoder(q.Body).Decode(&body) != nil || q.URL.Path != "/failover" {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		p.check(q.Header.Get("X-Indigowalk-Duty-Holder"), q.Header.Get("X-Indigowalk-Fence"))
-		if code, ok := p.refusal(); ok {
-			if code == 0 {
-				<-q.Context().Done()
-				return
-			}
-			w.WriteHeader(code)
-			return
-		}
-		g := p.w.Groups[body.Svc]
-		if g == nil {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-		w.WriteHeader(g.promote(body.ID))
-	}))
-}
-
-func (p *platform) check(holder, fence string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.calls++
-	n, err := strconv.ParseInt(fence, 10, 64)
-	switch {
-	case err != nil || holder == "":
-		p.broken = append(p.broken, "a duty call without holder or fence")
-	case n < p.last, holder != p.holder && p.holder != "" && n == p.last:
-		p.broken = append(p.broken, fmt.Sprintf("fence %d of %s after %d of %s", n, holder, p.last, p.holder))
-	}
-	p.last, p.holder = n, holder
-}
--- /dev/null
+++ b/internal/standin/database.go
@@ -0,0 +1,272 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
+)
+
+// Database is a stand-in for one database.
+type Database struct {
+	ID   string
+	IP   string
+	Addr string
+
+	g        *Group
+	zone     string
+	role     string
+	term     int64
+	held     int64
+	log      []entry // received; clipped when it is shared, so that whoever appends copies
+	deaf     bool
+	alive    bool
+	draining bool
+	leftAt   time.Time // when a control node first acknowledged that it drains
+	seq      int64
+	beatAddr string
+	stop     chan struct{}
+	ran      map[string]bool
+	slow     time.Duration // more time for every log-in and statement
+	lose     int           // answers to be lost, their connections kept
+}
+
+func (d *Database) start() {
+	d.alive, d.stop = true, make(chan struct{})
+	ln, err := d.network().Listen(d.Addr)
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(c)
+		}
+	}()
+	go d.beats(d.stop)
+}
+
+// Crash ends the database; a dark one just falls silent.
+func (d *Database) Crash(dark bool) {
+	d.g.mu.Lock()
+	if !d.alive {
+		d.g.mu.Unlock()
+		return
+	}
+	d.alive = false
+	close(d.stop)
+	d.g.mu.Unlock()
+	if dark {
+		d.g.env.Silence(d.IP, true)
+	}
+	d.g.env.Reset(d.IP)
+}
+
+// Return brings a crashed database back, with its log and under a new id.
+func (d *Database) Return(id string) {
+	d.g.mu.Lock()
+	d.ID, d.seq, d.held, d.beatAddr = id, 0, 0, ""
+	d.leftAt = time.Time{}
+	if d.role == "primary" && d.g.term > d.term {
+		d.role = replica
+	}
+	if d.role == replica {
+		d.catchUp()
+	}
+	d.g.mu.Unlock()
+	d.g.env.Silence(d.IP, false)
+	d.start()
+}
+
+// Deaf keeps a replica from receiving.
+func (d *Database) Deaf(deaf bool) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.deaf = deaf; !deaf {
+		d.catchUp()
+	}
+}
+
+// Drain says that the database is to be replaced.
+func (d *Database) Drain() {
+	d.g.mu.Lock()
+	d.draining = true
+	d.g.mu.Unlock()
+	go d.beat()
+}
+
+// Leave has the database drain, serve on for that long, deregister, if it gets
+// to that, and end. Its log is gone then.
+func (d *Database) Leave(after time.Duration, deregister bool) {
+	d.Drain()
+	time.AfterFunc(after, func() {
+		if deregister {
+			d.call("/Servers.Deregister/"+d.ID, nil)
+		}
+		d.Crash(false)
+	})
+}
+
+// Role is how the database sees itself.
+func (d *Database) Role() string {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.role
+}
+
+// catchUp copies what the leading database holds.
+func (d *Database) catchUp() {
+	for _, p := range d.g.dbs {
+		if p != d && p.role == "primary" && p.alive && p.term == d.g.term {
+			d.log = slices.Clip(p.log)
+			d.term = p.term
+		}
+	}
+}
+
+func (d *Database) pos() lineprotocol.Position {
+	if len(d.log) == 0 {
+		return lineprotocol.Position{Term: d.term}
+	}
+	return d.log[len(d.log)-1].pos
+}
+
+func (d *Database) beats(stop chan struct{}) {
+	for {
+		d.beat()
+		select {
+		case <-stop:
+			return
+		case <-time.After(1200 * time.Millisecond):
+		}
+	}
+}
+
+func (d *Database) beat() {
+	d.g.mu.Lock()
+	if !d.alive {
+		d.g.mu.Unlock()
+		return
+	}
+	d.seq++
+	status := "up"
+	if d.draining {
+		status = "draining"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"svc": d.g.Service, "address": d.Addr, "zone": d.zone, "rev": "v1", "slots": 7,
+		"status": status, "call_seq": d.seq, "target_role": d.role,
+	})
+	path, drains := "/Servers.Heartbeat/"+d.ID, d.draining
+	d.g.mu.Unlock()
+	if !d.call(path, body) || !drains {
+		return
+	}
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.leftAt.IsZero() {
+		d.leftAt = time.Now()
+		if d.g.Observe.Drains != nil {
+			d.g.Observe.Drains(d.g.Service, d.ID)
+		}
+	}
+}
+
+// call makes a call to the first control node that acknowledges it, if any does.
+func (d *Database) call(path string, body []byte) bool {
+	for _, a := range d.g.env.Controls() {
+		if code, _ := Call(d.network(), http.MethodPost, a, path, nil, body); code == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
+// drainBound is bounds.drain_ms, here and in the settings of what is tested.
+const drainBound = 7 * time.Second
+
+// port is that of every database.
+const port = "8080"
+
+// How a database sees itself.
+const (
+	primary = "primary"
+	replica = "replica"
+)
+
+func (d *Database) network() kernel.Network { return d.g.env.Network(d.IP) }
+
+// holds are the ids of the statements that the log holds. The caller holds the lock.
+func (d *Database) holds() map[string]bool {
+	held := make(map[string]bool, len(d.log))
+	for _, e := range d.log {
+		held[e.id] = true
+	}
+	return held
+}
+
+// Position is the last place in its log, and the term at which it is paused, 0 if
+// it is not.
+func (d *Database) Position() (last lineprotocol.Position, held int64) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.pos(), d.held
+}
+
+// Alive tells whether the database runs.
+func (d *Database) Alive() bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.alive
+}
+
+// note checks a client's statement that is about to run. One that begins at the
+// database later than its leaving allows breaks DRAIN.
+func (d *Database) note(id string, begins bool) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.g.Observe.Ran != nil {
+		d.g.Observe.Ran(Run{d.g.Service, d.ID, id, begins})
+	}
+	if after := time.Since(d.leftAt); begins && !d.leftAt.IsZero() && after > drainBound {
+		d.g.broke("DRAIN: %s begins at %s %v after its leaving was acknowledged", id, d.ID, after)
+	}
+}
+
+// Slow gives the database more work to do on everything.
+func (d *Database) Slow(more time.Duration) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.slow = more
+}
+
+// Lose has the next answers to reads and writes lost.
+func (d *Database) Lose(n int) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.lose = n
+}
+
+func (d *Database) work(t time.Duration) {
+	d.g.mu.Lock()
+	t += d.slow
+	d.g.mu.Unlock()
+	time.Sleep(t)
+}
+
+func (d *Database) loses(text []byte) bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.lose == 0 || !bytes.HasPrefix(text, []byte("FETCH")) && !bytes.HasPrefix(text, []byte("PUT")) {
+		return false
+	}
+	d.lose--
+	return true
+}
--- /dev/null
+++ b/internal/standin/statements.go
@@ -0,0 +1,238 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"indigowalk/internal/lineprotocol"
+)
+
+// serve speaks the wire with one caller.
+func (d *Database) serve(c net.Conn) {
+	defer c.Close()
+	r := lineprotocol.NewReader(c)
+	line, err := r.Line()
+	if err != nil {
+		return
+	}
+	f := strings.Fields(string(line))
+	d.g.mu.Lock()
+	id, alive := d.ID, d.alive
+	d.g.mu.Unlock()
+	if len(f) < 3 || f[0] != "LOGIN" || f[1] != d.g.Service || len(f) > 3 && f[3] != id {
+		c.Write(lineprotocol.AppendMessage(nil, "ERROR", lineprotocol.WrongNode, id))
+		return
+	}
+	if !alive {
+		return
+	}
+	d.work(2 * time.Millisecond)
+	s := &dbSession{d: d, state: 'I', values: map[string]string{}, names: map[string]string{}}
+	out := lineprotocol.AppendMessage(nil, "IDLE", "I", d.position())
+	for {
+		if len(out) > 0 {
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+		}
+		if line, err = r.Line(); err != nil {
+			return
+		}
+		word, rest := lineprotocol.Word(line)
+		if string(word) != "QUERY" {
+			return
+		}
+		qid, text := lineprotocol.Word(rest)
+		a := s.query(string(qid), string(text))
+		if a == nil {
+			return
+		}
+		a.State, a.Pos = s.state, d.position()
+		if out = a.Append(nil); d.loses(text) {
+			out = nil
+		}
+	}
+}
+
+func (d *Database) position() string {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.pos().String()
+}
+
+type dbSession struct {
+	d      *Database
+	state  byte
+	values map[string]string
+	names  map[string]string
+	writes []entry
+	begun  bool // a transaction, in which nothing has run yet
+}
+
+func fail(code, text string) *lineprotocol.Answer {
+	return &lineprotocol.Answer{Code: code, Text: text}
+}
+
+// query runs one text; nil cuts the connection.
+func (s *dbSession) query(id, text string) *lineprotocol.Answer {
+	d, g := s.d, s.d.g
+	verb, rest, _ := strings.Cut(text, " ")
+	done := &lineprotocol.Answer{Seal: "-"}
+	switch verb {
+	case "OPTION":
+		k, v, _ := strings.Cut(rest, " ")
+		s.values[k] = v
+		return done
+	case "DISCARD":
+		clear(s.values)
+		clear(s.names)
+		return done
+	case "PARSE":
+		k, v, _ := strings.Cut(rest, " ")
+		s.names[k] = v
+		return done
+	case "STAT", "PAUSE", "CONTINUE", "STEPDOWN":
+		return d.Control(verb, rest)
+	case "WAITPOS":
+		p, then, _ := strings.Cut(rest, " ")
+		want, ok := lineprotocol.ParsePosition(p)
+		g.mu.Lock()
+		behind := d.pos().Less(want)
+		g.mu.Unlock()
+		if !ok || behind {
+			return fail(lineprotocol.Lagging, d.ID)
+		}
+		return s.query(id, then)
+	case "BEGIN":
+		if rest == "" && d.Role() != primary {
+			return fail(lineprotocol.ReadOnly, d.ID)
+		}
+		s.state, s.writes, s.begun = 'T', nil, true
+		return done
+	case "ABORT":
+		s.state, s.writes = 'I', nil
+		return done
+	case "RUN":
+		name, arg, _ := strings.Cut(rest, " ")
+		shape, ok := s.names[name]
+		if !ok {
+			return fail(lineprotocol.NoSuch, name)
+		}
+		verb, _, _ = strings.Cut(shape, " ")
+		rest = arg
+	}
+	if id == "-" {
+		g.mu.Lock()
+		g.broke("UNASKED: %q without a client's id", text)
+		g.mu.Unlock()
+	}
+	begins := s.state == 'I' || s.begun
+	s.begun = false
+	d.note(id, begins)
+	d.work(3 * time.Millisecond)
+	switch verb {
+	case "FETCH":
+		return s.fetch(rest)
+	case "PUT":
+		thing, data, _ := strings.Cut(rest, " ")
+		if d.Role() != primary {
+			return s.failed(lineprotocol.ReadOnly)
+		}
+		s.writes = append(s.writes, entry{id: id, thing: thing, data: data})
+		if s.state == 'T' {
+			return g.seal()
+		}
+		return s.commit()
+	case "COMMIT":
+		s.state = 'I'
+		return s.commit()
+	}
+	return fail(lineprotocol.Malformed, text)
+}
+
+func (s *dbSession) failed(code string) *lineprotocol.Answer {
+	if s.state == 'T' {
+		s.state = 'E'
+	}
+	return fail(code, s.d.ID)
+}
+
+func (g *Group) seal() *lineprotocol.Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.seals++
+	return &lineprotocol.Answer{Seal: "seal." + strconv.Itoa(g.seals)}
+}
+
+func (s *dbSession) commit() *lineprotocol.Answer {
+	writes := s.writes
+	s.writes = nil
+	if len(writes) == 0 {
+		return s.d.g.seal()
+	}
+	if _, ok := s.d.commit(writes); !ok {
+		s.d.g.mu.Lock()
+		alive := s.d.alive
+		s.d.g.mu.Unlock()
+		if !alive {
+			return nil
+		}
+		return fail(lineprotocol.ReadOnly, s.d.ID)
+	}
+	return s.d.g.seal()
+}
+
+func (s *dbSession) fetch(thing string) *lineprotocol.Answer {
+	g := s.d.g
+	a := g.seal()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	value := "-"
+	for _, e := range s.d.log {
+		if e.thing == thing {
+			value = e.data
+		}
+	}
+	for _, e := range s.writes {
+		if e.thing == thing {
+			value = e.data
+		}
+	}
+	a.Rows = lineprotocol.AppendMessage(nil, "ROW", value, s.shown())
+	return a
+}
+
+// shown tells the values in force, so that clients can check them.
+func (s *dbSession) shown() string {
+	return fmt.Sprint(len(s.values), ":", s.values["colour"])
+}
+
+// Control runs STAT, PAUSE, CONTINUE or STEPDOWN.
+func (d *Database) Control(verb, arg string) *lineprotocol.Answer {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	term, _ := strconv.ParseInt(arg, 10, 64)
+	switch verb {
+	case "PAUSE":
+		if d.role == replica { // a primary answers, and is not paused
+			if term <= d.term || term < d.held {
+				return fail(lineprotocol.Malformed, "term")
+			}
+			d.held = term
+		}
+	case "CONTINUE":
+		d.held = 0
+	case "STEPDOWN":
+		if d.role == primary && d.term < term {
+			d.role = replica
+			d.catchUp()
+		}
+	}
+	var row bytes.Buffer
+	fmt.Fprintf(&row, "%s %d %s %d 0 0 0", d.role, d.term, d.pos(), d.held)
+	return &lineprotocol.Answer{Rows: lineprotocol.AppendMessage(nil, "ROW", row.String()), Seal: "-"}
+}
