History of orders and its checker in a package of their own

Orders may be invalid in four ways now (an unknown service, cut short, no deadline, two routes at one place) instead of one.

--- a/internal/simulation/calls_test.go
+++ b/internal/simulation/calls_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"indigowalk/internal/history"
 	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/standin"
 )
@@ -228,11 +229,11 @@
 
 // many is a configuration of so many routes.
 func many(rev int64, routes int) []byte {
-	o := order{rev: rev, routes: map[string]int64{}}
+	o := history.Order{Rev: rev, Routes: map[string]int64{}}
 	for i := range routes {
-		o.routes[fmt.Sprintf("route-%05d.example", i)] = 2000
+		o.Routes[fmt.Sprintf("route-%05d.example", i)] = 2000
 	}
-	return o.body("ledger")
+	return o.Body(ledgerFrame)
 }
 
 // all reads what a connection brings in fifteen seconds.
--- a/internal/simulation/orders_test.go
+++ b/internal/simulation/orders_test.go
@@ -15,36 +15,23 @@
 	"time"
 
 	"indigowalk/internal/controlstate"
+	"indigowalk/internal/history"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/routeconfig"
 )
 
-// body is the order as it is sent, to routes of the service.
-func (o order) body(service string) []byte {
-	var routes []map[string]any
-	for _, name := range slices.Sorted(maps.Keys(o.routes)) {
-		routes = append(routes, map[string]any{"name": name, "host": name, "path_prefix": "/", "type": "primary", "svc": service, "deadline_ms": o.routes[name]})
-	}
-	if o.invalid {
-		routes[0]["svc"] = "nowhere"
-	}
-	content := map[string]any{"rev": o.rev, "routes": routes, "services": []any{map[string]any{"name": service, "max_conns": 90, "sync_replicas": 1}}}
-	if o.update {
-		content = map[string]any{"rev": o.rev, "upsert": map[string]any{"routes": routes}}
-	}
-	raw, err := json.Marshal(content)
-	if err != nil {
-		panic(err)
-	}
-	return raw
-}
+// ledgerFrame is what the orders of these tests have besides their own routes.
+var ledgerFrame = history.Frame{Service: "ledger"}
 
 // random is an order of an operator that knows a version: several operators
 // pick few numbers, so that they often pick the same.
-func random(rng *rand.Rand, known int64) order {
-	o := order{update: known > 0 && rng.IntN(2) == 0, base: known, rev: known + 1 + rng.Int64N(2), routes: map[string]int64{}, invalid: rng.IntN(12) == 0}
+func random(rng *rand.Rand, known int64) history.Order {
+	o := history.Order{Update: known > 0 && rng.IntN(2) == 0, Base: known, Rev: known + 1 + rng.Int64N(2), Routes: map[string]int64{}}
 	for range 1 + rng.IntN(3) {
-		o.routes[string(rune('a'+rng.IntN(5)))] = 1000 + rng.Int64N(1000)
+		o.Routes[string(rune('a'+rng.IntN(5)))] = 1000 + rng.Int64N(1000)
+	}
+	if rng.IntN(12) == 0 {
+		o.Invalid = history.Faults[rng.IntN(len(history.Faults))]
 	}
 	return o
 }
@@ -85,7 +72,7 @@
 	for seed := range uint64(30) {
 		rng := rand.New(rand.NewPCG(seed, 2))
 		s := &crashing{lasting: map[string]json.RawMessage{}}
-		h := &history{}
+		h := history.NewOrders()
 		start := func() *routeconfig.Registry {
 			return routeconfig.New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), s, kept)
 		}
@@ -93,40 +80,44 @@
 		known := make([]int64, 4) // by operator
 		var newest []int          // orders that were taken, in their order
 		read := func() int64 {
-			asked := h.tick()
+			asked := h.Tick()
 			raw, err := c.Fetch()
 			if err != nil {
 				t.Fatal(err)
 			}
 			rev, routes := readBack(raw)
 			if rev > 0 {
-				h.read(asked, rev, routes)
+				h.Read(asked, rev, routes)
 			}
 			return rev
 		}
 		for range 150 {
-			type call struct{ n, asked, code int }
+			type call struct {
+				n     int
+				asked history.Moment
+				code  int
+			}
 			var batch []call
 			s.next = maps.Clone(s.lasting)
 			ends, keeps := rng.IntN(4) == 0, rng.IntN(2) == 0
 			before := slices.Clone(newest)
 			for range 1 + rng.IntN(8) {
-				n, all := 0, len(h.orders)
+				n, all := 0, len(h.All())
 				switch draw := rng.IntN(10); {
 				case all == 0 || draw < 4:
-					n = h.add(random(rng, known[rng.IntN(len(known))]))
+					n = h.Add(random(rng, known[rng.IntN(len(known))]))
 				case draw < 9:
 					n = max(0, all-1-rng.IntN(12)) // what is under way
 				default:
 					n = rng.IntN(all)
 				}
-				o := h.get(n)
+				o := h.Get(n)
 				take := c.Replace
-				if o.update {
+				if o.Update {
 					take = c.Update
 				}
-				code, asked := 200, h.tick()
-				err := take(t.Context(), o.base, o.body("s"))
+				code, asked := 200, h.Tick()
+				err := take(t.Context(), o.Base, o.Body(history.Frame{Service: "s"}))
 				switch {
 				case errors.As(err, new(*routeconfig.Invalid)):
 					code = 400
@@ -164,14 +155,14 @@
 				if ends {
 					b.code = 0
 				}
-				h.answered(b.n, b.asked, b.code)
+				h.Answered(b.n, b.asked, b.code)
 			}
 			if rng.IntN(2) == 0 {
 				known[rng.IntN(len(known))] = read()
 			}
 		}
 		read()
-		for _, fault := range h.faults() {
+		for _, fault := range h.Breaches() {
 			t.Errorf("seed %d: %s", seed, fault)
 		}
 	}
@@ -182,12 +173,12 @@
 
 // send makes one call with an order, at one control node; 0 stands for no clear
 // answer.
-func (w *World) send(zone int, o order) int {
+func (w *World) send(zone int, o history.Order) int {
 	call := "/Conf.Replace"
-	if o.update {
+	if o.Update {
 		call = "/Conf.Update"
 	}
-	code := w.post(zone, call, map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(o.base, 10)}, o.body("ledger"))
+	code := w.post(zone, call, map[string]string{"X-Indigowalk-Base-Version": strconv.FormatInt(o.Base, 10)}, o.Body(ledgerFrame))
 	if code >= 500 || code < 200 || code >= 300 && code < 400 || code == http.StatusRequestTimeout {
 		return 0
 	}
@@ -195,15 +186,15 @@
 }
 
 // fetch reads the configuration back at one control node into the history.
-func (w *World) fetch(h *history, zone int) (int64, bool) {
-	asked := h.tick()
+func (w *World) fetch(h *history.Orders, zone int) (int64, bool) {
+	asked := h.Tick()
 	code, raw := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(zone)+":8782", "/Conf.Fetch", nil, nil)
 	rev, routes := readBack(raw)
 	if code != 200 || rev == 0 {
 		return 0, false
 	}
 	if rev > 1 { // the first one is not of the history
-		h.read(asked, rev, routes)
+		h.Read(asked, rev, routes)
 	}
 	return rev, true
 }
@@ -214,7 +205,7 @@
 func TestOrdersAcrossTakeOvers(t *testing.T) {
 	const seed = 1
 	core(t, 4, 1, func(w *World, g *Group) {
-		h := &history{}
+		h := history.NewOrders()
 		end := make(chan struct{})
 		var wg sync.WaitGroup
 		for i := range 8 {
@@ -231,31 +222,31 @@
 		w.Net.Heal()
 		w.Until("a version is read back", 10*time.Second, func() bool { _, ok := w.fetch(h, 1); return ok })
 		acked := 0
-		for n, o := range h.orders {
-			if slices.ContainsFunc(h.answers, func(a answer) bool { return a.order == n && a.code == 200 }) {
+		for n, o := range h.All() {
+			if slices.Contains(h.Acknowledged(), n) {
 				acked++
-				asked := h.tick()
+				asked := h.Tick()
 				w.Until("it is acknowledged again", 5*time.Second, func() bool {
 					code := w.send(1+rng.IntN(4), o)
-					h.answered(n, asked, code)
+					h.Answered(n, asked, code)
 					return code != 0
 				})
 			}
 		}
 		w.Until("the end is read back", 10*time.Second, func() bool { _, ok := w.fetch(h, 2); return ok })
-		for _, fault := range h.faults() {
+		for _, fault := range h.Breaches() {
 			t.Error(fault)
 		}
-		t.Logf("%d of %d orders acknowledged, %d answers, %d readings", acked, len(h.orders), len(h.answers), len(h.readings))
+		t.Logf("%d of %d orders acknowledged, %d answers, %d readings", acked, len(h.All()), len(h.Answers()), len(h.Readings()))
 		if acked < 15 {
-			t.Errorf("only %d of %d orders were acknowledged", acked, len(h.orders))
+			t.Errorf("only %d of %d orders were acknowledged", acked, len(h.All()))
 		}
 	})
 }
 
 // operate is an operator: it sends an order on top of the version that it
 // knows until it has a clear answer, and loses some answers.
-func (w *World) operate(h *history, rng *rand.Rand, end chan struct{}) {
+func (w *World) operate(h *history.Orders, rng *rand.Rand, end chan struct{}) {
 	for {
 		select {
 		case <-end:
@@ -270,15 +261,15 @@
 			continue
 		}
 		o := random(rng, known)
-		n := h.add(o)
-		o = h.get(n)
+		n := h.Add(o)
+		o = h.Get(n)
 		for try := range 12 {
-			asked := h.tick()
+			asked := h.Tick()
 			code := w.send(1+rng.IntN(4), o)
 			if rng.IntN(3) == 0 {
 				code = 0 // lost on its way
 			}
-			h.answered(n, asked, code)
+			h.Answered(n, asked, code)
 			if code != 0 {
 				break
 			}
@@ -336,13 +327,13 @@
 	}{{"the primary ends", 1, 0}, {"all lose power", 4, 0}, {"and the primary its disk", 4, 1}} {
 		var held, dropped int
 		core(t, 4, 1, func(w *World, g *Group) {
-			h := &history{}
+			h := history.NewOrders()
 			known := int64(1)
 			for step := range 8 {
 				z := controlPrimary(w)
-				first, second := h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 7}}), h.add(order{base: known, rev: known + 1, routes: map[string]int64{"a": 8}})
-				asked, got := h.tick(), make(chan int)
-				go func() { got <- w.send(z, h.get(first)) }()
+				first, second := h.Add(history.Order{Base: known, Rev: known + 1, Routes: map[string]int64{"a": 7}}), h.Add(history.Order{Base: known, Rev: known + 1, Routes: map[string]int64{"a": 8}})
+				asked, got := h.Tick(), make(chan int)
+				go func() { got <- w.send(z, h.Get(first)) }()
 				time.Sleep(time.Duration(step) * 500 * time.Microsecond)
 				strike := func(f func(i, z int)) {
 					for i := range c.struck {
@@ -356,14 +347,14 @@
 						p.Wipe()
 					}
 				})
-				h.answered(first, asked, <-got)
+				h.Answered(first, asked, <-got)
 				if c.struck > 1 {
 					strike(func(_, z int) { w.Start("control", z, false) })
 				}
 				clear := func(n int) (code int) {
-					asked := h.tick()
-					w.Until("a clear answer", 8*time.Second, func() bool { code = w.send(1+z%4, h.get(n)); return code != 0 })
-					h.answered(n, asked, code)
+					asked := h.Tick()
+					w.Until("a clear answer", 8*time.Second, func() bool { code = w.send(1+z%4, h.Get(n)); return code != 0 })
+					h.Answered(n, asked, code)
 					return code
 				}
 				switch codes := [2]int{clear(second), clear(first)}; codes {
@@ -381,7 +372,7 @@
 				w.Until("read back", 6*time.Second, func() bool { rev, ok := w.fetch(h, z); return ok && rev == known })
 				time.Sleep(4 * time.Second) // until what was struck counts as back
 			}
-			for _, fault := range h.faults() {
+			for _, fault := range h.Breaches() {
 				t.Errorf("%s: %s", c.what, fault)
 			}
 		})
