testbed: the program itself on this machine, under troubles drawn from a seed

Starts control nodes and poolers as processes on loopback addresses and plays databases, the platform, operators that race and resend, clients and probes beside them; kills, freezes, ends, wipes and replaces processes and strikes databases. A run of fixed seed, a planted loss, and input that can't be played are tested; the settings' library reads and checks the plan.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -50,6 +50,7 @@
   indigowalk replay      play a recording of decisions again
   indigowalk status      ask processes for their view
   indigowalk scalebench  measure what the control state costs at a number of nodes
+  indigowalk testbed     play the program itself on this machine, under troubles
   indigowalk help        this text
 
 Each tool says more with --help. The daemons read the settings file named by the variable ` + settings.EnvVar + `.
@@ -72,6 +73,8 @@
 		return serve(args[0], errs)
 	case "check", "plan", "replay", "status":
 		return tool(args[0], args[1:], out, errs)
+	case "testbed":
+		return testbedTool(args[1:], out, errs)
 	case "scalebench":
 		return scalebenchTool(args[1:], out, errs)
 	case "help", "-h", "--help":
--- /dev/null
+++ b/cmd/indigowalk/testbed.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"indigowalk/internal/testbed"
+)
+
+const testbedUsage = `indigowalk testbed [--json] [--plan FILE] [--program PATH] [--keep DIR] [KEY=VALUE...]
+
+Plays the real program on loopback addresses of this machine: control nodes and
+poolers as processes, beside stand-ins of databases, the platform, operators and
+clients, under troubles drawn from a seed. Checks what everybody saw against the
+rules, prints a table, and names the first breach with what happened around it.
+
+  --plan FILE     keys and values, a line each, as below
+  --program PATH  the program to play, a race-built one say (this one)
+  --keep DIR      an empty folder for settings, disks and logs, which stay (a
+                  temporary one, which goes)
+  --json          the report as JSON
+
+Keys, with what they are if nothing is said: seed=1, control_nodes=4, carriers=10,
+services=2, operators=3, length_s=60, cores=2 (GOMAXPROCS of each process),
+pause_ms=1500 (between two troubles), troubles=kill,freeze,term,hup,wipe,replace,all,
+crash,release,reset,hang,deaf (or none).
+
+    indigowalk testbed length_s=30 seed=7
+    go build -race -o /tmp/indigowalk-race ./cmd/indigowalk
+    indigowalk testbed --program /tmp/indigowalk-race length_s=120 cores=4
+    indigowalk testbed control_nodes=4 carriers=4 troubles=kill,wipe
+
+Exit codes: 0 no rule was broken and no process ended by itself, 1 otherwise or if
+it can't be played, 2 wrong use.
+`
+
+func testbedTool(args []string, out, errs io.Writer) int {
+	fs := flag.NewFlagSet("testbed", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	asJSON := fs.Bool("json", false, "")
+	planPath := fs.String("plan", "", "")
+	program := fs.String("program", "", "")
+	keep := fs.String("keep", "", "")
+	if err := fs.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			fmt.Fprint(out, testbedUsage)
+			return exitClean
+		}
+		fmt.Fprint(errs, testbedUsage)
+		return exitUsage
+	}
+	t := toolRun{out: out, errs: errs, json: *asJSON}
+	plan, err := planOf(*planPath, fs.Args())
+	if err != nil {
+		fmt.Fprintln(errs, "indigowalk:", strings.ReplaceAll(err.Error(), "\n", "; "))
+		return exitUsage
+	}
+	if *program == "" {
+		if *program, err = os.Executable(); err != nil {
+			return t.fail(err)
+		}
+	}
+	if info, err := os.Stat(*program); err != nil || info.IsDir() {
+		return t.fail(fmt.Errorf("testbed: %s is no program: %v", *program, err))
+	}
+	dir, clean, err := folder(*keep)
+	if err != nil {
+		return t.fail(err)
+	}
+	defer clean()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	report, err := testbed.Run(ctx, testbed.Config{Plan: plan, Program: *program, Dir: dir})
+	if err != nil {
+		return t.fail(err)
+	}
+	if code := t.show(report, report.Print); code != exitClean {
+		return code
+	}
+	if !report.Clean() {
+		return exitFault
+	}
+	return exitClean
+}
+
+// planOf reads a plan, if one is named, and changes what the words say.
+func planOf(path string, words []string) (testbed.Plan, error) {
+	plan := testbed.DefaultPlan()
+	if path != "" {
+		read, err := testbed.LoadPlan(path)
+		if err != nil {
+			return plan, err
+		}
+		plan = read
+	}
+	for _, word := range words {
+		key, value, ok := strings.Cut(word, "=")
+		if !ok {
+			return plan, fmt.Errorf("testbed: %q is not KEY=VALUE", word)
+		}
+		if err := plan.Set(key, value); err != nil {
+			return plan, err
+		}
+	}
+	return plan, nil
+}
+
+// folder returns an empty folder, the named one if there is a name, and what is to
+// be done with it at the end.
+func folder(name string) (dir string, clean func(), err error) {
+	if name == "" {
+		dir, err := os.MkdirTemp("", "testbed")
+		return dir, func() { os.RemoveAll(dir) }, err
+	}
+	if err := os.MkdirAll(name, 0o700); err != nil {
+		return "", nil, err
+	}
+	entries, err := os.ReadDir(name)
+	if err != nil {
+		return "", nil, err
+	}
+	if len(entries) > 0 {
+		return "", nil, fmt.Errorf("testbed: %s is not empty", name)
+	}
+	return name, func() {}, nil
+}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -14,7 +14,7 @@
 
 func keyOf(f reflect.StructField) string { return f.Tag.Get("key") }
 
-func fieldsOf(s *Settings) []field {
+func fieldsOf(s any) []field {
 	v := reflect.ValueOf(s).Elem()
 	out := make([]field, 0, v.NumField())
 	for i := range v.NumField() {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -124,14 +124,24 @@
 
 // Parse reads and checks settings; the error joins every fault found.
 func Parse(raw []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := Decode(raw, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Decode reads lines of key=value into a struct whose fields bear the tags key,
+// default and validate, and checks it; keys that no field bears are ignored. The
+// error joins every fault found.
+func Decode(raw []byte, into any) error {
 	l := properties.Loader{Encoding: properties.UTF8, DisableExpansion: true}
 	p, err := l.LoadBytes(raw)
 	if err != nil {
-		return nil, &Error{"file", err.Error()}
+		return &Error{"file", err.Error()}
 	}
-	s := &Settings{}
 	var faults []error
-	for _, f := range fieldsOf(s) {
+	for _, f := range fieldsOf(into) {
 		text, ok := p.Get(f.key)
 		if !ok {
 			text = f.fallback
@@ -144,15 +154,48 @@
 		}
 	}
 	if len(faults) == 0 {
-		faults = validate(s)
+		faults = validate(into)
 	}
-	if len(faults) > 0 {
-		return nil, errors.Join(faults...)
+	return errors.Join(faults...)
+}
+
+// Overlay changes those fields of a struct that the lines name, and checks it.
+func Overlay(raw []byte, into any) error {
+	p, err := properties.LoadString(string(raw))
+	if err != nil {
+		return &Error{"file", err.Error()}
 	}
-	return s, nil
+	for _, f := range fieldsOf(into) {
+		text, ok := p.Get(f.key)
+		if !ok {
+			continue
+		}
+		if err := f.set(strings.TrimSpace(text)); err != nil {
+			return &Error{f.key, err.Error()}
+		}
+	}
+	return errors.Join(validate(into)...)
+}
+
+// Unknown lists the keys of a file that no field of the struct bears.
+func Unknown(raw []byte, into any) (keys []string, err error) {
+	p, err := properties.LoadString(string(raw))
+	if err != nil {
+		return nil, &Error{"file", err.Error()}
+	}
+	known := map[string]bool{}
+	for _, f := range fieldsOf(into) {
+		known[f.key] = true
+	}
+	for _, key := range p.Keys() {
+		if !known[key] {
+			keys = append(keys, key)
+		}
+	}
+	return keys, nil
 }
 
-func validate(s *Settings) []error {
+func validate(s any) []error {
 	v := validator.New(validator.WithRequiredStructEnabled())
 	v.RegisterTagNameFunc(keyOf)
 	var out []error
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -220,6 +221,27 @@
 	return d.pos(), d.held
 }
 
+// Holds lists the ids of the statements that its log holds.
+func (d *Database) Holds() []string {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.holds()))
+}
+
+// Forget drops the last writes from its log, as a database that lost them does.
+func (d *Database) Forget(n int) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.log = slices.Clip(d.log[:max(0, len(d.log)-n)])
+}
+
+// Leaves tells whether it drains.
+func (d *Database) Leaves() bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.draining
+}
+
 // Alive tells whether the database runs.
 func (d *Database) Alive() bool {
 	d.g.mu.Lock()
--- /dev/null
+++ b/internal/testbed/cluster.go
@@ -0,0 +1,250 @@
+package testbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"indigowalk/internal/standin"
+)
+
+// Bounds that the processes are told, and that the checks use.
+const (
+	drainBound   = 7 * time.Second
+	contactBound = 4 * time.Second
+	applyBound   = 3 * time.Second
+	slackBound   = 200 * time.Millisecond
+	catchup      = 4 * time.Second
+	grace        = 6 * time.Second
+	tolerate     = 1
+)
+
+// zones is over how many zones the machines are spread.
+const zones = 4
+
+// cluster is the processes and the addresses at which they stand.
+type cluster struct {
+	plan     Plan
+	program  string
+	dir      string
+	net      *loopback
+	platform *standin.Platform
+	server   *http.Server
+
+	mu       sync.Mutex
+	machines []*machine
+	seeds    []string
+	added    int // machines that came in another's place
+}
+
+// subnet keeps the addresses of two runs on one machine apart.
+func subnet() int { return 64 + os.Getpid()%128 }
+
+// address is that of a machine, by its number.
+func address(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", subnet(), group, n+1) }
+
+// FirstAddress is the address at which clients reach the first machine of a run of
+// this process.
+func FirstAddress() string { return address(machineGroup, 0) + ":" + clientPort }
+
+// Groups of addresses.
+const (
+	machineGroup  = 1
+	databaseGroup = 100 // and up, one for each service
+	platformGroup = 250
+	clientGroup   = 251
+)
+
+func newCluster(plan Plan, program, dir string) *cluster {
+	c := &cluster{plan: plan, program: program, dir: dir, net: newLoopback(), platform: &standin.Platform{}}
+	for i := range plan.machines() {
+		c.machines = append(c.machines, c.machine(i, i < int(plan.ControlNodes), i < int(plan.Carriers)))
+	}
+	for _, m := range c.machines[:3] {
+		c.seeds = append(c.seeds, m.controlAddr())
+	}
+	c.tellControls()
+	return c
+}
+
+func (c *cluster) machine(n int, control, pooler bool) *machine {
+	m := &machine{
+		name: fmt.Sprintf("edge-%d", n+1), ip: address(machineGroup, n), zone: fmt.Sprintf("zone-%d", n%zones+1),
+		control: control, pooler: pooler,
+	}
+	m.processes(c.dir, c.program, c.plan.Cores)
+	return m
+}
+
+// tellControls has the platform know the control nodes that there are.
+func (c *cluster) tellControls() {
+	var addrs []string
+	for _, m := range c.machines {
+		if m.control {
+			addrs = append(addrs, m.controlAddr())
+		}
+	}
+	c.net.setControls(addrs)
+}
+
+// all returns the machines that there are.
+func (c *cluster) all() []*machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]*machine(nil), c.machines...)
+}
+
+func (c *cluster) platformAddr() string { return address(platformGroup, 0) + ":" + platformPort }
+
+// start starts the platform and every process, for the first time.
+func (c *cluster) start() error {
+	ln, err := net.Listen("tcp4", c.platformAddr())
+	if err != nil {
+		return fmt.Errorf("testbed: %w", err)
+	}
+	c.server = &http.Server{Handler: c.platform, ReadHeaderTimeout: time.Second}
+	go c.server.Serve(ln)
+	for _, m := range c.all() {
+		if err := c.startMachine(m, true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startMachine starts a machine's processes.
+func (c *cluster) startMachine(m *machine, bootstrap bool) error {
+	if err := free(m); err != nil {
+		return err
+	}
+	for _, p := range m.procs {
+		if err := p.write(m.settings(p, c.seeds, c.platformAddr(), bootstrap)); err != nil {
+			return fmt.Errorf("testbed: %w", err)
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// free tells whether the machine's addresses can be used.
+func free(m *machine) error {
+	var faults []error
+	for _, addr := range []string{m.clientAddr(), m.controlAddr()} {
+		ln, err := net.Listen("tcp4", addr)
+		if err != nil {
+			faults = append(faults, fmt.Errorf("testbed: the address %s of %s: %w", addr, m.name, err))
+			continue
+		}
+		ln.Close()
+	}
+	return errors.Join(faults...)
+}
+
+// kill ends a machine's processes without notice.
+func (m *machine) kill() {
+	for _, p := range m.procs {
+		p.signal(syscall.SIGKILL, true)
+	}
+	for _, p := range m.procs {
+		p.end()
+	}
+}
+
+// term ends a machine's processes in order; those that take too long are killed, as
+// the platform does.
+func (m *machine) term() {
+	for _, p := range m.procs {
+		p.signal(syscall.SIGTERM, true)
+	}
+	end := time.Now().Add(grace)
+	for _, p := range m.procs {
+		if !p.await(time.Until(end)) {
+			p.end()
+		}
+	}
+}
+
+// signal sends a signal that ends none to a machine's processes.
+func (m *machine) signal(s syscall.Signal) {
+	for _, p := range m.procs {
+		p.signal(s, false)
+	}
+}
+
+// replace puts an empty machine at another address in a machine's place.
+func (c *cluster) replace(old *machine) (*machine, error) {
+	old.kill()
+	c.mu.Lock()
+	n := c.plan.machines() + c.added
+	c.added++
+	m := c.machine(n, old.control, old.pooler)
+	for i := range c.machines {
+		if c.machines[i] == old {
+			c.machines[i] = m
+		}
+	}
+	c.tellControls()
+	c.mu.Unlock()
+	return m, c.startMachine(m, false)
+}
+
+// faults lists the processes that ended by themselves, with the end of their logs.
+func (c *cluster) faults() (out []string) {
+	for _, m := range c.all() {
+		for _, p := range m.procs {
+			if err := p.fault(); err != nil {
+				out = append(out, fmt.Sprintf("%v\n%s", err, p.tail()))
+			}
+		}
+	}
+	return out
+}
+
+// end ends every process, in order at first.
+func (c *cluster) end() {
+	var wg sync.WaitGroup
+	for _, m := range c.all() {
+		wg.Go(m.term)
+	}
+	wg.Wait()
+	if c.server != nil {
+		c.server.Close()
+	}
+}
+
+// ready waits until every pooler says that it takes clients.
+func (c *cluster) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second}
+	for _, m := range c.all() {
+		for m.pooler && !isReady(client, m) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("testbed: %s is not ready: %w", m.name, context.Cause(ctx))
+			case <-time.After(50 * time.Millisecond):
+			}
+			for _, p := range m.procs {
+				if err := p.fault(); err != nil {
+					return fmt.Errorf("testbed: %w\n%s", err, p.tail())
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(client *http.Client, m *machine) bool {
+	a, err := client.Get("http://" + m.ip + ":" + readyPort + "/readyz")
+	if err != nil {
+		return false
+	}
+	a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/testbed/report.go
@@ -0,0 +1,190 @@
+package testbed
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"indigowalk/internal/history"
+	"indigowalk/internal/standin"
+)
+
+// Report is what came of a run.
+type Report struct {
+	Seed        int64            `json:"seed"`
+	Statements  Latencies        `json:"statements"`
+	Orders      Latencies        `json:"orders"` // from the first sending to the first acknowledgement
+	Refused     int              `json:"statements_refused"`
+	Unclear     int              `json:"statements_unclear"`
+	Cut         int              `json:"statements_cut"`
+	OrdersSent  int              `json:"orders_sent"`
+	OrdersAcked int              `json:"orders_acknowledged"`
+	Readings    int              `json:"readings"`
+	Promotions  int              `json:"platform_calls"`
+	Troubles    map[string]int   `json:"troubles"`
+	Breaches    []history.Breach `json:"breaches"`
+	Processes   []string         `json:"processes_that_ended"`
+	Around      []string         `json:"around_the_first_breach,omitempty"`
+}
+
+// Latencies are times in microseconds.
+type Latencies struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P99   int64 `json:"p99_us"`
+	Max   int64 `json:"max_us"`
+}
+
+// longestLatency bounds what is told apart.
+const longestLatency = int64(10 * time.Minute / time.Microsecond)
+
+// measure gathers times.
+type measure struct{ h *hdrhistogram.Histogram }
+
+func newMeasure() measure { return measure{hdrhistogram.New(1, longestLatency, 3)} }
+
+func (m measure) add(span time.Duration) {
+	_ = m.h.RecordValue(min(max(1, span.Microseconds()), longestLatency)) // it lies within the bounds
+}
+
+func (m measure) latencies() Latencies {
+	return Latencies{m.h.TotalCount(), m.h.ValueAtQuantile(50), m.h.ValueAtQuantile(99), m.h.Max()}
+}
+
+// Clean tells whether nothing broke.
+func (r *Report) Clean() bool { return len(r.Breaches) == 0 && len(r.Processes) == 0 }
+
+func (b *bed) report() *Report {
+	r := &Report{Seed: b.cfg.Plan.Seed, Troubles: map[string]int{}, Processes: b.cluster.faults()}
+	b.countStatements(r)
+	b.countOrders(r)
+	for _, d := range b.traffic.Troubles() {
+		r.Troubles[d.Kind]++
+	}
+	r.Promotions = b.cluster.platform.Calls()
+	r.Breaches = append(b.orders.Breaches(), b.traffic.Breaches(b.orders, history.Bounds{
+		Drain: drainBound, Apply: applyBound, Contact: contactBound, Slack: slackBound,
+	})...)
+	now := b.traffic.Now()
+	for _, g := range b.groups {
+		for _, text := range g.Broken() {
+			r.Breaches = append(r.Breaches, history.Breach{Rule: "DATABASES", At: now, Text: text})
+		}
+	}
+	for _, text := range b.cluster.platform.Broken() {
+		r.Breaches = append(r.Breaches, history.Breach{Rule: history.One, At: now, Text: text})
+	}
+	slices.SortStableFunc(r.Breaches, func(a, b history.Breach) int { return int(a.At - b.At) })
+	if len(r.Breaches) > 0 {
+		r.Around = b.around(r.Breaches[0].At)
+	}
+	return r
+}
+
+func (b *bed) countStatements(r *Report) {
+	served := newMeasure()
+	for _, s := range b.traffic.Statements() {
+		switch {
+		case s.Code == "":
+			served.add(s.Done - s.Sent)
+		case s.Code == history.Unanswered:
+			r.Cut++
+		case standin.Promises(s.Code):
+			r.Refused++
+		default:
+			r.Unclear++
+		}
+	}
+	r.Statements = served.latencies()
+}
+
+func (b *bed) countOrders(r *Report) {
+	r.OrdersSent, r.Readings = len(b.orders.All()), len(b.orders.Readings())
+	first := map[int]time.Duration{}
+	acked := map[int]bool{}
+	took := newMeasure()
+	for _, a := range b.orders.Answers() {
+		if sent, known := first[a.Order]; !known || a.Sent < sent {
+			first[a.Order] = a.Sent
+		}
+		if a.Code == 200 && !acked[a.Order] {
+			acked[a.Order] = true
+			took.add(a.Done - first[a.Order])
+		}
+	}
+	r.OrdersAcked, r.Orders = len(acked), took.latencies()
+}
+
+// aroundSpan is how much before and after a breach is shown.
+const aroundSpan = 2 * time.Second
+
+// around lists what was done near a moment.
+func (b *bed) around(at time.Duration) []string {
+	type event struct {
+		at   time.Duration
+		text string
+	}
+	var events []event
+	for _, d := range b.traffic.Troubles() {
+		events = append(events, event{d.At, fmt.Sprintf("%s of %s, until %.3f s", d.Kind, d.Node, d.Till.Seconds())})
+	}
+	all := b.orders.All()
+	for _, a := range b.orders.Answers() {
+		events = append(events, event{a.Done, fmt.Sprintf("order %d, %d on %d, answered %d", a.Order, all[a.Order].Rev, all[a.Order].Base, a.Code)})
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	var out []string
+	for _, e := range events {
+		if e.at >= at-aroundSpan && e.at <= at+aroundSpan {
+			out = append(out, fmt.Sprintf("%.3f s: %s", e.at.Seconds(), e.text))
+		}
+	}
+	return out
+}
+
+// Print writes the report as a table.
+func (r *Report) Print(w io.Writer) {
+	row := func(name string, l Latencies) {
+		fmt.Fprintf(w, "%-12s %8d  %8.2f  %8.2f  %9.2f\n", name, l.Count, float64(l.P50)/1000, float64(l.P99)/1000, float64(l.Max)/1000)
+	}
+	fmt.Fprintf(w, "seed %d\n%-12s %8s  %8s  %8s  %9s\n", r.Seed, "served", "count", "p50 ms", "p99 ms", "max ms")
+	row("statements", r.Statements)
+	row("orders", r.Orders)
+	fmt.Fprintf(w, "statements refused %d, unclear %d, cut %d\n", r.Refused, r.Unclear, r.Cut)
+	fmt.Fprintf(w, "orders sent %d, acknowledged %d; read back %d times\n", r.OrdersSent, r.OrdersAcked, r.Readings)
+	fmt.Fprintf(w, "calls of the platform %d; troubles:", r.Promotions)
+	for _, kind := range slices.Sorted(maps.Keys(r.Troubles)) {
+		fmt.Fprintf(w, " %s %d", kind, r.Troubles[kind])
+	}
+	fmt.Fprintln(w)
+	r.printFaults(w)
+}
+
+// mostPrinted bounds how many breaches are printed.
+const mostPrinted = 20
+
+func (r *Report) printFaults(w io.Writer) {
+	if r.Clean() {
+		fmt.Fprintln(w, "no rule was broken")
+		return
+	}
+	for _, text := range r.Processes {
+		fmt.Fprintln(w, text)
+	}
+	for _, breach := range r.Breaches[:min(mostPrinted, len(r.Breaches))] {
+		fmt.Fprintln(w, breach)
+	}
+	if more := len(r.Breaches) - mostPrinted; more > 0 {
+		fmt.Fprintf(w, "and %d more\n", more)
+	}
+	if len(r.Around) > 0 {
+		fmt.Fprintln(w, "around the first:")
+		for _, text := range r.Around {
+			fmt.Fprintln(w, " ", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,282 @@
+package testbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"indigowalk/internal/history"
+	"indigowalk/internal/standin"
+)
+
+// Config is what a run is built from.
+type Config struct {
+	Plan    Plan
+	Program string // path of the program
+	Dir     string // an empty folder for settings, disks and logs
+	// Promote, if there is one, is what the platform does in place of what it is
+	// asked, to see that the checks notice.
+	Promote func(groups []*standin.Group, service, id string) int
+}
+
+const (
+	// bootWait is how long processes may take until they serve.
+	bootWait = 30 * time.Second
+	// calmEnd is for how long nothing strikes before the end is checked.
+	calmEnd = contactBound + 2*time.Second
+	// closingWait is how long the closing calls of operators may take.
+	closingWait = 20 * time.Second
+	// probePause is between two probes of a pooler.
+	probePause = 250 * time.Millisecond
+)
+
+// bed is one run.
+type bed struct {
+	cfg       Config
+	cluster   *cluster
+	orders    *history.Orders
+	traffic   *history.Traffic
+	operators *operators
+	groups    []*standin.Group
+	loads     []*standin.Load
+
+	mu    sync.Mutex
+	fault error // for which the run could not go on
+}
+
+// Run plays a plan and returns what came of it. It ends what it has started, also
+// when ctx is over before.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	b := newBed(cfg)
+	defer b.cluster.end()
+	if err := b.boot(ctx); err != nil {
+		return nil, err
+	}
+	b.play(ctx)
+	if err := b.failure(); err != nil {
+		return nil, err
+	}
+	b.close(ctx)
+	return b.report(), nil
+}
+
+func newBed(cfg Config) *bed {
+	b := &bed{cfg: cfg, cluster: newCluster(cfg.Plan, cfg.Program, cfg.Dir), orders: history.NewOrders()}
+	b.traffic = history.NewTraffic(b.orders)
+	frame := history.Frame{}
+	for i := range int(cfg.Plan.Services) {
+		service := fmt.Sprintf("service%d", i+1)
+		if i == 0 {
+			frame.Service = service
+		} else {
+			frame.Others = append(frame.Others, service)
+		}
+		for kind, routeType := range map[string]string{standin.PrimaryRoute: "primary", standin.BoundedRoute: "bounded", standin.NearestRoute: "nearest"} {
+			frame.Routes = append(frame.Routes, history.FrameRoute{Host: kind + "." + service, Type: routeType, Service: service})
+		}
+		b.groups = append(b.groups, b.group(service))
+	}
+	b.operators = &operators{network: b.cluster.net.Network(address(clientGroup, 0)), net: b.cluster.net, orders: b.orders, frame: frame}
+	b.cluster.platform.Promote = b.promote
+	return b
+}
+
+// group makes a service whose databases tell what they see.
+func (b *bed) group(service string) *standin.Group {
+	g := standin.NewGroup(b.cluster.net, service)
+	g.Observe = standin.Observer{
+		Ran: func(r standin.Run) {
+			b.traffic.Ran(history.Run{Service: r.Service, Database: r.Database, ID: r.ID, Begins: r.Begins, At: b.traffic.Now()})
+		},
+		Drains: func(service, database string) {
+			b.traffic.Draining(history.Drains{Service: service, Database: database, At: b.traffic.Now()})
+		},
+		Promoted: func(p standin.Promotion) {
+			b.traffic.Promoted(history.Promotion{Service: p.Service, Database: p.Database, Term: p.Term, Holds: p.Holds, At: b.traffic.Now()})
+		},
+	}
+	return g
+}
+
+// databases starts the databases of every service.
+func (b *bed) databases() {
+	for n, g := range b.groups {
+		for i, role := range []string{"primary", "replica", "replica"} {
+			g.Add(fmt.Sprintf("%s-%d", g.Service, i+1), address(databaseGroup+n, i), fmt.Sprintf("zone-%d", i+1), role)
+		}
+	}
+}
+
+// promote is what the platform does.
+func (b *bed) promote(service, id string) int {
+	if b.cfg.Promote != nil {
+		return b.cfg.Promote(b.groups, service, id)
+	}
+	for _, g := range b.groups {
+		if g.Service == service {
+			return g.PromoteTo(id)
+		}
+	}
+	return http.StatusBadRequest
+}
+
+// boot starts everything and has the first configuration taken.
+func (b *bed) boot(ctx context.Context) error {
+	ctx, cancel := context.WithTimeoutCause(ctx, bootWait, errors.New("it takes too long"))
+	defer cancel()
+	if err := b.cluster.start(); err != nil {
+		return err
+	}
+	b.databases()
+	first := b.orders.Add(history.Order{Rev: 1, Routes: map[string]int64{"route-0": 1000}})
+	r := b.random(0)
+	for code := 0; code != http.StatusOK; {
+		asked := b.orders.Tick()
+		code = b.operators.send(r, first)
+		b.orders.Answered(first, asked, code)
+		if faults := b.cluster.faults(); len(faults) > 0 {
+			return fmt.Errorf("testbed: %s", faults[0])
+		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("testbed: no configuration is taken: %w%s", context.Cause(ctx), b.logs())
+		}
+		sleep(ctx, probePause/5)
+	}
+	return b.cluster.ready(ctx)
+}
+
+// logs are the ends of the control nodes' logs.
+func (b *bed) logs() string {
+	var out strings.Builder
+	for _, m := range b.cluster.all() {
+		if m.control {
+			fmt.Fprintf(&out, "\n%s:\n%s", m.procs[0].name, m.procs[0].tail())
+		}
+	}
+	return out.String()
+}
+
+// random is a generator of numbers of the plan's seed.
+func (b *bed) random(stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(b.cfg.Plan.Seed), stream))
+}
+
+// play has clients, operators and troubles at work for as long as the plan says.
+func (b *bed) play(ctx context.Context) {
+	length := time.Duration(b.cfg.Plan.LengthS) * time.Second
+	calm, cancelCalm := context.WithTimeout(ctx, length)
+	defer cancelCalm()
+	rough, cancelRough := context.WithTimeout(ctx, max(length-calmEnd, 0))
+	defer cancelRough()
+	b.startLoads()
+	var wg sync.WaitGroup
+	for i := range b.cfg.Plan.Operators {
+		wg.Go(func() { b.operators.run(calm, b.random(100+uint64(i))) })
+	}
+	for i, m := range b.cluster.all() {
+		if m.pooler {
+			wg.Go(func() { b.probe(calm, m, b.random(200+uint64(i))) })
+		}
+	}
+	t := &troubles{
+		cluster: b.cluster, traffic: b.traffic, groups: b.groups,
+		pause: time.Duration(b.cfg.Plan.PauseMs) * time.Millisecond, failed: func(err error) { b.fail(err); cancelCalm(); cancelRough() },
+	}
+	wg.Go(func() { t.machines(rough, b.random(1)) })
+	wg.Go(func() { t.databases(rough, b.random(2)) })
+	wg.Wait()
+	sleep(ctx, max(0, length-b.traffic.Now()))
+	for _, l := range b.loads {
+		l.Stop()
+	}
+}
+
+func (b *bed) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.fault == nil {
+		b.fault = err
+	}
+}
+
+func (b *bed) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.fault
+}
+
+// startLoads starts the clients of every service at every pooler.
+func (b *bed) startLoads() {
+	for _, g := range b.groups {
+		var poolers []standin.Pooler
+		for i, m := range b.cluster.all() {
+			if m.pooler {
+				poolers = append(poolers, standin.Pooler{Number: i + 1, Addr: m.clientAddr(), Network: b.cluster.net.Network(address(clientGroup, 1+i))})
+			}
+		}
+		b.loads = append(b.loads, standin.NewLoad(g, uint64(b.cfg.Plan.Seed), poolers, func(s standin.Statement) { b.note(g.Service, s) }))
+	}
+}
+
+// note puts a statement into the history.
+func (b *bed) note(service string, s standin.Statement) {
+	lag := time.Duration(0)
+	if !strings.HasPrefix(s.Route, standin.PrimaryRoute+".") {
+		lag = standin.Stale
+	}
+	b.traffic.Asked(history.Statement{
+		Pooler: s.Pooler, Route: s.Route, Service: service, ID: s.ID, Write: s.Write, Thing: service + "/" + s.Thing, Value: s.Value,
+		MayLag: lag, Sent: b.traffic.Since(s.Sent), Done: b.traffic.Since(s.Done), Code: s.Code,
+	})
+}
+
+// probe opens sessions on the routes that operators change, at one machine's pooler.
+func (b *bed) probe(ctx context.Context, m *machine, r *rand.Rand) {
+	network := b.cluster.net.Network(address(clientGroup, 0))
+	for ctx.Err() == nil {
+		sleep(ctx, probePause)
+		route := routeName(r)
+		sent := b.traffic.Now()
+		s, code := standin.Login(network, m.clientAddr(), route)
+		if s != nil {
+			s.Close()
+		}
+		if s != nil || code == noSuchRoute {
+			b.traffic.Probed(history.Probe{Pooler: m.clientAddr(), Route: route, Served: s != nil, Sent: sent, Done: b.traffic.Now()})
+		}
+	}
+}
+
+// noSuchRoute is the error to a session on a route that is not there.
+const noSuchRoute = "NODB"
+
+// close has every order that was acknowledged acknowledged again, and the end read
+// back.
+func (b *bed) close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closingWait)
+	defer cancel()
+	r := b.random(3)
+	for _, n := range b.orders.Acknowledged() {
+		for code := 0; code == 0 && ctx.Err() == nil; {
+			asked := b.orders.Tick()
+			code = b.operators.send(r, n)
+			b.orders.Answered(n, asked, code)
+		}
+	}
+	for ctx.Err() == nil {
+		if rev, ok := b.operators.read(r); ok && rev > 0 {
+			break
+		}
+	}
+	for _, g := range b.groups {
+		if lead := g.Lead(); lead != nil {
+			b.traffic.Promoted(history.Promotion{Service: g.Service, Database: lead.ID, Holds: lead.Holds(), At: b.traffic.Now()})
+		}
+		g.End()
+	}
+}
--- /dev/null
+++ b/internal/testbed/testbed_test.go
@@ -0,0 +1,161 @@
+package testbed_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"indigowalk/internal/history"
+	"indigowalk/internal/standin"
+	"indigowalk/internal/testbed"
+)
+
+// program builds the program once.
+var program = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "testbed-program")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "indigowalk")
+	out, err := exec.Command("go", "build", "-o", path, "indigowalk/cmd/indigowalk").CombinedOutput()
+	if err != nil {
+		return "", errors.New(string(out))
+	}
+	return path, nil
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if path, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(path))
+	}
+	os.Exit(code)
+}
+
+// small is a plan that ends within some fifteen seconds.
+func small(troubles ...string) testbed.Plan {
+	p := testbed.DefaultPlan()
+	p.Carriers, p.Services, p.Operators, p.LengthS, p.PauseMs = 3, 1, 2, 10, 100
+	p.Troubles = troubles
+	return p
+}
+
+func run(t *testing.T, cfg testbed.Config) (*testbed.Report, error) {
+	t.Helper()
+	if cfg.Program == "" {
+		path, err := program()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.Program = path
+	}
+	cfg.Dir = t.TempDir()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	return testbed.Run(ctx, cfg)
+}
+
+// The program itself, with processes that are killed and told to end, and a database
+// that crashes, breaks no rule; and nothing is left behind.
+func TestShortRun(t *testing.T) {
+	report, err := run(t, testbed.Config{Plan: small(testbed.Kill, testbed.Term, testbed.Crash, testbed.Reset)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	report.Print(&text)
+	t.Log(text.String())
+	if !report.Clean() {
+		t.Error("a rule is broken, or a process ended by itself")
+	}
+	if report.Statements.Count < 100 || report.OrdersAcked < 5 || len(report.Troubles) == 0 {
+		t.Error("too little happened")
+	}
+}
+
+// A platform that promotes a database which has lost its newest commits is noticed.
+func TestPlantedLoss(t *testing.T) {
+	plan := small(testbed.Crash)
+	lossy := func(groups []*standin.Group, _, id string) int {
+		for _, d := range groups[0].Databases() {
+			if d.ID == id {
+				d.Forget(50)
+			}
+		}
+		return groups[0].PromoteTo(id)
+	}
+	for seed := int64(1); seed <= 5; seed++ {
+		plan.Seed = seed
+		report, err := run(t, testbed.Config{Plan: plan, Promote: lossy})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if report.Promotions == 0 {
+			continue // no primary was struck
+		}
+		if report.Clean() || report.Breaches[0].Rule != history.Lost && !strings.Contains(report.Breaches[0].Text, history.Lost) {
+			t.Errorf("the loss is not found: %v", report.Breaches)
+		}
+		return
+	}
+	t.Error("no database was promoted")
+}
+
+// What can't be played is told as such.
+func TestWhatCannotBePlayed(t *testing.T) {
+	if _, err := run(t, testbed.Config{Plan: small("none"), Program: "/nowhere/indigowalk"}); err == nil || !strings.Contains(err.Error(), "/nowhere/indigowalk") {
+		t.Errorf("a missing program: %v", err)
+	}
+	if _, err := run(t, testbed.Config{Plan: small("none"), Program: "/bin/false"}); err == nil || !strings.Contains(err.Error(), "ended by itself") {
+		t.Errorf("a program that ends: %v", err)
+	}
+	ln, err := net.Listen("tcp4", testbed.FirstAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	if _, err := run(t, testbed.Config{Plan: small("none")}); !errors.Is(err, syscall.EADDRINUSE) || !strings.Contains(err.Error(), testbed.FirstAddress()) {
+		t.Errorf("an address in use: %v", err)
+	}
+}
+
+// A plan that says what it can't is refused, with the key named.
+func TestPlan(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan")
+	for text, want := range map[string]string{
+		"seed=x\n":                  "seed",
+		"carriers=0\n":              "carriers",
+		"control_nodes=2\n":         "control_nodes",
+		"troubles=kill,earthquake":  "troubles",
+		"lenght_s=5\n":              "lenght_s",
+		"length_s=30\ncarriers=4\n": "",
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		plan, err := testbed.LoadPlan(path)
+		if want == "" && (err != nil || plan.LengthS != 30 || plan.Carriers != 4 || plan.Cores != 2) {
+			t.Errorf("%q: %+v %v", text, plan, err)
+		}
+		if want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	plan := testbed.DefaultPlan()
+	if err := plan.Set("cores", "4"); err != nil || plan.Cores != 4 || plan.Carriers != 10 {
+		t.Errorf("%+v %v", plan, err)
+	}
+	for _, word := range [][2]string{{"cores", "0"}, {"cors", "4"}} {
+		if err := plan.Set(word[0], word[1]); err == nil {
+			t.Errorf("%v was taken", word)
+		}
+	}
+}
