accept-loss: an operator lets a service go on without a lost database, by name and turn

A move that waits for a database which may hold acknowledged commits waited for ever where that does not come back. The order counts for the move that waits alone, is kept with the lead, logged and shown by status; without a turn the tool shows what is waited for. replay knows choices that the bound of acknowledged commits, or such an order, allows. TestAcceptedLoss.

--- /dev/null
+++ b/cmd/indigowalk/accept.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/tools"
+)
+
+const acceptUsage = `indigowalk accept-loss [--json] [--turn N --by NAME] SERVICE ADDR...: let a service go on without a lost database
+
+A service has no primary as long as a database that may hold acknowledged commits
+is away. If it does not come back, and only then, accept that these are lost: the
+furthest of those that are left is promoted. Without --turn it is shown what is
+waited for, and the order to give; the turn is that of the move that waits, so
+that an order never counts for a later one. Who gave it is kept with the lead, and
+shown by status.
+
+  ADDR is the inner address of a control node: the first port of port_range.
+
+    indigowalk accept-loss ledger 10.1.0.8:7440
+    indigowalk accept-loss --turn 7 --by "on call" ledger 10.1.0.8:7440
+`
+
+func acceptTool(args []string, out, errs io.Writer) int {
+	fs := flag.NewFlagSet("accept-loss", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+	asJSON := fs.Bool("json", false, "")
+	turn := fs.Int64("turn", 0, "")
+	by := fs.String("by", "", "")
+	err := fs.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		fmt.Fprint(out, acceptUsage)
+		return exitClean
+	}
+	if err != nil || fs.NArg() < 2 || (*turn == 0) != (*by == "") {
+		fmt.Fprint(errs, acceptUsage)
+		return exitUsage
+	}
+	t := toolRun{out: out, errs: errs, json: *asJSON}
+	ctx, network := context.Background(), kernel.HostNetwork{}
+	sys := tools.Ask(ctx, network, fs.Args()[1:], true)
+	waiting, err := sys.WaitingOf(fs.Arg(0))
+	if err != nil {
+		return t.fail(err)
+	}
+	if *turn == 0 {
+		return t.show(waiting, waiting.Print)
+	}
+	if err := waiting.Accept(ctx, network, *turn, *by); err != nil {
+		return t.fail(err)
+	}
+	return t.show(waiting, func(w io.Writer) {
+		fmt.Fprintf(w, "accepted: %s goes on without what it waited for\n", waiting.Service)
+	})
+}
--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -49,6 +49,7 @@
   indigowalk plan        what a change, a drain, a release or a loss would do
   indigowalk replay      play a recording of decisions again
   indigowalk status      ask processes for their view
+  indigowalk accept-loss let a service go on without a lost database
   indigowalk scalebench  measure what the control state costs at a number of nodes
   indigowalk testbed     play the program itself on this machine, under troubles
   indigowalk help        this text
@@ -73,6 +74,8 @@
 		return serve(args[0], errs)
 	case "check", "plan", "replay", "status":
 		return tool(args[0], args[1:], out, errs)
+	case "accept-loss":
+		return acceptTool(args[1:], out, errs)
 	case "testbed":
 		return testbedTool(args[1:], out, errs)
 	case "scalebench":
--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -50,6 +50,7 @@
 	Epoch     int64     `json:"epoch"`
 	Situation Situation `json:"situation"`
 	To        string    `json:"to"`
+	Accepted  bool      `json:"accepted,omitempty"` // an operator accepted that commits may be lost
 }
 
 // Why nobody may be promoted yet.
@@ -73,21 +74,7 @@
 // nobody writes at the chosen one before it is known to lead. If the old primary answered, a
 // replica that stays and has all that it holds will do alone.
 func Choose(s Situation) (id, refusal string) {
-	copies := slices.Clone(s.Copies)
-	slices.SortStableFunc(copies, func(a, b Copy) int {
-		switch {
-		case b.Received.Less(a.Received):
-			return -1
-		case a.Received.Less(b.Received):
-			return 1
-		case a.Draining != b.Draining:
-			if a.Draining {
-				return 1
-			}
-			return -1
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
+	copies := byPosition(s.Copies)
 	if len(copies) == 0 {
 		return "", nobodyAnswers
 	}
@@ -118,6 +105,34 @@
 	return copies[0].ID, ""
 }
 
+// byPosition sorts copies, the furthest first, and of equals one that stays.
+func byPosition(copies []Copy) []Copy {
+	copies = slices.Clone(copies)
+	slices.SortStableFunc(copies, func(a, b Copy) int {
+		switch {
+		case b.Received.Less(a.Received):
+			return -1
+		case a.Received.Less(b.Received):
+			return 1
+		case a.Draining != b.Draining:
+			if a.Draining {
+				return 1
+			}
+			return -1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return copies
+}
+
+// Furthest returns the copy that has received the most, "" if there is none.
+func Furthest(copies []Copy) string {
+	if len(copies) == 0 {
+		return ""
+	}
+	return byPosition(copies)[0].ID
+}
+
 // furthestPast returns the first of the copies, the furthest first, that has
 // reached a position, one that stays before any that leaves; "" if none has.
 func furthestPast(copies []Copy, position lineprotocol.Position) (id string) {
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -39,6 +39,13 @@
 	Hold    int64  `json:"hold,omitempty"`   // term at which the replicas are paused
 	Floor   string `json:"floor,omitempty"`  // of a turn in which a choice was made: covers every acknowledged commit
 	Least   string `json:"least,omitempty"`  // whoever is promoted holds this: databases that are gone may have
+	// Accepted is the last order by which an operator accepted a loss.
+	Accepted Accepted `json:"accepted,omitzero"`
+}
+
+// settled is the lead once a database leads in a term and nothing moves.
+func (l Lead) settled(id string, term int64) Lead {
+	return Lead{Service: l.Service, ID: id, Term: term, Turn: l.Turn, Least: l.Least, Accepted: l.Accepted}
 }
 
 const keyPrefix = "lead/"
@@ -317,7 +324,7 @@
 func (c *Manager) resume(ctx context.Context, s *scene, l Lead, id string) error {
 	err := c.save(ctx, l.Service, func(now *Lead) error {
 		if now.Turn == l.Turn && now.ID == l.ID && !now.Called {
-			*now = Lead{Service: now.Service, ID: id, Term: now.Term, Turn: now.Turn, Least: now.Least}
+			*now = now.settled(id, now.Term)
 		}
 		return nil
 	})
@@ -542,8 +549,16 @@
 	sit.Copies, sit.Absent = compare(replicas, paused)
 	l.Hold = hold
 	to, refusal := Choose(sit)
+	accepted := to == "" && l.Accepted.Turn == l.Turn && acceptable(refusal)
+	if accepted {
+		to = Furthest(sit.Copies)
+		c.k.Log.Warn("chosen though acknowledged commits may be lost", "service", l.Service, "to", to, "why", refusal, "accepted by", l.Accepted.By)
+	}
 	epoch, _ := c.v.Lease()
-	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to})
+	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to, accepted})
+	if accepted {
+		l.Least = "" // it is accepted that this may be lost
+	}
 	if to != "" {
 		return c.settleOn(ctx, s, l, to, newest, hold, paused[to])
 	}
@@ -591,6 +606,9 @@
 			}
 		}
 		now.To, now.Called, now.Term, now.Hold, now.Floor = to, true, newest, hold, floor.String()
+		if now.Accepted.Turn == now.Turn && l.Least == "" {
+			now.Least = ""
+		}
 		forget(now, known, floor)
 		free(known)
 		*l = *now
@@ -693,7 +711,7 @@
 	old := l.ID
 	err = c.save(ctx, l.Service, func(now *Lead) error {
 		if now.Turn == l.Turn && now.To == l.To {
-			*now = Lead{Service: now.Service, ID: l.To, Term: l.Term, Turn: now.Turn, Least: now.Least}
+			*now = now.settled(l.To, l.Term)
 		}
 		return nil
 	})
--- a/internal/failover/plugin.go
+++ b/internal/failover/plugin.go
@@ -6,6 +6,7 @@
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/rpc"
 	"indigowalk/internal/settings"
 )
 
@@ -23,6 +24,7 @@
 			}, kernel.Need[*controlstate.Replica](k), kernel.Need[*discovery.Registry](k),
 				kernel.Need[*health.Monitor](k), readers)
 			kernel.Offer(k, c)
+			c.listen(kernel.Need[*rpc.Endpoint](k))
 			k.Supervise("failover", c.Serve)
 			return nil
 		},
--- a/internal/simulation/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/failover"
 	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/tools"
 )
@@ -318,6 +319,68 @@
 	})
 }
 
+// An operator accepts that a database which may hold acknowledged commits does not
+// come back: for the turn that waits, under a name, and not for the next one.
+func TestAcceptedLoss(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		g.DB(2).Deaf(true)
+		l := w.NewLoad(g, 7)
+		time.Sleep(3 * time.Second)
+		g.DB(1).Crash(false)
+		g.DB(0).Crash(false)
+		time.Sleep(4 * time.Second)
+		l.Stop()
+		if g.Lead() != nil {
+			t.Fatal("a database was promoted that lacks commits")
+		}
+		host := w.Net.Host("10.250.0.9")
+		ask := func() (*tools.Waiting, error) {
+			return tools.Ask(context.Background(), host, []string{ip(controlPrimary(w)) + ":7440"}, true).WaitingOf("ledger")
+		}
+		waiting, err := ask()
+		if err != nil || waiting.Turn != 1 || !strings.Contains(waiting.Why, "ledger-2") {
+			t.Fatalf("waiting: %+v %v", waiting, err)
+		}
+		if err := waiting.Accept(context.Background(), host, waiting.Turn+1, "someone"); err == nil {
+			t.Error("an order for another turn was taken")
+		}
+		if err := waiting.Accept(context.Background(), host, waiting.Turn, ""); err == nil {
+			t.Error("an order without a name was taken")
+		}
+		time.Sleep(time.Second)
+		if g.Lead() != nil {
+			t.Error("an order that was refused had its effect")
+		}
+		g.Forgive()
+		if err := waiting.Accept(context.Background(), host, waiting.Turn, "someone"); err != nil {
+			t.Fatal(err)
+		}
+		w.Until("the one that is left leads", 3*time.Second, func() bool { return g.Lead() == g.DB(2) })
+		w.Until("that is known", 2*time.Second, func() bool { _, err := ask(); return err != nil })
+		lead := leadOf(t, w)
+		if lead.Accepted.By != "someone" || lead.Accepted.Turn != 1 || lead.Accepted.AtMs == 0 || lead.Least != "" {
+			t.Errorf("the record: %+v", lead)
+		}
+		if err := waiting.Accept(context.Background(), host, waiting.Turn, "someone"); err == nil {
+			t.Error("an order for a move that is over was taken")
+		}
+	})
+}
+
+// leadOf is the lead in the control state.
+func leadOf(t *testing.T, w *World) failover.Lead {
+	t.Helper()
+	state, err := w.Process("control", controlPrimary(w)).replica().Durable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	leads, err := failover.Decode(state.Entries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return leads["ledger"]
+}
+
 // A primary that was cut off while another was promoted, and so still takes
 // itself for the primary, is not waited for when that one is lost.
 func TestSupersededPrimaryIsHeard(t *testing.T) {
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -104,6 +104,13 @@
 	g.acked[id] = true
 }
 
+// Forgive lets whatever clients have been told of so far be lost.
+func (g *Group) Forgive() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.acked)
+}
+
 // Broken lists the rules that were broken.
 func (g *Group) Broken() []string {
 	g.mu.Lock()
--- a/internal/tools/replay.go
+++ b/internal/tools/replay.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 
 	"indigowalk/internal/controlstate"
 	"indigowalk/internal/failover"
@@ -144,21 +145,24 @@
 		return fmt.Sprintf("a choice in epoch %d after epoch %d", c.Epoch, p.epoch)
 	}
 	p.epoch = c.Epoch
-	if c.To == "" {
+	if c.To == "" || c.Accepted {
 		return ""
 	}
-	for _, copy := range c.Situation.Copies {
-		if copy.ID == c.To {
-			for _, o := range c.Situation.Copies {
-				if copy.Received.Less(o.Received) {
-					return fmt.Sprintf("%s was chosen, though %s had received more", c.To, o.ID)
-				}
-			}
-			if to == "" {
-				return fmt.Sprintf("%s was chosen, though %s", c.To, why)
-			}
-			return ""
+	at := slices.IndexFunc(c.Situation.Copies, func(o failover.Copy) bool { return o.ID == c.To })
+	if at < 0 {
+		return fmt.Sprintf("%s was chosen and did not answer", c.To)
+	}
+	if to == "" {
+		return fmt.Sprintf("%s was chosen, though %s", c.To, why)
+	}
+	received := c.Situation.Copies[at].Received
+	if acked := c.Situation.Acked; acked != nil && !received.Less(*acked) {
+		return "" // it holds all that clients were told of
+	}
+	for _, o := range c.Situation.Copies {
+		if received.Less(o.Received) {
+			return fmt.Sprintf("%s was chosen, though %s had received more", c.To, o.ID)
 		}
 	}
-	return fmt.Sprintf("%s was chosen and did not answer", c.To)
+	return ""
 }
--- a/internal/tools/status.go
+++ b/internal/tools/status.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"indigowalk/internal/controlstate"
 	"indigowalk/internal/kernel"
@@ -178,9 +179,14 @@
 	}
 	led := 0
 	for svc := range services {
-		if l, ok := p.Leads[svc]; ok && !l.Moving {
+		l, known := p.Leads[svc]
+		if known && !l.Moving {
 			led++
 		}
+		if a := l.Accepted; a.Turn > 0 {
+			at := time.UnixMilli(a.AtMs).UTC().Format(time.RFC3339)
+			lines = append(lines, fmt.Sprintf("  service %s: at turn %d %s accepted that acknowledged commits are lost, %s", svc, a.Turn, a.By, at))
+		}
 	}
 	fmt.Fprintf(w, "databases: %d of %d services, %d with a lead; %d down, moving, draining or gone\n", len(p.Databases), len(services), led, odd)
 	for _, svc := range slices.Sorted(maps.Keys(p.Waits)) {
