Tenants and their keys, in both tiers

A configuration may name tenants with keys; clients need one on routes that are not public. Carriers are told digests of keys, only of tenants that changed. A key decides at each operation: an unknown one is DENIED (401), one that was taken away ends an open transaction too. Databases are told the tenant's name, on connections of that tenant alone; where none is left one that rests makes place. A tenant's rank comes before the route's. Where revoke_global is true a carrier that can't know its keys stops in time. Keys are in no log, status or answer.

Quotas are not counted yet.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -53,45 +53,46 @@
 type Updater func(map[string]discovery.Database)
 
 // Config is what pools are built from.
-type Config[C any] struct {
-	Open      func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error)
-	Probe     func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error) // Open's, if nil
+type Config[W, C any] struct {
+	Open      func(ctx context.Context, db discovery.Database, want W, wait kernel.Micros) (C, error)
+	Probe     func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error) // Open's for no want, if nil
 	OpenWait  kernel.Micros                                                                   // for a log-in
 	CheckWait kernel.Micros                                                                   // for the log-in of a check
 	IdleFor   kernel.Micros                                                                   // after which a spare connection is closed, if others are left
 	UnusedFor kernel.Micros                                                                   // after which a database is left without any
 	Share     func(service string) int
 	Most      int  // connections to all databases together, 0 for no bound
+	Evict     bool // an idle connection that suits nobody makes place for one that does
 	Doubt     bool // of several silent databases the node's own link is suspected first
 }
 
 // Pools hold this node's connections to all databases.
 type Pools[W any, C Line[W]] struct {
 	k      *kernel.Kernel
-	cfg    Config[C]
+	cfg    Config[W, C]
 	health *health.Monitor
 
 	mu     sync.Mutex
 	ctx    context.Context
-	pools  map[string]*pool[C]
-	berths map[C]berth[C] // of every open connection
+	pools  map[string]*pool[W, C]
+	berths map[C]berth[W, C] // of every open connection
 	quiet  Silences
 }
 
 // berth is where a connection belongs.
-type berth[C any] struct {
-	pool       *pool[C]
+type berth[W, C any] struct {
+	pool       *pool[W, C]
 	id         string
 	address    string
 	generation int64
 }
 
-type pool[C any] struct {
+type pool[W, C any] struct {
 	db      discovery.Database
 	idle    []resting[C]
 	open    int // connections there are, borrowed ones included
 	opening int
-	waiting []*waiter[C]
+	waiting []*waiter[W, C]
 	fullTil kernel.Micros // the database refused more connections
 }
 
@@ -100,9 +101,11 @@
 	since kernel.Micros
 }
 
-type waiter[C any] struct {
-	prio int
-	ch   chan grant[C]
+type waiter[W, C any] struct {
+	prio   int
+	want   W
+	opened bool // a connection is being made for it
+	ch     chan grant[C]
 }
 
 type grant[C any] struct {
@@ -111,12 +114,15 @@
 }
 
 // New returns empty pools.
-func New[W any, C Line[W]](k *kernel.Kernel, cfg Config[C], health *health.Monitor) *Pools[W, C] {
+func New[W any, C Line[W]](k *kernel.Kernel, cfg Config[W, C], health *health.Monitor) *Pools[W, C] {
 	if cfg.Probe == nil {
-		cfg.Probe = cfg.Open
+		cfg.Probe = func(ctx context.Context, db discovery.Database, wait kernel.Micros) (C, error) {
+			var any W
+			return cfg.Open(ctx, db, any, wait)
+		}
 	}
 	return &Pools[W, C]{
-		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[C]{}, berths: map[C]berth[C]{},
+		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, berths: map[C]berth[W, C]{},
 	}
 }
 
@@ -128,7 +134,7 @@
 	for id, d := range dbs {
 		p := s.pools[id]
 		if p == nil {
-			s.pools[id] = &pool[C]{db: d}
+			s.pools[id] = &pool[W, C]{db: d}
 			continue
 		}
 		if p.db.Address != d.Address || p.db.Service != d.Service {
@@ -146,7 +152,7 @@
 	}
 }
 
-func (s *Pools[W, C]) closeIdle(p *pool[C]) {
+func (s *Pools[W, C]) closeIdle(p *pool[W, C]) {
 	for _, r := range p.idle {
 		s.end(p, r.c)
 	}
@@ -154,13 +160,13 @@
 }
 
 // end closes a connection that is neither borrowed nor idle any more.
-func (s *Pools[W, C]) end(p *pool[C], c C) {
+func (s *Pools[W, C]) end(p *pool[W, C], c C) {
 	c.Close()
 	p.open--
 	delete(s.berths, c)
 }
 
-func (p *pool[C]) fail(err error) {
+func (p *pool[W, C]) fail(err error) {
 	for _, w := range p.waiting {
 		w.ch <- grant[C]{err: err}
 	}
@@ -177,12 +183,12 @@
 	return 0
 }
 
-// Idle tells whether a connection to the database waits for use.
-func (s *Pools[W, C]) Idle(id string) bool {
+// Idle tells whether a connection to the database that suits waits for use.
+func (s *Pools[W, C]) Idle(id string, want W) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[id]
-	return p != nil && len(p.idle) > 0
+	return p != nil && slices.ContainsFunc(p.idle, func(r resting[C]) bool { return r.c.Fit(want, 0) >= 0 })
 }
 
 // Counts returns the open and idle connections by database.
@@ -219,8 +225,8 @@
 		s.k.Counters.Add("connpool.queue_full", 1)
 		return c, ErrFull
 	}
-	w := &waiter[C]{prio, make(chan grant[C], 1)}
-	at, _ := slices.BinarySearchFunc(p.waiting, prio, func(o *waiter[C], prio int) int {
+	w := &waiter[W, C]{prio: prio, want: want, ch: make(chan grant[C], 1)}
+	at, _ := slices.BinarySearchFunc(p.waiting, prio, func(o *waiter[W, C], prio int) int {
 		if o.prio <= prio {
 			return -1
 		}
@@ -249,7 +255,7 @@
 }
 
 // displace makes room by refusing the least urgent, if less urgent than prio.
-func (p *pool[C]) displace(prio int) bool {
+func (p *pool[W, C]) displace(prio int) bool {
 	last := len(p.waiting) - 1
 	if last < 0 || p.waiting[last].prio <= prio {
 		return false
@@ -261,7 +267,7 @@
 
 // take picks the idle connection that fits best, and of those the one used
 // last. Those that suit nobody any more are closed.
-func (s *Pools[W, C]) take(p *pool[C], want W) (c C, ok bool) {
+func (s *Pools[W, C]) take(p *pool[W, C], want W) (c C, ok bool) {
 	now := s.k.Clock.Now()
 	best, fit := -1, -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -279,25 +285,44 @@
 }
 
 // extend opens connections for those who wait, as far as the share goes.
-func (s *Pools[W, C]) extend(p *pool[C], share int) {
+func (s *Pools[W, C]) extend(p *pool[W, C], share int) {
 	if s.k.Clock.Now() < p.fullTil {
 		share = max(1, p.open)
 	}
 	// Step by step: a connection that becomes free serves sooner than one that
 	// all poolers open at the same time.
-	for p.opening < min(len(p.waiting), max(1, p.open)) && p.open+p.opening < share && s.room() {
+	for _, w := range p.waiting {
+		switch {
+		case w.opened:
+			continue
+		case p.opening >= max(1, p.open), p.open+p.opening >= share && !s.evict(p), !s.room():
+			return
+		}
+		w.opened = true
 		p.opening++
-		go s.openOne(p)
+		go s.openOne(p, w)
 	}
 }
 
+// evict closes the connection to the database that has been idle for longest, to
+// make place for one that suits who waits; it reports whether there was one.
+func (s *Pools[W, C]) evict(p *pool[W, C]) bool {
+	if !s.cfg.Evict || len(p.idle) == 0 {
+		return false
+	}
+	s.k.Counters.Add("connpool.evicted", 1)
+	s.end(p, p.idle[0].c)
+	p.idle = p.idle[1:]
+	return true
+}
+
 // room tells whether one more connection may be opened; if there are as many as
 // there may be, the one that has been idle for longest goes.
 func (s *Pools[W, C]) room() bool {
 	if s.cfg.Most == 0 || len(s.berths) < s.cfg.Most {
 		return true
 	}
-	var oldest *pool[C]
+	var oldest *pool[W, C]
 	for _, p := range s.pools {
 		if len(p.idle) > 0 && (oldest == nil || p.idle[0].since < oldest.idle[0].since) {
 			oldest = p
@@ -312,16 +337,19 @@
 	return true
 }
 
-func (s *Pools[W, C]) openOne(p *pool[C]) {
+// openOne opens a connection for one who waits; whoever is more urgent and suits may
+// have it.
+func (s *Pools[W, C]) openOne(p *pool[W, C], w *waiter[W, C]) {
 	s.mu.Lock()
 	ctx, db := s.ctx, p.db
 	s.mu.Unlock()
 	_, gen := s.health.State(db.ID)
-	c, err := s.cfg.Open(ctx, db, s.cfg.OpenWait)
+	c, err := s.cfg.Open(ctx, db, w.want, s.cfg.OpenWait)
 	s.k.Counters.Add("connpool.opened", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p.opening--
+	w.opened = false
 	if err != nil {
 		s.openFailed(p, db.ID, gen, err)
 		return
@@ -330,7 +358,7 @@
 	s.extend(p, max(1, s.cfg.Share(p.db.Service)))
 }
 
-func (s *Pools[W, C]) openFailed(p *pool[C], id string, gen int64, err error) {
+func (s *Pools[W, C]) openFailed(p *pool[W, C], id string, gen int64, err error) {
 	if errors.Is(err, ErrCapped) {
 		s.k.Counters.Add("connpool.capped", 1)
 		p.fullTil = s.k.Clock.Now() + 500*kernel.Millisecond
@@ -360,12 +388,13 @@
 	p.fail(ErrBroken)
 }
 
-func (s *Pools[W, C]) put(p *pool[C], c C) {
-	if len(p.waiting) > 0 {
-		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		w.ch <- grant[C]{c: c}
-		return
+func (s *Pools[W, C]) put(p *pool[W, C], c C) {
+	for i, w := range p.waiting {
+		if c.Fit(w.want, 0) >= 0 {
+			p.waiting = slices.Delete(p.waiting, i, i+1)
+			w.ch <- grant[C]{c: c}
+			return
+		}
 	}
 	p.idle = append(p.idle, resting[C]{c, s.k.Clock.Now()})
 }
@@ -384,6 +413,9 @@
 		return
 	}
 	s.put(p, c)
+	if len(p.waiting) > 0 {
+		s.extend(p, max(1, s.cfg.Share(p.db.Service)))
+	}
 }
 
 // died is called when a connection broke. One that was idle is dropped here;
@@ -446,9 +478,9 @@
 }
 
 // admit puts a new connection into its pool.
-func (s *Pools[W, C]) admit(p *pool[C], c C, gen int64) {
+func (s *Pools[W, C]) admit(p *pool[W, C], c C, gen int64) {
 	p.open++
-	s.berths[c] = berth[C]{p, p.db.ID, p.db.Address, gen}
+	s.berths[c] = berth[W, C]{p, p.db.ID, p.db.Address, gen}
 	c.Attach(gen, func(byUs, silent bool) { s.died(c, byUs, silent) })
 	if s.pools[p.db.ID] != p || !c.Alive() {
 		s.end(p, c)
--- a/internal/dbconn/conn.go
+++ b/internal/dbconn/conn.go
@@ -3,6 +3,7 @@
 package dbconn
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -28,7 +29,13 @@
 
 // Pool holds a pooler's server connections to all databases; whoever borrows one
 // names the session's values, which are best in force on it already.
-type Pool = connpool.Pools[map[string]string, *Conn]
+type Pool = connpool.Pools[Want, *Conn]
+
+// Want is what a borrower wishes of a connection.
+type Want struct {
+	Tenant string            // on whose behalf; databases are told it at the log-in
+	Values map[string]string // best in force already
+}
 
 // Conn is one connection to a database. One statement is out at a time: until
 // its answer has been taken no other is sent, so that a late answer is never
@@ -38,6 +45,7 @@
 	DB         discovery.Database
 	Generation int64  // of the database when the connection was opened
 	Login      string // position that the database told at the log-in
+	tenant     string // that was told there
 
 	c       net.Conn
 	answers chan *lineprotocol.Answer
@@ -74,6 +82,12 @@
 // connection and does not answer the log-in within wait is slow, which is no
 // fault.
 func (d *Dialer) Open(ctx context.Context, db discovery.Database, wait kernel.Micros) (*Conn, error) {
+	return d.OpenFor(ctx, db, "", wait)
+}
+
+// OpenFor is Open on behalf of a tenant, whose name the database is told; "" for
+// none.
+func (d *Dialer) OpenFor(ctx context.Context, db discovery.Database, tenant string, wait kernel.Micros) (*Conn, error) {
 	c, err := connpool.Dial(ctx, d.Net, d.Pace, db.Address, d.Connect, d.Silence)
 	if err != nil {
 		return nil, err
@@ -81,7 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
 	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
-	if _, err := c.Write(lineprotocol.AppendMessage(nil, "LOGIN", db.Service, d.Who, db.ID)); err != nil {
+	if _, err := c.Write(lineprotocol.AppendMessage(nil, "LOGIN", db.Service, cmp.Or(tenant, d.Who), db.ID)); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("%w: %v", connpool.ErrBroken, err)
 	}
@@ -111,7 +125,7 @@
 	}
 	_, pos := lineprotocol.Word(rest)
 	s := &Conn{
-		DB: db, Login: string(pos), c: c, answers: make(chan *lineprotocol.Answer, 1), dead: make(chan struct{}),
+		DB: db, Login: string(pos), tenant: tenant, c: c, answers: make(chan *lineprotocol.Answer, 1), dead: make(chan struct{}),
 		values: map[string]string{}, names: map[string]string{}, state: 'I',
 	}
 	go s.listen(r)
@@ -159,10 +173,13 @@
 	return s.state == 'I' && !s.out && !s.spoilt && !s.closed
 }
 
-// Fit implements connpool.Line: the same values are best, none at all next.
-func (s *Conn) Fit(values map[string]string, _ kernel.Micros) int {
+// Fit implements connpool.Line: it must be of the tenant; the same values are best,
+// none at all next.
+func (s *Conn) Fit(want Want, _ kernel.Micros) int {
 	switch {
-	case maps.Equal(s.values, values):
+	case s.tenant != want.Tenant:
+		return -1
+	case maps.Equal(s.values, want.Values):
 		return 2
 	case len(s.values) == 0:
 		return 1
--- a/internal/dbconn/plugin.go
+++ b/internal/dbconn/plugin.go
@@ -23,8 +23,11 @@
 				Net: k.Net, Who: s.NodeName, Connect: settings.Span(s.CheckWaitMs), Silence: settings.Span(s.SilenceMs),
 				Pace: make(chan struct{}, connpool.MaxDials),
 			}
-			sh := connpool.New[map[string]string](k, connpool.Config[*Conn]{
-				Open:     d.Open,
+			sh := connpool.New[Want](k, connpool.Config[Want, *Conn]{
+				Open: func(ctx context.Context, db discovery.Database, want Want, wait kernel.Micros) (*Conn, error) {
+					return d.OpenFor(ctx, db, want.Tenant, wait)
+				},
+				Evict:    true,
 				OpenWait: 2 * kernel.Second, CheckWait: settings.Span(s.CheckWaitMs), IdleFor: 15 * kernel.Second, UnusedFor: 5 * kernel.Second,
 				Share: func(svc string) int { return kernel.Need[connpool.Share](k)(svc) },
 			}, kernel.Need[*health.Monitor](k))
--- a/internal/distribution/drain.go
+++ b/internal/distribution/drain.go
@@ -5,11 +5,14 @@
 	"indigowalk/internal/kernel"
 )
 
-// DrainBounds are the spans of the settings that bound the use of a database that
-// leaves.
-type DrainBounds struct {
+// Bounds are the spans of the settings that bound what a carrier may do with what it
+// knows.
+type Bounds struct {
 	Drain   kernel.Micros // a request may reach it for so long after its leaving was acknowledged
 	Contact kernel.Micros // a process that has run for less is not held to that
+	// Revoke is for how long a key may be served that was taken away, by carriers out
+	// of touch too; 0 if they need not know.
+	Revoke kernel.Micros
 }
 
 // drainMargin is kept between the last send and the bound: what is sent has to
@@ -26,7 +29,7 @@
 // update notes the databases that leave. Those that served in the state before
 // were told to be serving by the answer to a poll that was sent at confirmed, so
 // their leaving was acknowledged later than that. Of any other nothing is known.
-func (l *drainLimits) update(before, now map[string]discovery.Database, confirmed kernel.Micros, bounds DrainBounds) {
+func (l *drainLimits) update(before, now map[string]discovery.Database, confirmed kernel.Micros, bounds Bounds) {
 	open := map[string]kernel.Micros{}
 	for id, d := range now {
 		if !d.Draining {
@@ -45,7 +48,7 @@
 }
 
 // passed tells whether nothing may be sent to the database any more.
-func (l *drainLimits) passed(id string, now kernel.Micros, bounds DrainBounds) bool {
+func (l *drainLimits) passed(id string, now kernel.Micros, bounds Bounds) bool {
 	at, leaves := l.open[id]
 	return leaves && now >= at+bounds.Drain-drainMargin
 }
@@ -69,3 +72,18 @@
 	}
 	return nil
 }
+
+// keyMargin is kept to the time at which a key that was taken away must not be served
+// any more.
+const keyMargin = 250 * kernel.Millisecond
+
+// KeysKnown tells whether this carrier knows which keys hold, as well as it must.
+func (c *Subscriber) KeysKnown() bool {
+	revoke := c.cfg.Bounds().Revoke
+	if revoke == 0 {
+		return true
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.k.Clock.Now() < c.confirmed+revoke-keyMargin
+}
--- a/internal/distribution/plugin.go
+++ b/internal/distribution/plugin.go
@@ -49,9 +49,13 @@
 				Down:     kernel.Need[*health.Monitor](k).Down,
 				Applied:  kernel.Need[connpool.Updater](k),
 				Observed: func(string, kernel.Micros, lineprotocol.Position) {},
-				Bounds: func() DrainBounds {
+				Bounds: func() Bounds {
 					now := book.Now()
-					return DrainBounds{Drain: settings.Span(now.DrainMs), Contact: settings.Span(now.ContactMs)}
+					bounds := Bounds{Drain: settings.Span(now.DrainMs), Contact: settings.Span(now.ContactMs)}
+					if now.RevokeGlobal {
+						bounds.Revoke = settings.Span(now.RevokeMs)
+					}
+					return bounds
 				},
 			}
 			switch k.Role {
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -60,7 +60,7 @@
 	Observed     func(service string, sent kernel.Micros, pos lineprotocol.Position)
 	Seen         func() map[string]Seen     // what requests showed since it was last asked, nil if nothing
 	Paces        func(paces map[string]int) // what all carriers together saw
-	Bounds       func() DrainBounds
+	Bounds       func() Bounds
 }
 
 // Subscriber is the carrier's side: the newest control state it has, and its lease.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,7 @@
 	Changed() <-chan struct{}
 	Serving(service string) []discovery.Database
 	MaySend(database string) error
+	KeysKnown() bool
 }
 
 // Config is what a gateway is built from.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -54,6 +54,8 @@
 	body     []byte
 	rest     *bounded // what follows a body that is not kept
 	route    *routeconfig.Route
+	tenant   *routeconfig.TenantStep // nil if there is none
+	rank     int                     // how urgent it is: the lower, the more
 	service  string
 	received kernel.Micros
 	deadline kernel.Micros
@@ -92,6 +94,10 @@
 	if j.route = conf.Match(host, pathOf(j.target)); j.route == nil {
 		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
+	j.rank = j.route.Prio
+	if no := j.identify(conf); no != nil {
+		return nil, no
+	}
 	if wait, _ := t.gauge.load(); wait > fullWaits(j.route.Prio) {
 		t.k.Counters.Add("gateway.link_full", 1)
 		return nil, j.busy("this node's link is full")
@@ -111,7 +117,11 @@
 		aim = span
 	}
 	j.giveUp = j.received + kernel.Micros(holdShare*float64(min(aim, span)))
-	return j, j.read(w, conf.Limits.MaxBodyBytes)
+	if no := j.read(w, conf.Limits.MaxBodyBytes); no != nil {
+		return j, no
+	}
+	j.introduce(j.header, conf)
+	return j, nil
 }
 
 // configuration returns what is in force; a node that has just started may learn
@@ -365,7 +375,7 @@
 	}
 	linkWait, _ := t.gauge.load()
 	began := t.balancer.Begin(db.ID)
-	conn, err := t.conns.Borrow(db.ID, j.route.Prio, httpconn.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
+	conn, err := t.conns.Borrow(db.ID, j.rank, httpconn.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
 	if err != nil {
 		j.avoid = append(j.avoid, db.ID)
 		t.balancer.End("", db.ID, began, loadbalance.Full)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -30,6 +30,8 @@
 	Target     = "X-Indigowalk-Target-Instance"
 	NotRun     = "X-Indigowalk-Not-Run"
 	Instance   = "X-Indigowalk-Instance-Id"
+	APIKey     = "X-Api-Key"
+	Tenant     = "X-Indigowalk-Tenant"
 )
 
 // Errors of this layer.
--- a/internal/httpconn/plugin.go
+++ b/internal/httpconn/plugin.go
@@ -39,8 +39,11 @@
 			}
 			r := loadbalance.New(k.Clock)
 			kernel.Offer(k, r)
-			st := connpool.New[Want](k, connpool.Config[*Conn]{
-				Open: d.Open, Probe: d.Probe,
+			st := connpool.New[Want](k, connpool.Config[Want, *Conn]{
+				Open: func(ctx context.Context, db discovery.Database, _ Want, wait kernel.Micros) (*Conn, error) {
+					return d.Open(ctx, db, wait)
+				},
+				Probe:    d.Probe,
 				OpenWait: kernel.Second, CheckWait: settings.Span(s.CheckWaitMs),
 				IdleFor: 8 * kernel.Second, UnusedFor: 5 * kernel.Second,
 				Share: func(svc string) int { return kernel.Need[connpool.Share](k)(svc) },
--- a/internal/lineprotocol/lineprotocol.go
+++ b/internal/lineprotocol/lineprotocol.go
@@ -26,6 +26,7 @@
 	Expired    = "EXPIRED"
 	Unknown    = "UNKNOWN"
 	NoDB       = "NODB"
+	Denied     = "DENIED"
 	Oversize   = "OVERSIZE"
 	Malformed  = "MALFORMED"
 )
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -176,12 +176,12 @@
 }
 
 // place picks a database for the request as things are now.
-func (d *Pooler) place(q readrouting.Request) (readrouting.Choice, bool) {
+func (d *Pooler) place(q readrouting.Request, want dbconn.Want) (readrouting.Choice, bool) {
 	dbs, lead := d.control.Databases(q.Service)
 	_, err := d.control.Primary(q.Service)
 	return d.router.Pick(q, readrouting.Scene{
 		Databases: dbs, Lead: lead, Leased: err == nil, Zone: d.cfg.Zone,
-		Up: d.health.Up, Busy: d.pool.Busy, Idle: d.pool.Idle,
+		Up: d.health.Up, Busy: d.pool.Busy, Idle: func(id string) bool { return d.pool.Idle(id, want) },
 	})
 }
 
--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -9,6 +9,7 @@
 	"indigowalk/internal/dbconn"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/routeconfig"
 )
 
 // Bounds of one session.
@@ -29,6 +30,7 @@
 	r *lineprotocol.Reader
 
 	database string
+	key      routeconfig.KeyDigest // that the client showed at the log-in
 	values   map[string]string
 	names    map[string]dbconn.Prepared
 	last     lineprotocol.Position // of the session's own last commit
@@ -116,7 +118,7 @@
 		s.end(lineprotocol.Malformed, "LOGIN database who")
 		return false
 	}
-	s.database = string(name)
+	s.database, s.key = string(name), routeconfig.DigestOf(string(who))
 	for end := s.d.k.Clock.Now() + holdLogin; !s.d.control.Ready() && s.d.k.Clock.Now() < end; {
 		t := time.NewTimer((100 * kernel.Millisecond).Duration())
 		select {
@@ -125,7 +127,8 @@
 		}
 		t.Stop()
 	}
-	if r, _, _ := s.d.route(s.database); r == nil {
+	r, _, conf := s.d.route(s.database)
+	if r == nil {
 		if !s.d.control.Ready() {
 			s.end(lineprotocol.Retry, hint(kernel.Second))
 		} else {
@@ -133,6 +136,10 @@
 		}
 		return false
 	}
+	if _, code := s.tenant(r, conf); code != "" {
+		s.end(code, hint(kernel.Second))
+		return false
+	}
 	s.out = lineprotocol.AppendMessage(s.out[:0], "IDLE", "I", "-")
 	return s.flush()
 }
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -6,6 +6,7 @@
 	"indigowalk/internal/connpool"
 	"indigowalk/internal/dbconn"
 	"indigowalk/internal/health"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/readrouting"
 )
@@ -19,6 +20,7 @@
 	conn    *dbconn.Conn
 	choice  readrouting.Choice
 	service string
+	tenant  string
 	term    int64 // in which the primary led when it began
 	b       *health.Binding
 	wrote   bool
@@ -29,9 +31,13 @@
 
 // begin opens a transaction for the client; no database hears of it yet.
 func (s *session) begin(q lineprotocol.Statement) (*transaction, *lineprotocol.Answer) {
-	if r, _, _ := s.d.route(s.database); r == nil {
+	r, _, conf := s.d.route(s.database)
+	if r == nil {
 		return nil, refusal(lineprotocol.NoDB, s.database, 'I')
 	}
+	if _, code := s.tenant(r, conf); code != "" {
+		return nil, refusal(code, hint(kernel.Second), 'I')
+	}
 	return &transaction{s: s, begin: q, plain: q.Verb == lineprotocol.Begin}, &lineprotocol.Answer{Seal: "-", State: 'T'}
 }
 
@@ -86,11 +92,14 @@
 	}
 	j, a := s.newJob(q)
 	if a != nil {
-		if a.Code == lineprotocol.NoDB && t.conn != nil {
-			return s.abandon("the route is gone")
+		if t.conn != nil && (a.Code == lineprotocol.NoDB || a.Code == lineprotocol.Denied) {
+			return s.abandon("the route or its key is gone")
 		}
 		return a
 	}
+	if t.conn != nil && nameOf(j.tenant) != t.tenant {
+		return s.abandon("the key is another tenant's now")
+	}
 	return j.insideTx(t)
 }
 
@@ -136,7 +145,7 @@
 		j.s.tx = nil
 		return false, j.refuse()
 	}
-	t.conn, t.choice, t.service = conn, choice, j.route.Service
+	t.conn, t.choice, t.service, t.tenant = conn, choice, j.route.Service, nameOf(j.tenant)
 	t.b = d.health.Bind(conn.DB.ID)
 	if choice.Primary {
 		t.term = d.control.Begin(t.service)
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -27,6 +27,7 @@
 	deadline kernel.Micros
 	giveUp   kernel.Micros // until then a place to run is waited for
 	route    *routeconfig.Route
+	tenant   *routeconfig.TenantStep // nil if there is none
 	tries    int
 	avoid    map[string]bool
 	twice    bool // may be sent a second time while the first is unanswered
@@ -85,9 +86,14 @@
 // is nothing to run.
 func (s *session) newJob(q lineprotocol.Statement) (*job, *lineprotocol.Answer) {
 	j := &job{s: s, q: q, received: s.d.k.Clock.Now()}
-	if j.route, _, _ = s.d.route(s.database); j.route == nil {
+	var conf *routeconfig.Index
+	if j.route, _, conf = s.d.route(s.database); j.route == nil {
 		return nil, refusal(lineprotocol.NoDB, s.database, s.state())
 	}
+	var code string
+	if j.tenant, code = s.tenant(j.route, conf); code != "" {
+		return nil, refusal(code, hint(kernel.Second), s.state())
+	}
 	if a := j.resolve(); a != nil {
 		return nil, a
 	}
@@ -115,6 +121,9 @@
 func (j *job) now() kernel.Micros  { return j.s.d.k.Clock.Now() }
 func (j *job) left() kernel.Micros { return j.deadline - j.now() }
 
+// want is what the statement wishes of a connection.
+func (j *job) want() dbconn.Want { return dbconn.Want{Tenant: nameOf(j.tenant), Values: j.s.values} }
+
 func (j *job) request(write bool) readrouting.Request {
 	return readrouting.Request{
 		Service: j.route.Service, Type: j.route.Type,
@@ -141,12 +150,12 @@
 			return nil, readrouting.Choice{}, errNoPlace
 		}
 		changed, health := d.control.Changed(), d.health.Changed()
-		c, ok := d.place(j.request(write))
+		c, ok := d.place(j.request(write), j.want())
 		until := j.giveUp
 		what := outage{j.route.Service, write || j.route.Type == routeconfig.Primary}
 		if ok {
 			d.outages.over(what)
-			conn, err := d.pool.Borrow(c.Database.ID, j.route.Prio, j.s.values, min(j.giveUp, j.deadline)-j.now())
+			conn, err := d.pool.Borrow(c.Database.ID, rank(j.tenant, j.route), j.want(), min(j.giveUp, j.deadline)-j.now())
 			if err == nil {
 				return conn, c, nil
 			}
--- a/internal/routeconfig/index.go
+++ b/internal/routeconfig/index.go
@@ -15,6 +15,7 @@
 	services map[string]*Service
 	routes   map[string]*Route   // by key
 	hosts    map[string][]*Route // the longest prefix first
+	tenants  tenantIndex
 }
 
 // Alike are routes that differ by their keys and by where they lead only.
@@ -39,6 +40,10 @@
 	Dropped  []string        `json:"dropped,omitempty"`  // keys of routes that are no more
 	Services []AlikeServices `json:"services,omitempty"` // all, if any changed
 	Limits   Limits          `json:"limits"`
+	// Tenants are those that are new or changed, GoneTenants the names of those that
+	// are no more.
+	Tenants     []TenantStep `json:"tenants,omitempty"`
+	GoneTenants []string     `json:"gone_tenants,omitempty"`
 }
 
 // Place is what tells a route from others.
@@ -79,10 +84,11 @@
 // History keeps the newest configuration and since which sequence each of its
 // routes is as it is.
 type History struct {
-	conf   *Configuration
-	routes map[string]bare  // by key
-	at     map[string]int64 // seq at which a route last changed, or went
-	served int64            // seq at which the services last changed
+	conf    *Configuration
+	routes  map[string]bare  // by key
+	at      map[string]int64 // seq at which a route last changed, or went
+	served  int64            // seq at which the services last changed
+	tenants tenantHistory
 }
 
 // Turn takes the configuration of a sequence in.
@@ -107,6 +113,7 @@
 		}
 	}
 	h.conf, h.routes = conf, next
+	h.tenants.turn(conf.Tenants, seq)
 }
 
 // Since returns the step for whoever has the configuration of seq; of one
@@ -116,6 +123,7 @@
 	if whole || h.served > seq {
 		s.Services = alikeServices(h.conf.Services)
 	}
+	s.Tenants, s.GoneTenants = h.tenants.since(seq, whole)
 	groups := map[Manner]map[string][]string{}
 	for key, b := range h.routes {
 		if whole || h.at[key] > seq {
@@ -158,6 +166,10 @@
 // Next returns the index after a step; x, which may be nil, stays as it is.
 func (x *Index) Next(s *Step) *Index {
 	n := &Index{Rev: s.Rev, Limits: s.Limits, services: map[string]*Service{}, routes: map[string]*Route{}, hosts: map[string][]*Route{}}
+	if x != nil {
+		n.tenants = x.tenants
+	}
+	n.tenants = n.tenants.next(s)
 	if x != nil && !s.All {
 		maps.Copy(n.routes, x.routes)
 		maps.Copy(n.services, x.services)
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -45,6 +45,7 @@
 	Prio       int    `json:"prio" validate:"gte=0"`
 	Tries      int    `json:"tries" validate:"gte=0"`
 	StaleMs    int64  `json:"stale_ms,omitempty" validate:"gte=0"`
+	Public     bool   `json:"public,omitempty"` // needs no key
 }
 
 // Share is the part of a route's requests that goes to one service.
@@ -78,6 +79,7 @@
 	Routes   []Route   `json:"routes" validate:"dive"`
 	Services []Service `json:"services" validate:"dive"`
 	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants,omitempty" validate:"dive"`
 }
 
 // Fault says which field of a configuration is wrong.
@@ -112,7 +114,7 @@
 	var bad validator.ValidationErrors
 	if err := checker.Struct(c); errors.As(err, &bad) {
 		for _, f := range bad {
-			_, place, _ := strings.Cut(strings.Replace(f.Namespace(), ".Manner.", ".", 1), ".")
+			_, place, _ := strings.Cut(strings.NewReplacer(".Manner.", ".", ".TenantTerms.", ".").Replace(f.Namespace()), ".")
 			reason := "fails " + f.Tag()
 			if f.Param() != "" {
 				reason += "=" + f.Param()
@@ -137,6 +139,7 @@
 		}
 		matches[m] = true
 	}
+	faults = append(faults, checkTenants(c.Tenants)...)
 	if len(faults) > 0 {
 		return nil, faults
 	}
--- /dev/null
+++ b/internal/routeconfig/tenant_test.go
@@ -0,0 +1,87 @@
+package routeconfig
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+)
+
+// conf is a configuration with one route and these tenants, as JSON.
+func tenantConf(tenants string) []byte {
+	return fmt.Appendf(nil, `{"rev":2,"routes":[{"name":"r","host":"h","path_prefix":"/","type":"primary","svc":"s","deadline_ms":9}],"services":[{"name":"s"}],"tenants":%s}`, tenants)
+}
+
+func TestTenantFaults(t *testing.T) {
+	for tenants, want := range map[string]string{
+		`[]`: "",
+		`[{"name":"a","api_keys":["k1","k2"],"rate_per_s":5,"burst":0},{"name":"b","api_keys":[]}]`: "",
+		`[{"name":"a","api_keys":["k1","k1"]}]`:                                                     "",
+		`[{"name":"a","api_keys":["k1"]},{"name":"b","api_keys":["k1"]}]`:                           "tenants[1].api_keys[0]: is a key of another tenant too",
+		`[{"name":"a","api_keys":["k1"]},{"name":"a","api_keys":["k2"]}]`:                           "tenants[1].name: is there twice",
+		`[{"api_keys":["k1"]}]`:                                             "tenants[0].name: fails required",
+		`[{"name":"a","api_keys":[""]}]`:                                    "tenants[0].api_keys[0]: is empty",
+		`[{"name":"a","rate_per_s":-1}]`:                                    "tenants[0].rate_per_s: fails gte=0",
+		`[{"name":"a","burst":-1}]`:                                         "tenants[0].burst: fails gte=0",
+		`[{"name":"a","prio":-1}]`:                                          "tenants[0].prio: fails gte=0",
+		`[{"name":"a","rate_per_s":1e12}]`:                                  "tenants[0]: has a rate_per_s or burst over 1000000000",
+		`[{"name":"a","rate_per_s":"many"}]`:                                "has the wrong type",
+		"[" + strings.Repeat(`{"name":"a"},`, maxTenants) + `{"name":"a"}]`: "tenants: are over 10000",
+	} {
+		_, faults := Parse(tenantConf(tenants))
+		var text []string
+		for _, f := range faults {
+			text = append(text, f.Error())
+		}
+		got := strings.Join(text, "\n")
+		if want == "" && got != "" || !strings.Contains(got, want) {
+			t.Errorf("%.80s: %.200q", tenants, got)
+		}
+		if strings.Contains(got, "k1") {
+			t.Errorf("a key is in %q", got)
+		}
+	}
+}
+
+// A carrier that is told steps, some of them late and together, has the same tenants
+// as one that is told everything.
+func TestTenantSteps(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	var h History
+	var x *Index
+	told := int64(0)
+	for seq := int64(1); seq < 200; seq++ {
+		c := &Configuration{Rev: seq}
+		for i := range 8 {
+			if r.IntN(3) > 0 {
+				c.Tenants = append(c.Tenants, Tenant{Name: fmt.Sprint("t", i), Keys: []string{fmt.Sprint("k", i, r.IntN(2))}, TenantTerms: TenantTerms{RatePerS: float64(r.IntN(2))}})
+			}
+		}
+		h.Turn(c, seq)
+		if r.IntN(3) > 0 {
+			continue
+		}
+		raw, err := json.Marshal(h.Since(told, told == 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var step Step
+		if err := json.Unmarshal(raw, &step); err != nil {
+			t.Fatal(err)
+		}
+		x, told = x.Next(&step), seq
+		if len(x.Tenants()) != len(c.Tenants) {
+			t.Fatalf("at %d: %d tenants, want %d", seq, len(x.Tenants()), len(c.Tenants))
+		}
+		for _, want := range c.Tenants {
+			got := x.Tenant(DigestOf(want.Keys[0]))
+			if got == nil || got.Name != want.Name || got.TenantTerms != want.TenantTerms || len(got.Keys) != 1 {
+				t.Fatalf("at %d: %+v, want %+v", seq, got, want)
+			}
+		}
+		if x.Tenant(DigestOf("k-none")) != nil || strings.Contains(string(raw), `"k0`) {
+			t.Fatalf("at %d: an unknown key, or a key in the news: %s", seq, raw)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,11 @@
 	UnfreezeMs int64 `key:"bounds.unfreeze_ms" default:"300" validate:"gt=0"`
 	CatchupS   int64 `key:"bounds.catchup_s" default:"4" validate:"gt=0"`
 
+	// Whether keys that were taken away must not be served by any node, in touch or not,
+	// and how soon.
+	RevokeGlobal bool  `key:"bounds.revoke_global"`
+	RevokeMs     int64 `key:"bounds.revoke_ms" default:"5000" validate:"gt=0"`
+
 	// What may be sent again, over all nodes, is this share of the first sends of a
 	// window.
 	RetryRatio   float64 `key:"bounds.retry_ratio" default:"0.2" validate:"gte=0,lte=10"`
--- a/internal/simulation/cutoff_test.go
+++ b/internal/simulation/cutoff_test.go
@@ -118,7 +118,7 @@
 				Peers:        func() []string { return peers },
 				Down:         func() map[string]int64 { return nil },
 				Applied:      func(map[string]discovery.Database) {},
-				Bounds:       func() distribution.DrainBounds { return distribution.DrainBounds{} },
+				Bounds:       func() distribution.Bounds { return distribution.Bounds{} },
 			}), k
 			go b.Serve(ctx)
 			go subscribers[i].Serve(ctx)
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"indigowalk/internal/routeconfig"
 )
 
 // serveRequests runs a scenario on a booted and configured cluster of four
@@ -341,3 +344,60 @@
 		}
 	})
 }
+
+// Requests need a known key, except on public routes; databases see the tenant's name,
+// whatever the client said, and never the key.
+func TestRequestsOfTenants(t *testing.T) {
+	serveRequests(t, func(w *World, s *Service) {
+		var c routeconfig.Configuration
+		if err := json.Unmarshal(w.Configuration(2), &c); err != nil {
+			t.Fatal(err)
+		}
+		for i := range c.Routes {
+			c.Routes[i].Public = c.Routes[i].Prefix == "/unsafe/"
+		}
+		c.Tenants = []routeconfig.Tenant{{Name: "ann", Keys: []string{"key-a"}}}
+		body, err := json.Marshal(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Until("a configuration is taken", 3*time.Second, func() bool { return w.Replace(1, 1, body) == 200 })
+		time.Sleep(time.Second)
+		for i, c := range []struct {
+			method, path, key string
+			status            int
+			tenant            []string
+		}{
+			{"GET", "/safe/", "key-a", 200, []string{"ann"}},
+			{"GET", "/safe/", "key-x", 401, nil},
+			{"GET", "/safe/", "", 401, nil},
+			{"POST", "/unsafe/", "key-x", 200, nil},
+		} {
+			id := fmt.Sprint("tenant-", i)
+			path := c.path + id
+			s.mu.Lock()
+			s.asked[id] = c.method + " " + path + " "
+			s.mu.Unlock()
+			conn, err := w.Net.Host("10.251.0.1").Dial(context.Background(), ip(1)+":8784", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			a := s.raw(conn, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: %s\r\nX-Api-Key: %s\r\nX-Indigowalk-Tenant: root\r\n\r\n",
+				c.method, path, s.Name, id, c.key))
+			conn.Close()
+			if a.Status != c.status {
+				t.Errorf("%s with key %q: %d", path, c.key, a.Status)
+			}
+			if c.status != 200 {
+				continue
+			}
+			for z := range w.Zones {
+				for _, d := range []*Worker{s.DB(2 * z), s.DB(2*z + 1)} {
+					if h := d.Header(); h.Get("X-Indigowalk-Request-Id") == id && (!slices.Equal(h["X-Indigowalk-Tenant"], c.tenant) || h["X-Api-Key"] != nil) {
+						t.Errorf("%s: the database saw tenant %q, key %q", path, h["X-Indigowalk-Tenant"], h["X-Api-Key"])
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/simulation/poll_test.go
+++ b/internal/simulation/poll_test.go
@@ -48,7 +48,7 @@
 			Lease:        2500 * kernel.Millisecond,
 			Down:         func() map[string]int64 { return nil },
 			Applied:      func(map[string]discovery.Database) {},
-			Bounds:       func() distribution.DrainBounds { return distribution.DrainBounds{} },
+			Bounds:       func() distribution.Bounds { return distribution.Bounds{} },
 		})
 		go p.Serve(ctx)
 		go o.Serve(ctx)
--- a/internal/simulation/replicas_test.go
+++ b/internal/simulation/replicas_test.go
@@ -22,6 +22,11 @@
 	return g.Lead()
 }
 
+// ask asks every process for its view.
+func (w *World) ask() *tools.System {
+	return tools.Ask(context.Background(), w.Net.Host("10.250.0.9"), []string{ip(controlPrimary(w)) + ":7440"}, true)
+}
+
 // status is what the tool says of the system in short.
 func (w *World) status() string {
 	var b bytes.Buffer
--- a/internal/simulation/service.go
+++ b/internal/simulation/service.go
@@ -127,6 +127,13 @@
 	d.healthy = well
 }
 
+// Header is that of the newest request.
+func (d *Worker) Header() http.Header {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Last
+}
+
 // Count is how many requests have arrived.
 func (d *Worker) Count() int {
 	d.mu.Lock()
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -56,11 +57,13 @@
 	dir          string
 	procs        map[string]*Process
 	platform     *standin.Platform
-	Poll         int      // tune.poll_ms
-	Losses       int      // tolerate.hosts
-	MaxConns     int      // max_conns of the services
-	ControlNodes int      // zones with a control node, the first ones; all if 0
-	Seeds        []string // of processes started from now on; the first zones' if nil
+	Poll         int       // tune.poll_ms
+	Losses       int       // tolerate.hosts
+	MaxConns     int       // max_conns of the services
+	ControlNodes int       // zones with a control node, the first ones; all if 0
+	Seeds        []string  // of processes started from now on; the first zones' if nil
+	Settings     string    // more lines for processes that are started from now on
+	Logged       io.Writer // what processes log is written there too, if it is not nil
 }
 
 // Process is one daemon.
@@ -163,7 +166,7 @@
 tune.poll_ms=%[8]d
 tolerate.hosts=%[9]d
 deploy=%[10]s
-`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses, cmp.Or(w.Deploy, "pooler"))
+%[11]s`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses, cmp.Or(w.Deploy, "pooler"), w.Settings)
 	s, err := settings.Parse([]byte(text))
 	if err != nil {
 		w.T.Fatalf("settings: %v", err)
@@ -193,6 +196,9 @@
 }
 
 func (l logTo) Write(b []byte) (int, error) {
+	if l.w.Logged != nil {
+		l.w.Logged.Write(b)
+	}
 	if os.Getenv("SIMULATION_LOG") != "" {
 		l.w.T.Logf("%s %s", l.name, bytes.TrimSpace(b))
 	}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"indigowalk/internal/kernel"
@@ -251,9 +252,13 @@
 
 // note checks a client's statement that is about to run. One that begins at the
 // database later than its leaving allows breaks DRAIN.
-func (d *Database) note(id string, begins bool) {
+func (d *Database) note(id, who string, begins bool) {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
+	session, _, _ := strings.Cut(id, ".")
+	if owner, known := d.g.owners[session]; known && owner != "" && owner != who {
+		d.g.broke("UNASKED: %s of %s runs at %s for %q", id, owner, d.ID, who)
+	}
 	if d.g.Observe.Ran != nil {
 		d.g.Observe.Ran(Run{d.g.Service, d.ID, id, begins})
 	}
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -22,7 +22,8 @@
 	mu     sync.Mutex
 	dbs    []*Database
 	term   int64
-	acked  map[string]bool // query ids that clients may rely on
+	acked  map[string]bool   // query ids that clients may rely on
+	owners map[string]string // tenant by session, of those that are known
 	seals  int
 	broken []string // rules that were broken
 }
@@ -53,7 +54,7 @@
 
 // NewGroup returns a service without databases.
 func NewGroup(env Environment, service string) *Group {
-	return &Group{Service: service, Promote: promoteSpan, env: env, term: 1, acked: map[string]bool{}}
+	return &Group{Service: service, Promote: promoteSpan, env: env, term: 1, acked: map[string]bool{}, owners: map[string]string{}}
 }
 
 // Databases returns the databases in the order in which they were added.
@@ -90,6 +91,13 @@
 	return nil
 }
 
+// Own has the statements of a session be those of a tenant, or of nobody's if "".
+func (g *Group) Own(session, tenant string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.owners[session] = tenant
+}
+
 // Acked is how many commits clients were told of.
 func (g *Group) Acked() int {
 	g.mu.Lock()
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -36,6 +36,11 @@
 // Login opens a session at the address; if that fails the code of the error says
 // how.
 func Login(network kernel.Network, addr, database string) (s *Session, code string) {
+	return LoginAs(network, addr, database, "who")
+}
+
+// LoginAs is Login under a name, or a key.
+func LoginAs(network kernel.Network, addr, database, who string) (s *Session, code string) {
 	ctx, cancel := context.WithTimeout(context.Background(), loginWait)
 	defer cancel()
 	c, err := network.Dial(ctx, addr, 0)
@@ -43,7 +48,7 @@
 		return nil, Cut
 	}
 	s = &Session{Name: "s" + strconv.FormatInt(sessions.Add(1), 10), c: c, r: lineprotocol.NewReader(c)}
-	if code := s.login(database); code != "" {
+	if code := s.login(database, who); code != "" {
 		c.Close()
 		return nil, code
 	}
@@ -52,11 +57,11 @@
 }
 
 // login returns the code of the error, if there is one.
-func (s *Session) login(database string) (code string) {
+func (s *Session) login(database, who string) (code string) {
 	if err := s.c.SetReadDeadline(time.Now().Add(loginWait)); err != nil {
 		return Cut
 	}
-	if _, err := s.c.Write(lineprotocol.AppendMessage(nil, "LOGIN", database, "who")); err != nil {
+	if _, err := s.c.Write(lineprotocol.AppendMessage(nil, "LOGIN", database, who)); err != nil {
 		return Cut
 	}
 	line, err := s.r.Line()
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -31,7 +31,7 @@
 		return
 	}
 	d.work(2 * time.Millisecond)
-	s := &dbSession{d: d, state: 'I', values: map[string]string{}, names: map[string]string{}}
+	s := &dbSession{d: d, who: f[2], state: 'I', values: map[string]string{}, names: map[string]string{}}
 	out := lineprotocol.AppendMessage(nil, "IDLE", "I", d.position())
 	for {
 		if len(out) > 0 {
@@ -66,6 +66,7 @@
 
 type dbSession struct {
 	d      *Database
+	who    string // on whose behalf, as the log-in said
 	state  byte
 	values map[string]string
 	names  map[string]string
@@ -132,7 +133,7 @@
 	}
 	begins := s.state == 'I' || s.begun
 	s.begun = false
-	d.note(id, begins)
+	d.note(id, s.who, begins)
 	d.work(3 * time.Millisecond)
 	switch verb {
 	case "FETCH":
--- a/internal/tools/report.go
+++ b/internal/tools/report.go
@@ -97,7 +97,7 @@
 	if _, r.Config, err = routeconfig.Decode(state.Entries[routeconfig.Key]); err != nil {
 		return err
 	}
-	if r.Config != nil {
+	if r.Config = r.Config.Redacted(); r.Config != nil {
 		r.Rev = r.Config.Rev
 	}
 	if r.Databases, err = discovery.Decode(state.Entries); err != nil {
