testbed: the newest orders are sent again at the end, and an end that can't be read is a failure

At the end of a run every acknowledged order was sent again, the oldest first. The control state knows the last 512 orders; the first of more than that has no clear answer, which took all the time there was, and the run ended without its last reading. What is shown around a breach is bounded.

--- a/internal/testbed/report.go
+++ b/internal/testbed/report.go
@@ -122,6 +122,9 @@
 // aroundSpan is how much before and after a breach is shown.
 const aroundSpan = 2 * time.Second
 
+// mostAround bounds how many lines that are.
+const mostAround = 200
+
 // around lists what was done near a moment.
 func (b *bed) around(at time.Duration) []string {
 	type event struct {
@@ -139,7 +142,7 @@
 	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
 	var out []string
 	for _, e := range events {
-		if e.at >= at-aroundSpan && e.at <= at+aroundSpan {
+		if e.at >= at-aroundSpan && e.at <= at+aroundSpan && len(out) < mostAround {
 			out = append(out, fmt.Sprintf("%.3f s: %s", e.at.Seconds(), e.text))
 		}
 	}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 	calmEnd = contactBound + 2*time.Second
 	// closingWait is how long the closing calls of operators may take.
 	closingWait = 20 * time.Second
+	// closingOrders is how many orders are sent again at the end: fewer than the
+	// control state knows again, of which some were never acknowledged.
+	closingOrders = 256
 	// probePause is between two probes of a pooler.
 	probePause = 250 * time.Millisecond
 )
@@ -61,7 +65,9 @@
 	if err := b.failure(); err != nil {
 		return nil, err
 	}
-	b.close(ctx)
+	if err := b.close(ctx); err != nil {
+		return nil, err
+	}
 	return b.report(), nil
 }
 
@@ -255,23 +261,23 @@
 // noSuchRoute is the error to a session on a route that is not there.
 const noSuchRoute = "NODB"
 
-// close has every order that was acknowledged acknowledged again, and the end read
-// back.
-func (b *bed) close(ctx context.Context) {
+// close has the newest orders that were acknowledged acknowledged again, and the end
+// read back. Nothing strikes any more: what has no clear answer now is a failure, as a
+// history without its end can't be checked.
+func (b *bed) close(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, closingWait)
 	defer cancel()
 	r := b.random(3)
-	for _, n := range b.orders.Acknowledged() {
-		for code := 0; code == 0 && ctx.Err() == nil; {
-			asked := b.orders.Tick()
-			code = b.operators.send(r, n)
-			b.orders.Answered(n, asked, code)
+	for _, n := range newest(b.orders.Acknowledged(), closingOrders) {
+		if err := b.resend(ctx, r, n); err != nil {
+			return err
 		}
 	}
-	for ctx.Err() == nil {
-		if rev, ok := b.operators.read(r); ok && rev > 0 {
-			break
+	for rev := int64(0); rev == 0; {
+		if ctx.Err() != nil {
+			return errors.New("testbed: the configuration can't be read back at the end")
 		}
+		rev, _ = b.operators.read(r)
 	}
 	for _, g := range b.groups {
 		if lead := g.Lead(); lead != nil {
@@ -279,4 +285,25 @@
 		}
 		g.End()
 	}
+	return nil
+}
+
+// newest returns the last of numbers that grow, so many at most.
+func newest(numbers []int, most int) []int {
+	slices.Sort(numbers)
+	return numbers[max(0, len(numbers)-most):]
+}
+
+// resend sends an order until it has a clear answer.
+func (b *bed) resend(ctx context.Context, r *rand.Rand, n int) error {
+	for ctx.Err() == nil {
+		asked := b.orders.Tick()
+		code := b.operators.send(r, n)
+		b.orders.Answered(n, asked, code)
+		if code != 0 {
+			return nil
+		}
+		sleep(ctx, resendStep)
+	}
+	return fmt.Errorf("testbed: order %d was acknowledged, and has no clear answer at the end", n)
 }
