Routes may give the age of reads as max_stale_ms

Deployments with tenants and those of the gateway name it so. The key was ignored, and every bounded or nearest read was held to an age of 0: correct, and never served by a replica that lags. Both keys are taken now; a route that gives both, and not the same, is invalid. Tests: TestStaleByEitherName, TestParse.

--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -127,7 +127,7 @@
 func (j *job) request(write bool) readrouting.Request {
 	return readrouting.Request{
 		Service: j.route.Service, Type: j.route.Type,
-		Stale:    kernel.Micros(j.route.StaleMs) * kernel.Millisecond,
+		Stale:    j.route.Stale(),
 		Received: j.received, Last: j.s.last, Write: write, Avoid: j.avoid,
 	}
 }
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -45,7 +46,13 @@
 	Prio       int    `json:"prio" validate:"gte=0"`
 	Tries      int    `json:"tries" validate:"gte=0"`
 	StaleMs    int64  `json:"stale_ms,omitempty" validate:"gte=0"`
-	Public     bool   `json:"public,omitempty"` // needs no key
+	MaxStaleMs int64  `json:"max_stale_ms,omitempty" validate:"gte=0"` // the same by its other name
+	Public     bool   `json:"public,omitempty"`                        // needs no key
+}
+
+// Stale is how old what is read may be.
+func (m Manner) Stale() kernel.Micros {
+	return kernel.Micros(cmp.Or(m.StaleMs, m.MaxStaleMs)) * kernel.Millisecond
 }
 
 // Share is the part of a route's requests that goes to one service.
@@ -132,7 +139,7 @@
 	type match struct{ host, prefix string }
 	matches := map[match]bool{}
 	for i, r := range c.Routes {
-		faults = append(faults, r.leads(fmt.Sprintf("routes[%d]", i), services)...)
+		faults = append(faults, r.faults(fmt.Sprintf("routes[%d]", i), services)...)
 		m := match{r.Host, r.Prefix}
 		if matches[m] {
 			faults = append(faults, Fault{fmt.Sprintf("routes[%d].host", i), "same host and path_prefix as another route"})
@@ -146,11 +153,14 @@
 	return c, nil
 }
 
-// leads returns what is wrong with where the route leads.
-func (r Route) leads(place string, services map[string]bool) (faults []Fault) {
+// faults returns what is wrong with the route by itself and with where it leads.
+func (r Route) faults(place string, services map[string]bool) (faults []Fault) {
 	if (len(r.Weighted) == 0 || r.Service != "") && !services[r.Service] {
 		faults = append(faults, Fault{place + ".svc", "names an unknown service"})
 	}
+	if r.StaleMs > 0 && r.MaxStaleMs > 0 && r.StaleMs != r.MaxStaleMs {
+		faults = append(faults, Fault{place + ".max_stale_ms", "is not the same as stale_ms"})
+	}
 	if len(r.Weighted) == 0 {
 		return faults
 	}
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"testing"
+
+	"indigowalk/internal/kernel"
 )
 
 const good = `{"rev":7,"routes":[
@@ -34,6 +36,8 @@
 		{`"deadline_ms":1000,"svc":"s","tries":2,"prio":1`, `"deadline_ms":0,"svc":"s","tries":2,"prio":1`, "routes[0].deadline_ms"},
 		{`"svc":"s","tries":2,"prio":2`, `"svc":"x","tries":2,"prio":2`, "routes[1].svc"},
 		{`"host":"h2"`, `"host":"h1"`, "routes[1].host"},
+		{`"stale_ms":1500`, `"stale_ms":1500,"max_stale_ms":900`, "routes[1].max_stale_ms"},
+		{`"stale_ms":1500`, `"max_stale_ms":-1`, "routes[1].max_stale_ms"},
 		{`"type":"bounded"`, `"type":"some"`, "routes[1].type"},
 		{`"new_field":1}`, ``, "body"},
 	} {
@@ -45,6 +49,29 @@
 	}
 }
 
+// How old a read may be goes by two names.
+func TestStaleByEitherName(t *testing.T) {
+	for _, name := range []string{"stale_ms", "max_stale_ms"} {
+		c, faults := Parse([]byte(strings.Replace(good, "stale_ms", name, 1)))
+		if faults != nil {
+			t.Fatalf("%s: %v", name, faults)
+		}
+		var h History
+		h.Turn(c, 1)
+		raw, err := json.Marshal(h.Since(0, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		step := &Step{}
+		if err := json.Unmarshal(raw, step); err != nil {
+			t.Fatal(err)
+		}
+		if r, _ := (*Index)(nil).Next(step).Find("h2"); r == nil || r.Stale() != 1500*kernel.Millisecond {
+			t.Errorf("%s: %+v", name, r)
+		}
+	}
+}
+
 // A pooler that follows step by step finds what one finds that was told all,
 // and a step of a large configuration is small.
 func TestStepsLeadToTheWhole(t *testing.T) {
