Quotas: what a tenant does is counted over all nodes by escrow

The control state's primary holds each tenant's stock and grants slices of it under leases; a carrier admits an operation, and each sending of one, only against a slice that it holds. Nothing of it is on disk or at backups: the ledger of the next term begins empty and grants nothing for a lease. Refused operations hear when to come back: RETRY at the pooler, 429 with Retry-After at the gateway.

--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -147,6 +147,14 @@
 	return c.conf != nil && len(c.databases) > 0
 }
 
+// ControlNode is the address of the control node that answered the last poll, the
+// primary if nothing has changed since; "" if none has.
+func (c *Subscriber) ControlNode() string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.controlNode
+}
+
 // Changed closes at the next change.
 func (c *Subscriber) Changed() <-chan struct{} { return c.bell.Wait() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
 	"indigowalk/internal/membership"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/retrybudget"
 	"indigowalk/internal/routeconfig"
 )
@@ -54,6 +55,7 @@
 	health   *health.Monitor
 	ring     *membership.Ring
 	again    *retrybudget.Allowance
+	quota    *quota.Client
 	gauge    *gauge
 
 	crowded atomic.Bool
@@ -67,9 +69,9 @@
 }
 
 // New returns a gateway.
-func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance) *Gateway {
+func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client) *Gateway {
 	t := &Gateway{
-		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again,
+		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota,
 		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), gauge: newGauge(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -16,6 +16,7 @@
 	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/routeconfig"
 )
 
@@ -55,7 +56,8 @@
 	rest     *bounded // what follows a body that is not kept
 	route    *routeconfig.Route
 	tenant   *routeconfig.TenantStep // nil if there is none
-	rank     int                     // how urgent it is: the lower, the more
+	permit   *quota.Permit
+	rank     int // how urgent it is: the lower, the more
 	service  string
 	received kernel.Micros
 	deadline kernel.Micros
@@ -275,6 +277,7 @@
 
 // serve has a database answer, a second one if the first does not.
 func (j *job) serve() (*httpconn.Reply, *refusal) {
+	defer j.permit.Release()
 	a, no := j.first()
 	if no != nil {
 		return nil, no
@@ -330,6 +333,9 @@
 			j.t.again.First(j.service)
 			return a, nil
 		}
+		if exhausted := new(quota.Exhausted); errors.As(err, &exhausted) {
+			return nil, j.overQuota(exhausted)
+		}
 		if j.now() >= min(j.giveUp, j.deadline-margin) {
 			return nil, j.busy("no database can take it now")
 		}
@@ -369,6 +375,9 @@
 // send picks a database and sends the request there.
 func (j *job) send() (*attempt, error) {
 	t := j.t
+	if err := j.admit(); err != nil {
+		return nil, err
+	}
 	db, ok := t.balancer.Pick(j.route.Host+j.route.Prefix, t.scene(j.service, j.avoid))
 	if !ok {
 		return nil, errNoPlace
@@ -382,7 +391,8 @@
 		return nil, err
 	}
 	var ch <-chan httpconn.Result
-	if err = t.control.MaySend(db.ID); err == nil {
+	if err = errors.Join(t.control.MaySend(db.ID), j.permit.Check()); err == nil {
+		j.permit.Sent()
 		ch, err = conn.Send(j.request(db.ID), j.id, j.left())
 	}
 	if err != nil {
--- a/internal/gateway/plugin.go
+++ b/internal/gateway/plugin.go
@@ -10,6 +10,7 @@
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
 	"indigowalk/internal/membership"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/retrybudget"
 	"indigowalk/internal/settings"
 )
@@ -38,7 +39,7 @@
 				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, subscriber, kernel.Need[*httpconn.Pools](k), kernel.Need[*loadbalance.Balancer](k),
-				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again)
+				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k))
 			kernel.Offer[httpconn.Wrap](k, func(c net.Conn) net.Conn { return &gauged{c, t.gauge} })
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
--- a/internal/pooler/plugin.go
+++ b/internal/pooler/plugin.go
@@ -7,6 +7,7 @@
 	"indigowalk/internal/distribution"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/readrouting"
 	"indigowalk/internal/settings"
 )
@@ -27,7 +28,7 @@
 				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs),
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
-				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k))
+				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k))
 			k.Supervise("pooler", d.Serve)
 			k.OnLeave(d.Leave)
 			k.Supervise("ready", func(ctx context.Context) error {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -15,6 +15,7 @@
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/readrouting"
 	"indigowalk/internal/routeconfig"
 )
@@ -35,6 +36,7 @@
 	router  *readrouting.Router
 	pool    *dbconn.Pool
 	health  *health.Monitor
+	quota   *quota.Client
 
 	leaving atomic.Bool
 	ending  chan struct{} // closes when whatever is still waited for is given up
@@ -50,9 +52,9 @@
 }
 
 // New returns a pooler.
-func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor) *Pooler {
+func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client) *Pooler {
 	return &Pooler{
-		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health,
+		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
--- a/internal/pooler/tenant.go
+++ b/internal/pooler/tenant.go
@@ -1,7 +1,11 @@
 package pooler
 
 import (
+	"errors"
+
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/routeconfig"
 )
 
@@ -45,3 +49,35 @@
 	}
 	return t.Name
 }
+
+const (
+	// quotaShare is the part of its aim for which a statement waits for a slice of its
+	// tenant's quota. Refused sooner, its client can come back in time.
+	quotaShare = 0.2
+	// longestQuotaWait bounds that.
+	longestQuotaWait = 150 * kernel.Millisecond
+)
+
+// newPermit is the statement's admission under its tenant's limit.
+func (j *job) newPermit() *quota.Permit {
+	if j.tenant == nil {
+		return nil
+	}
+	return j.s.d.quota.Permit(j.tenant.Name, quota.Limit{PerS: j.tenant.RatePerS, Burst: j.tenant.Burst})
+}
+
+// admit has the next sending of the statement counted; an answer says that there is
+// nothing left of its tenant's quota.
+func (j *job) admit() *lineprotocol.Answer {
+	aim := kernel.Micros(j.route.TargetMs) * kernel.Millisecond
+	if aim == 0 {
+		aim = j.left()
+	}
+	err := j.permit.Take(min(kernel.Micros(quotaShare*float64(aim)), longestQuotaWait, j.left()))
+	var exhausted *quota.Exhausted
+	if !errors.As(err, &exhausted) {
+		return nil
+	}
+	j.s.d.k.Counters.Add("pooler.over_quota", 1)
+	return refusal(lineprotocol.Retry, hint(exhausted.ComeBack), j.s.state())
+}
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -119,6 +119,7 @@
 // insideTx runs a statement of the transaction, starting the transaction at a
 // database if this is its first.
 func (j *job) insideTx(t *transaction) *lineprotocol.Answer {
+	defer j.permit.Release()
 	for {
 		if t.conn == nil {
 			again, a := j.start(t)
@@ -140,6 +141,11 @@
 // start borrows a connection and begins the transaction on it.
 func (j *job) start(t *transaction) (again bool, a *lineprotocol.Answer) {
 	d := j.s.d
+	if a := j.admit(); a != nil {
+		j.s.tx = nil
+		a.State = 'I'
+		return false, a
+	}
 	conn, choice, err := j.find(t.plain)
 	if err != nil {
 		j.s.tx = nil
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -12,6 +12,7 @@
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/readrouting"
 	"indigowalk/internal/routeconfig"
 )
@@ -28,6 +29,7 @@
 	giveUp   kernel.Micros // until then a place to run is waited for
 	route    *routeconfig.Route
 	tenant   *routeconfig.TenantStep // nil if there is none
+	permit   *quota.Permit
 	tries    int
 	avoid    map[string]bool
 	twice    bool // may be sent a second time while the first is unanswered
@@ -97,6 +99,7 @@
 	if a := j.resolve(); a != nil {
 		return nil, a
 	}
+	j.permit = j.newPermit()
 	span := kernel.Micros(j.route.DeadlineMs) * kernel.Millisecond
 	j.deadline = j.received + span
 	j.giveUp = j.received + min(kernel.Micros(holdShare*float64(span)), s.d.longestHold())
@@ -224,14 +227,21 @@
 	sent := j.now()
 	gated := choice.Primary && at == opening
 	gate := func(write func() error) (err error) {
+		counted := func() error {
+			if err := j.permit.Check(); err != nil {
+				return err
+			}
+			j.permit.Sent()
+			return write()
+		}
 		if gated {
-			sent, err = d.control.Send(j.route.Service, choice.Database.ID, write)
+			sent, err = d.control.Send(j.route.Service, choice.Database.ID, counted)
 			return err
 		}
 		if err = d.control.MaySend(choice.Database.ID); err != nil {
 			return err
 		}
-		return write()
+		return counted()
 	}
 	if at == later {
 		gate = nil
@@ -271,7 +281,11 @@
 	if a != nil {
 		return a
 	}
+	defer j.permit.Release()
 	for {
+		if a := j.admit(); a != nil {
+			return a
+		}
 		conn, choice, err := j.find(j.write)
 		if err != nil {
 			return j.refuse()
@@ -357,7 +371,7 @@
 		_, gen := b.Bound()
 		d.health.Report(id, min(gen, conn.Generation), silent)
 	}
-	if !errors.Is(err, distribution.ErrNoLease) {
+	if !withheld(err) {
 		conn.Close()
 	}
 	unsent := errors.Is(err, errUnsent)
@@ -372,12 +386,18 @@
 		d.k.Counters.Add("pooler.expired", 1)
 		return refusal(lineprotocol.Expired, "deadline passed", 'I'), false
 	}
-	if !errors.Is(err, distribution.ErrNoLease) {
+	if !withheld(err) {
 		j.shun(id)
 	}
 	return nil, true
 }
 
+// withheld tells whether a statement was not sent for a reason that is not the
+// database's.
+func withheld(err error) bool {
+	return errors.Is(err, distribution.ErrNoLease) || errors.Is(err, quota.ErrEnded)
+}
+
 // judge decides what becomes of a database's answer outside a transaction.
 func (j *job) judge(conn *dbconn.Conn, choice readrouting.Choice, a *lineprotocol.Answer) (*lineprotocol.Answer, bool) {
 	d, id := j.s.d, choice.Database.ID
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,6 +65,12 @@
 	RetryRatio   float64 `key:"bounds.retry_ratio" default:"0.2" validate:"gte=0,lte=10"`
 	RetryWindowS int64   `key:"bounds.retry_window_s" default:"10" validate:"gt=0"`
 
+	// Over all nodes a tenant's operations in a window may exceed its limit by this
+	// share of it, and by so many operations.
+	QuotaWindowS int64   `key:"bounds.quota_window_s" default:"5" validate:"gt=0"`
+	QuotaExcess  float64 `key:"bounds.quota_excess" default:"0.1" validate:"gte=0,lte=10"`
+	QuotaSlack   float64 `key:"bounds.quota_slack" default:"20" validate:"gte=0"`
+
 	TolerateHosts int64 `key:"tolerate.hosts" validate:"gte=0"`
 
 	Platform string `key:"platform.address" validate:"omitempty,hostname_port"`
@@ -72,6 +78,7 @@
 	ControlLeaseMs int64 `key:"tune.control_lease_ms" default:"1200" validate:"gte=100"`
 	WitnessAwayMs  int64 `key:"tune.witness_away_ms" default:"3000" validate:"gte=100"`
 	ReaderLeaseMs  int64 `key:"tune.reader_lease_ms" default:"2500" validate:"gte=100"`
+	QuotaLeaseMs   int64 `key:"tune.quota_lease_ms" default:"600" validate:"gte=300"`
 	PollMs         int64 `key:"tune.poll_ms" default:"600" validate:"gte=20"`
 	ProbeMs        int64 `key:"tune.probe_ms" default:"1000" validate:"gte=20"`
 	CheckMs        int64 `key:"tune.check_ms" default:"1000" validate:"gte=20"`
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -260,7 +260,7 @@
 		d.g.broke("UNASKED: %s of %s runs at %s for %q", id, owner, d.ID, who)
 	}
 	if d.g.Observe.Ran != nil {
-		d.g.Observe.Ran(Run{d.g.Service, d.ID, id, begins})
+		d.g.Observe.Ran(Run{Service: d.g.Service, Database: d.ID, ID: id, Who: who, Begins: begins})
 	}
 	if after := time.Since(d.leftAt); begins && !d.leftAt.IsZero() && after > drainBound {
 		d.g.broke("DRAIN: %s begins at %s %v after its leaving was acknowledged", id, d.ID, after)
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -31,7 +31,7 @@
 // Observer is told what happens at the databases; what is nil is not told.
 type Observer struct {
 	Ran      func(Run)
-	Drains   func(service, database string) // an archive has acknowledged it
+	Drains   func(service, database string) // a control node has acknowledged it
 	Promoted func(Promotion)
 }
 
@@ -39,6 +39,7 @@
 type Run struct {
 	Service, Database string
 	ID                string // of the statement
+	Who               string // the tenant whose connection it came on
 	Begins            bool   // outside a transaction, or as the first in one
 }
 
