--- a/cmd/indigowalk/main_test.go
+++ b/cmd/indigowalk/main_test.go
@@ -79,6 +79,8 @@
 		{"replay of a vote for an old epoch", []string{"replay", file(t, "a", votes+`{"t":3,"k":"vote","v":{"kind":"promise","epoch":4,"from":"b","granted":true}}`+"\n")}, exitFault, "broken at record 3: epoch 4 was promised after epoch 4"},
 		{"replay of a foreign file", []string{"replay", file(t, "a", "hello\n")}, exitFault, "not a recording"},
 		{"replay of a newer one", []string{"replay", file(t, "a", `{"indigowalk_recording":9}`+"\n")}, exitFault, "reads up to 1"},
+		{"quotas", []string{"check", "quota", file(t, "a", recording)}, exitClean, "no window is over a limit"},
+		{"quotas of a foreign file", []string{"check", "quota", file(t, "a", "hello\n")}, exitFault, "not a recording"},
 		{"status of nobody", []string{"status", "127.0.0.1:1"}, exitFault, "no answer from 127.0.0.1:1"},
 		{"plan from a foreign file", []string{"plan", "--view", file(t, "a", "{}"), "restart"}, exitFault, "no reports"},
 		{"plan without a source", []string{"plan", "restart"}, exitUsage, "SOURCE"},
--- a/cmd/indigowalk/tools.go
+++ b/cmd/indigowalk/tools.go
@@ -18,6 +18,7 @@
   check deploy FILE                  a deploy file
   check config [--on BASE] FILE      a configuration, alone or as a change on BASE
   check store DIR                    the data folder of a stopped control node
+  check quota RECORDING...           tenants' limits, from the recordings of all nodes
 `
 
 const planUsage = `indigowalk plan [--json] SOURCE STEP: what a step would do; it changes nothing
@@ -36,8 +37,9 @@
 const replayUsage = `indigowalk replay [--json] FILE: play a recording through the decisions' code
 
 Recordings are made where the setting tune.record_kb is over 0, as
-ROLE.recording in the data folder, or in /tmp where there is none. Replay prints
-the changes of state and the record at which a rule was first broken.
+ROLE.recording in the data folder, or in /tmp where there is none; that of the
+process before is kept as ROLE.recording.before. Replay prints the changes of
+state and the record at which a rule was first broken.
 `
 
 const statusUsage = `indigowalk status [--all] [--details] [--only TEXT] [--json] ADDR...: ask processes for their view
@@ -84,6 +86,8 @@
 	t := toolRun{out: out, errs: errs, json: *asJSON}
 	code := exitUsage
 	switch {
+	case name == "check" && len(words) >= 2 && words[0] == "quota":
+		code = t.checkQuota(words[1:])
 	case name == "check" && len(words) == 2:
 		code = t.check(words[0], words[1], *base)
 	case name == "plan" && len(words) > 0 && (*from == "") != (*view == ""):
@@ -121,6 +125,20 @@
 	return exitClean
 }
 
+func (t toolRun) checkQuota(paths []string) int {
+	c, err := tools.CheckQuota(paths)
+	if err != nil {
+		return t.fail(err)
+	}
+	if code := t.show(c, c.Print); code != exitClean {
+		return code
+	}
+	if c.Excess != nil {
+		return exitFault
+	}
+	return exitClean
+}
+
 func (t toolRun) check(kind, path, base string) int {
 	var faults []tools.Fault
 	switch kind {
--- a/internal/kernel/recorder.go
+++ b/internal/kernel/recorder.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"sync"
 )
 
@@ -35,8 +38,18 @@
 	left int64
 }
 
-// NewRecorder starts a recording of at most size bytes.
+// Before is what is added to the name of the recording of the process before.
+const Before = ".before"
+
+// NewRecorder starts a recording of at most size bytes. The one of the process before
+// is kept under another name.
 func NewRecorder(k *Kernel, path, node string, size int64) (*Recorder, error) {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return nil, fmt.Errorf("kernel: recording: %w", err)
+	}
+	if err := os.Rename(path, path+Before); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("kernel: recording: %w", err)
+	}
 	f, err := os.Create(path)
 	if err != nil {
 		return nil, fmt.Errorf("kernel: recording: %w", err)
--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -128,7 +128,7 @@
 // want is one operation that a client wishes for.
 func (c *playedCarrier) want(tenant string) {
 	a := c.client.wanted(tenant)
-	admission, ok := c.client.admit(a)
+	admission, ok := c.client.admit(tenant, a)
 	if !ok {
 		a.waiting++
 		c.p.after(50*kernel.Millisecond, func() { a.waiting-- })
@@ -136,7 +136,7 @@
 		return
 	}
 	term := c.client.term
-	if admission.from == nil {
+	if admission.lease == endedLease {
 		term-- // it is left of the one before
 	}
 	life, span := c.client, c.p.upTo(20*kernel.Millisecond)
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -82,11 +82,16 @@
 // returned by Unused.
 type Admission struct {
 	// Until is when the leave ends.
-	Until kernel.Micros
-	from  *allotment // nil if nothing is counted
-	lease int64
+	Until  kernel.Micros
+	tenant string
+	from   *allotment // nil if nothing is counted
+	lease  int64
 }
 
+// endedLease is that of an admission by what was left of the term before: of that
+// nothing is counted any more.
+const endedLease = -1
+
 // Exhausted says that there is nothing left of a tenant's quota.
 type Exhausted struct {
 	ComeBack kernel.Micros // when to try again
@@ -105,7 +110,7 @@
 	end := c.k.Clock.Now() + wait
 	a := c.wanted(tenant)
 	for {
-		admission, ok := c.admit(a)
+		admission, ok := c.admit(tenant, a)
 		if ok {
 			return admission, nil
 		}
@@ -132,7 +137,7 @@
 }
 
 // admit takes one, if there is one.
-func (c *Client) admit(a *allotment) (Admission, bool) {
+func (c *Client) admit(tenant string, a *allotment) (Admission, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
@@ -140,14 +145,14 @@
 	switch {
 	case a.old > 0:
 		a.old--
-		return Admission{Until: a.oldUntil}, true
+		return Admission{a.oldUntil, tenant, a, endedLease}, true
 	case a.free > 0:
 		a.free--
 		a.admitted++
 		if c.low(a) && now >= a.paused {
 			c.poke()
 		}
-		return Admission{a.until, a, a.lease}, true
+		return Admission{a.until, tenant, a, a.lease}, true
 	}
 	return Admission{}, false
 }
@@ -190,7 +195,12 @@
 }
 
 // Sent says that the operation was sent, whatever came of it.
-func (c *Client) Sent(a Admission) { c.end(a, 0) }
+func (c *Client) Sent(a Admission) {
+	if c.k.Recorder != nil && a.from != nil {
+		c.k.Recorder.Add(SentKind, SentRecord{a.tenant})
+	}
+	c.end(a, 0)
+}
 
 // Unused says that the operation was not sent, and will not be.
 func (c *Client) Unused(a Admission) { c.end(a, 1) }
@@ -353,6 +363,9 @@
 	case n.Term != c.term:
 		c.enter(n.Term)
 	}
+	if c.k.Recorder != nil {
+		c.k.Recorder.Add(AskedKind, CallRecord{q.Carrier, q.Life, q.Seq, asked})
+	}
 	c.lease = n.Lease
 	until := asked + n.Lease - leaseMargin
 	for i, s := range n.Slices {
@@ -408,17 +421,21 @@
 	}
 }
 
-// Held is how much is held of each tenant.
-func (c *Client) Held() map[string]int64 {
+// Use is what a carrier does for one tenant.
+type Use struct {
+	Held int64   `json:"held"`  // operations
+	PerS float64 `json:"per_s"` // that are wanted, averaged
+}
+
+// Uses tells it of each tenant that was heard of late, by name.
+func (c *Client) Uses() map[string]Use {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
-	out := map[string]int64{}
+	out := map[string]Use{}
 	for tenant, a := range c.allotments {
 		a.expire(now)
-		if n := a.held() + a.old; n > 0 {
-			out[tenant] = n
-		}
+		out[tenant] = Use{a.held() + a.old, a.useAt(now)}
 	}
 	return out
 }
--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -101,7 +101,7 @@
 			f.Errorf("asked %d times for 1,000 operations, of which %d waited", f.asked, waited)
 		}
 		time.Sleep(2 * time.Second)
-		if held := f.client.Held(); len(held) != 0 {
+		if held := f.client.Uses()["ann"].Held; held != 0 {
 			f.Errorf("held at rest: %v", held)
 		}
 	})
@@ -181,7 +181,7 @@
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
-		if held := f.client.Held()["ann"]; served < 10 || served > 70 || held != 0 {
+		if held := f.client.Uses()["ann"].Held; served < 10 || served > 70 || held != 0 {
 			f.Errorf("%d served while cut off, %d held at its end", served, held)
 		}
 		f.away = false
@@ -219,7 +219,7 @@
 		}
 		f.client.Unused(b)
 		time.Sleep(testLease.Duration())
-		if held := f.client.Held(); len(held) != 0 {
+		if held := f.client.Uses()["ann"].Held; held != 0 {
 			f.Errorf("held at rest: %v", held)
 		}
 	})
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -88,6 +88,7 @@
 		}
 	}
 	h.ledger.SetLimits(now, limits)
+	h.k.Recorder.Add(LimitsKind, LimitsRecord{h.tolerance, limits})
 	h.entry = entry
 	return nil
 }
@@ -115,6 +116,9 @@
 		h.k.Counters.Add("quota.term_ended", 1)
 		return answer{}, nil
 	}
+	if h.k.Recorder != nil {
+		h.k.Recorder.Add(TakenKind, CallRecord{Carrier: q.Carrier, Life: q.Life, Seq: q.Seq})
+	}
 	return a, nil
 }
 
--- a/internal/quota/ledger_test.go
+++ b/internal/quota/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"indigowalk/internal/kernel"
@@ -145,3 +146,27 @@
 		t.Errorf("less than one operation fits: %v", got)
 	}
 }
+
+// BenchmarkTake is one ask for one operation of one of 72 tenants, from 91 carriers that
+// each hold slices.
+func BenchmarkTake(b *testing.B) {
+	l := NewLedger(1, 0, testLease, strict)
+	limits := map[string]Limit{}
+	var tenants, carriers []string
+	for i := range 72 {
+		tenants = append(tenants, fmt.Sprint("tenant-", i))
+		limits[tenants[i]] = Limit{PerS: 1e6, Burst: 1e6}
+	}
+	for i := range 91 {
+		carriers = append(carriers, fmt.Sprint("carrier-", i))
+	}
+	l.SetLimits(0, limits)
+	now := opened + kernel.Second
+	for i := range b.N {
+		now += 10
+		q := ask{carriers[i%len(carriers)], 1, int64(i + 1), []Holding{{Tenant: tenants[i%len(tenants)], Want: 1}}}
+		if _, err := l.Take(now, q); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -19,8 +19,8 @@
 
 // Limit is what a tenant may do over all nodes.
 type Limit struct {
-	PerS  float64 // operations a second; 0 for no limit
-	Burst float64 // operations on top
+	PerS  float64 `json:"per_s"` // operations a second; 0 for no limit
+	Burst float64 `json:"burst"` // operations on top
 }
 
 // Unlimited tells whether there is nothing to count.
@@ -28,9 +28,9 @@
 
 // Tolerance is by how much the operations of a window may exceed the limit.
 type Tolerance struct {
-	Window kernel.Micros
-	Excess float64 // share of what the limit allows in a window
-	Slack  float64 // operations
+	Window kernel.Micros `json:"window_us"`
+	Excess float64       `json:"excess"` // share of what the limit allows in a window
+	Slack  float64       `json:"slack"`  // operations
 }
 
 // slackShare is the part of the slack that capacity uses. The rest is left for
--- a/internal/simulation/quota_test.go
+++ b/internal/simulation/quota_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"indigowalk/internal/kernel"
@@ -11,6 +15,7 @@
 	"indigowalk/internal/quota"
 	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/standin"
+	"indigowalk/internal/tools"
 )
 
 // rule is how far quotas may be exceeded, as the settings have it by default.
@@ -156,6 +161,10 @@
 		}
 		unlimited := w.demand(g, 2, "free", 80)
 		time.Sleep(15 * time.Second)
+		w.Until("the status names the tenant whose stock is empty", 2*time.Second, func() bool {
+			status := w.status()
+			return strings.Contains(status, "tenants: 3, 2 with a limit, 1 with nothing in stock") && strings.Contains(status, "  tenant hot: 0.")
+		})
 		for i, d := range quiets {
 			if served, refused := d.end(); refused > 0 || served < 80 {
 				t.Errorf("a quiet tenant in zone %d: %d served, %d refused", i+1, served, refused)
@@ -177,7 +186,13 @@
 
 // flooded plays with one tenant that floods from every zone.
 func flooded(t *testing.T, f func(w *World, hot routeconfig.Tenant, ran *arrivals)) {
-	play(t, func(w *World, g *Group) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 4)
+		defer w.Close()
+		w.Settings = "tune.record_kb=8192\n"
+		g := w.Group("ledger")
+		w.Boot()
+		w.Configure()
 		ran := watch(g)
 		hot := limited("hot", 40, 40)
 		w.put(1, w.withTenants(2, hot))
@@ -193,9 +208,33 @@
 			d.end()
 		}
 		ran.within(t, hot, began)
+		audited(w, ran)
 	})
 }
 
+// audited fails unless the recordings of all nodes show what the databases saw.
+func audited(w *World, ran *arrivals) {
+	w.T.Helper()
+	var paths []string
+	for z := 1; z <= w.Zones; z++ {
+		for _, role := range []string{"control", "pooler"} {
+			path := filepath.Join(w.Process(role, z).dir, role+".recording")
+			paths = append(paths, path)
+			if _, err := os.Stat(path + kernel.Before); err == nil {
+				paths = append(paths, path+kernel.Before)
+			}
+		}
+	}
+	c, err := tools.CheckQuota(paths)
+	if err != nil {
+		w.T.Errorf("the recordings: %v", err)
+		return
+	}
+	if seen := ran.between("hot", time.Time{}, time.Now()); c.Excess != nil || len(c.LeftOut) > 0 || c.Operations < seen || c.Operations > seen+seen/50 {
+		w.T.Errorf("the recordings of %d operations at databases: %+v", seen, c)
+	}
+}
+
 // The next primary of the control state grants slices soon, and none that the one
 // before may have granted.
 func TestQuotaHolderLost(t *testing.T) {
--- a/internal/tools/replay.go
+++ b/internal/tools/replay.go
@@ -12,6 +12,7 @@
 	"indigowalk/internal/failover"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/quota"
 )
 
 // Replayed is what a recording showed.
@@ -25,38 +26,48 @@
 // Replay plays a recording through the decisions' own code, writes the changes
 // of state to w and checks what must hold at each record.
 func Replay(raw []byte, w io.Writer) (*Replayed, error) {
+	_, records, cutOff, err := readRecording(raw)
+	if err != nil {
+		return nil, err
+	}
+	p := &player{w: w, c: health.NewCoordinator()}
+	out := &Replayed{CutOff: cutOff}
+	for _, r := range records {
+		out.Records++
+		rule, err := p.play(r)
+		if err != nil {
+			return nil, fmt.Errorf("record %d: %w", out.Records, err)
+		}
+		if rule != "" && out.Broken == 0 {
+			out.Broken, out.Rule = out.Records, rule
+		}
+	}
+	return out, nil
+}
+
+// readRecording reads a recording; cutOff says that its last record is not whole.
+func readRecording(raw []byte) (head kernel.RecordingHead, records []kernel.Record, cutOff bool, err error) {
 	lines := bytes.SplitAfter(raw, []byte("\n"))
-	var head kernel.RecordingHead
 	if json.Unmarshal(lines[0], &head) != nil || head.Recording == 0 {
-		return nil, fmt.Errorf("not a recording")
+		return head, nil, false, fmt.Errorf("not a recording")
 	}
 	if head.Recording > kernel.RecordingFormat {
-		return nil, fmt.Errorf("a recording of format %d; this program reads up to %d", head.Recording, kernel.RecordingFormat)
+		return head, nil, false, fmt.Errorf("a recording of format %d; this program reads up to %d", head.Recording, kernel.RecordingFormat)
 	}
-	p := &player{w: w, c: health.NewCoordinator()}
-	out := &Replayed{}
 	for _, line := range lines[1:] {
 		if len(line) == 0 {
 			continue
 		}
-		var r kernel.Record
 		if line[len(line)-1] != '\n' {
-			out.CutOff = true
-			break
+			return head, records, true, nil
 		}
+		var r kernel.Record
 		if err := json.Unmarshal(line, &r); err != nil {
-			return nil, fmt.Errorf("record %d: %w", out.Records+1, err)
-		}
-		out.Records++
-		rule, err := p.play(r)
-		if err != nil {
-			return nil, fmt.Errorf("record %d: %w", out.Records, err)
-		}
-		if rule != "" && out.Broken == 0 {
-			out.Broken, out.Rule = out.Records, rule
+			return head, nil, false, fmt.Errorf("record %d: %w", len(records)+1, err)
 		}
+		records = append(records, r)
 	}
-	return out, nil
+	return head, records, false, nil
 }
 
 type player struct {
@@ -94,6 +105,8 @@
 			return "", err
 		}
 		return p.choice(c), nil
+	case quota.SentKind, quota.AskedKind, quota.TakenKind, quota.LimitsKind:
+		return "", nil // they tell something only beside those of other nodes
 	}
 	return "", fmt.Errorf("unknown kind %q", r.Kind)
 }
--- a/internal/tools/report.go
+++ b/internal/tools/report.go
@@ -13,6 +13,7 @@
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/membership"
+	"indigowalk/internal/quota"
 	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/rpc"
 	"indigowalk/internal/settings"
@@ -39,10 +40,12 @@
 	Config    *routeconfig.Configuration    `json:"config,omitempty"`
 	Databases map[string]discovery.Database `json:"databases,omitempty"`
 	Leads     map[string]failover.Lead      `json:"leads,omitempty"`
-	Waits     map[string]string             `json:"waits,omitempty"` // by service, why the move of its lead waits
-	Roles     map[string]string             `json:"roles,omitempty"` // as the databases see themselves
-	Down      map[string]int64              `json:"down,omitempty"`  // with the generation
-	Conns     map[string][2]int             `json:"conns,omitempty"` // open and idle, by database
+	Waits     map[string]string             `json:"waits,omitempty"`  // by service, why the move of its lead waits
+	Roles     map[string]string             `json:"roles,omitempty"`  // as the databases see themselves
+	Down      map[string]int64              `json:"down,omitempty"`   // with the generation
+	Conns     map[string][2]int             `json:"conns,omitempty"`  // open and idle, by database
+	Quotas    map[string]quota.Account      `json:"quotas,omitempty"` // by tenant, on the primary
+	Uses      map[string]quota.Use          `json:"uses,omitempty"`   // by tenant, on a pooler or gateway
 	Counters  map[string]int64              `json:"counters"`
 }
 
@@ -67,6 +70,7 @@
 	if k.Role != "control" {
 		r.Epoch, _, r.Rev, r.LeaseUs = kernel.Need[*distribution.Subscriber](k).Version()
 		r.Conns = kernel.Need[connpool.Counts](k)()
+		r.Uses = kernel.Need[*quota.Client](k).Uses()
 		return r, nil
 	}
 	v := kernel.Need[*controlstate.Replica](k)
@@ -80,7 +84,7 @@
 	r.View, r.Epoch, r.Witnesses, r.Abstains = &view, view.Epoch, v.Witnesses(), v.Abstains()
 	if _, r.LeaseUs = term.Lease(); r.LeaseUs == 0 {
 		// What was read in a term that is over is not told.
-		r.HeardUs, r.Config, r.Rev, r.Databases, r.Leads, r.Roles = nil, nil, 0, nil, nil, nil
+		r.HeardUs, r.Config, r.Rev, r.Databases, r.Leads, r.Roles, r.Quotas = nil, nil, 0, nil, nil, nil, nil
 		_, known := v.Known()
 		r.Unsure = !known
 	}
@@ -106,6 +110,7 @@
 	if r.Leads, err = failover.Decode(state.Entries); err != nil {
 		return err
 	}
+	r.Quotas = kernel.Need[*quota.Holder](k).Accounts()
 	r.Waits = kernel.Need[*failover.Manager](k).Waits()
 	r.Roles = map[string]string{}
 	for id, soft := range kernel.Need[*discovery.Registry](k).Soft() {
--- a/internal/tools/status.go
+++ b/internal/tools/status.go
@@ -123,6 +123,7 @@
 			p.Epoch, p.View.Primary.Name, backups, p.LeaseUs.Millis(), p.Witnesses, s.bearable(p, ""))
 		fmt.Fprintf(w, "configuration: version %d\n", p.Rev)
 		s.printDatabases(w, p, all, only)
+		s.printTenants(w, p, all, only)
 	}
 	for _, role := range []string{"control", "pooler", "gateway"} {
 		s.printNodes(w, role, all, only)
@@ -199,6 +200,41 @@
 	}
 }
 
+// printTenants writes what there is of tenants' quotas: whose stock is empty, and with
+// all set every tenant that was heard of late.
+func (s *System) printTenants(w io.Writer, p *Report, all bool, only string) {
+	if p.Config == nil || len(p.Config.Tenants) == 0 {
+		return
+	}
+	demand := map[string]float64{}
+	for _, r := range s.Reports {
+		for tenant, use := range r.Uses {
+			demand[tenant] += use.PerS
+		}
+	}
+	var lines []string
+	limited, empty := 0, 0
+	for _, t := range p.Config.Tenants {
+		if t.RatePerS <= 0 {
+			continue
+		}
+		limited++
+		a, asked := p.Quotas[t.Name]
+		isEmpty := asked && a.Stock < 1
+		if isEmpty {
+			empty++
+		}
+		if (all || isEmpty || only != "") && named(only, t.Name) {
+			lines = append(lines, fmt.Sprintf("  tenant %s: %.1f of %.1f in stock, %d in slices of %d nodes; %.1f operations a second wanted of %.1f allowed",
+				t.Name, a.Stock, a.Capacity, a.Out, a.Holders, demand[t.Name], t.RatePerS))
+		}
+	}
+	fmt.Fprintf(w, "tenants: %d, %d with a limit, %d with nothing in stock\n", len(p.Config.Tenants), limited, empty)
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
+	}
+}
+
 // usual is what most of the reports agree on.
 func usual[T comparable](reports []*Report, of func(*Report) T) (most T) {
 	counts := map[T]int{}
