Looks after a lost carrier are named once, and spread over carriers

TestAnotherPrimaryTellsWhatChanged failed once in seven runs on a busy machine: up to 11,212 bytes to a pooler, of 11,000.

--- a/internal/distribution/commits.go
+++ b/internal/distribution/commits.go
@@ -51,6 +51,9 @@
 	if l != nil && told == nil && len(c.at) > 0 && c.look.Term == l.Term {
 		return
 	}
+	if l != nil && l.Same && c.look != nil {
+		l.Services = c.look.Services
+	}
 	c.look, c.since, c.at = l, now, nil
 }
 
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +32,7 @@
 	// told of.
 	Acked positions       `json:"acked,omitempty"`
 	Saw   *saw            `json:"saw,omitempty"`
+	Looks uint32          `json:"looks,omitempty"` // checksum of the services that are looked at
 	Down  []string        `json:"down,omitempty"` // databases the pooler holds as down
 	Now   bool            `json:"now,omitempty"`  // the pooler's lease can't wait for the next change
 	Seen  map[string]Seen `json:"seen,omitempty"` // what requests showed of databases
@@ -58,7 +61,24 @@
 type look struct {
 	Term     int64         `json:"term"`
 	Stamp    kernel.Micros `json:"stamp_us"`
-	Services []string      `json:"services"`
+	Services []string      `json:"services,omitempty"`
+	Same     bool          `json:"same,omitempty"` // the services of the look in hand
+}
+
+// checksum stands for the services in polls; 0 for none.
+func (l *look) checksum() uint32 {
+	if l == nil || len(l.Services) == 0 {
+		return 0
+	}
+	return crc32.ChecksumIEEE([]byte(strings.Join(l.Services, "\n")))
+}
+
+// unless leaves out the services if they are those that the carrier has in hand.
+func (l *look) unless(inHand uint32) *look {
+	if inHand == 0 || l.checksum() != inHand {
+		return l
+	}
+	return &look{Term: l.Term, Stamp: l.Stamp, Same: true}
 }
 
 type saw struct {
@@ -321,8 +341,9 @@
 	if a.Paces, a.Told = tally.since(q.Told); a.Told > 0 {
 		a.Term = term.Began()
 	}
-	if now := o.k.Clock.Now(); len(o.readers.Wanted(now)) > 0 {
-		a.Look = &look{Term: term.Began(), Stamp: now, Services: o.readers.Wanted(now)}
+	now := o.k.Clock.Now()
+	if wanted := o.readers.Wanted(q.Pooler, now); len(wanted) > 0 {
+		a.Look = (&look{Term: term.Began(), Stamp: now, Services: wanted}).unless(q.Looks)
 	}
 	raw, err := json.Marshal(a)
 	if err != nil || news == nil {
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -277,7 +277,7 @@
 			q.Left[svc] = turn
 		}
 	}
-	q.Acked = c.commits.of(q.Left)
+	q.Acked, q.Looks = c.commits.of(q.Left), c.commits.look.checksum()
 	c.mu.RUnlock()
 	if wait > 0 {
 		// Something to acknowledge soon: do not sit in a long poll.
--- a/internal/failover/acknowledged.go
+++ b/internal/failover/acknowledged.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"hash/crc32"
 	"slices"
 
 	"indigowalk/internal/kernel"
@@ -54,15 +55,20 @@
 func (r *Readers) Led(services []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.acknowledged.services = services
+	r.acknowledged.services = slices.Sorted(slices.Values(services))
 }
 
-// mostWanted bounds the services that one answer asks sightings of.
-const mostWanted = 16
+const (
+	// mostWanted bounds the services that one pooler is asked sightings of.
+	mostWanted = 16
+	// wantedFor is for how long it is asked for the same ones, if they stay wanted: it
+	// need not be told them again.
+	wantedFor = 2 * kernel.Second
+)
 
 // Wanted lists services of which a sighting later than now would bound what poolers
-// acknowledged that are no more.
-func (r *Readers) Wanted(now kernel.Micros) (services []string) {
+// acknowledged that are no more. Poolers are asked for different ones.
+func (r *Readers) Wanted(pooler string, now kernel.Micros) (services []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lost := r.acknowledged.lost
@@ -71,7 +77,10 @@
 			lost = max(lost, d.until)
 		}
 	}
-	for _, service := range r.acknowledged.services {
+	all := r.acknowledged.services
+	first := int(crc32.ChecksumIEEE([]byte(pooler))>>1) + int(now/wantedFor)*mostWanted
+	for i := range all {
+		service := all[(first+i)%len(all)]
 		if s, known := r.acknowledged.sighted[service]; (!known || s.before < lost) && len(services) < mostWanted {
 			services = append(services, service)
 		}
--- a/internal/failover/acknowledged_test.go
+++ b/internal/failover/acknowledged_test.go
@@ -1,8 +1,10 @@
 package failover
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"indigowalk/internal/kernel"
@@ -212,3 +214,34 @@
 		}
 	}
 }
+
+// Of many services each pooler is asked for some, the same ones for a while, and all
+// together for all.
+func TestWantedAreSpread(t *testing.T) {
+	r := NewReaders()
+	var services []string
+	for i := range 60 {
+		services = append(services, fmt.Sprint("svc", i))
+	}
+	asked := map[string]bool{}
+	for i := range 40 {
+		pooler := fmt.Sprint("pooler-", i)
+		slices.Reverse(services) // they are not in order
+		r.Led(services)
+		first := r.Wanted(pooler, 10*wantedFor)
+		if len(first) != mostWanted {
+			t.Fatalf("%s is asked for %d services", pooler, len(first))
+		}
+		slices.Reverse(services)
+		r.Led(services)
+		if again := r.Wanted(pooler, 11*wantedFor-1); !slices.Equal(first, again) {
+			t.Errorf("%s is asked for %v, and for %v soon after", pooler, first, again)
+		}
+		for _, service := range first {
+			asked[service] = true
+		}
+	}
+	if len(asked) != len(services) {
+		t.Errorf("%d of %d services are asked for", len(asked), len(services))
+	}
+}
