--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -33,11 +33,11 @@
 	Acked positions       `json:"acked,omitempty"`
 	Saw   *saw            `json:"saw,omitempty"`
 	Looks uint32          `json:"looks,omitempty"` // checksum of the services that are looked at
-	Down  []string        `json:"down,omitempty"` // databases the pooler holds as down
-	Now   bool            `json:"now,omitempty"`  // the pooler's lease can't wait for the next change
-	Seen  map[string]Seen `json:"seen,omitempty"` // what requests showed of databases
-	Term  int64           `json:"term,omitempty"` // of the tally that the carrier was told last,
-	Told  int64           `json:"told,omitempty"` // and up to which change
+	Down  []string        `json:"down,omitempty"`  // databases the pooler holds as down
+	Now   bool            `json:"now,omitempty"`   // the pooler's lease can't wait for the next change
+	Seen  map[string]Seen `json:"seen,omitempty"`  // what requests showed of databases
+	Term  int64           `json:"term,omitempty"`  // of the tally that the carrier was told last,
+	Told  int64           `json:"told,omitempty"`  // and up to which change
 }
 
 type pollAnswer struct {
