Quotas: a new primary grants at once, from a part of the tolerance kept for that

Half of what the rule tolerates beyond the limit is now kept for that time: as slices of the term before are no more than the capacity, slices of both terms stay within the rule. Where the one before had ended within its own first lease slices of three terms may be out; then nothing is granted for a lease as before. That is known from an entry of the control state, written before the first grant of a term and when its first lease is over: two writes a take-over.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -12,10 +12,18 @@
 	"indigowalk/internal/routeconfig"
 )
 
+// controlState is what a holder needs of the control state.
+type controlState interface {
+	Term() (*controlstate.Term, error)
+	Durable() (controlstate.State, error)
+	Update(ctx context.Context, change controlstate.ChangeFunc) error
+	Changed() <-chan struct{}
+}
+
 // Holder has the ledger of the term that runs at this control node.
 type Holder struct {
 	k         *kernel.Kernel
-	replica   *controlstate.Replica
+	replica   controlState
 	lease     kernel.Micros
 	tolerance Tolerance
 
@@ -26,15 +34,22 @@
 }
 
 // NewHolder returns a holder that has no ledger yet.
-func NewHolder(k *kernel.Kernel, replica *controlstate.Replica, lease kernel.Micros, tolerance Tolerance) *Holder {
+func NewHolder(k *kernel.Kernel, replica controlState, lease kernel.Micros, tolerance Tolerance) *Holder {
 	return &Holder{k: k, replica: replica, lease: lease, tolerance: tolerance}
 }
 
 // Serve begins a ledger with each term, since that counts its first lease from then.
 func (h *Holder) Serve(ctx context.Context) error {
+	begun := int64(0)
 	for ctx.Err() == nil {
 		changed := h.replica.Changed()
-		if _, _, err := h.inTerm(); err != nil && !errors.Is(err, errNoLedger) {
+		term, ledger, err := h.inTerm()
+		switch {
+		case err == nil && ledger.term != begun:
+			begun = ledger.term
+			h.open(ctx, term, ledger)
+			continue
+		case err != nil && !errors.Is(err, errNoLedger):
 			h.k.Counters.Add("quota.unreadable", 1)
 		}
 		select {
@@ -45,6 +60,62 @@
 	return nil
 }
 
+// open sees a ledger through its first lease, or its term if that is shorter.
+func (h *Holder) open(ctx context.Context, term *controlstate.Term, ledger *Ledger) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(term.Context(), cancel)()
+	if h.settled() && h.note(ctx, opening{Term: ledger.term}) == nil {
+		ledger.Narrow(h.k.Clock.Now())
+	}
+	kernel.Sleep(ctx, ledger.opens-h.k.Clock.Now())
+	for ctx.Err() == nil && h.note(ctx, opening{ledger.term, true}) != nil {
+		kernel.Sleep(ctx, noteAgain)
+	}
+}
+
+// noteAgain is between two attempts at writing how far a ledger has come.
+const noteAgain = 200 * kernel.Millisecond
+
+// openingKey is the entry of the control state with the last opening.
+const openingKey = "quota/opening"
+
+// opening tells of the last ledger that granted in its first lease whether that is
+// over. Until it is, slices of that term and of the one before may be out together.
+type opening struct {
+	Term    int64 `json:"term"`
+	Settled bool  `json:"settled"`
+}
+
+// settled tells whether slices of no more than one term may be out.
+func (h *Holder) settled() bool {
+	state, err := h.replica.Durable()
+	if err != nil {
+		return false
+	}
+	raw, there := state.Entries[openingKey]
+	if !there {
+		return true
+	}
+	var last opening
+	return json.Unmarshal(raw, &last) == nil && last.Settled
+}
+
+// note writes an opening to the control state.
+func (h *Holder) note(ctx context.Context, o opening) error {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	return h.replica.Update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		var last opening
+		if json.Unmarshal(entries[openingKey], &last) == nil && last.Term > o.Term {
+			return nil, errNoLedger // the term of this one is over
+		}
+		return map[string]json.RawMessage{openingKey: raw}, nil
+	})
+}
+
 // inTerm returns the term that runs, and its ledger with the newest limits.
 func (h *Holder) inTerm() (*controlstate.Term, *Ledger, error) {
 	term, err := h.replica.Term()
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -27,7 +27,8 @@
 
 // Ledger is the holder's side in one term: stock, and every slice with its lease.
 // Nothing of it is on disk: the ledger of the next term assumes that all stock is in
-// slices and waits for a lease.
+// slices until a lease is over. It grants nothing for as long, or what Opening allows
+// from when Narrow was called.
 type Ledger struct {
 	term      int64
 	lease     kernel.Micros
@@ -35,6 +36,7 @@
 	opens     kernel.Micros // until then slices of the term before may be spent
 
 	mu       sync.Mutex
+	begins   kernel.Micros // before that nothing is granted, and stock does not grow
 	limits   map[string]Limit
 	accounts map[string]*account
 	carriers map[string]*sender
@@ -69,11 +71,36 @@
 // NewLedger begins a term.
 func NewLedger(term int64, now, lease kernel.Micros, tolerance Tolerance) *Ledger {
 	return &Ledger{
-		term: term, lease: lease, tolerance: tolerance, opens: now + lease,
+		term: term, lease: lease, tolerance: tolerance, opens: now + lease, begins: now + lease,
 		limits: map[string]Limit{}, accounts: map[string]*account{}, carriers: map[string]*sender{},
 	}
 }
 
+// Narrow begins to grant, as far as that may be while slices of the term before are
+// out. It is for a ledger whose forerunner had no slices out of a term before its own.
+func (l *Ledger) Narrow(now kernel.Micros) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now >= l.begins {
+		return
+	}
+	l.begins = now
+	for _, a := range l.accounts {
+		a.at = now
+	}
+}
+
+// capacity is the most that may lie in stock and in slices together at a time.
+func (l *Ledger) capacity(now kernel.Micros, limit Limit) float64 {
+	switch {
+	case now < l.begins:
+		return 0
+	case now < l.opens:
+		return l.tolerance.Opening(limit)
+	}
+	return l.tolerance.Capacity(limit)
+}
+
 // SetLimits takes the limits of a configuration, by tenant. Stock beyond a lower
 // limit is gone at once; slices that are out last until they are spent or their leases
 // end. A tenant that went is forgotten once nothing of it can be in a window any more.
@@ -87,7 +114,7 @@
 			delete(l.accounts, tenant)
 			continue
 		}
-		a.clamp(l.tolerance.Capacity(limit))
+		a.clamp(l.capacity(now, limit))
 	}
 	l.limits = limits
 }
@@ -139,11 +166,8 @@
 	a := l.account(now, h.Tenant)
 	l.advance(a, now, limit)
 	s, renewed := a.settle(who, h)
-	a.clamp(l.tolerance.Capacity(limit))
-	granted := int64(0)
-	if now >= l.opens {
-		granted = min(h.Want, share(a.stock))
-	}
+	a.clamp(l.capacity(now, limit))
+	granted := min(h.Want, share(a.stock))
 	a.grant(s, granted, now+l.lease)
 	given := Slice{Tenant: h.Tenant, Grant: granted, Renewed: renewed}
 	if granted < h.Want {
@@ -162,7 +186,7 @@
 
 // comeBack is when there will be something in stock again.
 func (l *Ledger) comeBack(now kernel.Micros, a *account, limit Limit) kernel.Micros {
-	wait := max(0, l.opens-now)
+	wait := max(0, l.begins-now)
 	if lacks := 1 - a.stock; lacks > 0 {
 		wait += kernel.Micros(math.Min(lacks/limit.PerS*float64(kernel.Second), float64(mostComeBack)))
 	}
@@ -170,11 +194,11 @@
 }
 
 // account returns a tenant's account. Of one that was not asked for in this term the
-// stock was empty when the term opened, since all of it may have been out until then.
+// stock was empty when the ledger began to grant.
 func (l *Ledger) account(now kernel.Micros, tenant string) *account {
 	a := l.accounts[tenant]
 	if a == nil {
-		a = &account{at: l.opens, slices: map[holder]*slice{}, earliest: math.MaxInt64}
+		a = &account{at: l.begins, slices: map[holder]*slice{}, earliest: math.MaxInt64}
 		l.accounts[tenant] = a
 	}
 	a.used = now
@@ -184,25 +208,28 @@
 // advance brings an account to a time: stock grows by the rate as far as there is room
 // beside what is in slices, and leases end, each at its time.
 func (l *Ledger) advance(a *account, now kernel.Micros, limit Limit) {
-	capacity := l.tolerance.Capacity(limit)
 	for a.earliest <= now {
-		a.refill(a.earliest, limit.PerS, capacity)
+		l.refill(a, a.earliest, limit)
 		a.expire(a.earliest)
 	}
-	a.refill(now, limit.PerS, capacity)
+	l.refill(a, now, limit)
 }
 
-func (a *account) refill(now kernel.Micros, rate, capacity float64) {
+// refill lets the stock of an account grow to a time at which no lease ends before.
+func (l *Ledger) refill(a *account, now kernel.Micros, limit Limit) {
+	if a.at < l.opens && l.opens < now {
+		a.grow(l.opens, limit.PerS)
+		a.clamp(l.tolerance.Opening(limit))
+	}
+	a.grow(now, limit.PerS)
+	a.clamp(l.capacity(now, limit))
+}
+
+func (a *account) grow(now kernel.Micros, rate float64) {
 	if now > a.at {
 		a.stock += rate * float64(now-a.at) / float64(kernel.Second)
 		a.at = now
 	}
-	a.clamp(capacity)
-}
-
-// clamp drops stock for which there is no room beside what is in slices.
-func (a *account) clamp(capacity float64) {
-	a.stock = math.Max(0, math.Min(a.stock, capacity-float64(a.out)))
 }
 
 // expire ends the leases that are over at a time. What was in those slices counts as
@@ -219,6 +246,11 @@
 	}
 }
 
+// clamp drops stock for which there is no room beside what is in slices.
+func (a *account) clamp(capacity float64) {
+	a.stock = math.Max(0, math.Min(a.stock, capacity-float64(a.out)))
+}
+
 // settle brings a slice to what its holder tells, and returns it; renewed says that
 // its lease had not ended. What is neither kept nor returned counts as spent.
 func (a *account) settle(who holder, h Holding) (s *slice, renewed bool) {
@@ -260,7 +292,7 @@
 	for tenant, a := range l.accounts {
 		limit := l.limits[tenant]
 		l.advance(a, now, limit)
-		shown := Account{Stock: a.stock, Out: a.out, Capacity: l.tolerance.Capacity(limit)}
+		shown := Account{Stock: a.stock, Out: a.out, Capacity: l.capacity(now, limit)}
 		for _, s := range a.slices {
 			if s.held > 0 {
 				shown.Holders++
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -33,14 +33,28 @@
 	Slack  float64       `json:"slack"`  // operations
 }
 
-// slackShare is the part of the slack that capacity uses. The rest is left for
-// operations that reach their database after the lease of their slice.
-const slackShare = 0.7
+const (
+	// slackShare is the part of the slack that is used here. The rest is left for
+	// operations that reach their database after the lease of their slice.
+	slackShare = 0.7
+	// openingShare is the part of what may be exceeded that is kept for the first
+	// lease of a term, when slices of the term before may be out too.
+	openingShare = 0.5
+)
 
-// Capacity is the most that may lie in stock and in slices together. No more
-// operations are admitted in a window than this and what the rate adds meanwhile.
+// Capacity is the most that may lie in stock and in slices together, once no slices of
+// an earlier term are out.
 func (t Tolerance) Capacity(l Limit) float64 {
-	return math.Max(1, l.Burst+t.Excess*t.allowed(l)+slackShare*t.Slack)
+	return math.Max(1, l.Burst+(1-openingShare)*t.exceeding(l))
+}
+
+// Opening is the most that may lie in stock and in slices together while those of the
+// term before may be out, as much as the capacity.
+func (t Tolerance) Opening(l Limit) float64 { return openingShare * t.exceeding(l) }
+
+// exceeding is how many operations more than allowed are used here.
+func (t Tolerance) exceeding(l Limit) float64 {
+	return t.Excess*t.allowed(l) + slackShare*t.Slack
 }
 
 // Most is the most operations of a window that the rules allow.
