--- /dev/null
+++ b/internal/controlstate/disk.go
@@ -0,0 +1,91 @@
+package controlstate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"indigowalk/internal/kernel"
+)
+
+// onDisk runs one write of the state to the disk, alone. A disk that stalls
+// holds up this write and no other work of the control node.
+func (v *Replica) onDisk(ctx context.Context, write func() error) error {
+	if err := v.stating.Enter(ctx); err != nil {
+		return err
+	}
+	defer v.stating.Leave()
+	return v.noteDisk(write())
+}
+
+// noteDisk counts what the disk refuses.
+func (v *Replica) noteDisk(err error) error {
+	if err != nil && !errors.Is(err, errOldEpoch) {
+		v.k.Counters.Add("controlstate.disk_refused", 1)
+		if !v.refusing.Swap(true) {
+			v.k.Log.Warn("disk refuses writes", "error", err)
+		}
+	} else if v.refusing.Swap(false) {
+		v.k.Log.Info("disk takes writes again")
+	}
+	return err
+}
+
+// diskWait is how long the disk may take for a small write before it counts as
+// stalled. What it costs is a hand-over.
+const diskWait = 400 * kernel.Millisecond
+
+// aliveKey is the record that is written to see whether the disk answers.
+const aliveKey = "alive"
+
+// watchDisk writes a few bytes now and then, so that a disk that stalls or
+// refuses is noticed before a change needs it: a primary then hands over, and
+// a backup is replaced.
+func (v *Replica) watchDisk(ctx context.Context) {
+	for n := 0; kernel.Sleep(ctx, v.lease); n++ {
+		done := make(chan error, 1)
+		go func() { done <- v.noteDisk(v.store.Save(aliveKey, n)) }()
+		t := time.NewTimer(diskWait.Duration())
+		var err error
+		select {
+		case err = <-done:
+			t.Stop()
+		case <-t.C:
+			v.stall(errStalled)
+			err = <-done
+		}
+		v.stall(err)
+	}
+}
+
+var errStalled = errors.New("does not answer")
+
+// stall notes whether the disk serves; a primary whose disk does not hands
+// over.
+func (v *Replica) stall(err error) {
+	if v.stalled.Swap(err != nil) == (err != nil) {
+		return
+	}
+	if err == nil {
+		v.k.Log.Info("disk serves again")
+		return
+	}
+	v.k.Counters.Add("controlstate.disk_stalled", 1)
+	v.k.Log.Warn("disk does not serve", "why", err.Error())
+	if _, leads := v.Primary(); leads {
+		v.handOver("own disk does not serve")
+	}
+}
+
+// saveRegister puts the register, as it is now, on disk; a vote counts only
+// after that.
+func (v *Replica) saveRegister(ctx context.Context) error {
+	if err := v.voting.Enter(ctx); err != nil {
+		return err
+	}
+	defer v.voting.Leave()
+	v.mu.Lock()
+	reg := v.witness.reg
+	v.mu.Unlock()
+	return v.noteDisk(v.store.Save(registerKey, reg))
+}
--- /dev/null
+++ b/internal/failover/model_moves_test.go
@@ -0,0 +1,176 @@
+package failover
+
+import (
+	"fmt"
+	"slices"
+
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/lineprotocol"
+)
+
+func (m *model) follows(covered lineprotocol.Position) bool {
+	m.goOn()
+	return slices.ContainsFunc(staying(m.replicas(m.lead.ID)), func(d discovery.Database) bool {
+		n := m.node(d.ID)
+		return m.up(d.ID) && !n.primary && !n.pos().Less(covered)
+	})
+}
+
+func (m *model) tend() {
+	p := m.node(m.lead.ID)
+	if !m.up(p.id) || !p.primary {
+		return
+	}
+	replicas, covered := m.replicas(p.id), p.pos()
+	if m.interrupted() {
+		return
+	}
+	ok := m.follows(covered)
+	gone := map[string]discovery.Database{}
+	for _, d := range replicas {
+		if d.Gone {
+			gone[d.ID] = m.known[d.ID]
+			delete(m.known, d.ID)
+		}
+	}
+	forget(&m.lead, gone, covered)
+	leaving := pick(replicas, func(d discovery.Database) bool { return d.Draining && !d.Gone })
+	if !ok {
+		m.free(m.known)
+		if m.interrupted() {
+			return
+		}
+		for _, d := range leaving {
+			if m.up(d.ID) {
+				m.node(d.ID).paused = false
+			}
+		}
+		return
+	}
+	confine(m.known, m.pause(pick(leaving, func(d discovery.Database) bool { return d.Limit == "" })))
+}
+
+// pause pauses those that can be reached and returns how far they got.
+func (m *model) pause(dbs []discovery.Database) map[string]lineprotocol.Position {
+	paused := map[string]lineprotocol.Position{}
+	for _, d := range dbs {
+		if n := m.node(d.ID); m.up(d.ID) && !n.primary {
+			n.paused = true
+			paused[d.ID] = n.pos()
+		}
+		if m.interrupted() {
+			return nil
+		}
+	}
+	// Who ended or crashed meanwhile is not paused any more, unless it leaves.
+	return paused
+}
+
+func (m *model) move() {
+	if !m.lead.Moving {
+		if p := m.node(m.lead.ID); m.up(p.id) && p.primary && !m.follows(p.pos()) {
+			return
+		}
+		m.lead.Moving, m.lead.To, m.lead.Floor, m.lead.Called, m.lead.Turn = true, "", "", false, m.lead.Turn+1
+	}
+	if m.lead.To == "" && !m.decide() {
+		return
+	}
+	if m.interrupted() {
+		return
+	}
+	to := m.node(m.lead.To)
+	if !to.runs {
+		m.lead.To = ""
+		return
+	}
+	if !to.primary || to.term != m.term {
+		m.promote(to)
+	}
+	if m.interrupted() {
+		return
+	}
+	m.lead = Lead{Service: "s", ID: to.id, Term: to.term, Turn: m.lead.Turn, Least: m.lead.Least}
+	m.quiet = false
+	m.goOn()
+}
+
+// decide pauses, compares and chooses; true once there is a choice.
+func (m *model) decide() bool {
+	if !m.up(m.lead.ID) && m.r.IntN(2) == 0 {
+		early := m.pause(pick(m.replicas(m.lead.ID), func(d discovery.Database) bool { return d.Draining && !d.Gone && d.Limit == "" }))
+		if early == nil {
+			return false
+		}
+		confine(m.known, early)
+	}
+	m.quiet = true // every pooler has left the old primary
+	old := m.lead.ID
+	for _, d := range m.list() {
+		if d.Had(m.lead.ID) && m.node(d.ID).primary {
+			old = d.ID
+		}
+	}
+	sit := Situation{Sync: 1}
+	sit.Least, _ = lineprotocol.ParsePosition(m.lead.Least)
+	if floor, ok := lineprotocol.ParsePosition(m.lead.Floor); ok {
+		sit.Floor = &floor
+	}
+	if n := m.node(old); m.up(old) && !m.known[old].Gone && n.primary {
+		held := n.pos()
+		sit.Held = &held
+	}
+	if m.bounds && (m.calm || m.r.IntN(2) == 0) {
+		acked := m.bound(m.acked)
+		sit.Acked = &acked
+	}
+	replicas := pick(m.replicas(m.lead.ID), func(d discovery.Database) bool { return d.ID != old })
+	for _, d := range replicas {
+		if n := m.node(d.ID); m.up(d.ID) && n.primary && m.lead.Called && n.term > m.lead.Term {
+			m.settleOn(d.ID, n.pos())
+			return true
+		} else if m.up(d.ID) && n.primary && n.term < m.lead.Term {
+			n.primary = false
+		}
+	}
+	paused := m.pause(running(replicas))
+	if paused == nil {
+		return false
+	}
+	sit.Copies, sit.Absent = compare(replicas, paused)
+	to, _ := m.choose(sit)
+	if to != "" {
+		m.settleOn(to, paused[to])
+		return true
+	}
+	confine(m.known, paused)
+	if sit.Held != nil && m.lead.Called {
+		m.settleOn(old, *sit.Held)
+		return true
+	}
+	if sit.Held != nil {
+		m.lead.Moving, m.quiet = false, false
+		m.goOn()
+	}
+	return false
+}
+
+func (m *model) settleOn(to string, floor lineprotocol.Position) {
+	m.lead.To, m.lead.Called, m.lead.Floor = to, true, floor.String()
+	forget(&m.lead, m.known, floor)
+	m.free(m.known)
+}
+
+// promote is what the platform does, and where the history is checked.
+func (m *model) promote(to *node) {
+	if m.wrong == "" && !m.holds(to.log) {
+		m.wrong = fmt.Sprintf("%s was promoted with %d commits up to %v, of %d acknowledged", to.id, len(to.log), to.pos(), len(m.acked))
+	}
+	m.term++
+	to.primary, to.term, to.paused = true, m.term, false
+	for _, n := range m.nodes {
+		if n != to && n.runs && n.linked && to.linked && !n.primary {
+			n.log, n.paused = slices.Clone(to.log), false
+		}
+	}
+}
--- /dev/null
+++ b/internal/failover/move.go
@@ -0,0 +1,271 @@
+package failover
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"indigowalk/internal/dbconn"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/lineprotocol"
+)
+
+// move takes the next step of a move; a successor of this process takes it
+// from wherever it stands.
+func (c *Manager) move(ctx context.Context, svc string) error {
+	s, err := c.look()
+	if err != nil {
+		return err
+	}
+	l := s.leads[svc]
+	if !l.Moving {
+		if !mustMove(s.services[svc], l.ID, c.health.Up) {
+			return nil
+		}
+		old, there := s.databases[l.ID]
+		failed := !there || old.Gone || !c.health.Up(l.ID)
+		if !failed {
+			// The lead serves on until somebody can take over at once.
+			if ok, _, err := c.follows(ctx, old, staying(s.replicas(svc, l.ID))); err == nil && !ok {
+				c.waitsFor(svc, behindPrimary, Situation{})
+				return errNotYet
+			}
+		}
+		err := c.save(ctx, svc, func(l *Lead) error {
+			l.Moving, l.Failed, l.To, l.Floor, l.Called, l.Turn = true, failed, "", "", false, l.Turn+1
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+		c.k.Counters.Add("failover.moves", 1)
+		c.k.Log.Info("lead moves", "service", svc, "from", l.ID)
+		if s, err = c.look(); err != nil {
+			return err
+		}
+		l = s.leads[svc]
+	}
+	if l.To == "" {
+		if err := c.choose(ctx, s, &l); err != nil {
+			return err
+		}
+	}
+	return c.promote(ctx, s, l)
+}
+
+// awaitLeft waits until no pooler can still read at the old primary.
+func (c *Manager) awaitLeft(ctx context.Context, l Lead) error {
+	for {
+		changed := c.readers.Changed()
+		ok, wait := c.readers.Left(l.Service, l.Turn, c.k.Clock.Now())
+		if ok {
+			return nil
+		}
+		t := time.NewTimer(wait.Duration())
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// choose pauses the replicas, compares what they hold and makes the choice
+// durable.
+func (c *Manager) choose(ctx context.Context, s *scene, l *Lead) error {
+	// From then on no commit of the old primary is acknowledged to a client, even
+	// if a replica is woken by a CONTINUE that comes late; what was acknowledged
+	// before is held by the replicas that are asked. What the poolers have under way
+	// at a primary that answers ends before they are paused.
+	early := make(chan int64, 1)
+	go func(l Lead) {
+		if !l.Failed {
+			early <- l.Hold
+			return
+		}
+		early <- c.pauseLeaving(ctx, s, l)
+	}(*l)
+	err := c.awaitLeft(ctx, *l)
+	l.Hold = <-early
+	if err != nil {
+		return err
+	}
+	old, there := s.old(*l)
+	alive := there && !old.Gone && c.health.Up(old.ID)
+	sit := Situation{Sync: s.syncReplicas(l.Service)}
+	sit.Least, _ = lineprotocol.ParsePosition(l.Least)
+	if floor, ok := lineprotocol.ParsePosition(l.Floor); ok {
+		sit.Floor = &floor
+	}
+	if acked, known := c.readers.Acknowledged(l.Service, l.Turn); known {
+		sit.Acked = &acked
+	}
+	newest, held := l.Term, int64(0)
+	if alive {
+		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
+			sit.Held, newest = &row.received, max(newest, row.term)
+		}
+	}
+	replicas := s.replicas(l.Service, l.ID)
+	replicas = slices.DeleteFunc(replicas, func(d discovery.Database) bool { return d.ID == old.ID })
+	conns := c.openAll(ctx, running(replicas))
+	defer closeAll(conns)
+	// PAUSE takes no slot and answers what STAT does, also at a primary, which it
+	// does not pause; the positions told at log-in name the terms. STAT, for which
+	// an overloaded replica has no slot, is asked only of those that are not paused
+	// then.
+	hold := max(newest, l.Hold, loginTerm(conns)) + 1
+	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
+	rest := maps.Clone(conns)
+	maps.DeleteFunc(rest, func(id string, _ *dbconn.Conn) bool { return rows[id].held == hold })
+	if len(rest) > 0 {
+		for id, row := range c.sayAll(rest, "STAT") {
+			if row.primary && l.Called && row.term > l.Term {
+				// It was promoted in this turn, and ended before that was known.
+				return c.settleOn(ctx, s, l, id, l.Term, hold, row.received)
+			}
+			newest, held = max(newest, row.term), max(held, row.held)
+			if row.primary && row.term < l.Term {
+				// It led before, and has not heard who followed it.
+				c.say(conns[id], "STEPDOWN "+strconv.FormatInt(l.Term, 10))
+			}
+		}
+		hold = max(hold, newest, held) + 1
+		rows = c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
+	}
+	for _, row := range rows {
+		newest = max(newest, row.term)
+	}
+	paused := map[string]lineprotocol.Position{}
+	for _, d := range replicas {
+		if row, ok := rows[d.ID]; ok && row.held == hold {
+			paused[d.ID] = row.received
+		}
+	}
+	sit.Copies, sit.Absent = compare(replicas, paused)
+	l.Hold = hold
+	to, refusal := Choose(sit)
+	accepted := to == "" && l.Accepted.Turn == l.Turn && acceptable(refusal)
+	if accepted {
+		to = Furthest(sit.Copies)
+		c.k.Log.Warn("chosen though acknowledged commits may be lost", "service", l.Service, "to", to, "why", refusal, "accepted by", l.Accepted.By)
+	}
+	epoch, _ := c.v.Lease()
+	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to, accepted})
+	if accepted {
+		l.Least = "" // it is accepted that this may be lost
+	}
+	if to != "" {
+		return c.settleOn(ctx, s, l, to, newest, hold, paused[to])
+	}
+	c.k.Counters.Add("failover.choice_refused", 1)
+	if refusal == someoneGone && (!there || old.Gone) {
+		refusal = lost
+	}
+	c.waitsFor(l.Service, refusal, sit)
+	// Whoever leaves while nobody leads need not be heard afterwards.
+	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
+		if now.Turn == l.Turn && now.Moving && now.To == "" {
+			confine(known, paused)
+		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	if sit.Held != nil && l.Called {
+		// Whoever was chosen is lost, and the old primary is back: it alone holds
+		// everything, and is made the primary as any other would be.
+		return c.settleOn(ctx, s, l, old.ID, newest, hold, *sit.Held)
+	}
+	if sit.Held != nil || alive && !old.Draining { // let them catch up
+		c.askAll(ctx, staying(replicas), "CONTINUE")
+		if !l.Called {
+			if err := c.callOff(ctx, l, refusal); err != nil {
+				return err
+			}
+		}
+	}
+	return fmt.Errorf("%w: %s", errNotYet, refusal)
+}
+
+// settleOn makes the choice durable, unless a database has joined since the look
+// that it rests on. The promotion lets every replica receive
+// again, so no limit holds any longer but that of the databases that are gone.
+func (c *Manager) settleOn(ctx context.Context, s *scene, l *Lead, to string, newest, hold int64, floor lineprotocol.Position) error {
+	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
+		if !now.Moving || now.Turn != l.Turn {
+			return errNotYet
+		}
+		for id := range known {
+			if _, seen := s.databases[id]; !seen {
+				return fmt.Errorf("%w: %s has joined", errNotYet, id)
+			}
+		}
+		now.To, now.Called, now.Term, now.Hold, now.Floor = to, true, newest, hold, floor.String()
+		if now.Accepted.Turn == now.Turn && l.Least == "" {
+			now.Least = ""
+		}
+		forget(now, known, floor)
+		free(known)
+		*l = *now
+		return nil
+	})
+	if err == nil {
+		c.goesOn(l.Service)
+		c.k.Log.Info("next lead chosen", "service", l.Service, "to", to, "superseding", newest)
+	}
+	return err
+}
+
+// waitsFor notes why a move waits, and logs it once for each reason.
+func (c *Manager) waitsFor(svc, reason string, sit Situation) {
+	text, best := reason, sit.furthest()
+	for _, a := range sit.ahead(best) {
+		text += "; " + a.ID
+		if a.Gone {
+			text += ", gone"
+		}
+	}
+	if best.Less(sit.Least) {
+		text += fmt.Sprintf("; %s was held, %s is left", sit.Least, best)
+	}
+	c.mu.Lock()
+	said := c.waits[svc] == text
+	c.waits[svc] = text
+	c.mu.Unlock()
+	if !said {
+		c.k.Log.Info("move waits", "service", svc, "why", reason, "answered", sit.Copies, "absent", sit.Absent, "least", sit.Least.String(), "acked", sit.ackedText())
+	}
+}
+
+// goesOn notes that a service's move waits no longer.
+func (c *Manager) goesOn(svc string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waits, svc)
+}
+
+// Waits tells, by service, why a move of its lead waits.
+func (c *Manager) Waits() map[string]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.waits)
+}
+
+// callOff ends a move, before anyone was promoted, whose old primary serves.
+func (c *Manager) callOff(ctx context.Context, l *Lead, why string) error {
+	c.goesOn(l.Service)
+	c.k.Log.Info("move called off", "service", l.Service, "why", why)
+	return c.save(ctx, l.Service, func(now *Lead) error {
+		if now.Turn == l.Turn && !now.Called {
+			now.Moving, now.Failed = false, false
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/failover/promotion.go
@@ -0,0 +1,153 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"indigowalk/internal/controlstate"
+	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
+)
+
+// promote has the platform make the chosen database the primary, waits until
+// it leads, and makes that known.
+func (c *Manager) promote(ctx context.Context, s *scene, l Lead) error {
+	if err := c.awaitLeft(ctx, l); err != nil {
+		return err
+	}
+	to, there := s.databases[l.To]
+	err := errNotRunning
+	was := c.acc.Soft()[l.To]
+	if there {
+		err = c.call(ctx, l)
+	}
+	if errors.Is(err, errNotRunning) {
+		return c.save(ctx, l.Service, func(now *Lead) error {
+			if now.Turn == l.Turn && now.To == l.To {
+				now.To = ""
+			}
+			return nil
+		})
+	}
+	if err != nil {
+		return err
+	}
+	over := l.Term
+	if to.ID == l.ID || to.Had(l.ID) {
+		over-- // the primary of before needs no new term to lead again
+	}
+	if l.Term, err = c.awaitPromotion(ctx, to, was, over); err != nil {
+		return err
+	}
+	old := l.ID
+	err = c.save(ctx, l.Service, func(now *Lead) error {
+		if now.Turn == l.Turn && now.To == l.To {
+			*now = now.settled(l.To, l.Term)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	c.k.Log.Info("lead moved", "service", l.Service, "from", old, "to", l.To, "term", l.Term)
+	c.again("tend " + l.Service)
+	others := s.replicas(l.Service, l.To)
+	for _, d := range others {
+		if d.ID == old {
+			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
+		}
+	}
+	for _, d := range staying(others) {
+		if d.ID != old {
+			go c.ask(ctx, d, "CONTINUE")
+		}
+	}
+	return nil
+}
+
+// awaitPromotion waits until the database leads a newer term. Its own beat,
+// which a change of role sends at once, tells; if none comes it is asked.
+func (c *Manager) awaitPromotion(ctx context.Context, to discovery.Database, was discovery.Soft, over int64) (int64, error) {
+	end := c.k.Clock.Now() + 3*kernel.Second
+	for c.k.Clock.Now() < end && ctx.Err() == nil {
+		changed := c.acc.Changed()
+		if now := c.acc.Soft()[to.ID]; now.Role == "primary" && was.Role == "replica" {
+			return over + 1, nil
+		}
+		t := time.NewTimer(c.cfg.BeatWait.Duration())
+		select {
+		case <-changed:
+			t.Stop()
+			continue
+		case <-t.C:
+		}
+		if row, err := c.ask(ctx, to, "STAT"); err != nil {
+			return 0, err
+		} else if row.primary && row.term > over {
+			return row.term, nil
+		}
+	}
+	return 0, errNotYet
+}
+
+// tidy makes a replica of every database that leads without being the lead,
+// and looks after those that leave.
+func (c *Manager) tidy(ctx context.Context, s *scene, l Lead) {
+	c.wake(ctx, s, l)
+	ending := false
+	for _, d := range s.replicas(l.Service, l.ID) {
+		ending = ending || d.Gone || d.Draining
+		if s.soft[d.ID].Role == "primary" && l.Term != 0 && !d.Gone && c.due("demote "+d.ID) {
+			go c.ask(ctx, d, "STEPDOWN "+strconv.FormatInt(l.Term, 10))
+		}
+	}
+	if ending && c.due("tend "+l.Service) {
+		c.spawn(l.Service, func() error { return c.tend(ctx, s, l) })
+	}
+}
+
+// due paces what is repeated until it has worked.
+func (c *Manager) due(what string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.k.Clock.Now()
+	if now-c.tried[what] < kernel.Second && c.tried[what] != 0 {
+		return false
+	}
+	c.tried[what] = now
+	return true
+}
+
+// again has what is paced done once more without waiting.
+func (c *Manager) again(what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.tried, what)
+}
+
+// since tells how long ago it was asked that first.
+func (c *Manager) since(what string) kernel.Micros {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.k.Clock.Now()
+	if c.tried[what] == 0 {
+		c.tried[what] = now
+	}
+	return now - c.tried[what]
+}
+
+// call asks the platform, as the holder of the duty, only in the term in which
+// the move was looked at, and well within the lease.
+func (c *Manager) call(ctx context.Context, l Lead) error {
+	epoch, left := controlstate.TermOf(ctx).Lease()
+	wait := min(left-100*kernel.Millisecond, kernel.Second)
+	if wait < 100*kernel.Millisecond {
+		return errNotYet
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
+	defer cancel()
+	c.k.Counters.Add("failover.platform_calls", 1)
+	return c.platform.failover(ctx, epoch, l.Service, l.To)
+}
--- /dev/null
+++ b/internal/health/coordinator.go
@@ -0,0 +1,162 @@
+package health
+
+import (
+	"sync"
+
+	"indigowalk/internal/kernel"
+)
+
+// Notice tells that a database is down as of a local generation.
+type Notice struct {
+	Database   string
+	Generation int64
+}
+
+// Outcome is what a coordinator did with a report or notice.
+type Outcome int
+
+type health struct {
+	up         bool
+	generation int64
+	checking   bool
+	own        bool          // the check is for a fault of a session here
+	due        kernel.Micros // of the next check while down
+	calm       kernel.Micros // until then peers' notices call for no check
+	tellers    []string      // peers that told of it of late, a few
+	echoed     kernel.Micros // when the last of them did
+}
+
+// Coordinator is the state machine by itself: no clock, network or
+// goroutines, so that recordings can be played through it.
+type Coordinator struct {
+	state map[string]*health
+}
+
+// NewCoordinator returns a coordinator that holds every database as up.
+func NewCoordinator() *Coordinator { return &Coordinator{state: map[string]*health{}} }
+
+func (c *Coordinator) of(id string) *health {
+	h := c.state[id]
+	if h == nil {
+		h = &health{up: true}
+		c.state[id] = h
+	}
+	return h
+}
+
+// Up tells whether the database is held as up, and its generation.
+func (c *Coordinator) Up(id string) (bool, int64) {
+	if h := c.state[id]; h != nil {
+		return h.up, h.generation
+	}
+	return true, 0
+}
+
+// Report takes a fault seen by a local session bound under a generation.
+func (c *Coordinator) Report(id string, generation int64) Outcome {
+	h := c.of(id)
+	switch {
+	case generation < h.generation:
+		return Stale
+	case !h.up:
+		return Already
+	}
+	h.up = false
+	return Marked
+}
+
+// PeerNotice takes a peer's notice; it says whether a check is called for.
+func (c *Coordinator) PeerNotice(id string) Outcome {
+	if !c.of(id).up {
+		return Already
+	}
+	return ToCheck
+}
+
+// Checked takes the result of an own check that started under a generation.
+// It reports whether the state changed.
+func (c *Coordinator) Checked(id string, generation int64, ok bool) bool {
+	h := c.of(id)
+	if generation != h.generation || h.up == ok {
+		return false
+	}
+	if h.up = ok; ok {
+		h.generation++
+	}
+	return true
+}
+
+// Down lists the databases held as down.
+func (c *Coordinator) Down() []string {
+	var out []string
+	for id, h := range c.state {
+		if !h.up {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Forget drops a database that is gone.
+func (c *Coordinator) Forget(id string) { delete(c.state, id) }
+
+// Binding is a session's hold on a database. It must not be used before Bind
+// nor after Release.
+type Binding struct {
+	mu         sync.Mutex
+	database   string
+	generation int64
+	unbound    chan struct{}
+}
+
+// Unbound closes when a notice has unbound the session.
+func (b *Binding) Unbound() <-chan struct{} { return b.unbound }
+
+// Bound returns the bound database, or "" once a notice has unbound it.
+func (b *Binding) Bound() (string, int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.database, b.generation
+}
+
+// take applies a notice by the paper's rule for sessions.
+func (b *Binding) take(n Notice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n.Generation < b.generation {
+		return
+	}
+	b.generation = n.Generation
+	if b.database == n.Database {
+		b.database = ""
+		close(b.unbound)
+	}
+}
+
+// Event is an input of the coordinator: a "report" or "doubt" of a session, a
+// peer's "notice", or the result of an own check ("checked").
+type Event struct {
+	Kind       string `json:"kind"`
+	Database   string `json:"db"`
+	Generation int64  `json:"gen"`
+	OK         bool   `json:"ok,omitempty"`
+}
+
+// Apply feeds the coordinator an event; it reports whether a state changed.
+func (c *Coordinator) Apply(e Event) (changed bool) {
+	switch e.Kind {
+	case "report":
+		return c.Report(e.Database, e.Generation) == Marked
+	case "checked":
+		return c.Checked(e.Database, e.Generation, e.OK)
+	}
+	return false
+}
+
+// Outcomes.
+const (
+	Marked  Outcome = iota // the database is now down
+	Stale                  // older generation than the coordinator's
+	Already                // down already
+	ToCheck                // a peer's notice: counts only after an own check
+)
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -9,8 +9,6 @@
 import (
 	"context"
 	"encoding/json"
-	"hash/fnv"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -18,141 +16,6 @@
 	"indigowalk/internal/kernel"
 )
 
-// Notice tells that a database is down as of a local generation.
-type Notice struct {
-	Database   string
-	Generation int64
-}
-
-// Outcome is what a coordinator did with a report or notice.
-type Outcome int
-
-// Outcomes.
-const (
-	Marked  Outcome = iota // the database is now down
-	Stale                  // older generation than the coordinator's
-	Already                // down already
-	ToCheck                // a peer's notice: counts only after an own check
-)
-
-type health struct {
-	up         bool
-	generation int64
-	checking   bool
-	own        bool          // the check is for a fault of a session here
-	due        kernel.Micros // of the next check while down
-	calm       kernel.Micros // until then peers' notices call for no check
-	tellers    []string      // peers that told of it of late, a few
-	echoed     kernel.Micros // when the last of them did
-}
-
-// Coordinator is the state machine by itself: no clock, network or
-// goroutines, so that recordings can be played through it.
-type Coordinator struct {
-	state map[string]*health
-}
-
-// NewCoordinator returns a coordinator that holds every database as up.
-func NewCoordinator() *Coordinator { return &Coordinator{state: map[string]*health{}} }
-
-func (c *Coordinator) of(id string) *health {
-	h := c.state[id]
-	if h == nil {
-		h = &health{up: true}
-		c.state[id] = h
-	}
-	return h
-}
-
-// Up tells whether the database is held as up, and its generation.
-func (c *Coordinator) Up(id string) (bool, int64) {
-	if h := c.state[id]; h != nil {
-		return h.up, h.generation
-	}
-	return true, 0
-}
-
-// Report takes a fault seen by a local session bound under a generation.
-func (c *Coordinator) Report(id string, generation int64) Outcome {
-	h := c.of(id)
-	switch {
-	case generation < h.generation:
-		return Stale
-	case !h.up:
-		return Already
-	}
-	h.up = false
-	return Marked
-}
-
-// PeerNotice takes a peer's notice; it says whether a check is called for.
-func (c *Coordinator) PeerNotice(id string) Outcome {
-	if !c.of(id).up {
-		return Already
-	}
-	return ToCheck
-}
-
-// Checked takes the result of an own check that started under a generation.
-// It reports whether the state changed.
-func (c *Coordinator) Checked(id string, generation int64, ok bool) bool {
-	h := c.of(id)
-	if generation != h.generation || h.up == ok {
-		return false
-	}
-	if h.up = ok; ok {
-		h.generation++
-	}
-	return true
-}
-
-// Down lists the databases held as down.
-func (c *Coordinator) Down() []string {
-	var out []string
-	for id, h := range c.state {
-		if !h.up {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// Forget drops a database that is gone.
-func (c *Coordinator) Forget(id string) { delete(c.state, id) }
-
-// Binding is a session's hold on a database. It must not be used before Bind
-// nor after Release.
-type Binding struct {
-	mu         sync.Mutex
-	database   string
-	generation int64
-	unbound    chan struct{}
-}
-
-// Unbound closes when a notice has unbound the session.
-func (b *Binding) Unbound() <-chan struct{} { return b.unbound }
-
-// Bound returns the bound database, or "" once a notice has unbound it.
-func (b *Binding) Bound() (string, int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.database, b.generation
-}
-
-// take applies a notice by the paper's rule for sessions.
-func (b *Binding) take(n Notice) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if n.Generation < b.generation {
-		return
-	}
-	b.generation = n.Generation
-	if b.database == n.Database {
-		b.database = ""
-		close(b.unbound)
-	}
-}
-
 // Checker tries whether a database answers.
 type Checker func(ctx context.Context, id string) bool
 
@@ -175,10 +38,6 @@
 // NoticeKind is the kind of datagram that carries notices.
 const NoticeKind = "fault"
 
-type notice struct {
-	Databases []string `json:"d"`
-}
-
 // Notices that are due together share a datagram: they are gathered for a
 // moment, and told in parts of a bounded size.
 const (
@@ -210,51 +69,6 @@
 	noticeEach = 18
 )
 
-// purse holds the bytes that may be told yet. Its fields are guarded by the
-// health coordinator's mutex.
-type purse struct {
-	bytes float64
-	at    kernel.Micros
-}
-
-// open tells whether something may be told now.
-func (p *purse) open(now kernel.Micros, rate float64) bool {
-	if rate == 0 {
-		return true
-	}
-	p.bytes = min(p.bytes+float64(now-p.at)*rate, float64(tellFor)*rate)
-	p.at = now
-	return p.bytes > 0
-}
-
-// rank orders the tellers of a database's fault; lower ones are senior.
-func rank(addr, id string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(addr))
-	h.Write([]byte(id))
-	return h.Sum64()
-}
-
-// Event is an input of the coordinator: a "report" or "doubt" of a session, a
-// peer's "notice", or the result of an own check ("checked").
-type Event struct {
-	Kind       string `json:"kind"`
-	Database   string `json:"db"`
-	Generation int64  `json:"gen"`
-	OK         bool   `json:"ok,omitempty"`
-}
-
-// Apply feeds the coordinator an event; it reports whether a state changed.
-func (c *Coordinator) Apply(e Event) (changed bool) {
-	switch e.Kind {
-	case "report":
-		return c.Report(e.Database, e.Generation) == Marked
-	case "checked":
-		return c.Checked(e.Database, e.Generation, e.OK)
-	}
-	return false
-}
-
 // Monitor runs a coordinator beside the sessions of one process.
 type Monitor struct {
 	k   *kernel.Kernel
@@ -463,83 +277,6 @@
 	s.bell.Ring()
 }
 
-// outbox gathers notices. Its fields are guarded by the health coordinator's mutex.
-type outbox struct{ ids []string }
-
-// add puts a notice among those that leave next. They are sent so many times:
-// a lost one costs a peer a fault of its own, a doubled one nothing.
-func (o *outbox) add(s *Monitor, ctx context.Context, id string, to func() []string, times int) {
-	o.ids = append(o.ids, id)
-	if len(o.ids) > 1 {
-		return
-	}
-	go func() {
-		kernel.Sleep(ctx, gather+rand.N(perPeer*kernel.Micros(len(to())+1)))
-		s.mu.Lock()
-		for !s.purse.open(s.k.Clock.Now(), s.cfg.Rate) {
-			s.mu.Unlock()
-			s.k.Counters.Add("health.notices_held", 1)
-			if !kernel.Sleep(ctx, 50*kernel.Millisecond) {
-				return
-			}
-			s.mu.Lock()
-		}
-		ids := o.ids
-		o.ids = nil
-		s.mu.Unlock()
-		for n := range times {
-			if n > 0 && !s.mayTell() {
-				return // a lost notice costs less than a full link
-			}
-			ids = s.untold(ids, func(string, string) bool { return true })
-			s.tell(ctx, ids, to())
-			if !kernel.Sleep(ctx, 50*kernel.Millisecond) {
-				return
-			}
-		}
-	}()
-}
-
-func (s *Monitor) mayTell() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.purse.open(s.k.Clock.Now(), s.cfg.Rate)
-}
-
-// tell sends notices to peers, part by part.
-func (s *Monitor) tell(ctx context.Context, ids, peers []string) {
-	senior := func(from, id string) bool { return rank(from, id) < rank(s.cfg.Self, id) }
-	for part := range slices.Chunk(peers, atOnce) {
-		for some := range slices.Chunk(ids, maxNotices) {
-			s.cfg.Tell(part, NoticeKind, notice{some})
-			s.mu.Lock()
-			s.purse.bytes -= float64(len(part) * (noticeHead + noticeEach*len(some)))
-			s.mu.Unlock()
-		}
-		if len(ids) == 0 || len(peers) > atOnce && !kernel.Sleep(ctx, kernel.Millisecond) {
-			return
-		}
-		ids = s.untold(slices.Clone(ids), senior)
-	}
-}
-
-// untold leaves out what enough others, of those that count, have told of
-// late.
-func (s *Monitor) untold(ids []string, counts func(from, id string) bool) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.k.Clock.Now()
-	return slices.DeleteFunc(ids, func(id string) bool {
-		h, n := s.c.of(id), 0
-		for _, from := range h.tellers {
-			if counts(from, id) {
-				n++
-			}
-		}
-		return n >= enough && now-h.echoed <= echo
-	})
-}
-
 // nextCheck is the time until a check is due.
 func (s *Monitor) nextCheck() kernel.Micros {
 	s.mu.Lock()
