--- a/cmd/indigowalk/scalebench.go
+++ b/cmd/indigowalk/scalebench.go
@@ -52,55 +52,71 @@
 	defer cancel()
 	t := toolRun{out: out, errs: errs, json: *asJSON}
 	if *hollow != "" {
-		first, count, _ := strings.Cut(*hollow, ",")
-		f, err1 := strconv.Atoi(first)
-		c, err2 := strconv.Atoi(count)
-		if err1 != nil || err2 != nil {
-			return exitUsage
-		}
-		if err := scalebench.Hollow(ctx, f, c, fs.Arg(0), out); err != nil {
-			return t.fail(err)
-		}
-		return exitClean
+		return t.hollow(ctx, *hollow, fs.Arg(0))
+	}
+	return t.scalebench(ctx, fs.Args(), scalebench.Config{
+		ControlNodes: 4, Databases: *databases, Routes: *routes,
+		Changes: *changes, Quiet: time.Duration(*quiet) * time.Second, Sessions: *sessions,
+	})
+}
+
+// hollow runs hollow nodes: which is the first and how many, with a comma between.
+func (t toolRun) hollow(ctx context.Context, which, seeds string) int {
+	first, count, _ := strings.Cut(which, ",")
+	f, err1 := strconv.Atoi(first)
+	c, err2 := strconv.Atoi(count)
+	if err1 != nil || err2 != nil {
+		return exitUsage
 	}
-	program, err := os.Executable()
-	if err != nil {
+	if err := scalebench.Hollow(ctx, f, c, seeds, t.out); err != nil {
+		return t.fail(err)
+	}
+	return exitClean
+}
+
+// scalebench measures at each number of nodes, one after the other.
+func (t toolRun) scalebench(ctx context.Context, numbers []string, cfg scalebench.Config) int {
+	var err error
+	if cfg.Program, err = os.Executable(); err != nil {
 		return t.fail(err)
 	}
 	var sizes []*scalebench.Size
-	for _, arg := range fs.Args() {
-		nodes, err := strconv.Atoi(arg)
+	for _, number := range numbers {
+		nodes, err := strconv.Atoi(number)
 		if err != nil || nodes < 1 || nodes > mostNodes {
-			fmt.Fprintf(errs, "indigowalk scalebench: %q is no number of nodes from 1 to %d\n", arg, mostNodes)
+			fmt.Fprintf(t.errs, "indigowalk scalebench: %q is no number of nodes from 1 to %d\n", number, mostNodes)
 			return exitUsage
 		}
-		dir, err := os.MkdirTemp("", "scalebench")
-		if err != nil {
+		if cfg.Dir, err = os.MkdirTemp("", "scalebench"); err != nil {
 			return t.fail(err)
 		}
-		size, err := scalebench.Run(ctx, scalebench.Config{
-			Program: program, Dir: dir, Nodes: nodes, ControlNodes: 4, Databases: *databases, Routes: *routes,
-			Changes: *changes, Quiet: time.Duration(*quiet) * time.Second, Sessions: *sessions,
-		})
-		os.RemoveAll(dir)
+		cfg.Nodes = nodes
+		size, err := scalebench.Run(ctx, cfg)
+		os.RemoveAll(cfg.Dir)
 		if err != nil {
 			return t.fail(err)
 		}
 		sizes = append(sizes, size)
-		if !*asJSON {
-			fmt.Fprintf(out, "%d nodes, %d databases, %d routes: all started in %d ms; a node %.0f B/s, %.2f thousandths of a core, %.0f KB;"+
-				" primary %.1f thousandths, %.0f MB, other control nodes %.1f at most; a change in force everywhere in %v ms, %.0f B a node; after the primary's kill in %d ms\n",
-				size.Nodes, size.Databases, size.Routes, size.StartMs, size.NodeBytes, size.NodeCPU, size.NodeKB,
-				size.PrimaryCPU, size.PrimaryMB, size.ControlCPU, size.ChangeMs, size.ChangeBytes, size.TakeoverMs)
-			if *sessions > 0 {
-				fmt.Fprintf(out, "a pooler of %.0f MB; %.0f bytes an idle session, of %d\n", size.PoolerMB, size.SessionBytes, *sessions)
-			}
+		if !t.json {
+			printSize(t.out, size, cfg.Sessions)
 		}
 	}
-	if *asJSON {
-		if err := tools.WriteJSON(out, sizes); err != nil {
-			return t.fail(err)
-		}
+	if !t.json {
+		return exitClean
+	}
+	if err := tools.WriteJSON(t.out, sizes); err != nil {
+		return t.fail(err)
 	}
 	return exitClean
 }
+
+// printSize writes what was measured at one size.
+func printSize(w io.Writer, size *scalebench.Size, sessions int) {
+	fmt.Fprintf(w, "%d nodes, %d databases, %d routes: all started in %d ms; a node %.0f B/s, %.2f thousandths of a core, %.0f KB;"+
+		" primary %.1f thousandths, %.0f MB, other control nodes %.1f at most; a change in force everywhere in %v ms, %.0f B a node; after the primary's kill in %d ms\n",
+		size.Nodes, size.Databases, size.Routes, size.StartMs, size.NodeBytes, size.NodeCPU, size.NodeKB,
+		size.PrimaryCPU, size.PrimaryMB, size.ControlCPU, size.ChangeMs, size.ChangeBytes, size.TakeoverMs)
+	if sessions > 0 {
+		fmt.Fprintf(w, "a pooler of %.0f MB; %.0f bytes an idle session, of %d\n", size.PoolerMB, size.SessionBytes, sessions)
+	}
+}
--- /dev/null
+++ b/cmd/indigowalk/sizes_test.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"bytes"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const (
+	longestFile     = 500 // lines
+	longestFunction = 60  // lines; tests may be longer, since many are tables
+)
+
+// Files and functions stay small enough to be read at one go.
+func TestSizes(t *testing.T) {
+	root := os.DirFS("../..")
+	err := fs.WalkDir(root, ".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" {
+			return err
+		}
+		source, err := fs.ReadFile(root, path)
+		if err != nil {
+			return err
+		}
+		if lines := bytes.Count(source, []byte("\n")); lines > longestFile {
+			t.Errorf("%s has %d lines, over %d", path, lines, longestFile)
+		}
+		files := token.NewFileSet()
+		file, err := parser.ParseFile(files, path, source, parser.SkipObjectResolution)
+		if err != nil || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		for _, declaration := range file.Decls {
+			function, ok := declaration.(*ast.FuncDecl)
+			if !ok {
+				continue
+			}
+			if lines := files.Position(function.End()).Line - files.Position(function.Pos()).Line + 1; lines > longestFunction {
+				t.Errorf("%s: %s has %d lines, over %d", path, function.Name.Name, lines, longestFunction)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/controlstate/candidacy.go
@@ -0,0 +1,126 @@
+package controlstate
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+
+	"indigowalk/internal/kernel"
+)
+
+// tryStand has the witnesses elect this for a new view, and puts the state on the view's
+// backups before that is accepted.
+func (v *Replica) tryStand(ctx context.Context) error {
+	c, err := v.candidacy()
+	if err != nil {
+		return err
+	}
+	disks, highest, won := v.promises(ctx, c.epoch, c.sets)
+	state, err := v.promised(c, highest, won)
+	if err != nil {
+		return err
+	}
+	if c.view.Backups, err = v.spread(ctx, state, c, disks); err != nil {
+		return err
+	}
+	start := v.k.Clock.Now()
+	voters := slices.Collect(maps.Keys(disks))
+	accepted := func(got map[string]renewAnswer) bool {
+		return majorities(c.sets, func(addr string) bool { return got[addr].Granted })
+	}
+	v.mu.Lock()
+	v.tentative = c.view
+	v.mu.Unlock()
+	if !accepted(ask(ctx, v, voters, "controlstate.accept", func(addr string) any { return acceptAsk{c.view, disks[addr]} }, accepted)) {
+		return errors.New("no majority accepted")
+	}
+	return v.lead(c, state, start, voters)
+}
+
+// candidacy is an attempt at a view.
+type candidacy struct {
+	epoch     int64
+	known     View // the newest that was known when it began
+	view      View // the one that is proposed
+	sets      [][]string
+	wasActive bool // it was the primary already
+}
+
+// candidacy begins one.
+func (v *Replica) candidacy() (c candidacy, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.k.Clock.Now()
+	if v.active && !v.leads(now) || !v.mayStand() {
+		// Its term ended since the caller looked: others may have led meanwhile,
+		// and what it has is not for sure the state.
+		return c, ErrNotPrimary
+	}
+	c = candidacy{epoch: v.nextEpoch(), known: v.seen, wasActive: v.active}
+	if v.tentative.Epoch > c.known.Epoch {
+		c.known = v.tentative
+	}
+	c.view, c.sets = v.members.proposal(c.known, c.wasActive, c.epoch, now)
+	return c, nil
+}
+
+// promised takes in what the witnesses answered, and returns the state under the new
+// epoch if they promised.
+func (v *Replica) promised(c candidacy, highest View, won bool) (State, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case highest.Epoch > c.known.Epoch:
+		v.observe(highest)
+		return State{}, errors.New("a newer view is there")
+	case !won:
+		return State{}, errors.New("no majority promised")
+	case c.wasActive && !v.active:
+		return State{}, errors.New("no longer primary")
+	}
+	v.state.Epoch = c.epoch // writes of older epochs are refused from here on
+	return v.state, nil
+}
+
+// spread puts the state on the own disk and on backups, side by side: the lease before
+// can't be renewed now.
+func (v *Replica) spread(ctx context.Context, state State, c candidacy, disks map[string]string) ([]Member, error) {
+	saved := make(chan error, 1)
+	go func() { saved <- v.onDisk(ctx, func() error { return v.store.SaveState(state) }) }()
+	backups, err := v.copyToBackups(ctx, state, c.known, disks)
+	if err := <-saved; err != nil {
+		if c.wasActive {
+			go v.handOver("own disk fails")
+		}
+		return nil, err
+	}
+	return backups, err
+}
+
+// lead makes this the primary of a view that was accepted.
+func (v *Replica) lead(c candidacy, state State, start kernel.Micros, voters []string) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.seen.Epoch > c.epoch || c.wasActive && !v.active {
+		return errors.New("no longer primary")
+	}
+	v.leaseEnd, v.renewAt = start+v.lease, start+v.lease/3
+	if !v.active {
+		v.begin(c.epoch)
+		for _, addr := range voters {
+			v.members.heard[addr] = v.members.since
+		}
+		v.renewAt = v.members.since // to learn who else takes part
+	}
+	v.active, v.state, v.seen = true, state, c.view
+	v.seenTill = v.leaseEnd
+	clear(v.missed)
+	if len(c.view.Prior) > 0 {
+		v.poke() // the set before is to be let go
+	}
+	v.k.Counters.Add("controlstate.epochs", 1)
+	v.k.Log.Info("primary", "epoch", c.epoch, "backups", names(c.view.Backups), "witnesses", len(c.view.Witnesses), "prior", len(c.view.Prior))
+	v.changed.Ring()
+	return nil
+}
--- a/internal/controlstate/store.go
+++ b/internal/controlstate/store.go
@@ -349,30 +349,10 @@
 // compact rewrites the store: into a new file, synced record by record, which
 // then takes the old one's name. The caller holds the lock.
 func (s *Store) compact() error {
-	records := map[string]string{}
-	var d, reg string
-	err := s.db.View(func(tx *buntdb.Tx) (err error) {
-		if d, err = tx.Get(diskKey); err != nil {
-			return err
-		}
-		if reg, err = tx.Get(registerKey); errors.Is(err, buntdb.ErrNotFound) {
-			return nil
-		}
-		records[registerKey] = reg
-		return err
-	})
-	if err != nil {
-		return fmt.Errorf("controlstate: %w", err)
-	}
-	st, err := s.loadState()
+	d, records, err := s.current()
 	if err != nil {
 		return err
 	}
-	if st.Epoch > 0 {
-		if records[stateKey], err = seal(st); err != nil {
-			return err
-		}
-	}
 	next := s.path + nextSuffix
 	if err := os.Remove(next); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return fmt.Errorf("controlstate: %w", err)
@@ -410,6 +390,30 @@
 	return nil
 }
 
+// current returns the disk's mark, and the records that a file begins with.
+func (s *Store) current() (disk string, records map[string]string, err error) {
+	records = map[string]string{}
+	err = s.db.View(func(tx *buntdb.Tx) (err error) {
+		if disk, err = tx.Get(diskKey); err != nil {
+			return err
+		}
+		register, err := tx.Get(registerKey)
+		if errors.Is(err, buntdb.ErrNotFound) {
+			return nil
+		}
+		records[registerKey] = register
+		return err
+	})
+	if err != nil {
+		return "", nil, fmt.Errorf("controlstate: %w", err)
+	}
+	st, err := s.loadState()
+	if err == nil && st.Epoch > 0 {
+		records[stateKey], err = seal(st)
+	}
+	return disk, records, err
+}
+
 // Load reads a record into v and tells whether there is one.
 func (s *Store) Load(key string, v any) (bool, error) {
 	s.lock()
--- a/internal/controlstate/write.go
+++ b/internal/controlstate/write.go
@@ -70,38 +70,70 @@
 // them.
 var errBackup = fmt.Errorf("%w: too few backups take it", ErrUnavailable)
 
+// write writes a batch of changes in one step; own is what became of each.
 func (v *Replica) write(ctx context.Context, batch []*update, own []error) error {
+	old, view, err := v.mayWrite()
+	if err != nil {
+		return err
+	}
+	next, changes := old.after(batch, own, view.Epoch)
+	if len(changes) == 0 {
+		return nil
+	}
+	local := make(chan error, 1)
+	c := Change{view.Epoch, next.Seq, changes}
+	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
+	taken := v.toBackups(ctx, view, c)
+	if err := awaitDisk(local); err != nil {
+		v.k.Counters.Add("controlstate.save_failed", 1)
+		go v.handOver("own disk fails")
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
 	v.mu.Lock()
-	if !v.leads(v.k.Clock.Now()) {
-		v.mu.Unlock()
+	defer v.mu.Unlock()
+	switch {
+	case !v.leads(v.k.Clock.Now()) || v.seen.Epoch != view.Epoch:
 		return ErrNotPrimary
-	}
-	if v.state.Epoch != v.seen.Epoch {
-		// It stood for another epoch in vain: what is on disk belongs to that.
-		v.mu.Unlock()
+	case !taken:
 		return errBackup
 	}
+	v.state = next
+	v.changed.Ring()
+	return nil
+}
+
+// mayWrite returns the state on which a change may build now, and the view in which.
+func (v *Replica) mayWrite() (State, View, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	now := v.k.Clock.Now()
-	if !v.members.enoughBackups(v.seen, now) {
-		v.mu.Unlock()
-		return errBackup
-	}
-	if !v.members.largeEnough(v.seen, now) {
-		v.mu.Unlock()
+	switch {
+	case !v.leads(now):
+		return State{}, View{}, ErrNotPrimary
+	case v.state.Epoch != v.seen.Epoch:
+		// It stood for another epoch in vain: what is on disk belongs to that.
+		return State{}, View{}, errBackup
+	case !v.members.enoughBackups(v.seen, now):
+		return State{}, View{}, errBackup
+	case !v.members.largeEnough(v.seen, now):
 		v.k.Counters.Add("controlstate.too_few_witnesses", 1)
-		return fmt.Errorf("%w: the witnesses can't bear the losses yet", ErrUnavailable)
+		return State{}, View{}, fmt.Errorf("%w: the witnesses can't bear the losses yet", ErrUnavailable)
 	}
 	if n := len(v.seen.Witnesses); n < 2*v.cfg.Losses && !v.small {
 		v.small = true
 		v.k.Log.Warn("fewer control nodes than the losses to be borne ask for", "witnesses", n, "tolerate", v.cfg.Losses)
 	}
-	old, view := v.state, v.seen
-	v.mu.Unlock()
-	next := State{Epoch: view.Epoch, Seq: old.Seq + 1, Entries: maps.Clone(old.Entries)}
+	return v.state, v.seen, nil
+}
+
+// after is the state after a batch of changes, of which some may refuse, and what
+// differs then.
+func (s State) after(batch []*update, own []error, epoch int64) (next State, changes map[string]json.RawMessage) {
+	next = State{Epoch: epoch, Seq: s.Seq + 1, Entries: maps.Clone(s.Entries)}
 	if next.Entries == nil {
 		next.Entries = map[string]json.RawMessage{}
 	}
-	changes := map[string]json.RawMessage{}
+	changes = map[string]json.RawMessage{}
 	for i, u := range batch {
 		var c map[string]json.RawMessage
 		if c, own[i] = u.change(next.Entries); own[i] == nil {
@@ -109,38 +141,20 @@
 			maps.Copy(changes, c)
 		}
 	}
-	if len(changes) == 0 {
-		return nil
-	}
-	next.revisions = old.revisions.changed(keysOf(changes), next.Seq)
-	local := make(chan error, 1)
-	c := Change{view.Epoch, next.Seq, changes}
-	go func() { local <- v.onDisk(ctx, func() error { return v.store.Append(c) }) }()
-	taken := v.toBackups(ctx, view, c)
-	var saved error
+	next.revisions = s.revisions.changed(keysOf(changes), next.Seq)
+	return next, changes
+}
+
+// awaitDisk waits for the own disk, as long as that may take.
+func awaitDisk(local <-chan error) error {
 	t := time.NewTimer(diskWait.Duration())
+	defer t.Stop()
 	select {
-	case saved = <-local:
+	case err := <-local:
+		return err
 	case <-t.C:
-		saved = errStalled
-	}
-	t.Stop()
-	if saved != nil {
-		v.k.Counters.Add("controlstate.save_failed", 1)
-		go v.handOver("own disk fails")
-		return fmt.Errorf("%w: %v", ErrUnavailable, saved)
+		return errStalled
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	switch {
-	case !v.leads(v.k.Clock.Now()) || v.seen.Epoch != view.Epoch:
-		return ErrNotPrimary
-	case !taken:
-		return errBackup
-	}
-	v.state = next
-	v.changed.Ring()
-	return nil
 }
 
 // toBackups hands a change to all backups; those that do not take it are
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -211,10 +211,19 @@
 	if err := o.register(ctx, q, term); err != nil {
 		return nil, err
 	}
+	if newest, ok := o.take(q); !ok {
+		return pollAnswer{Newest: newest}, nil
+	}
+	return o.await(ctx, q, term)
+}
+
+// take takes in what a poll tells; newest is a later life of the pooler if this one is
+// refused.
+func (o *Publisher) take(q pollAsk) (newest int64, ok bool) {
 	report := failover.Report{Left: q.Left, Acked: q.Acked}
 	if newest, ok := o.readers.Heard(q.Pooler, q.Life, report, o.k.Clock.Now()); !ok {
 		o.k.Counters.Add("distribution.old_life", 1)
-		return pollAnswer{Newest: newest}, nil
+		return newest, false
 	}
 	if q.Saw != nil {
 		o.readers.Sighted(failover.Sighting{Term: q.Saw.Term, Stamp: q.Saw.Stamp, At: q.Saw.At})
@@ -222,6 +231,11 @@
 	for _, id := range q.Down {
 		o.heard(q.Pooler, id)
 	}
+	return 0, true
+}
+
+// await answers a poll once there are news for it, or after a while without.
+func (o *Publisher) await(ctx context.Context, q pollAsk, term *controlstate.Term) (any, error) {
 	t := time.NewTimer(o.hold().Duration())
 	defer t.Stop()
 	for mine := false; ; {
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -265,20 +265,7 @@
 func (c *Subscriber) poll(ctx context.Context, addr, op string, short bool) (string, error) {
 	down := c.cfg.Down()
 	wait := c.leaving(down)
-	c.mu.RLock()
-	q := pollAsk{Pooler: c.cfg.Pooler, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
-	q.Term, q.Told, q.Saw = c.term, c.told, c.commits.seen()
-	q.Now = short || c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
-	for id := range down {
-		q.Down = append(q.Down, id)
-	}
-	for svc, turn := range c.left {
-		if c.leads[svc].Moving {
-			q.Left[svc] = turn
-		}
-	}
-	q.Acked, q.Looks = c.commits.of(q.Left), c.commits.look.checksum()
-	c.mu.RUnlock()
+	q := c.question(down, short)
 	if wait > 0 {
 		// Something to acknowledge soon: do not sit in a long poll.
 		stop, cancel := context.WithTimeout(ctx, wait.Duration())
@@ -293,7 +280,6 @@
 	if c.cfg.Seen != nil {
 		q.Seen = c.cfg.Seen()
 	}
-	var a pollAnswer
 	span := c.pollSpan()
 	switch {
 	case q.Seq == 0:
@@ -301,21 +287,21 @@
 	case short:
 		span = shortWait
 	}
+	var a pollAnswer
 	if err := c.b.Call(ctx, addr, op, q, &a, span); err != nil {
 		return "", err
 	}
-	if a.Newest >= q.Life {
+	switch {
+	case a.Newest >= q.Life:
 		// The clock that lives are counted by has stepped back meanwhile.
 		c.mu.Lock()
 		c.life = a.Newest + 1
 		c.mu.Unlock()
 		return addr, nil
-	}
-	if a.Later > 0 {
+	case a.Later > 0:
 		kernel.Sleep(ctx, min(a.Later, longestLater))
 		return addr, nil
-	}
-	if a.Lease <= 0 {
+	case a.Lease <= 0:
 		return a.Elsewhere, nil
 	}
 	if err := c.apply(start, a, q.Saw); err != nil {
@@ -330,6 +316,25 @@
 	return addr, nil
 }
 
+// question is what a poll tells and asks.
+func (c *Subscriber) question(down map[string]int64, short bool) pollAsk {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	q := pollAsk{Pooler: c.cfg.Pooler, Life: c.life, Seq: c.seq, Left: map[string]int64{}}
+	q.Term, q.Told, q.Saw = c.term, c.told, c.commits.seen()
+	q.Now = short || c.leaseEnd-c.k.Clock.Now() < 2*c.cfg.Poll()
+	for id := range down {
+		q.Down = append(q.Down, id)
+	}
+	for svc, turn := range c.left {
+		if c.leads[svc].Moving {
+			q.Left[svc] = turn
+		}
+	}
+	q.Acked, q.Looks = c.commits.of(q.Left), c.commits.look.checksum()
+	return q
+}
+
 // pollSpan is how long the answer to a poll is waited for.
 func (c *Subscriber) pollSpan() kernel.Micros { return c.cfg.Poll() + 300*kernel.Millisecond }
 
--- a/internal/failover/move.go
+++ b/internal/failover/move.go
@@ -79,10 +79,54 @@
 // choose pauses the replicas, compares what they hold and makes the choice
 // durable.
 func (c *Manager) choose(ctx context.Context, s *scene, l *Lead) error {
-	// From then on no commit of the old primary is acknowledged to a client, even
-	// if a replica is woken by a CONTINUE that comes late; what was acknowledged
-	// before is held by the replicas that are asked. What the poolers have under way
-	// at a primary that answers ends before they are paused.
+	if err := c.letLeave(ctx, s, l); err != nil {
+		return err
+	}
+	old, there := s.old(*l)
+	alive := there && !old.Gone && c.health.Up(old.ID)
+	sit, newest := c.situation(ctx, s, *l, old, alive)
+	replicas := s.replicas(l.Service, l.ID)
+	replicas = slices.DeleteFunc(replicas, func(d discovery.Database) bool { return d.ID == old.ID })
+	conns := c.openAll(ctx, running(replicas))
+	defer closeAll(conns)
+	p := c.pauseAll(conns, *l, newest)
+	if p.promoted != "" {
+		return c.settleOn(ctx, s, l, p.promoted, l.Term, p.hold, p.received[p.promoted])
+	}
+	sit.Copies, sit.Absent = compare(replicas, p.received)
+	l.Hold = p.hold
+	to, refusal := c.decide(l, sit)
+	if to != "" {
+		return c.settleOn(ctx, s, l, to, p.newest, p.hold, p.received[to])
+	}
+	if refusal == someoneGone && (!there || old.Gone) {
+		refusal = lost
+	}
+	c.waitsFor(l.Service, refusal, sit)
+	if err := c.confineLeaving(ctx, *l, p.received); err != nil {
+		return err
+	}
+	if sit.Held != nil && l.Called {
+		// Whoever was chosen is lost, and the old primary is back: it alone holds
+		// everything, and is made the primary as any other would be.
+		return c.settleOn(ctx, s, l, old.ID, p.newest, p.hold, *sit.Held)
+	}
+	if sit.Held != nil || alive && !old.Draining { // let them catch up
+		c.askAll(ctx, staying(replicas), "CONTINUE")
+		if !l.Called {
+			if err := c.callOff(ctx, l, refusal); err != nil {
+				return err
+			}
+		}
+	}
+	return fmt.Errorf("%w: %s", errNotYet, refusal)
+}
+
+// letLeave waits until poolers have left the old primary. From then on no commit of it
+// is acknowledged to a client, even if a replica is woken by a CONTINUE that comes late;
+// what was acknowledged before is held by the replicas that are asked. What the poolers
+// have under way at a primary that answers ends before those are paused.
+func (c *Manager) letLeave(ctx context.Context, s *scene, l *Lead) error {
 	early := make(chan int64, 1)
 	go func(l Lead) {
 		if !l.Failed {
@@ -93,12 +137,13 @@
 	}(*l)
 	err := c.awaitLeft(ctx, *l)
 	l.Hold = <-early
-	if err != nil {
-		return err
-	}
-	old, there := s.old(*l)
-	alive := there && !old.Gone && c.health.Up(old.ID)
-	sit := Situation{Sync: s.syncReplicas(l.Service)}
+	return err
+}
+
+// situation is what is known of a choice before the replicas are asked, and the newest
+// term that was heard of.
+func (c *Manager) situation(ctx context.Context, s *scene, l Lead, old discovery.Database, alive bool) (sit Situation, newest int64) {
+	sit = Situation{Sync: s.syncReplicas(l.Service)}
 	sit.Least, _ = lineprotocol.ParsePosition(l.Least)
 	if floor, ok := lineprotocol.ParsePosition(l.Floor); ok {
 		sit.Floor = &floor
@@ -106,92 +151,84 @@
 	if acked, known := c.readers.Acknowledged(l.Service, l.Turn); known {
 		sit.Acked = &acked
 	}
-	newest, held := l.Term, int64(0)
+	newest = l.Term
 	if alive {
 		if row, err := c.ask(ctx, old, "STAT"); err == nil && row.primary {
 			sit.Held, newest = &row.received, max(newest, row.term)
 		}
 	}
-	replicas := s.replicas(l.Service, l.ID)
-	replicas = slices.DeleteFunc(replicas, func(d discovery.Database) bool { return d.ID == old.ID })
-	conns := c.openAll(ctx, running(replicas))
-	defer closeAll(conns)
-	// PAUSE takes no slot and answers what STAT does, also at a primary, which it
-	// does not pause; the positions told at log-in name the terms. STAT, for which
-	// an overloaded replica has no slot, is asked only of those that are not paused
-	// then.
-	hold := max(newest, l.Hold, loginTerm(conns)) + 1
-	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
+	return sit, newest
+}
+
+// paused is what replicas answered that were paused.
+type paused struct {
+	newest   int64 // term that any knows
+	hold     int64 // term at which they are paused
+	received map[string]lineprotocol.Position
+	promoted string // who was promoted in this turn, and ended before that was known
+}
+
+// pauseAll pauses replicas at a new term. PAUSE takes no slot and answers what STAT
+// does, also at a primary, which it does not pause; the positions told at log-in name
+// the terms. STAT, for which an overloaded replica has no slot, is asked only of those
+// that are not paused then.
+func (c *Manager) pauseAll(conns map[string]*dbconn.Conn, l Lead, newest int64) paused {
+	p := paused{newest: newest, received: map[string]lineprotocol.Position{}}
+	p.hold = max(newest, l.Hold, loginTerm(conns)) + 1
+	rows := c.sayAll(conns, "PAUSE "+strconv.FormatInt(p.hold, 10))
 	rest := maps.Clone(conns)
-	maps.DeleteFunc(rest, func(id string, _ *dbconn.Conn) bool { return rows[id].held == hold })
+	maps.DeleteFunc(rest, func(id string, _ *dbconn.Conn) bool { return rows[id].held == p.hold })
 	if len(rest) > 0 {
+		held := int64(0)
 		for id, row := range c.sayAll(rest, "STAT") {
 			if row.primary && l.Called && row.term > l.Term {
-				// It was promoted in this turn, and ended before that was known.
-				return c.settleOn(ctx, s, l, id, l.Term, hold, row.received)
+				p.promoted, p.received[id] = id, row.received
+				return p
 			}
-			newest, held = max(newest, row.term), max(held, row.held)
+			p.newest, held = max(p.newest, row.term), max(held, row.held)
 			if row.primary && row.term < l.Term {
 				// It led before, and has not heard who followed it.
 				c.say(conns[id], "STEPDOWN "+strconv.FormatInt(l.Term, 10))
 			}
 		}
-		hold = max(hold, newest, held) + 1
-		rows = c.sayAll(conns, "PAUSE "+strconv.FormatInt(hold, 10))
-	}
-	for _, row := range rows {
-		newest = max(newest, row.term)
+		p.hold = max(p.hold, p.newest, held) + 1
+		rows = c.sayAll(conns, "PAUSE "+strconv.FormatInt(p.hold, 10))
 	}
-	paused := map[string]lineprotocol.Position{}
-	for _, d := range replicas {
-		if row, ok := rows[d.ID]; ok && row.held == hold {
-			paused[d.ID] = row.received
+	for id, row := range rows {
+		p.newest = max(p.newest, row.term)
+		if row.held == p.hold {
+			p.received[id] = row.received
 		}
 	}
-	sit.Copies, sit.Absent = compare(replicas, paused)
-	l.Hold = hold
-	to, refusal := Choose(sit)
+	return p
+}
+
+// decide chooses, or says why nobody can be chosen; a loss that was accepted is let pass.
+func (c *Manager) decide(l *Lead, sit Situation) (to, refusal string) {
+	to, refusal = Choose(sit)
 	accepted := to == "" && l.Accepted.Turn == l.Turn && acceptable(refusal)
 	if accepted {
 		to = Furthest(sit.Copies)
+		l.Least = "" // it is accepted that this may be lost
 		c.k.Log.Warn("chosen though acknowledged commits may be lost", "service", l.Service, "to", to, "why", refusal, "accepted by", l.Accepted.By)
 	}
 	epoch, _ := c.v.Lease()
 	c.k.Recorder.Add(ChoiceKind, Choice{l.Service, epoch, sit, to, accepted})
-	if accepted {
-		l.Least = "" // it is accepted that this may be lost
-	}
-	if to != "" {
-		return c.settleOn(ctx, s, l, to, newest, hold, paused[to])
-	}
-	c.k.Counters.Add("failover.choice_refused", 1)
-	if refusal == someoneGone && (!there || old.Gone) {
-		refusal = lost
+	if to == "" {
+		c.k.Counters.Add("failover.choice_refused", 1)
 	}
-	c.waitsFor(l.Service, refusal, sit)
-	// Whoever leaves while nobody leads need not be heard afterwards.
-	if err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
+	return to, refusal
+}
+
+// confineLeaving notes the limits of databases that leave while nobody leads: they need
+// not be heard afterwards.
+func (c *Manager) confineLeaving(ctx context.Context, l Lead, received map[string]lineprotocol.Position) error {
+	return c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if now.Turn == l.Turn && now.Moving && now.To == "" {
-			confine(known, paused)
+			confine(known, received)
 		}
 		return nil
-	}); err != nil {
-		return err
-	}
-	if sit.Held != nil && l.Called {
-		// Whoever was chosen is lost, and the old primary is back: it alone holds
-		// everything, and is made the primary as any other would be.
-		return c.settleOn(ctx, s, l, old.ID, newest, hold, *sit.Held)
-	}
-	if sit.Held != nil || alive && !old.Draining { // let them catch up
-		c.askAll(ctx, staying(replicas), "CONTINUE")
-		if !l.Called {
-			if err := c.callOff(ctx, l, refusal); err != nil {
-				return err
-			}
-		}
-	}
-	return fmt.Errorf("%w: %s", errNotYet, refusal)
+	})
 }
 
 // settleOn makes the choice durable, unless a database has joined since the look
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -201,30 +201,17 @@
 // unfinished transaction is kept once its connection is closed, so every
 // failure but that of COMMIT can be promised.
 func (j *job) step(t *transaction) (a *lineprotocol.Answer, again bool) {
-	s := j.s
 	if db, _ := t.b.Bound(); db == "" && t.ran > 0 {
 		t.conn.Close()
-		return s.abandon("the database failed"), false
-	}
-	err := t.conn.Values(s.values, j.left())
-	var text string
-	if err == nil {
-		text, err = j.text(t.conn)
+		return j.s.abandon("the database failed"), false
 	}
 	commit := j.q.Verb == lineprotocol.Commit
 	// The first statement may start the transaction anew: the one left behind
 	// is rolled back when its connection closes.
 	j.twice = t.ran == 0 && !commit && j.tries == 0
-	if err != nil {
-		err = errors.Join(errUnsent, err)
-	} else {
-		at := later
-		if t.ran == 0 {
-			at = first
-		}
-		a, err = j.run(t.conn, t.choice, t.b, text, at)
-	}
-	if errors.Is(err, dbconn.ErrQuiet) {
+	a, err := j.runInside(t)
+	switch {
+	case errors.Is(err, dbconn.ErrQuiet):
 		left := *t
 		t.conn = nil
 		j.leaveBehind(left.conn, left.choice, func() {
@@ -232,40 +219,67 @@
 			left.letGo(false)
 		})
 		return nil, true
+	case err != nil:
+		return j.unanswered(t, commit, err)
+	case a.Code != "":
+		return j.refusedInside(t, a)
 	}
+	t.ran++
+	t.wrote = t.wrote || j.write
+	if a.State != 'T' {
+		a = j.ended(t, commit, a)
+	}
+	return a, false
+}
+
+// runInside has the transaction's database run the statement.
+func (j *job) runInside(t *transaction) (*lineprotocol.Answer, error) {
+	if err := t.conn.Values(j.s.values, j.left()); err != nil {
+		return nil, errors.Join(errUnsent, err)
+	}
+	text, err := j.text(t.conn)
 	if err != nil {
-		unsent := errors.Is(err, errUnsent)
-		j.lost(t, err)
-		if commit && t.wrote && !unsent {
-			t.letGo(false)
-			s.tx = nil
-			s.d.k.Counters.Add("pooler.unknown", 1)
-			return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I'), false
-		}
-		t.letGo(false)
-		if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
-			return nil, true
-		}
+		return nil, errors.Join(errUnsent, err)
+	}
+	at := later
+	if t.ran == 0 {
+		at = first
+	}
+	return j.run(t.conn, t.choice, t.b, text, at)
+}
+
+// unanswered deals with a statement of the transaction that got no answer.
+func (j *job) unanswered(t *transaction, commit bool, err error) (a *lineprotocol.Answer, again bool) {
+	s := j.s
+	unsent := errors.Is(err, errUnsent)
+	j.lost(t, err)
+	t.letGo(false)
+	if commit && t.wrote && !unsent {
 		s.tx = nil
-		return s.rolledBack("no answer"), false
+		s.d.k.Counters.Add("pooler.unknown", 1)
+		return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I'), false
 	}
-	if a.Code == "" {
-		t.ran++
-		t.wrote = t.wrote || j.write
-		if a.State != 'T' {
-			s.tx = nil
-			if commit && t.wrote && !s.d.control.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
-				a = s.d.leftMeanwhile(t.conn.DB.ID)
-			} else if commit && t.wrote {
-				if pos, ok := lineprotocol.ParsePosition(a.Pos); ok && s.last.Less(pos) {
-					s.last = pos
-				}
-			}
-			t.letGo(false)
+	if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
+		return nil, true
+	}
+	s.tx = nil
+	return s.rolledBack("no answer"), false
+}
+
+// ended deals with the answer by which the transaction ended, and returns what the
+// client hears.
+func (j *job) ended(t *transaction, commit bool, a *lineprotocol.Answer) *lineprotocol.Answer {
+	s := j.s
+	s.tx = nil
+	if commit && t.wrote && !s.d.control.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
+		a = s.d.leftMeanwhile(t.conn.DB.ID)
+	} else if commit && t.wrote {
+		if pos, ok := lineprotocol.ParsePosition(a.Pos); ok && s.last.Less(pos) {
+			s.last = pos
 		}
-		return a, false
 	}
-	return j.refusedInside(t, a)
+	t.letGo(false)
+	return a
 }
 
 // refusedInside deals with an error that the database answered inside the
--- a/internal/simulation/service.go
+++ b/internal/simulation/service.go
@@ -217,67 +217,69 @@
 		}
 		d.mu.Lock()
 		d.Last = q.Header
-		fault, healthy, full := d.fault, d.healthy && !d.drain, d.busy >= d.Slots+8
+		fault := d.fault
 		d.mu.Unlock()
 		if fault == Forgetful && time.Since(rested) > 200*time.Millisecond {
 			return
 		}
-		if q.URL.Path == "/healthz" {
-			status := 200
-			if !healthy {
-				status = 503
-			}
-			if !answerTo(c, status, map[string]string{"X-Indigowalk-Instance-Id": d.ID}, "") {
-				return
-			}
-			continue
-		}
-		id := q.Header.Get("X-Indigowalk-Request-Id")
-		switch {
-		case q.Header.Get("X-Indigowalk-Target-Instance") != d.ID:
-			if !answerTo(c, 421, map[string]string{"X-Indigowalk-Not-Run": "1"}, "") {
-				return
-			}
-			continue
-		case fault == Sheds || full:
-			if !answerTo(c, 503, map[string]string{"X-Indigowalk-Not-Run": "1", "X-Indigowalk-Request-Id": id}, "") {
-				return
-			}
-			continue
-		case fault == Resets:
+		if !d.answer(c, q, body, fault) {
 			return
 		}
-		d.run(id, q.Method+" "+q.RequestURI+" "+string(body))
-		header := map[string]string{"X-Indigowalk-Request-Id": id, "X-Indigowalk-Seal": "seal-of-" + id}
-		whole := "run " + id
-		switch fault {
-		case Mute:
-			<-d.ctx.Done()
-			return
-		case Loses:
-			return
-		case Breaks:
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Indigowalk-Request-Id: %s\r\nX-Indigowalk-Seal: s\r\nContent-Length: 900\r\n\r\nhalf", id)
-			return
-		case Garbles:
-			io.WriteString(c, "\x00\x01 no answer at all\r\n\r\n")
-			return
-		case Errors:
-			delete(header, "X-Indigowalk-Seal")
-			if !answerTo(c, 500, header, "failed") {
-				return
-			}
-			continue
-		}
-		if !answerTo(c, 200, header, whole) {
-			return
-		}
-		if fault == Surplus {
-			time.Sleep(5 * time.Millisecond)
-			header["X-Indigowalk-Request-Id"] = "of-another"
-			answerTo(c, 200, header, "of another")
+	}
+}
+
+// answer answers one request; false ends the connection.
+func (d *Worker) answer(c net.Conn, q *http.Request, body []byte, fault Fault) bool {
+	d.mu.Lock()
+	healthy, full := d.healthy && !d.drain, d.busy >= d.Slots+8
+	d.mu.Unlock()
+	id := q.Header.Get("X-Indigowalk-Request-Id")
+	switch {
+	case q.URL.Path == "/healthz":
+		status := 200
+		if !healthy {
+			status = 503
 		}
+		return answerTo(c, status, map[string]string{"X-Indigowalk-Instance-Id": d.ID}, "")
+	case q.Header.Get("X-Indigowalk-Target-Instance") != d.ID:
+		return answerTo(c, 421, map[string]string{"X-Indigowalk-Not-Run": "1"}, "")
+	case fault == Sheds || full:
+		return answerTo(c, 503, map[string]string{"X-Indigowalk-Not-Run": "1", "X-Indigowalk-Request-Id": id}, "")
+	case fault == Resets:
+		return false
+	}
+	d.run(id, q.Method+" "+q.RequestURI+" "+string(body))
+	return d.finish(c, id, fault)
+}
+
+// finish writes the answer to a request that has run, as far as the fault lets it.
+func (d *Worker) finish(c net.Conn, id string, fault Fault) bool {
+	header := map[string]string{"X-Indigowalk-Request-Id": id, "X-Indigowalk-Seal": "seal-of-" + id}
+	switch fault {
+	case Mute:
+		<-d.ctx.Done()
+		return false
+	case Loses:
+		return false
+	case Breaks:
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Indigowalk-Request-Id: %s\r\nX-Indigowalk-Seal: s\r\nContent-Length: 900\r\n\r\nhalf", id)
+		return false
+	case Garbles:
+		io.WriteString(c, "\x00\x01 no answer at all\r\n\r\n")
+		return false
+	case Errors:
+		delete(header, "X-Indigowalk-Seal")
+		return answerTo(c, 500, header, "failed")
+	}
+	if !answerTo(c, 200, header, "run "+id) {
+		return false
+	}
+	if fault == Surplus {
+		time.Sleep(5 * time.Millisecond)
+		header["X-Indigowalk-Request-Id"] = "of-another"
+		answerTo(c, 200, header, "of another")
 	}
+	return true
 }
 
 func answerTo(c net.Conn, status int, header map[string]string, body string) bool {
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -80,44 +80,12 @@
 
 // query runs one text; nil cuts the connection.
 func (s *dbSession) query(id, text string) *lineprotocol.Answer {
-	d, g := s.d, s.d.g
+	d := s.d
 	verb, rest, _ := strings.Cut(text, " ")
-	done := &lineprotocol.Answer{Seal: "-"}
-	switch verb {
-	case "OPTION":
-		k, v, _ := strings.Cut(rest, " ")
-		s.values[k] = v
-		return done
-	case "DISCARD":
-		clear(s.values)
-		clear(s.names)
-		return done
-	case "PARSE":
-		k, v, _ := strings.Cut(rest, " ")
-		s.names[k] = v
-		return done
-	case "STAT", "PAUSE", "CONTINUE", "STEPDOWN":
-		return d.Control(verb, rest)
-	case "WAITPOS":
-		p, then, _ := strings.Cut(rest, " ")
-		want, ok := lineprotocol.ParsePosition(p)
-		g.mu.Lock()
-		behind := d.pos().Less(want)
-		g.mu.Unlock()
-		if !ok || behind {
-			return fail(lineprotocol.Lagging, d.ID)
-		}
-		return s.query(id, then)
-	case "BEGIN":
-		if rest == "" && d.Role() != primary {
-			return fail(lineprotocol.ReadOnly, d.ID)
-		}
-		s.state, s.writes, s.begun = 'T', nil, true
-		return done
-	case "ABORT":
-		s.state, s.writes = 'I', nil
-		return done
-	case "RUN":
+	if a := s.unworked(id, verb, rest); a != nil {
+		return a
+	}
+	if verb == "RUN" {
 		name, arg, _ := strings.Cut(rest, " ")
 		shape, ok := s.names[name]
 		if !ok {
@@ -127,9 +95,9 @@
 		rest = arg
 	}
 	if id == "-" {
-		g.mu.Lock()
-		g.broke("UNASKED: %q without a client's id", text)
-		g.mu.Unlock()
+		d.g.mu.Lock()
+		d.g.broke("UNASKED: %q without a client's id", text)
+		d.g.mu.Unlock()
 	}
 	begins := s.state == 'I' || s.begun
 	s.begun = false
@@ -145,7 +113,7 @@
 		}
 		s.writes = append(s.writes, entry{id: id, thing: thing, data: data})
 		if s.state == 'T' {
-			return g.seal()
+			return d.g.seal()
 		}
 		return s.commit()
 	case "COMMIT":
@@ -155,6 +123,46 @@
 	return fail(lineprotocol.Malformed, text)
 }
 
+// unworked answers what takes no work: of the session, of control, and WAITPOS with
+// what follows it. It returns nil for all else.
+func (s *dbSession) unworked(id, verb, rest string) *lineprotocol.Answer {
+	done := &lineprotocol.Answer{Seal: "-"}
+	first, then, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "OPTION":
+		s.values[first] = then
+	case "DISCARD":
+		clear(s.values)
+		clear(s.names)
+	case "PARSE":
+		s.names[first] = then
+	case "STAT", "PAUSE", "CONTINUE", "STEPDOWN":
+		return s.d.Control(verb, rest)
+	case "WAITPOS":
+		if want, ok := lineprotocol.ParsePosition(first); !ok || s.d.behind(want) {
+			return fail(lineprotocol.Lagging, s.d.ID)
+		}
+		return s.query(id, then)
+	case "BEGIN":
+		if rest == "" && s.d.Role() != primary {
+			return fail(lineprotocol.ReadOnly, s.d.ID)
+		}
+		s.state, s.writes, s.begun = 'T', nil, true
+	case "ABORT":
+		s.state, s.writes = 'I', nil
+	default:
+		return nil
+	}
+	return done
+}
+
+// behind tells whether the log does not reach a position.
+func (d *Database) behind(want lineprotocol.Position) bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.pos().Less(want)
+}
+
 func (s *dbSession) failed(code string) *lineprotocol.Answer {
 	if s.state == 'T' {
 		s.state = 'E'
