--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -71,15 +71,15 @@
 	cfg    Config[W, C]
 	health *health.Monitor
 
-	mu     sync.Mutex
-	ctx    context.Context
-	pools  map[string]*pool[W, C]
-	berths map[C]berth[W, C] // of every open connection
-	quiet  Silences
+	mu      sync.Mutex
+	ctx     context.Context
+	pools   map[string]*pool[W, C]
+	origins map[C]origin[W, C] // of every open connection
+	quiet   Silences
 }
 
-// berth is where a connection belongs.
-type berth[W, C any] struct {
+// origin is where a connection belongs.
+type origin[W, C any] struct {
 	pool       *pool[W, C]
 	id         string
 	address    string
@@ -121,7 +121,7 @@
 		}
 	}
 	return &Pools[W, C]{
-		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, berths: map[C]berth[W, C]{},
+		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, origins: map[C]origin[W, C]{},
 	}
 }
 
@@ -162,7 +162,7 @@
 func (s *Pools[W, C]) end(p *pool[W, C], c C) {
 	c.Close()
 	p.open--
-	delete(s.berths, c)
+	delete(s.origins, c)
 }
 
 func (p *pool[W, C]) fail(err error) {
@@ -288,7 +288,7 @@
 func (s *Pools[W, C]) Return(c C) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.berths[c]
+	at := s.origins[c]
 	p := at.pool
 	surplus := p.open > max(1, s.cfg.Share(p.db.Service)) // others have come
 	if surplus || s.pools[at.id] != p || !c.Clean() || !c.Alive() || p.db.Address != at.address {
@@ -306,7 +306,7 @@
 // a borrowed one by whoever returns it.
 func (s *Pools[W, C]) died(c C, byUs, silent bool) {
 	s.mu.Lock()
-	at, open := s.berths[c]
+	at, open := s.origins[c]
 	if !open {
 		s.mu.Unlock()
 		return
@@ -328,7 +328,7 @@
 func (s *Pools[W, C]) Generation(c C) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.berths[c].generation
+	return s.origins[c].generation
 }
 
 // Serve closes spare connections and refuses those who wait for a database
--- a/internal/connpool/open.go
+++ b/internal/connpool/open.go
@@ -44,7 +44,7 @@
 // room tells whether one more connection may be opened; if there are as many as
 // there may be, the one that has been idle for longest goes.
 func (s *Pools[W, C]) room() bool {
-	if s.cfg.Most == 0 || len(s.berths) < s.cfg.Most {
+	if s.cfg.Most == 0 || len(s.origins) < s.cfg.Most {
 		return true
 	}
 	var oldest *pool[W, C]
@@ -157,7 +157,7 @@
 // admit puts a new connection into its pool.
 func (s *Pools[W, C]) admit(p *pool[W, C], c C, gen int64) {
 	p.open++
-	s.berths[c] = berth[W, C]{p, p.db.ID, p.db.Address, gen}
+	s.origins[c] = origin[W, C]{p, p.db.ID, p.db.Address, gen}
 	c.Attach(gen, func(byUs, silent bool) { s.died(c, byUs, silent) })
 	if s.pools[p.db.ID] != p || !c.Alive() {
 		s.end(p, c)
--- a/internal/distribution/edition.go
+++ b/internal/distribution/newshistory.go
@@ -66,9 +66,9 @@
 	return nil
 }
 
-// edition is the control state as carriers are told of it in one term of the
+// newsHistory is the control state as carriers are told of it in one term of the
 // control state's primary. It is decoded once for each change.
-type edition struct {
+type newsHistory struct {
 	mu        sync.Mutex
 	began     int64 // the term
 	state     controlstate.State
@@ -86,8 +86,8 @@
 	ofLeads     *controlstate.Decoded[failover.Lead]
 }
 
-func newEdition(began int64) *edition {
-	return &edition{began: began, ofDatabases: discovery.Decoder(), ofLeads: failover.Decoder()}
+func newNewsHistory(began int64) *newsHistory {
+	return &newsHistory{began: began, ofDatabases: discovery.Decoder(), ofLeads: failover.Decoder()}
 }
 
 // concerns tells whether poolers are told of an entry.
@@ -97,7 +97,7 @@
 
 // since returns what a carrier that has the state of seq lacks; nil if that is
 // nothing. Urgent news are not to wait.
-func (e *edition) since(state controlstate.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
+func (e *newsHistory) since(state controlstate.State, seq int64) (raw json.RawMessage, urgent bool, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if err := e.turn(state); err != nil {
@@ -137,7 +137,7 @@
 }
 
 // has tells whether there is such a database.
-func (e *edition) has(id string) bool {
+func (e *newsHistory) has(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	_, there := e.databases[id]
@@ -145,7 +145,7 @@
 }
 
 // add puts one entry among the news of whoever has the state of seq.
-func (e *edition) add(n *news, key string, seq int64) {
+func (e *newsHistory) add(n *news, key string, seq int64) {
 	if key == routeconfig.Key && e.rev > 0 {
 		n.Config = e.conf.Since(seq, seq < e.first)
 	}
@@ -164,7 +164,7 @@
 }
 
 // turn takes a newer state in.
-func (e *edition) turn(state controlstate.State) error {
+func (e *newsHistory) turn(state controlstate.State) error {
 	if e.read && state.Seq == e.state.Seq {
 		return nil
 	}
--- a/internal/distribution/edition_test.go
+++ b/internal/distribution/newshistory_test.go
@@ -15,7 +15,7 @@
 // A pooler is told what changed since what it has, and everything only if what
 // came before is not known any more.
 func TestNewsSinceASequence(t *testing.T) {
-	e := newEdition(1)
+	e := newNewsHistory(1)
 	state := controlstate.State{Epoch: 3, Seq: 10}.WithoutRevisions()
 	put := func(key, raw string) {
 		if raw == "" {
@@ -88,7 +88,7 @@
 	}
 	state = state.With(map[string]json.RawMessage{routeconfig.Key: conf(1, "a", "b")})
 	had := state.Seq
-	old, _, err := newEdition(1).since(state, 0)
+	old, _, err := newNewsHistory(1).since(state, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -97,7 +97,7 @@
 		t.Fatal(err)
 	}
 	state = state.With(map[string]json.RawMessage{routeconfig.Key: conf(2, "b", "c")})
-	raw, _, err := newEdition(2).since(state, had)
+	raw, _, err := newNewsHistory(2).since(state, had)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/distribution/tally.go
+++ b/internal/distribution/observations.go
@@ -12,19 +12,19 @@
 // requests failed there.
 type Seen [3]int
 
-// tally puts together what all carriers see of each database, and tells all of
+// observations puts together what all carriers see of each database, and tells all of
 // them how many usual answers a request there costs. It is remembered, not kept:
 // another primary begins anew, and what carriers were told fades with them.
-type tally struct {
+type observations struct {
 	clock kernel.Clock
 
 	mu   sync.Mutex
 	seq  int64 // of the newest change that is told
 	next kernel.Micros
-	of   map[string]*tallied
+	of   map[string]*observed
 }
 
-type tallied struct {
+type observed struct {
 	pace   float64
 	paceAt kernel.Micros
 	ill    float64
@@ -34,23 +34,23 @@
 }
 
 const (
-	tallyEvery = 300 * kernel.Millisecond
+	observeEvery = 300 * kernel.Millisecond
 	// Of one answer, or one failure, so much of what was known is replaced.
-	tallyPace = 0.04
-	tallyIll  = 0.2
+	paceWeight = 0.04
+	illWeight  = 0.2
 	// What was seen fades.
-	tallyFades    = 30 * kernel.Second
-	tallyIllFades = 3 * kernel.Second
+	paceFades = 30 * kernel.Second
+	illFades  = 3 * kernel.Second
 	// illCosts is what a request costs where all fail.
 	illCosts = 20
 	// A change by so much is told.
-	tallyStep = 0.15
+	toldStep = 0.15
 	// mostTallied bounds what is remembered.
 	mostTallied = 10_000
 )
 
-func newTally(clock kernel.Clock) *tally {
-	return &tally{clock: clock, of: map[string]*tallied{}}
+func newObservations(clock kernel.Clock) *observations {
+	return &observations{clock: clock, of: map[string]*observed{}}
 }
 
 // fade is what is left of v, which fades to rest.
@@ -59,7 +59,7 @@
 }
 
 // add takes in what a carrier saw.
-func (t *tally) add(seen map[string]Seen) {
+func (t *observations) add(seen map[string]Seen) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock.Now()
@@ -72,31 +72,31 @@
 			if len(t.of) >= mostTallied {
 				continue
 			}
-			e = &tallied{pace: 1, paceAt: now, illAt: now, told: 100}
+			e = &observed{pace: 1, paceAt: now, illAt: now, told: 100}
 			t.of[id] = e
 		}
 		if s[0] > 0 {
-			e.pace = fade(e.pace, 1, now-e.paceAt, tallyFades)
+			e.pace = fade(e.pace, 1, now-e.paceAt, paceFades)
 			mean := float64(s[1]) / 100 / float64(s[0])
-			e.pace += (1 - math.Pow(1-tallyPace, float64(s[0]))) * (mean - e.pace)
+			e.pace += (1 - math.Pow(1-paceWeight, float64(s[0]))) * (mean - e.pace)
 			e.paceAt = now
 		}
-		e.ill = fade(e.ill, 0, now-e.illAt, tallyIllFades)
-		e.ill *= math.Pow(1-tallyIll, float64(s[0]))
-		e.ill += (1 - math.Pow(1-tallyIll, float64(s[2]))) * (1 - e.ill)
+		e.ill = fade(e.ill, 0, now-e.illAt, illFades)
+		e.ill *= math.Pow(1-illWeight, float64(s[0]))
+		e.ill += (1 - math.Pow(1-illWeight, float64(s[2]))) * (1 - e.ill)
 		e.illAt = now
 	}
 }
 
 // since returns what changed since a sequence, and the newest one.
-func (t *tally) since(seq int64) (paces map[string]int, newest int64) {
+func (t *observations) since(seq int64) (paces map[string]int, newest int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if now := t.clock.Now(); now >= t.next {
-		t.next = now + tallyEvery
+		t.next = now + observeEvery
 		for _, e := range t.of {
-			cost := 100 * (fade(e.pace, 1, now-e.paceAt, tallyFades) + illCosts*fade(e.ill, 0, now-e.illAt, tallyIllFades))
-			if math.Abs(cost-float64(e.told)) > tallyStep*float64(e.told) {
+			cost := 100 * (fade(e.pace, 1, now-e.paceAt, paceFades) + illCosts*fade(e.ill, 0, now-e.illAt, illFades))
+			if math.Abs(cost-float64(e.told)) > toldStep*float64(e.told) {
 				t.seq++
 				e.told, e.at = int(cost), t.seq
 			}
@@ -115,7 +115,7 @@
 }
 
 // keep forgets databases that are no more.
-func (t *tally) keep(there func(id string) bool) {
+func (t *observations) keep(there func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id := range t.of {
--- a/internal/distribution/tally_test.go
+++ b/internal/distribution/observations_test.go
@@ -12,9 +12,9 @@
 
 // What many carriers see of a database is put together, told once while it stays
 // as it is, and forgotten after a while.
-func TestTally(t *testing.T) {
+func TestObservations(t *testing.T) {
 	c := &clock{kernel.Second}
-	tl := newTally(c)
+	tl := newObservations(c)
 	see := func(seen map[string]Seen) {
 		for range 40 {
 			tl.add(seen)
--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -36,7 +36,7 @@
 	Down  []string        `json:"down,omitempty"`  // databases the pooler holds as down
 	Now   bool            `json:"now,omitempty"`   // the pooler's lease can't wait for the next change
 	Seen  map[string]Seen `json:"seen,omitempty"`  // what requests showed of databases
-	Term  int64           `json:"term,omitempty"`  // of the tally that the carrier was told last,
+	Term  int64           `json:"term,omitempty"`  // of the observations that the carrier was told last,
 	Told  int64           `json:"told,omitempty"`  // and up to which change
 }
 
@@ -48,7 +48,7 @@
 	Lease     kernel.Micros   `json:"lease_us,omitempty"`
 	Later     kernel.Micros   `json:"later_us,omitempty"` // when the carrier's turn comes to be told: it is to ask again then
 	Poolers   int             `json:"poolers,omitempty"`  // that have been here of late
-	Term      int64           `json:"term,omitempty"`     // of the tally
+	Term      int64           `json:"term,omitempty"`     // of the observations
 	Told      int64           `json:"told,omitempty"`     // the newest change of it
 	Paces     map[string]int  `json:"paces,omitempty"`    // what changed in it
 	News      json.RawMessage `json:"news,omitempty"`     // of type news; none if nothing changed since the pooler's seq
@@ -127,8 +127,8 @@
 	turns   turns
 
 	mu      sync.Mutex
-	edition *edition
-	tally   *tally // of the edition's term
+	history *newsHistory
+	seen    *observations // of the same term
 }
 
 // turns has large news leave one after another, at a share of the link: of
@@ -180,14 +180,14 @@
 	return at - now
 }
 
-// inTerm returns the edition and the tally of a term.
-func (o *Publisher) inTerm(began int64) (*edition, *tally) {
+// inTerm returns the news history and the observations of a term.
+func (o *Publisher) inTerm(began int64) (*newsHistory, *observations) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.edition == nil || o.edition.began != began {
-		o.edition, o.tally = newEdition(began), newTally(o.k.Clock)
+	if o.history == nil || o.history.began != began {
+		o.history, o.seen = newNewsHistory(began), newObservations(o.k.Clock)
 	}
-	return o.edition, o.tally
+	return o.history, o.seen
 }
 
 // NewPublisher answers polls through the endpoint.
@@ -244,18 +244,18 @@
 		if err != nil || !term.Valid() {
 			return pollAnswer{}, nil
 		}
-		edition, tally := o.inTerm(term.Began())
+		history, seen := o.inTerm(term.Began())
 		if q.Seen != nil {
-			tally.add(q.Seen)
+			seen.add(q.Seen)
 			q.Seen = nil
 		}
-		news, urgent, err := edition.since(state, q.Seq)
+		news, urgent, err := history.since(state, q.Seq)
 		if err != nil {
 			o.k.Counters.Add("distribution.unreadable", 1)
 			return nil, err
 		}
 		if news != nil {
-			tally.keep(edition.has)
+			seen.keep(history.has)
 		}
 		if news != nil && !mine {
 			wait := o.turns.take(q.Pooler, o.k.Clock.Now(), len(news))
@@ -284,7 +284,7 @@
 			kernel.Sleep(ctx, gather)
 			continue
 		}
-		return o.answer(q, state, news, tally, term)
+		return o.answer(q, state, news, seen, term)
 	}
 }
 
@@ -338,7 +338,7 @@
 	}
 }
 
-func (o *Publisher) answer(q pollAsk, state controlstate.State, news json.RawMessage, tally *tally, term *controlstate.Term) (any, error) {
+func (o *Publisher) answer(q pollAsk, state controlstate.State, news json.RawMessage, seen *observations, term *controlstate.Term) (any, error) {
 	// The lease is noted before it is granted, and only in the term in which the
 	// state was read.
 	if !o.readers.Grant(q.Pooler, q.Life, o.k.Clock.Now()+o.lease) {
@@ -352,7 +352,7 @@
 	if q.Term != term.Began() {
 		q.Told = 0
 	}
-	if a.Paces, a.Told = tally.since(q.Told); a.Told > 0 {
+	if a.Paces, a.Told = seen.since(q.Told); a.Told > 0 {
 		a.Term = term.Began()
 	}
 	now := o.k.Clock.Now()
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -84,7 +84,7 @@
 	controlNode string         // which one that was
 	heardAt     kernel.Micros  // when its answer came
 	poolers     int            // that the control node knows
-	term        int64          // of the tally that was told last,
+	term        int64          // of the observations that was told last,
 	told        int64          // and up to which change
 	inside      map[string]int // statements and transactions at a primary, by service
 	left        map[string]int64
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,7 @@
 	ring     *membership.Ring
 	again    *retrybudget.Allowance
 	quota    *quota.Client
-	gauge    *gauge
+	meter    *linkMeter
 
 	crowded atomic.Bool
 	leaving atomic.Bool
@@ -72,7 +72,7 @@
 func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client) *Gateway {
 	t := &Gateway{
 		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota,
-		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), gauge: newGauge(k.Clock, cfg.NetMbps),
+		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
 		Handler: t, MaxHeaderBytes: maxHeader, ConnState: t.noteState,
@@ -114,7 +114,7 @@
 func (t *Gateway) watchLink(ctx context.Context) {
 	var since kernel.Micros
 	for kernel.Sleep(ctx, 100*kernel.Millisecond) {
-		_, use := t.gauge.load()
+		_, use := t.meter.load()
 		now := t.k.Clock.Now()
 		switch crowded := t.crowded.Load(); {
 		case !crowded && use > crowdedFrom && now-since > 2*crowdedFor:
@@ -140,7 +140,7 @@
 	t.mu.Unlock()
 	go t.watchGuests(ctx)
 	go t.watchLink(ctx)
-	if err := t.srv.Serve(gaugedListener{ln, t.gauge}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
+	if err := t.srv.Serve(meteredListener{ln, t.meter}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	<-ctx.Done()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -221,7 +221,7 @@
 	if !ok {
 		return nil, errNoPlace
 	}
-	linkWait, _ := t.gauge.load()
+	linkWait, _ := t.meter.load()
 	began := t.balancer.Begin(db.ID)
 	conn, err := t.conns.Borrow(db.ID, j.rank, httpconn.Want{Sure: !j.safe()}, min(borrowWait+2*linkWait, j.left()/4))
 	if err != nil {
--- a/internal/gateway/gauge.go
+++ b/internal/gateway/linkmeter.go
@@ -8,10 +8,10 @@
 	"indigowalk/internal/kernel"
 )
 
-// gauge tells how full the machine's own link is, from what this process sends
+// linkMeter tells how full the machine's own link is, from what this process sends
 // and receives. What waits at a full link waits for seconds, and the control
 // state's news with it; so a gateway takes no more than its link carries.
-type gauge struct {
+type linkMeter struct {
 	clock   kernel.Clock
 	rate    float64 // bytes a microsecond that are counted on; 0 if not known
 	in, out way
@@ -38,8 +38,8 @@
 	useOver = kernel.Second
 )
 
-func newGauge(clock kernel.Clock, mbps float64) *gauge {
-	return &gauge{clock: clock, rate: linkUse * mbps / 8}
+func newLinkMeter(clock kernel.Clock, mbps float64) *linkMeter {
+	return &linkMeter{clock: clock, rate: linkUse * mbps / 8}
 }
 
 // look brings a way up to now.
@@ -62,41 +62,41 @@
 
 // load returns how long what is sent now would wait, and how much of the link is
 // in use, in the fuller direction.
-func (g *gauge) load() (wait kernel.Micros, use float64) {
+func (g *linkMeter) load() (wait kernel.Micros, use float64) {
 	now := g.clock.Now()
 	inWait, inUse := g.in.look(now, g.rate)
 	outWait, outUse := g.out.look(now, g.rate)
 	return max(inWait, outWait), max(inUse, outUse)
 }
 
-// gauged counts what goes through a connection.
-type gauged struct {
+// metered counts what goes through a connection.
+type metered struct {
 	net.Conn
-	g *gauge
+	g *linkMeter
 }
 
-func (c *gauged) Read(b []byte) (int, error) {
+func (c *metered) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.g.in.bytes.Add(int64(n) + perWrite)
 	return n, err
 }
 
-func (c *gauged) Write(b []byte) (int, error) {
+func (c *metered) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.g.out.bytes.Add(int64(n) + perWrite)
 	return n, err
 }
 
-// gaugedListener counts what its connections carry.
-type gaugedListener struct {
+// meteredListener counts what its connections carry.
+type meteredListener struct {
 	net.Listener
-	g *gauge
+	g *linkMeter
 }
 
-func (l gaugedListener) Accept() (net.Conn, error) {
+func (l meteredListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &gauged{c, l.g}, nil
+	return &metered{c, l.g}, nil
 }
--- a/internal/gateway/gauge_test.go
+++ b/internal/gateway/linkmeter_test.go
@@ -11,9 +11,9 @@
 func (c *clock) Now() kernel.Micros { return c.now }
 
 // What is sent faster than the link carries it waits, and the wait ends.
-func TestGauge(t *testing.T) {
+func TestLinkMeter(t *testing.T) {
 	c := &clock{kernel.Second}
-	g := newGauge(c, 2) // 2 Mbit/s: 212 bytes a millisecond are counted on
+	g := newLinkMeter(c, 2) // 2 Mbit/s: 212 bytes a millisecond are counted on
 	g.load()
 	for range 100 {
 		c.now += 10 * kernel.Millisecond
@@ -34,7 +34,7 @@
 	if wait, _ := g.load(); wait != 0 {
 		t.Errorf("%d us to wait a second later", wait)
 	}
-	if wait, use := newGauge(c, 0).load(); wait != 0 || use != 0 {
+	if wait, use := newLinkMeter(c, 0).load(); wait != 0 || use != 0 {
 		t.Error("a link that is not known is full")
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,7 +45,7 @@
 	if no := j.identify(conf); no != nil {
 		return nil, no
 	}
-	if wait, _ := t.gauge.load(); wait > fullWaits(j.route.Prio) {
+	if wait, _ := t.meter.load(); wait > fullWaits(j.route.Prio) {
 		t.k.Counters.Add("gateway.link_full", 1)
 		return nil, j.busy("this node's link is full")
 	}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -79,7 +79,7 @@
 	mu       sync.Mutex
 	c        *Coordinator
 	bindings map[string]map[*Binding]struct{}
-	purse    purse
+	budget   byteBudget
 	faults   outbox // for all peers
 	doubts   outbox // for the control nodes
 	bell     kernel.Bell
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -242,7 +242,7 @@
 // A node that finds one database after another silent, as one does whose own
 // link is full, tells its peers no more than its share of the link carries.
 func TestTellingTakesAShareOfTheLink(t *testing.T) {
-	p := purse{}
+	p := byteBudget{}
 	const rate = 0.05 // bytes a microsecond: 50 KB a second
 	told := 0.0
 	for now := kernel.Micros(kernel.Second); now < 21*kernel.Second; now += 10 * kernel.Millisecond {
@@ -255,7 +255,7 @@
 	if told > 22*50_000 || told < 18*50_000 {
 		t.Errorf("%.0f bytes in 20 s at 50 KB a second", told)
 	}
-	if !(&purse{}).open(0, 0) {
+	if !(&byteBudget{}).open(0, 0) {
 		t.Error("nothing is told on a link that is not known")
 	}
 }
--- a/internal/health/telling.go
+++ b/internal/health/telling.go
@@ -13,15 +13,15 @@
 	Databases []string `json:"d"`
 }
 
-// purse holds the bytes that may be told yet. Its fields are guarded by the
+// byteBudget holds the bytes that may be told yet. Its fields are guarded by the
 // health coordinator's mutex.
-type purse struct {
+type byteBudget struct {
 	bytes float64
 	at    kernel.Micros
 }
 
 // open tells whether something may be told now.
-func (p *purse) open(now kernel.Micros, rate float64) bool {
+func (p *byteBudget) open(now kernel.Micros, rate float64) bool {
 	if rate == 0 {
 		return true
 	}
@@ -51,7 +51,7 @@
 	go func() {
 		kernel.Sleep(ctx, gather+rand.N(perPeer*kernel.Micros(len(to())+1)))
 		s.mu.Lock()
-		for !s.purse.open(s.k.Clock.Now(), s.cfg.Rate) {
+		for !s.budget.open(s.k.Clock.Now(), s.cfg.Rate) {
 			s.mu.Unlock()
 			s.k.Counters.Add("health.notices_held", 1)
 			if !kernel.Sleep(ctx, 50*kernel.Millisecond) {
@@ -78,7 +78,7 @@
 func (s *Monitor) mayTell() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.purse.open(s.k.Clock.Now(), s.cfg.Rate)
+	return s.budget.open(s.k.Clock.Now(), s.cfg.Rate)
 }
 
 // tell sends notices to peers, part by part.
@@ -88,7 +88,7 @@
 		for some := range slices.Chunk(ids, maxNotices) {
 			s.cfg.Tell(part, NoticeKind, notice{some})
 			s.mu.Lock()
-			s.purse.bytes -= float64(len(part) * (noticeHead + noticeEach*len(some)))
+			s.budget.bytes -= float64(len(part) * (noticeHead + noticeEach*len(some)))
 			s.mu.Unlock()
 		}
 		if len(ids) == 0 || len(peers) > atOnce && !kernel.Sleep(ctx, kernel.Millisecond) {
