Sight: a log of failed requests in every process, counters as metrics, stalls of the process

What could not be explained: which request a refusal or an unclear answer belonged to, where it was sent and what came of that; and whether a late answer was ours or the machine's.

--- a/cmd/indigowalk/tools.go
+++ b/cmd/indigowalk/tools.go
@@ -42,17 +42,19 @@
 state and the record at which a rule was first broken.
 `
 
-const statusUsage = `indigowalk status [--all] [--details] [--only TEXT] [--json] ADDR...: ask processes for their view
+const statusUsage = `indigowalk status [--all] [--details] [--failures] [--only TEXT] [--json] ADDR...: ask processes for their view
 
   ADDR is an inner address: the first port of port_range for a control node, the
   second for a pooler, as in 10.1.0.8:7440. --all asks every member they know.
   What is told is how many there are of what, and whoever is not as most are;
   --details gives every database and process a line, --only those whose name,
   role, zone or service contains TEXT. Members are asked side by side and
-  waited for 2 s.
+  waited for 2 s. --failures tells instead which requests were not served of
+  late, why, and what came of each sending; each process keeps the last 512.
 
     indigowalk status --all 10.1.0.8:7440
     indigowalk status --all --only hall-gent 10.1.0.8:7440
+    indigowalk status --all --failures --only ledger 10.1.0.8:7440
     indigowalk status --all --json 10.1.0.8:7440 > view.json
 `
 
@@ -64,6 +66,7 @@
 	asJSON := fs.Bool("json", false, "")
 	all := fs.Bool("all", false, "")
 	details := fs.Bool("details", false, "")
+	failures := fs.Bool("failures", false, "")
 	only := fs.String("only", "", "")
 	from := fs.String("from", "", "")
 	view := fs.String("view", "", "")
@@ -94,6 +97,8 @@
 		code = t.plan(*from, *view, words)
 	case name == "replay" && len(words) == 1:
 		code = t.replay(words[0])
+	case name == "status" && len(words) > 0 && *failures:
+		code = t.failures(words, *all, *only)
 	case name == "status" && len(words) > 0:
 		code = t.status(words, *all, *details, *only)
 	}
@@ -237,6 +242,17 @@
 	return code
 }
 
+func (t toolRun) failures(addrs []string, all bool, only string) int {
+	ctx, network := context.Background(), kernel.HostNetwork{}
+	report := tools.Ask(ctx, network, addrs, all).Failures(ctx, network)
+	report.Only(only)
+	code := t.show(report, report.Print)
+	if len(report.Missing) > 0 {
+		return exitFault
+	}
+	return code
+}
+
 func (t toolRun) status(addrs []string, all, details bool, only string) int {
 	sys := tools.Ask(context.Background(), kernel.HostNetwork{}, addrs, all)
 	code := t.show(sys, func(w io.Writer) { sys.Print(w, details, only) })
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -120,9 +120,18 @@
 			return cfg.Open(ctx, db, any, wait)
 		}
 	}
-	return &Pools[W, C]{
+	s := &Pools[W, C]{
 		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, origins: map[C]origin[W, C]{},
 	}
+	k.Counters.Gauge("connpool.open", s.openConnections)
+	return s
+}
+
+// openConnections is how many connections there are, to all databases.
+func (s *Pools[W, C]) openConnections() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.origins))
 }
 
 // Stock names the databases there are; connections to others are closed once
--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -20,6 +20,7 @@
 
 	"indigowalk/internal/controlstate"
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/failurelog"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/settings"
@@ -42,6 +43,8 @@
 	v    *controlstate.Replica
 	acc  *discovery.Registry
 	cat  *routeconfig.Registry
+
+	failures *failurelog.Log
 }
 
 func init() {
@@ -54,6 +57,7 @@
 			}
 			r := New(k, s.ControlAddr, kernel.Need[*controlstate.Replica](k),
 				kernel.Need[*discovery.Registry](k), kernel.Need[*routeconfig.Registry](k))
+			r.failures = kernel.Need[*failurelog.Log](k)
 			k.Supervise("controlapi", r.Serve)
 			return nil
 		},
@@ -77,7 +81,7 @@
 	mux.HandleFunc("POST /Conf.Replace", r.primary(r.change(r.cat.Replace)))
 	mux.HandleFunc("POST /Conf.Update", r.primary(r.change(r.cat.Update)))
 	mux.HandleFunc("GET /Conf.Fetch", r.primary(r.fetch))
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+	srv := &http.Server{Handler: r.recordFailures(mux), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
 	closed := make(chan struct{})
 	defer context.AfterFunc(ctx, func() {
 		defer close(closed)
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -104,6 +104,7 @@
 		drains: drainLimits{began: k.Clock.Now()},
 	}
 	b.Handle(relayOp, c.onRelay)
+	c.tell(k.Counters)
 	return c
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/failurelog"
 	"indigowalk/internal/health"
 	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
@@ -56,6 +57,7 @@
 	ring     *membership.Ring
 	again    *retrybudget.Allowance
 	quota    *quota.Client
+	failures *failurelog.Log
 	meter    *linkMeter
 
 	crowded atomic.Bool
@@ -69,9 +71,9 @@
 }
 
 // New returns a gateway.
-func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client) *Gateway {
+func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log) *Gateway {
 	t := &Gateway{
-		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota,
+		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures,
 		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
@@ -248,15 +250,18 @@
 		h.Set("Connection", "close")
 	}
 	j, no := t.newJob(w, q)
-	if no != nil {
-		t.refuse(w, no)
-		return
+	var reply *httpconn.Reply
+	if no == nil {
+		reply, no = j.serve()
 	}
-	reply, no := j.serve()
 	if no != nil {
+		j.record(strconv.Itoa(no.status), no.text)
 		t.refuse(w, no)
 		return
 	}
+	if reply.Status >= http.StatusInternalServerError {
+		j.record(strconv.Itoa(reply.Status), causeDatabase)
+	}
 	t.pass(w, reply)
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -12,6 +12,7 @@
 
 	"indigowalk/internal/connpool"
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/failurelog"
 	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
@@ -63,6 +64,8 @@
 	giveUp   kernel.Micros // until then a database is waited for
 	tries    int           // databases that it was sent to
 	avoid    []string
+	revision int64 // of the configuration that it is served by
+	failed   []failurelog.Attempt
 }
 
 func (j *job) now() kernel.Micros { return j.t.k.Clock.Now() }
@@ -133,6 +136,7 @@
 			}
 		}
 		o, verdict := j.judge(reply, err)
+		j.note(a, o, reply, err)
 		j.done(a, o, reply, err)
 		switch verdict {
 		case answer:
@@ -301,6 +305,7 @@
 		return won, r.Reply, r.Err
 	}
 	// The other one decides.
+	j.note(won, outcome, r.Reply, r.Err)
 	j.done(won, outcome, r.Reply, r.Err)
 	if r.Reply != nil {
 		r.Reply.Close()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,44 +17,46 @@
 
 func malformed(text string) *refusal { return &refusal{status: http.StatusBadRequest, text: text} }
 
-// newJob reads a request, against one configuration.
+// newJob reads a request, against one configuration. The job is there also where it is
+// refused.
 func (t *Gateway) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
 	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(httpconn.RequestID)}
 	conf := j.configuration()
 	if conf == nil {
-		return nil, &refusal{http.StatusServiceUnavailable, "no configuration yet", startsIn}
+		return j, &refusal{http.StatusServiceUnavailable, "no configuration yet", startsIn}
 	}
+	j.revision = conf.Rev
 	if q.Method == http.MethodConnect || q.RequestURI == "*" {
-		return nil, malformed("no such request is served")
+		return j, malformed("no such request is served")
 	}
 	if n := conf.Limits.MaxHeaderBytes; n > 0 && headSize(q) > n {
-		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "head over " + strconv.FormatInt(n, 10) + " bytes"}
+		return j, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, text: "head over " + strconv.FormatInt(n, 10) + " bytes"}
 	}
 	if j.id == "" {
-		return nil, malformed(httpconn.RequestID + " is missing")
+		return j, malformed(httpconn.RequestID + " is missing")
 	}
 	var ok bool
 	if j.target, ok = target(q); !ok {
-		return nil, malformed("the path can't be read")
+		return j, malformed("the path can't be read")
 	}
 	host, _, _ := strings.Cut(strings.ToLower(q.Host), ":")
 	if j.route = conf.Match(host, pathOf(j.target)); j.route == nil {
-		return nil, &refusal{status: http.StatusNotFound, text: "no route"}
+		return j, &refusal{status: http.StatusNotFound, text: "no route"}
 	}
 	j.rank = j.route.Prio
 	if no := j.identify(conf); no != nil {
-		return nil, no
+		return j, no
 	}
 	if wait, _ := t.meter.load(); wait > fullWaits(j.route.Prio) {
 		t.k.Counters.Add("gateway.link_full", 1)
-		return nil, j.busy("this node's link is full")
+		return j, j.busy("this node's link is full")
 	}
 	j.service = j.route.Draw(rand.Float64())
 	span := kernel.Micros(j.route.DeadlineMs) * kernel.Millisecond
 	if text := q.Header.Get(httpconn.DeadlineMs); text != "" {
 		ms, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
 		if err != nil || !(ms > 0) {
-			return nil, malformed(httpconn.DeadlineMs + " is no number of milliseconds")
+			return j, malformed(httpconn.DeadlineMs + " is no number of milliseconds")
 		}
 		span = min(span, kernel.Micros(min(ms, float64(j.route.DeadlineMs))*float64(kernel.Millisecond)))
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -12,6 +12,7 @@
 
 	"indigowalk/internal/dbconn"
 	"indigowalk/internal/distribution"
+	"indigowalk/internal/failurelog"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
@@ -37,6 +38,8 @@
 	pool    *dbconn.Pool
 	health  *health.Monitor
 	quota   *quota.Client
+	// failures keeps the statements that were not served.
+	failures *failurelog.Log
 
 	leaving atomic.Bool
 	ending  chan struct{} // closes when whatever is still waited for is given up
@@ -52,9 +55,9 @@
 }
 
 // New returns a pooler.
-func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client) *Pooler {
+func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log) *Pooler {
 	return &Pooler{
-		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota,
+		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
@@ -162,6 +165,13 @@
 	}
 }
 
+// open is how many sessions there are.
+func (d *Pooler) open() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return int64(len(d.sessions))
+}
+
 func (d *Pooler) each(f func(*session)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -177,14 +187,19 @@
 	return r, svc, conf
 }
 
-// place picks a database for the request as things are now.
-func (d *Pooler) place(q readrouting.Request, want dbconn.Want) (readrouting.Choice, bool) {
-	dbs, lead := d.control.Databases(q.Service)
-	_, err := d.control.Primary(q.Service)
-	return d.router.Pick(q, readrouting.Scene{
+// scene is what a database is picked from, as things are now.
+func (d *Pooler) scene(service string, want dbconn.Want) readrouting.Scene {
+	dbs, lead := d.control.Databases(service)
+	_, err := d.control.Primary(service)
+	return readrouting.Scene{
 		Databases: dbs, Lead: lead, Leased: err == nil, Zone: d.cfg.Zone,
 		Up: d.health.Up, Busy: d.pool.Busy, Idle: func(id string) bool { return d.pool.Idle(id, want) },
-	})
+	}
+}
+
+// place picks a database for the request as things are now.
+func (d *Pooler) place(q readrouting.Request, want dbconn.Want) (readrouting.Choice, bool) {
+	return d.router.Pick(q, d.scene(q.Service, want))
 }
 
 // refusal is an answer of the pooler's own.
--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -36,6 +36,7 @@
 	last     lineprotocol.Position // of the session's own last commit
 	tx       *transaction
 	out      []byte
+	trace    trace
 
 	mu     sync.Mutex
 	asked  bool // a statement is being worked on
@@ -112,9 +113,11 @@
 		s.unreadable(err)
 		return false
 	}
+	s.trace.begin(s.d.k.Clock.Now())
 	word, rest := lineprotocol.Word(line)
 	name, who := lineprotocol.Word(rest)
 	if string(word) != "LOGIN" || len(name) == 0 || len(who) == 0 {
+		s.trace.because(causeMalformed)
 		s.end(lineprotocol.Malformed, "LOGIN database who")
 		return false
 	}
@@ -130,8 +133,10 @@
 	r, _, conf := s.d.route(s.database)
 	if r == nil {
 		if !s.d.control.Ready() {
+			s.trace.because(causeNotReady)
 			s.end(lineprotocol.Retry, hint(kernel.Second))
 		} else {
+			s.trace.because(causeNoRoute)
 			s.end(lineprotocol.NoDB, s.database)
 		}
 		return false
@@ -146,6 +151,7 @@
 
 // end sends an error after which the connection closes.
 func (s *session) end(code, text string) {
+	s.record("-", &lineprotocol.Answer{Code: code})
 	s.out = lineprotocol.AppendMessage(s.out[:0], "ERROR", code, text)
 	s.flush()
 }
@@ -154,10 +160,12 @@
 	switch {
 	case errors.Is(err, lineprotocol.ErrOversize):
 		s.d.k.Counters.Add("pooler.oversize", 1)
+		s.trace.because(causeMalformed)
 		s.end(lineprotocol.Oversize, "message over 1 MiB")
 		s.drainInput()
 	case errors.Is(err, lineprotocol.ErrMalformed):
 		s.d.k.Counters.Add("pooler.malformed", 1)
+		s.trace.because(causeMalformed)
 		s.end(lineprotocol.Malformed, "lines end with CR LF")
 		s.drainInput()
 	}
@@ -269,13 +277,23 @@
 	return 'T'
 }
 
-// query works one statement off.
+// query works one statement off, and keeps how it ended if that was no success.
 func (s *session) query(id, text string) *lineprotocol.Answer {
 	s.d.statements.Add(1)
 	s.d.second.earn()
-	q := lineprotocol.ParseStatement(id, text)
-	if id == "" || q.Verb == lineprotocol.Bad {
+	s.trace.begin(s.d.k.Clock.Now())
+	a := s.execute(lineprotocol.ParseStatement(id, text))
+	if a.Code != "" {
+		s.record(id, a)
+	}
+	return a
+}
+
+// execute has a statement run where it belongs.
+func (s *session) execute(q lineprotocol.Statement) *lineprotocol.Answer {
+	if q.ID == "" || q.Verb == lineprotocol.Bad {
 		s.d.k.Counters.Add("pooler.malformed", 1)
+		s.trace.because(causeMalformed)
 		return refusal(lineprotocol.Malformed, "unknown text", s.state())
 	}
 	if s.tx != nil {
--- a/internal/pooler/tenant.go
+++ b/internal/pooler/tenant.go
@@ -31,12 +31,14 @@
 	}
 	if t = conf.Tenant(s.key); t == nil {
 		s.d.k.Counters.Add("pooler.denied", 1)
+		s.trace.because(causeDenied)
 		return nil, lineprotocol.Denied
 	}
 	if !s.d.control.KeysKnown() {
 		// Whether the key still holds can't be known here: it is not served, and
 		// not denied either.
 		s.d.k.Counters.Add("pooler.keys_unknown", 1)
+		s.trace.because(causeKeysUnknown)
 		return nil, lineprotocol.Retry
 	}
 	return t, ""
@@ -79,5 +81,6 @@
 		return nil
 	}
 	j.s.d.k.Counters.Add("pooler.over_quota", 1)
+	j.s.trace.because(causeQuota)
 	return refusal(lineprotocol.Retry, hint(exhausted.ComeBack), j.s.state())
 }
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -33,6 +33,7 @@
 func (s *session) begin(q lineprotocol.Statement) (*transaction, *lineprotocol.Answer) {
 	r, _, conf := s.d.route(s.database)
 	if r == nil {
+		s.trace.because(causeNoRoute)
 		return nil, refusal(lineprotocol.NoDB, s.database, 'I')
 	}
 	if _, code := s.tenant(r, conf); code != "" {
@@ -105,6 +106,7 @@
 
 func (s *session) rolledBack(why string) *lineprotocol.Answer {
 	s.d.k.Counters.Add("pooler.rolled_back", 1)
+	s.trace.because(causeEnded)
 	return refusal(lineprotocol.RolledBack, why, 'I')
 }
 
@@ -149,7 +151,7 @@
 	conn, choice, err := j.find(t.plain)
 	if err != nil {
 		j.s.tx = nil
-		return false, j.refuse()
+		return false, j.refuse(err)
 	}
 	t.conn, t.choice, t.service, t.tenant = conn, choice, j.route.Service, nameOf(j.tenant)
 	t.b = d.health.Bind(conn.DB.ID)
@@ -167,6 +169,7 @@
 	if err == nil && a.Code == "" && a.State == 'T' {
 		return false, nil
 	}
+	j.s.trace.failed(conn.DB.ID, j.now(), err, a)
 	if err != nil {
 		j.lost(t, err)
 	} else {
@@ -181,7 +184,7 @@
 	t.letGo(true)
 	if j.tries > j.route.Tries || err == nil && !j.pauseAfter(a.Code) || j.left() <= 0 {
 		j.s.tx = nil
-		return false, j.refuse()
+		return false, j.refuse(errTries)
 	}
 	return true, nil
 }
@@ -210,6 +213,9 @@
 	// is rolled back when its connection closes.
 	j.twice = t.ran == 0 && !commit && j.tries == 0
 	a, err := j.runInside(t)
+	if err != nil || a.Code != "" {
+		j.s.trace.failed(t.conn.DB.ID, j.now(), err, a)
+	}
 	switch {
 	case errors.Is(err, dbconn.ErrQuiet):
 		left := *t
@@ -257,6 +263,7 @@
 	if commit && t.wrote && !unsent {
 		s.tx = nil
 		s.d.k.Counters.Add("pooler.unknown", 1)
+		s.trace.because(causeUnanswered)
 		return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I'), false
 	}
 	if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
@@ -272,7 +279,7 @@
 	s := j.s
 	s.tx = nil
 	if commit && t.wrote && !s.d.control.Acknowledge(t.service, t.conn.DB.ID, t.term, a.Pos) {
-		a = s.d.leftMeanwhile(t.conn.DB.ID)
+		a = s.leftMeanwhile(t.conn.DB.ID)
 	} else if commit && t.wrote {
 		if pos, ok := lineprotocol.ParsePosition(a.Pos); ok && s.last.Less(pos) {
 			s.last = pos
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -90,8 +90,10 @@
 	j := &job{s: s, q: q, received: s.d.k.Clock.Now()}
 	var conf *routeconfig.Index
 	if j.route, _, conf = s.d.route(s.database); j.route == nil {
+		s.trace.because(causeNoRoute)
 		return nil, refusal(lineprotocol.NoDB, s.database, s.state())
 	}
+	s.trace.job = j
 	var code string
 	if j.tenant, code = s.tenant(j.route, conf); code != "" {
 		return nil, refusal(code, hint(kernel.Second), s.state())
@@ -142,15 +144,26 @@
 	j.avoid[id] = true
 }
 
-// errNoPlace says that no database can run the statement at present.
-var errNoPlace = errors.New("pooler: no database can run it now")
+// noPlaceError says that no database can run the statement at present, and why.
+type noPlaceError struct{ cause string }
+
+func (e *noPlaceError) Error() string { return "pooler: no database can run it now: " + e.cause }
+
+// noPlace is the error of a statement that finds no database for that reason; if none
+// is given, the router tells it.
+func (j *job) noPlace(cause string, write bool) error {
+	if cause == "" {
+		cause = j.s.d.router.Explain(j.request(write), j.s.d.scene(j.route.Service, j.want()))
+	}
+	return &noPlaceError{cause}
+}
 
 // find waits for a database that can run the job and borrows a connection.
 func (j *job) find(write bool) (*dbconn.Conn, readrouting.Choice, error) {
 	d := j.s.d
 	for {
 		if d.over() {
-			return nil, readrouting.Choice{}, errNoPlace
+			return nil, readrouting.Choice{}, j.noPlace(causeEnding, write)
 		}
 		changed, health := d.control.Changed(), d.health.Changed()
 		c, ok := d.place(j.request(write), j.want())
@@ -162,8 +175,12 @@
 			if err == nil {
 				return conn, c, nil
 			}
-			if errors.Is(err, connpool.ErrFull) || errors.Is(err, connpool.ErrDeadline) {
-				return nil, c, errNoPlace
+			j.s.trace.failed(c.Database.ID, j.now(), errors.Join(errUnsent, err), nil)
+			switch {
+			case errors.Is(err, connpool.ErrFull):
+				return nil, c, j.noPlace(causeQueueFull, write)
+			case errors.Is(err, connpool.ErrDeadline):
+				return nil, c, j.noPlace(causeNoConnection, write)
 			}
 			j.shun(c.Database.ID)
 		}
@@ -172,7 +189,7 @@
 		}
 		wait := min(until-j.now(), 200*kernel.Millisecond)
 		if wait <= 0 {
-			return nil, c, errNoPlace
+			return nil, c, j.noPlace("", write)
 		}
 		if ok && !c.Primary {
 			continue // another replica, or the primary
@@ -288,7 +305,7 @@
 		}
 		conn, choice, err := j.find(j.write)
 		if err != nil {
-			return j.refuse()
+			return j.refuse(err)
 		}
 		a, again := j.attempt(conn, choice)
 		if !again {
@@ -327,6 +344,9 @@
 	} else {
 		a, err = j.run(conn, choice, b, text, opening)
 	}
+	if err != nil || a.Code != "" {
+		j.s.trace.failed(id, j.now(), err, a)
+	}
 	if errors.Is(err, dbconn.ErrQuiet) {
 		j.leaveBehind(conn, choice, release)
 		return nil, true
@@ -336,7 +356,7 @@
 		return j.failed(conn, b, err)
 	}
 	if j.write && a.Code == "" && !d.control.Acknowledge(j.route.Service, id, term, a.Pos) {
-		return d.leftMeanwhile(id), false
+		return j.s.leftMeanwhile(id), false
 	}
 	return j.judge(conn, choice, a)
 }
@@ -359,8 +379,9 @@
 
 // leftMeanwhile is the answer to a write whose database has acknowledged it after
 // this pooler had left it: whether it is kept is not known.
-func (d *Pooler) leftMeanwhile(id string) *lineprotocol.Answer {
-	d.k.Counters.Add("pooler.left_meanwhile", 1)
+func (s *session) leftMeanwhile(id string) *lineprotocol.Answer {
+	s.d.k.Counters.Add("pooler.left_meanwhile", 1)
+	s.trace.because(causeLeft)
 	return refusal(lineprotocol.Unknown, "the lead moved from "+id, 'I')
 }
 
@@ -378,12 +399,14 @@
 	switch {
 	case j.write && !unsent:
 		d.k.Counters.Add("pooler.unknown", 1)
+		j.s.trace.because(causeUnanswered)
 		return refusal(lineprotocol.Unknown, "no answer from "+id, 'I'), false
 	case j.left() <= 0:
 		if unsent {
-			return j.refuse(), false
+			return j.refuse(err), false
 		}
 		d.k.Counters.Add("pooler.expired", 1)
+		j.s.trace.because(causeDeadline)
 		return refusal(lineprotocol.Expired, "deadline passed", 'I'), false
 	}
 	if !withheld(err) {
@@ -426,7 +449,7 @@
 			return nil, true
 		}
 		if a.Code != lineprotocol.Failed {
-			return j.refuse(), false
+			return j.refuse(errTries), false
 		}
 	}
 	return a, false
@@ -449,8 +472,20 @@
 	return true
 }
 
+// errTries says that a statement was sent as often as its route allows.
+var errTries = errors.New("pooler: sent as often as the route allows")
+
 // refuse gives the statement up, unrun, and says when to come back.
-func (j *job) refuse() *lineprotocol.Answer {
+func (j *job) refuse(why error) *lineprotocol.Answer {
 	j.s.d.k.Counters.Add("pooler.refused", 1)
+	noPlace := new(noPlaceError)
+	switch {
+	case errors.As(why, &noPlace):
+		j.s.trace.because(noPlace.cause)
+	case errors.Is(why, errTries):
+		j.s.trace.because(causeTries)
+	default:
+		j.s.trace.because(causeDeadline)
+	}
 	return refusal(lineprotocol.Retry, hint(200*kernel.Millisecond), j.s.state())
 }
--- a/internal/readrouting/readrouting.go
+++ b/internal/readrouting/readrouting.go
@@ -203,6 +203,45 @@
 	return Choice{}, false
 }
 
+// Why there is no choice.
+const (
+	NoLead        = "no_lead_known"
+	LeadMoves     = "lead_moves"
+	NoLease       = "no_lease"
+	LeadDown      = "lead_held_as_down"
+	LeadUnknown   = "lead_not_among_databases"
+	NoReplica     = "no_replica_fresh_and_up"
+	NoObservation = "no_position_of_primary_known"
+)
+
+// Explain tells why there was no choice, as things are now: what keeps the primary from
+// being used and, for reads that a replica may serve, what keeps those.
+func (a *Router) Explain(q Request, s Scene) string {
+	if q.Type == routeconfig.Primary || q.Write {
+		return primaryReason(s)
+	}
+	replicas := NoReplica
+	if _, ok := a.covering(q.Service, q.Received-q.Stale); !ok {
+		replicas = NoObservation
+	}
+	return replicas + " and " + primaryReason(s)
+}
+
+// primaryReason tells what keeps the primary from being used.
+func primaryReason(s Scene) string {
+	switch {
+	case s.Lead.ID == "":
+		return NoLead
+	case s.Lead.Moving:
+		return LeadMoves
+	case !s.Leased:
+		return NoLease
+	case !s.Up(s.Lead.ID):
+		return LeadDown
+	}
+	return LeadUnknown
+}
+
 func (a *Router) replica(q Request, s Scene) (Choice, bool) {
 	pos, ok := a.covering(q.Service, q.Received-q.Stale)
 	if !ok {
--- a/internal/settings/plugin.go
+++ b/internal/settings/plugin.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 
 	"indigowalk/internal/kernel"
@@ -26,6 +27,13 @@
 				}
 				k.Recorder = r
 			}
+			if addr := b.Now().MetricsAddr(k.Role); addr != "" && k.Role != "hollow" {
+				k.Supervise("metrics", func(ctx context.Context) error { return k.ServeMetrics(ctx, addr) })
+			}
+			k.Counters.Gauge("kernel.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+			stalls := kernel.NewStalls(k)
+			kernel.Offer(k, stalls)
+			k.Supervise("stalls", stalls.Serve)
 			if b.path != "" {
 				k.Supervise("settings", func(ctx context.Context) error { return b.watch(ctx, k) })
 			}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,7 +88,10 @@
 	// OrdersKept is how many orders of operators are known again when they are sent
 	// again; an older one gets no clear answer.
 	OrdersKept int64 `key:"tune.orders_kept" default:"512" validate:"gte=64,lte=4096"`
-	RecordKB   int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
+	// MetricsPort is where a pooler or gateway tells its counters, and the port above it
+	// where a control node does; 0 for nowhere.
+	MetricsPort int64 `key:"tune.metrics_port" default:"9464" validate:"gte=0,lt=65535"`
+	RecordKB    int64 `key:"tune.record_kb" default:"0" validate:"gte=0,lte=32768"`
 }
 
 // Span converts a setting in milliseconds.
@@ -102,6 +105,18 @@
 	return first + n
 }
 
+// MetricsAddr is where a process of the role tells its counters, "" for nowhere.
+func (s *Settings) MetricsAddr(role string) string {
+	port := s.MetricsPort
+	switch {
+	case port == 0:
+		return ""
+	case role == "control":
+		port++
+	}
+	return net.JoinHostPort(s.IP, strconv.FormatInt(port, 10))
+}
+
 // API is the kind of deployment whose services have databases that are all
 // alike, without a lead.
 const API = "api"
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -166,6 +166,7 @@
 tune.poll_ms=%[8]d
 tolerate.hosts=%[9]d
 deploy=%[10]s
+tune.metrics_port=0
 %[11]s`, name, p.IP, zone, seeds, bootstrap, p.dir, platformIP, w.Poll, w.Losses, cmp.Or(w.Deploy, "pooler"), w.Settings)
 	s, err := settings.Parse([]byte(text))
 	if err != nil {
--- a/internal/tools/check.go
+++ b/internal/tools/check.go
@@ -63,13 +63,15 @@
 }
 
 type deployRole struct {
-	Run    string   `toml:"run" validate:"required"`
-	On     string   `toml:"on" validate:"required"`
-	Share  float64  `toml:"share" validate:"gte=0,lte=1"`
-	Count  int      `toml:"count" validate:"gte=0"`
-	Apart  bool     `toml:"apart"`
-	Serves []string `toml:"serves" validate:"dive,oneof=edge ctl"`
-	For    []string `toml:"for"` // kinds of deployment; all, if empty
+	Run   string  `toml:"run" validate:"required"`
+	On    string  `toml:"on" validate:"required"`
+	Share float64 `toml:"share" validate:"gte=0,lte=1"`
+	Count int     `toml:"count" validate:"gte=0"`
+	Apart bool    `toml:"apart"`
+	// Metrics is the port and path at which the role tells its counters.
+	Metrics string   `toml:"metrics"`
+	Serves  []string `toml:"serves" validate:"dive,oneof=edge ctl"`
+	For     []string `toml:"for"` // kinds of deployment; all, if empty
 }
 
 // CheckDeploy checks a deploy file.
--- /dev/null
+++ b/internal/tools/failures.go
@@ -0,0 +1,89 @@
+package tools
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"indigowalk/internal/failurelog"
+	"indigowalk/internal/kernel"
+	"indigowalk/internal/rpc"
+)
+
+// FailureReport is what processes keep of requests that were not served.
+type FailureReport struct {
+	Failures []NodeFailure     `json:"failures"`
+	Missing  map[string]string `json:"missing,omitempty"` // processes that gave no answer, with the reason
+}
+
+// NodeFailure is a failure with the process where it happened.
+type NodeFailure struct {
+	Node string `json:"node"`
+	Role string `json:"role"`
+	failurelog.Failure
+}
+
+// Failures asks all processes of a system for the requests that they did not serve, the
+// oldest first.
+func (s *System) Failures(ctx context.Context, n kernel.Network) *FailureReport {
+	k := kernel.NewKernel("tools", n, slog.New(slog.DiscardHandler))
+	b := rpc.NewEndpoint(k, "")
+	defer b.HangUp()
+	out := &FailureReport{Missing: s.Missing}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, r := range s.Reports {
+		wg.Go(func() {
+			var recent []failurelog.Failure
+			err := b.Call(ctx, r.Addr, failuresOp, struct{}{}, &recent, askWait)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				out.Missing[r.Addr] = err.Error()
+			}
+			for _, f := range recent {
+				out.Failures = append(out.Failures, NodeFailure{r.Node, r.Role, f})
+			}
+		})
+	}
+	wg.Wait()
+	slices.SortFunc(out.Failures, func(a, b NodeFailure) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// Only leaves out the failures of which no text contains what is looked for.
+func (r *FailureReport) Only(text string) {
+	r.Failures = slices.DeleteFunc(r.Failures, func(f NodeFailure) bool {
+		return !named(text, f.Node, f.Role, f.ID, f.Route, f.Service, f.Tenant, f.Cause)
+	})
+}
+
+// Print writes a line for each failure, with its attempts.
+func (r *FailureReport) Print(w io.Writer) {
+	for _, f := range r.Failures {
+		fmt.Fprintf(w, "%s %s %s: %s on %q answered %s after %d ms: %s", f.At.UTC().Format(time.StampMilli), f.Role, f.Node,
+			f.ID, f.Route, f.Answer, f.Took.Millis(), f.Cause)
+		if f.Service != "" {
+			fmt.Fprintf(w, "; service %s, configuration %d", f.Service, f.Revision)
+		}
+		var attempts []string
+		for _, a := range f.Attempts {
+			attempts = append(attempts, strings.TrimSpace(fmt.Sprintf("%s at %d ms %s", a.Database, a.After.Millis(), a.Result)))
+		}
+		if len(attempts) > 0 {
+			fmt.Fprintf(w, " [%s]", strings.Join(attempts, "; "))
+		}
+		fmt.Fprintln(w)
+	}
+	if len(r.Failures) == 0 {
+		fmt.Fprintln(w, "no request failed of late")
+	}
+	for addr, why := range r.Missing {
+		fmt.Fprintf(w, "no answer from %s: %s\n", addr, why)
+	}
+}
--- a/internal/tools/report.go
+++ b/internal/tools/report.go
@@ -10,6 +10,7 @@
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/distribution"
 	"indigowalk/internal/failover"
+	"indigowalk/internal/failurelog"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/membership"
@@ -19,7 +20,10 @@
 	"indigowalk/internal/settings"
 )
 
-const statusOp = "status"
+const (
+	statusOp   = "status"
+	failuresOp = "failures"
+)
 
 // Report is one process's view.
 type Report struct {
@@ -55,6 +59,8 @@
 		Build: func(k *kernel.Kernel) error {
 			b := kernel.Need[*rpc.Endpoint](k)
 			rpc.On(b, statusOp, func(context.Context, struct{}) (any, error) { return report(k, b) })
+			failures := kernel.Need[*failurelog.Log](k)
+			rpc.On(b, failuresOp, func(context.Context, struct{}) (any, error) { return failures.Recent(), nil })
 			return nil
 		},
 	})
