--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -125,7 +125,7 @@
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
 		<-term
-		grace := kernel.Micros(settings.GraceS)*kernel.Second - 300*kernel.Millisecond
+		grace := kernel.Micros(book.Now().GraceS)*kernel.Second - 300*kernel.Millisecond
 		left, done := context.WithTimeout(ctx, grace.Duration())
 		k.Leave(left)
 		done()
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -76,11 +76,14 @@
 	pools   map[string]*pool[W, C]
 	origins map[C]origin[W, C] // of every open connection
 	quiet   Silences
+	// unknown are the databases that were held as down and not known at the last look.
+	unknown map[string]bool
 }
 
 // origin is where a connection belongs.
 type origin[W, C any] struct {
 	pool       *pool[W, C]
+	lent       bool
 	id         string
 	address    string
 	generation int64
@@ -90,6 +93,7 @@
 	db      discovery.Database
 	idle    []resting[C]
 	open    int // connections there are, borrowed ones included
+	lent    int
 	opening int
 	waiting []*waiter[W, C]
 	fullTil kernel.Micros // the database refused more connections
@@ -224,6 +228,7 @@
 		return c, ErrBroken
 	}
 	if c, ok := s.take(p, want); ok {
+		s.lend(p, c)
 		s.mu.Unlock()
 		return c, nil
 	}
@@ -297,7 +302,7 @@
 func (s *Pools[W, C]) Return(c C) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.origins[c]
+	at := s.takeBack(c)
 	p := at.pool
 	surplus := p.open > max(1, s.cfg.Share(p.db.Service)) // others have come
 	if surplus || s.pools[at.id] != p || !c.Clean() || !c.Alive() || p.db.Address != at.address {
@@ -359,6 +364,7 @@
 			}
 		}
 		s.closeSpare()
+		s.watchDown(down)
 		s.mu.Unlock()
 		select {
 		case <-ctx.Done():
--- a/internal/connpool/open.go
+++ b/internal/connpool/open.go
@@ -117,6 +117,7 @@
 	for i, w := range p.waiting {
 		if c.Fit(w.want, 0) >= 0 {
 			p.waiting = slices.Delete(p.waiting, i, i+1)
+			s.lend(p, c)
 			w.ch <- grant[C]{c: c}
 			return
 		}
@@ -157,7 +158,7 @@
 // admit puts a new connection into its pool.
 func (s *Pools[W, C]) admit(p *pool[W, C], c C, gen int64) {
 	p.open++
-	s.origins[c] = origin[W, C]{p, p.db.ID, p.db.Address, gen}
+	s.origins[c] = origin[W, C]{pool: p, id: p.db.ID, address: p.db.Address, generation: gen}
 	c.Attach(gen, func(byUs, silent bool) { s.died(c, byUs, silent) })
 	if s.pools[p.db.ID] != p || !c.Alive() {
 		s.end(p, c)
--- a/internal/controlstate/candidacy.go
+++ b/internal/controlstate/candidacy.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 )
 
@@ -105,6 +106,8 @@
 	if v.seen.Epoch > c.epoch || c.wasActive && !v.active {
 		return errors.New("no longer primary")
 	}
+	v.k.Invariants.Check(state.Seq >= v.durable, invariant.StateKept,
+		"primary of epoch %d with change %d, though change %d was durable", c.epoch, state.Seq, v.durable)
 	v.leaseEnd, v.renewAt = start+v.lease, start+v.lease/3
 	if !v.active {
 		v.begin(c.epoch)
--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -67,6 +67,7 @@
 	toldAt    kernel.Micros
 	voided    int64 // epoch of a view whose primary lost its disk, and with it the lease
 	tried     int64 // highest epoch stood for or heard of
+	durable   int64 // sequence of the newest change that is known to be durable
 	queue     []*update
 	// A large state is staged before a view is formed.
 	staging    bool
--- a/internal/controlstate/election.go
+++ b/internal/controlstate/election.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
@@ -21,6 +22,9 @@
 	v.mu.Lock()
 	view, start := v.seen, v.k.Clock.Now()
 	v.renewAt = start + v.lease/3
+	if v.state.Epoch == view.Epoch {
+		v.durable = max(v.durable, v.state.Seq)
+	}
 	v.mu.Unlock()
 	voters := union(view.sets()...)
 	others := slices.DeleteFunc(union(backupAddrs(view), v.cfg.ControlNodes()), func(a string) bool { return slices.Contains(voters, a) })
@@ -68,7 +72,10 @@
 
 // renewWith tells one control node of the lease and notes whether it takes part.
 func (v *Replica) renewWith(ctx context.Context, addr string, view View) (a renewAnswer) {
-	err := v.endpoint.Call(ctx, addr, "controlstate.renew", renewAsk{view}, &a, callWait)
+	v.mu.Lock()
+	durable := v.durable
+	v.mu.Unlock()
+	err := v.endpoint.Call(ctx, addr, "controlstate.renew", renewAsk{view, durable}, &a, callWait)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	i := slices.IndexFunc(view.Backups, func(b Member) bool { return b.Addr == addr })
@@ -222,6 +229,10 @@
 
 // observe notes a view, if it is newer than those heard of.
 func (v *Replica) observe(view View) {
+	if view.Epoch == v.seen.Epoch && view.Epoch > 0 {
+		v.k.Invariants.Check(view.Primary == v.seen.Primary, invariant.OnePrimary,
+			"epoch %d is led by %v and by %v", view.Epoch, v.seen.Primary, view.Primary)
+	}
 	if view.Epoch > v.seen.Epoch || len(v.seen.Witnesses) == 0 {
 		if v.active && view.Epoch > v.seen.Epoch {
 			v.leaseEnd = 0
@@ -307,6 +318,7 @@
 	}
 	a, changed := v.witness.renew(now, q.View)
 	a.Disk, a.Stalled = v.self.Disk, v.stalled.Load()
+	v.durable = max(v.durable, q.Durable)
 	v.hear(now, q.View)
 	v.mu.Unlock()
 	if changed {
--- /dev/null
+++ b/internal/controlstate/invariants_test.go
@@ -0,0 +1,43 @@
+package controlstate
+
+import (
+	"log/slog"
+	"slices"
+	"testing"
+
+	"indigowalk/internal/invariant"
+	"indigowalk/internal/kernel"
+)
+
+// A primary that lacks what was durable, and a second primary of an epoch, are found.
+func TestInvariantsOfTheControlState(t *testing.T) {
+	self := Member{Name: "a", Addr: "10.0.0.1:7440", Disk: "d"}
+	at := func() *Replica {
+		k := kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler))
+		return &Replica{k: k, self: self, members: newMemberPolicy(self, Config{Lease: kernel.Second}), missed: map[string]int{}, durable: 7}
+	}
+	view := View{Epoch: 3, Primary: self, Witnesses: []string{self.Addr}}
+	for name, c := range map[string]struct {
+		play func(v *Replica)
+		want []invariant.Invariant
+	}{
+		"the newest change":     {func(v *Replica) { v.lead(candidacy{epoch: 3, view: view}, State{Epoch: 3, Seq: 7}, 0, nil) }, nil},
+		"a durable change less": {func(v *Replica) { v.lead(candidacy{epoch: 3, view: view}, State{Epoch: 3, Seq: 6}, 0, nil) }, []invariant.Invariant{invariant.StateKept}},
+		"one primary": {func(v *Replica) {
+			v.observe(view)
+			v.observe(view)
+		}, nil},
+		"two primaries": {func(v *Replica) {
+			other := view
+			other.Primary.Disk = "e"
+			v.observe(view)
+			v.observe(other)
+		}, []invariant.Invariant{invariant.OnePrimary}},
+	} {
+		v := at()
+		c.play(v)
+		if got := v.k.Invariants.Violated(); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
--- a/internal/controlstate/witness.go
+++ b/internal/controlstate/witness.go
@@ -137,6 +137,8 @@
 
 type renewAsk struct {
 	View View `json:"view"`
+	// Durable is the sequence of the newest change that is on the disks of all members.
+	Durable int64 `json:"durable,omitempty"`
 }
 
 type renewAnswer struct {
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -13,6 +13,7 @@
 
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/failover"
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/routeconfig"
@@ -201,7 +202,9 @@
 func (c *Subscriber) Done(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inside[service]--; c.inside[service] == 0 && c.leads[service].Moving {
+	c.inside[service]--
+	c.k.Invariants.Check(c.inside[service] >= 0, invariant.CountsPositive, "%d statements at the primary of %s", c.inside[service], service)
+	if c.inside[service] == 0 && c.leads[service].Moving {
 		c.outside.Ring()
 	}
 }
@@ -368,6 +371,7 @@
 		}
 	}
 	c.mu.Lock()
+	c.watch(a, n)
 	if a.Epoch < c.epoch || a.Seq < c.seq {
 		c.mu.Unlock()
 		c.k.Counters.Add("distribution.old_refused", 1)
@@ -416,6 +420,16 @@
 	return nil
 }
 
+// watch checks an answer against what is in hand. The caller holds the lock.
+func (c *Subscriber) watch(a pollAnswer, n news) {
+	c.k.Invariants.Check(a.Epoch <= c.epoch || a.Seq >= c.seq, invariant.StateKept,
+		"epoch %d tells change %d, epoch %d told change %d", a.Epoch, a.Seq, c.epoch, c.seq)
+	if n.Config != nil && c.conf != nil && a.Epoch >= c.epoch && a.Seq >= c.seq {
+		c.k.Invariants.Check(n.Config.Rev >= c.conf.Rev, invariant.ConfigurationForward,
+			"configuration %d comes after %d", n.Config.Rev, c.conf.Rev)
+	}
+}
+
 // merge puts news into the maps, which others may hold, by making new ones.
 func (c *Subscriber) merge(n news) {
 	leads, databases := map[string]failover.Lead{}, map[string]discovery.Database{}
--- a/internal/failover/call_test.go
+++ b/internal/failover/call_test.go
@@ -5,7 +5,9 @@
 	"log/slog"
 	"testing"
 
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // DutyInItsTerm: the platform is not called outside the term in which the move
@@ -16,3 +18,15 @@
 		t.Errorf("called: %v, %v", err, c.k.Counters.Snapshot())
 	}
 }
+
+// A database that was promoted without what the choice rested on is found.
+func TestPromotedHoldsFloor(t *testing.T) {
+	for text, want := range map[string]int{"2.9": 0, "2.8": 0, "2.7": 1} {
+		c := &Manager{k: kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler))}
+		received, _ := lineprotocol.ParsePosition(text)
+		c.watchPromoted(Lead{Service: "s", To: "a", Floor: "2.8"}, statRow{received: received})
+		if n := c.k.Invariants.Counts()[invariant.PromotedHoldsFloor]; n != want {
+			t.Errorf("%s: %d violations", text, n)
+		}
+	}
+}
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -8,7 +8,9 @@
 
 	"indigowalk/internal/controlstate"
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/lineprotocol"
 )
 
 // promote has the platform make the chosen database the primary, waits until
@@ -38,7 +40,7 @@
 	if to.ID == l.ID || to.Had(l.ID) {
 		over-- // the primary of before needs no new term to lead again
 	}
-	if l.Term, err = c.awaitPromotion(ctx, to, was, over); err != nil {
+	if l.Term, err = c.awaitPromotion(ctx, l, to, was, over); err != nil {
 		return err
 	}
 	old := l.ID
@@ -69,7 +71,7 @@
 
 // awaitPromotion waits until the database leads a newer term. Its own beat,
 // which a change of role sends at once, tells; if none comes it is asked.
-func (c *Manager) awaitPromotion(ctx context.Context, to discovery.Database, was discovery.Soft, over int64) (int64, error) {
+func (c *Manager) awaitPromotion(ctx context.Context, l Lead, to discovery.Database, was discovery.Soft, over int64) (int64, error) {
 	end := c.k.Clock.Now() + 3*kernel.Second
 	for c.k.Clock.Now() < end && ctx.Err() == nil {
 		changed := c.acc.Changed()
@@ -86,12 +88,20 @@
 		if row, err := c.ask(ctx, to, "STAT"); err != nil {
 			return 0, err
 		} else if row.primary && row.term > over {
+			c.watchPromoted(l, row)
 			return row.term, nil
 		}
 	}
 	return 0, errNotYet
 }
 
+// watchPromoted checks that a database that was promoted holds what the choice rested on.
+func (c *Manager) watchPromoted(l Lead, row statRow) {
+	floor, known := lineprotocol.ParsePosition(l.Floor)
+	c.k.Invariants.Check(!known || !row.received.Less(floor), invariant.PromotedHoldsFloor,
+		"%s leads %s at %s, chosen at %s", l.To, l.Service, row.received, l.Floor)
+}
+
 // tidy makes a replica of every database that leads without being the lead,
 // and looks after those that leave.
 func (c *Manager) tidy(ctx context.Context, s *scene, l Lead) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	again    *retrybudget.Allowance
 	quota    *quota.Client
 	failures *failurelog.Log
+	stalls   *kernel.Stalls
 	meter    *linkMeter
 
 	crowded atomic.Bool
@@ -71,9 +72,9 @@
 }
 
 // New returns a gateway.
-func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log) *Gateway {
+func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Gateway {
 	t := &Gateway{
-		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures,
+		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures, stalls: stalls,
 		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
@@ -155,6 +156,8 @@
 	state http.ConnState
 	since kernel.Micros
 	busy  bool // a request has been read
+	// answering says that its answer is being written.
+	answering bool
 }
 
 func (t *Gateway) noteState(c net.Conn, state http.ConnState) {
@@ -173,7 +176,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if g := t.guests[c]; g != nil {
-		g.busy, g.since = busy, t.k.Clock.Now()
+		g.busy, g.answering, g.since = busy, false, t.k.Clock.Now()
+	}
+}
+
+// inAnswer notes that the answer to a connection's request is being written.
+func (t *Gateway) inAnswer(c net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.guests[c]; g != nil {
+		g.answering = true
 	}
 }
 
@@ -235,10 +247,9 @@
 
 // ServeHTTP implements http.Handler.
 func (t *Gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if c, ok := q.Context().Value(connKey{}).(net.Conn); ok {
-		t.inHand(c, true)
-		defer t.inHand(c, false)
-	}
+	client, _ := q.Context().Value(connKey{}).(net.Conn)
+	t.inHand(client, true)
+	defer t.inHand(client, false)
 	t.k.Counters.Add("gateway.requests", 1)
 	h := w.Header()
 	if t.leaving.Load() {
@@ -254,6 +265,8 @@
 	if no == nil {
 		reply, no = j.serve()
 	}
+	j.watchAnswer()
+	t.inAnswer(client)
 	if no != nil {
 		j.record(strconv.Itoa(no.status), no.text)
 		t.refuse(w, no)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -66,6 +66,8 @@
 	avoid    []string
 	revision int64 // of the configuration that it is served by
 	failed   []failurelog.Attempt
+	// mayHaveRun says that a database may have run it.
+	mayHaveRun bool
 }
 
 func (j *job) now() kernel.Micros { return j.t.k.Clock.Now() }
@@ -142,7 +144,7 @@
 		case answer:
 			return reply, nil
 		case ran:
-			sent = true
+			sent, j.mayHaveRun = true, true
 		}
 		if reply != nil {
 			reply.Close()
@@ -244,6 +246,7 @@
 		return nil, err
 	}
 	j.tries++
+	j.watchSend(db.ID)
 	j.avoid = append(j.avoid, db.ID)
 	return &attempt{db, conn, t.conns.Generation(conn), began, ch}, nil
 }
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -33,6 +33,7 @@
 		return
 	}
 	t.closeListener()
+	defer t.watchEnd(start)
 	for t.turnAwayIdle() > 0 {
 		now := t.k.Clock.Now()
 		if now >= end && !t.over() {
--- a/internal/gateway/plugin.go
+++ b/internal/gateway/plugin.go
@@ -40,7 +40,7 @@
 				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, subscriber, kernel.Need[*httpconn.Pools](k), kernel.Need[*loadbalance.Balancer](k),
-				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k))
+				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k))
 			kernel.Offer[httpconn.Wrap](k, func(c net.Conn) net.Conn { return &metered{c, t.meter} })
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -259,3 +259,39 @@
 		t.Error("nothing is told on a link that is not known")
 	}
 }
+
+// A database that was forgotten while it was being checked, or while a report of it was
+// under way, is not held as down afterwards.
+func TestForgottenDatabaseStaysForgotten(t *testing.T) {
+	for name, late := range map[string]func(m *Monitor){
+		"a check that ends later": func(m *Monitor) { m.post(Event{Kind: "checked", Database: "a"}) },
+		"a late report":           func(m *Monitor) { m.Report("a", 0, true) },
+		"a late doubt":            func(m *Monitor) { m.Report("a", 0, false) },
+		"a late notice":           func(m *Monitor) { m.Heard("10.0.0.2:7441", "a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := kernel.NewKernel("pooler", nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
+				m := New(k, Config{
+					Interval: kernel.Second, First: kernel.Second / 10, Check: func(context.Context, string) bool { return false },
+					Peers: func() []string { return nil }, ControlNodes: func() []string { return nil },
+					Tell: func([]string, string, any) {}, Heed: func() bool { return true },
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go m.Serve(ctx)
+				m.Report("a", 0, true)
+				time.Sleep(time.Second)
+				if m.Up("a") {
+					t.Fatal("a database that fails is not held as down")
+				}
+				m.Forget("a")
+				late(m)
+				time.Sleep(5 * time.Second)
+				if down := m.Down(); len(down) > 0 {
+					t.Errorf("held as down: %v", down)
+				}
+			})
+		})
+	}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/thejerf/suture/v4"
+
+	"indigowalk/internal/invariant"
 )
 
 // Plugin is one part of a role. Packages register theirs in init; the kernel
@@ -42,6 +44,8 @@
 	Counters *Counters
 	Log      *slog.Logger
 	Recorder *Recorder // nil unless the settings ask for one
+	// Invariants checks what must always be true in this process.
+	Invariants *invariant.Checker
 
 	tree    *suture.Supervisor
 	offered map[reflect.Type]any
@@ -55,6 +59,7 @@
 		Role: role, Clock: SteadyClock(), Net: net, Sync: (*os.File).Sync, Counters: NewCounters(), Log: log,
 		offered: map[reflect.Type]any{},
 	}
+	k.Invariants = invariant.NewChecker(func(name string) { k.Counters.Add(name, 1) }, log)
 	k.tree = suture.New("indigowalk-"+role, suture.Spec{
 		// A part that keeps failing, at an address that is still in use say, is
 		// tried again soon: nobody else does its work.
--- a/internal/pooler/plugin.go
+++ b/internal/pooler/plugin.go
@@ -29,7 +29,7 @@
 				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs),
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
-				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k))
+				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k))
 			k.Counters.Gauge("pooler.sessions_open", d.open)
 			k.Supervise("pooler", d.Serve)
 			k.OnLeave(d.Leave)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -40,6 +40,7 @@
 	quota   *quota.Client
 	// failures keeps the statements that were not served.
 	failures *failurelog.Log
+	stalls   *kernel.Stalls
 
 	leaving atomic.Bool
 	ending  chan struct{} // closes when whatever is still waited for is given up
@@ -55,9 +56,9 @@
 }
 
 // New returns a pooler.
-func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log) *Pooler {
+func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Pooler {
 	return &Pooler{
-		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures,
+		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures, stalls: stalls,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
@@ -154,6 +155,7 @@
 			close(d.ending)
 		}
 		if left == 0 && now >= min(start+closeAfter, end) || now >= end+lastWrites || ctx.Err() != nil {
+			d.watchEnd(start)
 			return
 		}
 		t := time.NewTimer((100 * kernel.Millisecond).Duration())
--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -38,10 +38,12 @@
 	out      []byte
 	trace    trace
 
-	mu     sync.Mutex
-	asked  bool // a statement is being worked on
-	ending bool // close as soon as nothing is asked for a moment
-	rushed bool // end an open transaction too, and wait for nothing
+	mu    sync.Mutex
+	asked bool // a statement is being worked on
+	// answering says that its answer is being written.
+	answering bool
+	ending    bool // close as soon as nothing is asked for a moment
+	rushed    bool // end an open transaction too, and wait for nothing
 }
 
 func newSession(d *Pooler, c net.Conn) *session {
@@ -228,7 +230,7 @@
 func (s *session) listen(rest kernel.Micros) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asked = false
+	s.asked, s.answering = false, false
 	if s.rushed && !s.r.Buffered() {
 		return false
 	}
@@ -254,6 +256,9 @@
 // answer sends the answer to the client.
 func (s *session) answer(a *lineprotocol.Answer) bool {
 	s.out = a.Append(s.out[:0])
+	s.mu.Lock()
+	s.answering = true
+	s.mu.Unlock()
 	return s.flush()
 }
 
@@ -286,6 +291,7 @@
 	if a.Code != "" {
 		s.record(id, a)
 	}
+	s.watchAnswer(id)
 	return a
 }
 
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -33,6 +33,8 @@
 	tries    int
 	avoid    map[string]bool
 	twice    bool // may be sent a second time while the first is unanswered
+	// mayHaveRun says that it is a write that a database may have run.
+	mayHaveRun bool
 }
 
 // holdShare is the part of its time that a statement may wait for a place to
@@ -319,6 +321,7 @@
 // client's answer, or says that another attempt may be made.
 func (j *job) attempt(conn *dbconn.Conn, choice readrouting.Choice) (a *lineprotocol.Answer, again bool) {
 	d, id := j.s.d, choice.Database.ID
+	j.watchSend(id)
 	b := d.health.Bind(id)
 	var term int64
 	if choice.Primary {
@@ -344,6 +347,7 @@
 	} else {
 		a, err = j.run(conn, choice, b, text, opening)
 	}
+	j.mayHaveRun = j.write && (err == nil && !promised(a.Code) || err != nil && !errors.Is(err, errUnsent))
 	if err != nil || a.Code != "" {
 		j.s.trace.failed(id, j.now(), err, a)
 	}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 )
 
@@ -216,6 +217,7 @@
 	if a.from.lease == a.lease {
 		a.from.admitted--
 		a.from.free += free
+		c.k.Invariants.Check(a.from.admitted >= 0, invariant.CountsPositive, "%d operations of %s admitted", a.from.admitted, a.tenant)
 	}
 }
 
--- a/internal/routeconfig/routeconfig.go
+++ b/internal/routeconfig/routeconfig.go
@@ -15,6 +15,7 @@
 	"github.com/go-playground/validator/v10"
 
 	"indigowalk/internal/controlstate"
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 )
 
@@ -302,6 +303,7 @@
 				return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 			}
 		}
+		c.watch(entries, now)
 		if o.Base != now.Rev {
 			return nil, c.ledger.check(entries, now.Rev, o)
 		}
@@ -337,6 +339,18 @@
 	return c.refuse(err)
 }
 
+// watch checks that the configuration in force is that of the newest order on record.
+func (c *Registry) watch(entries map[string]json.RawMessage, now stored) {
+	raw, there := entries[c.ledger.place(max(0, now.Orders-1))]
+	if now.Orders == 0 || !there {
+		return // none yet, or the ledger was of another size
+	}
+	var newest order
+	err := json.Unmarshal(raw, &newest)
+	c.k.Invariants.Check(err == nil && newest.Rev == now.Rev, invariant.OrderRecorded,
+		"configuration %d is in force, and the newest order on record made %d (%v)", now.Rev, newest.Rev, err)
+}
+
 // refuse counts a change that is not taken, or not surely.
 func (c *Registry) refuse(err error) error {
 	switch {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/settings"
 
@@ -175,6 +176,7 @@
 	k := kernel.NewKernel(role, w.Net.Host(p.IP), slog.New(slog.NewTextHandler(logTo{w, name}, nil)))
 	// What a killed process wrote is there; power is not lost in this world.
 	k.Sync = func(*os.File) error { return nil }
+	k.Invariants.OnViolation(func(v invariant.Violation) { w.T.Errorf("%s: %v", name, v) })
 	kernel.Offer(k, settings.NewLive(s))
 	if err := k.Assemble(); err != nil {
 		w.T.Fatalf("%s: %v", name, err)
--- a/internal/tools/status.go
+++ b/internal/tools/status.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"indigowalk/internal/controlstate"
+	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/rpc"
 )
@@ -274,6 +275,11 @@
 	if r.Abstains {
 		points = append(points, "abstains")
 	}
+	for _, i := range invariant.All {
+		if n := r.Counters["invariant."+string(i)]; n > 0 {
+			points = append(points, fmt.Sprintf("invariant %s violated %d times", i, n))
+		}
+	}
 	return points
 }
 
