Health coordinator: what comes late of a database that is gone counts for nothing

Cause: a check, report or notice that ended after its database was forgotten made a new entry, and marked it as down; nothing ever lifted that. Each carrier then checked the database every second and told of it with every poll, for ever. Class: a check and its use apart in time.

Change: the coordinator is told which databases there are (Keep), by the pools and, at a control node, by the failover manager, and decides under one lock. In TestTellingIsLeftToSeniors Forget became Keep twice: forgotten, and known anew, as strict as before.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -154,14 +154,18 @@
 		}
 		p.db = d
 	}
+	known := make(map[string]bool, len(dbs))
+	for id := range dbs {
+		known[id] = true
+	}
 	for id, p := range s.pools {
-		if _, ok := dbs[id]; !ok {
+		if !known[id] {
 			p.fail(ErrBroken)
 			s.closeIdle(p)
 			delete(s.pools, id)
-			s.health.Forget(id)
 		}
 	}
+	s.health.Keep(known)
 }
 
 func (s *Pools[W, C]) closeIdle(p *pool[W, C]) {
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -101,6 +101,7 @@
 // scene is what one look at the control state shows.
 type scene struct {
 	databases map[string]discovery.Database
+	known     map[string]bool // databases by id
 	services  map[string][]discovery.Database
 	leads     map[string]Lead
 	conf      *routeconfig.Configuration
@@ -117,12 +118,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.seen == nil || c.seenSeq != state.Seq || c.seenEpoch != state.Epoch {
-		s := &scene{services: map[string][]discovery.Database{}}
+		s := &scene{services: map[string][]discovery.Database{}, known: map[string]bool{}}
 		entries := state.Entries
 		if s.databases, err = c.databases.Of(entries); err != nil {
 			return nil, err
 		}
 		for _, d := range s.databases {
+			s.known[d.ID] = true
 			s.services[d.Service] = append(s.services[d.Service], d)
 		}
 		if s.leads, err = c.leads.Of(entries); err != nil {
@@ -179,6 +181,7 @@
 		return
 	}
 	c.readers.Term(term.Began(), s.poolers, c.k.Clock.Now(), c.cfg.ReaderLease)
+	c.health.Keep(s.known)
 	if c.cfg.Leadless {
 		c.dismiss(ctx, s)
 		return
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -76,7 +76,10 @@
 
 	events chan Event
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// known are the databases that there are; nil as long as nobody said. What comes of
+	// any other, late, is about one that is gone: a verdict on it would never be lifted.
+	known    map[string]bool
 	c        *Coordinator
 	bindings map[string]map[*Binding]struct{}
 	budget   byteBudget
@@ -185,6 +188,10 @@
 		return
 	}
 	s.mu.Lock()
+	if !s.knows(id) {
+		s.mu.Unlock()
+		return
+	}
 	h, now := s.c.of(id), s.k.Clock.Now()
 	if now-h.echoed > echo {
 		h.tellers = h.tellers[:0]
@@ -222,6 +229,9 @@
 func (s *Monitor) work(ctx context.Context, e Event) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.knows(e.Database) {
+		return
+	}
 	s.k.Recorder.Add(EventKind, e)
 	h := s.c.of(e.Database)
 	switch e.Kind {
@@ -318,9 +328,25 @@
 	}()
 }
 
-// Forget drops what is known of a database that is gone.
-func (s *Monitor) Forget(id string) {
+// Keep says which databases there are. What is known of any other is dropped, and
+// reports, notices and checks of it that are under way count for nothing.
+func (s *Monitor) Keep(known map[string]bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.c.Forget(id)
+	s.known = known
+	for id := range s.c.state {
+		if !known[id] {
+			s.c.Forget(id)
+		}
+	}
+}
+
+// knows tells whether there is such a database, and counts what is about another. The
+// caller holds the lock.
+func (s *Monitor) knows(id string) bool {
+	if s.known == nil || s.known[id] {
+		return true
+	}
+	s.k.Counters.Add("health.of_unknown_database", 1)
+	return false
 }
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -232,7 +232,8 @@
 		if n := tell("a", junior); n != 240 {
 			t.Errorf("%d of 240 peers told, though only juniors tell the same", n)
 		}
-		c.Forget("a")
+		c.Keep(map[string]bool{})
+		c.Keep(map[string]bool{"a": true})
 		if n := tell("a", senior); n > 2*atOnce {
 			t.Errorf("%d peers told beside two seniors", n)
 		}
@@ -285,7 +286,7 @@
 				if m.Up("a") {
 					t.Fatal("a database that fails is not held as down")
 				}
-				m.Forget("a")
+				m.Keep(map[string]bool{"b": true})
 				late(m)
 				time.Sleep(5 * time.Second)
 				if down := m.Down(); len(down) > 0 {
--- a/internal/health/telling.go
+++ b/internal/health/telling.go
@@ -105,7 +105,10 @@
 	defer s.mu.Unlock()
 	now := s.k.Clock.Now()
 	return slices.DeleteFunc(ids, func(id string) bool {
-		h, n := s.c.of(id), 0
+		h, n := s.c.state[id], 0
+		if h == nil {
+			return true // it is gone
+		}
 		for _, from := range h.tellers {
 			if counts(from, id) {
 				n++
