--- a/internal/dbconn/conn_test.go
+++ b/internal/dbconn/conn_test.go
@@ -218,3 +218,26 @@
 		})
 	}
 }
+
+// A connection that rested takes the next statement: the time limit of the one before is
+// not its own.
+func TestRestingConnectionTakesTheNextStatement(t *testing.T) {
+	connect(t, plain, []string{"IDLE I -\r\n", answerA, answerB}, func(c *dbconn.Conn, err error, _ <-chan int) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		const limit = 200 * kernel.Millisecond
+		if _, err := c.Ask("OPTION colour blue", limit); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * limit.Duration())
+		through := func(write func() error) error { return write() }
+		if err := c.Send(lineprotocol.AppendMessage(nil, "QUERY", "s1.2", "FETCH x"), limit, through); err != nil {
+			t.Fatal(err)
+		}
+		if a, err := c.Receive(limit, dbconn.Watch{}); err != nil || a.Seal != "b" {
+			t.Errorf("%v %v", a, err)
+		}
+	})
+}
--- a/internal/simulation/conn.go
+++ b/internal/simulation/conn.go
@@ -61,11 +61,11 @@
 			return 0, net.ErrClosed
 		case c.err != nil:
 			return 0, c.err
+		case c.writesLate():
+			return 0, os.ErrDeadlineExceeded
 		case !c.n.takesNothing(c.remote):
 			c.send(append([]byte(nil), b...), false)
 			return len(b), nil
-		case !c.writeBy.IsZero() && !time.Now().Before(c.writeBy):
-			return 0, os.ErrDeadlineExceeded
 		}
 		c.wake.Wait()
 	}
@@ -130,8 +130,18 @@
 	c.wake.Broadcast()
 }
 
+// writesLate tells whether the time limit of writes is over. As on a real socket it holds
+// until another is set, whatever could be written. The caller holds the lock.
+func (c *conn) writesLate() bool { return !c.writeBy.IsZero() && !time.Now().Before(c.writeBy) }
+
 // TryWrite implements kernel.TryWriter.
 func (c *conn) TryWrite(b []byte) (int, error) {
+	c.mu.Lock()
+	late := c.writesLate()
+	c.mu.Unlock()
+	if late {
+		return 0, os.ErrDeadlineExceeded
+	}
 	if c.n.takesNothing(c.remote) {
 		return 0, nil
 	}
