Statements at connections that rested: the last write's time limit is not their own

Cause: OPTION, PARSE, DISCARD, ABORT and long statements set a time limit for writing, of the statement they are for. Statements that go through the gate set none, so one at a connection that had rested past that limit failed unsent, the connection was closed, and the database doubted: an own check, and word to the control nodes. Class: a timer that is left armed on what others use next.

Change: the gate sets the statement's own limit; a statement whose time is over is not sent, and closes nothing; a log-in that is answered as its time ends gives no connection whose limit is about to be set. Looked at the other places that set time limits (httpconn, rpc, gateway, pooler): each sets its own before every use.

--- a/internal/dbconn/conn.go
+++ b/internal/dbconn/conn.go
@@ -94,7 +94,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait.Duration())
 	defer cancel()
-	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	if _, err := c.Write(lineprotocol.AppendMessage(nil, "LOGIN", db.Service, cmp.Or(tenant, d.Who), db.ID)); err != nil {
 		c.Close()
 		return nil, fmt.Errorf("%w: %v", connpool.ErrBroken, err)
@@ -123,6 +124,10 @@
 		c.Close()
 		return nil, fmt.Errorf("%w: more came than the answer to the log-in", connpool.ErrBroken)
 	}
+	if !stop() {
+		c.Close() // its time limit is about to be set
+		return nil, connpool.ErrSlow
+	}
 	_, pos := lineprotocol.Word(rest)
 	s := &Conn{
 		DB: db, Login: string(pos), tenant: tenant, c: c, answers: make(chan *lineprotocol.Answer, 1), dead: make(chan struct{}),
@@ -231,6 +236,8 @@
 	case !free:
 		s.Close()
 		return fmt.Errorf("%w: an answer is outstanding, or surplus", connpool.ErrBroken)
+	case wait <= 0:
+		return connpool.ErrDeadline
 	}
 	end := time.Now().Add(wait.Duration())
 	head := max(0, len(msg)-gatedBytes)
@@ -270,6 +277,10 @@
 // sendEnd writes the end of a statement through the gate, which is never kept
 // while the far end takes nothing.
 func (s *Conn) sendEnd(end []byte, until time.Time, gate Gate) error {
+	// The time limit of the write before, which may have been long ago, is still set.
+	if err := s.c.SetWriteDeadline(until); err != nil {
+		return fmt.Errorf("%w: %v", connpool.ErrBroken, err)
+	}
 	for whole := len(end); ; {
 		var wrote error
 		err := gate(func() error {
