Soak: relays before every process, timelines that overlap, checks of what each node owes by itself

testbed plays cuts (both ways, one way, refusing), lost answers, lost and repeated datagrams, delays and resets between own processes; descriptors that run out, full disks, an unread log; databases and clients that misbehave; stops, reloads and restarts that overlap. Bounds on what is lost at once are kept by the drawer; beyond= leaves them out. Each node owes its clients an answer, in time, whatever fails elsewhere; no node goes back to an older configuration in one life; no invariant is violated in any log; nothing is left once clients have gone. listen.bind_ip, for the relays, is what a translation of addresses needs too.

The history of TestTrafficChecker that was taken for right had a pooler go back in one life: that probe is another pooler's now, and the going back is among the wrong ones.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -113,7 +113,7 @@
 	lines := kernel.NewLogWriter(errs)
 	defer lines.Close()
 	log := slog.New(slog.NewJSONHandler(lines, nil)).With("node", settings.NodeName, "role", role)
-	k := kernel.NewKernel(role, kernel.HostNetwork{}, log)
+	k := kernel.NewKernel(role, kernel.HostNetwork{BindIP: settings.BindIP}, log)
 	kernel.Offer(k, book)
 	if err := k.Assemble(); err != nil {
 		fmt.Fprintln(errs, "indigowalk:", err)
--- a/cmd/indigowalk/testbed.go
+++ b/cmd/indigowalk/testbed.go
@@ -18,8 +18,12 @@
 
 Plays the real program on loopback addresses of this machine: control nodes and
 poolers as processes, beside stand-ins of databases, the platform, operators and
-clients, under troubles drawn from a seed. Checks what everybody saw against the
-rules, prints a table, and names the first breach with what happened around it.
+clients, under troubles drawn from a seed. All that processes say to each other goes
+through relays, which cut, delay, lose and reset it. Several timelines of troubles
+run side by side and know nothing of each other. Checks what everybody saw against
+the rules, looks through the logs for violated invariants and crashes, and for what
+is left when the clients have gone; prints a table, and names the first breach with
+what happened around it.
 
   --plan FILE     keys and values, a line each, as below
   --program PATH  the program to play, a race-built one say (this one)
@@ -29,13 +33,22 @@
 
 Keys, with what they are if nothing is said: seed=1, control_nodes=4, carriers=10,
 services=2, operators=3, length_s=60, cores=2 (GOMAXPROCS of each process),
-pause_ms=1500 (between two troubles), troubles=kill,freeze,term,hup,wipe,replace,all,
-crash,release,reset,hang,deaf (or none).
+pause_ms=1500 (mean, between two troubles of a timeline), timelines=2 (of machines;
+databases have two; links, limits and clients one each), beyond=false (more machines
+may be lost at once than are to be borne: service may rest, nothing may be lost),
+closing=false (at the end everything is killed, and one disk lost), troubles: all but
+split. What may come:
+  processes  kill freeze term hup wipe replace all
+  links      cut_core cut_carrier cut_databases cut_primary split lose_replies
+             datagrams delay reset_links
+  limits     descriptors full_disk log_reader
+  databases  crash release reset hang deaf manners
+  clients    rude; or none
 
     indigowalk testbed length_s=30 seed=7
     go build -race -o /tmp/indigowalk-race ./cmd/indigowalk
     indigowalk testbed --program /tmp/indigowalk-race length_s=120 cores=4
-    indigowalk testbed control_nodes=4 carriers=4 troubles=kill,wipe
+    indigowalk testbed control_nodes=4 carriers=4 troubles=term,hup,cut_core
 
 Exit codes: 0 no rule was broken and no process ended by itself, 1 otherwise or if
 it can't be played, 2 wrong use.
--- a/internal/history/traffic.go
+++ b/internal/history/traffic.go
@@ -17,6 +17,7 @@
 	Thing   string        `json:"thing"`
 	Value   int           `json:"value"`             // written, or read: a thing is counted up by one writer
 	MayLag  time.Duration `json:"may_lag,omitempty"` // how old a state a read may see
+	Within  time.Duration `json:"within,omitempty"`  // the deadline of its route; 0 if that is not checked
 	Sent    time.Duration `json:"sent"`
 	Done    time.Duration `json:"done"`
 	Code    string        `json:"code,omitempty"` // of the error, "" for success
@@ -54,12 +55,17 @@
 
 // Trouble is what was done to a node, or to a database.
 type Trouble struct {
-	Kind    string        `json:"kind"`
-	Node    string        `json:"node"`
-	Control bool          `json:"control,omitempty"` // a control node's process was struck
-	Planned bool          `json:"planned,omitempty"` // it was told, and could prepare
-	At      time.Duration `json:"at"`
-	Till    time.Duration `json:"till"`
+	Kind    string `json:"kind"`
+	Node    string `json:"node"`
+	Control bool   `json:"control,omitempty"` // a control node's process was struck
+	Planned bool   `json:"planned,omitempty"` // it was told, and could prepare
+	// Elsewhere: neither the node's own process was struck nor its links to clients, but
+	// what it depends on.
+	Elsewhere bool `json:"elsewhere,omitempty"`
+	// Everywhere: every node was struck.
+	Everywhere bool          `json:"everywhere,omitempty"`
+	At         time.Duration `json:"at"`
+	Till       time.Duration `json:"till"`
 }
 
 // Probe is a session that a client opened on a route of the operators.
@@ -77,6 +83,7 @@
 	Apply   time.Duration // until a configuration is in force
 	Contact time.Duration // after a trouble in which a node is held to nothing
 	Slack   time.Duration // after which a request that was read is owed an answer
+	Answer  time.Duration // after its deadline, by which a request is answered
 }
 
 // Traffic is what clients and databases saw.
@@ -163,11 +170,13 @@
 	c := &check{t: t, b: b}
 	c.lostCommits()
 	c.lostAnswers()
+	c.lateAnswers()
 	c.stale()
 	c.drain()
 	c.route()
 	c.one()
 	c.probes(orders)
+	c.forward(orders)
 	slices.SortStableFunc(c.out, func(a, b Breach) int { return int(a.At - b.At) })
 	return c.out
 }
@@ -199,19 +208,6 @@
 	}
 }
 
-// lostAnswers: with no trouble but planned ones since contact before it was sent, a
-// statement has an answer.
-func (c *check) lostAnswers() {
-	for _, s := range c.t.statements {
-		if s.Code != Unanswered || s.Done-s.Sent <= c.b.Slack {
-			continue
-		}
-		if !c.troubled(s.Sent, s.Done, func(d Trouble) bool { return !d.Planned }) {
-			c.broke(Lost, s.Done, "%s at %s, sent at %.3f s, has no answer", s.ID, s.Pooler, s.Sent.Seconds())
-		}
-	}
-}
-
 // troubled tells whether a trouble lasted, or had ended for less than contact, in a
 // span.
 func (c *check) troubled(from, to time.Duration, which func(Trouble) bool) bool {
--- a/internal/history/traffic_test.go
+++ b/internal/history/traffic_test.go
@@ -9,7 +9,7 @@
 
 const ms = time.Millisecond
 
-var testBounds = Bounds{Drain: 7 * time.Second, Apply: 3 * time.Second, Contact: 4 * time.Second, Slack: 200 * ms}
+var testBounds = Bounds{Drain: 7 * time.Second, Apply: 3 * time.Second, Contact: 4 * time.Second, Slack: 200 * ms, Answer: 500 * ms}
 
 // rightTraffic is a history that breaks nothing: a write and reads, a database that
 // leaves, a promotion, a pooler that ends in order, and a route that is added and
@@ -36,6 +36,10 @@
 			// Cut with a kill, and cut at once at the end of a pooler.
 			{Pooler: "p3", Service: "s", ID: "r4", Thing: "x", Sent: 30 * second, Done: 31 * second, Code: Unanswered},
 			{Pooler: "p1", Service: "s", ID: "r5", Thing: "x", Sent: 50 * second, Done: 50*second + 100*ms, Code: Unanswered},
+			// Cut, and late, as every process is killed; and just in time.
+			{Pooler: "p2", Service: "s", ID: "r6", Thing: "x", Sent: 68 * second, Done: 69 * second, Code: Unanswered},
+			{Pooler: "p2", Service: "s", ID: "r7", Thing: "x", Value: 2, Within: second, Sent: 68 * second, Done: 72 * second},
+			{Pooler: "p2", Service: "s", ID: "r8", Thing: "x", Value: 2, Within: second, Sent: 80 * second, Done: 81*second + 500*ms},
 		},
 		runs: []Run{
 			{"s", "d1", "w1", true, 5*second + 5*ms}, {"s", "d1", "w2", true, 6*second + 5*ms},
@@ -48,6 +52,8 @@
 			{Kind: "kill", Node: "p3", At: 30*second + 500*ms, Till: 31 * second},
 			{Kind: "term", Node: "p1", Planned: true, At: 49 * second, Till: 55 * second},
 			{Kind: "kill", Node: "c1", Control: true, At: 39 * second, Till: 40 * second},
+			{Kind: "cut_core", Node: "p1", Elsewhere: true, Control: true, At: 52 * second, Till: 56 * second},
+			{Kind: "all", Everywhere: true, Control: true, At: 69 * second, Till: 70 * second},
 		},
 		probes: []Probe{
 			{"p1", "b", false, 9 * second, 9*second + ms},
@@ -56,7 +62,10 @@
 			{"p1", "a", true, 21 * second, 21*second + ms}, // still in force
 			{"p1", "a", false, 25 * second, 25*second + ms},
 			{"p3", "a", true, 32 * second, 32*second + ms}, // it has just been killed
-			{"p1", "a", true, 41 * second, 41*second + ms}, // a control node has
+			{"p4", "a", true, 41 * second, 41*second + ms}, // a control node has
+			{"p4", "a", false, 42 * second, 42*second + ms},
+			{"p1", "a", true, 56 * second, 56*second + ms}, // in its next life
+			{"p1", "a", false, 57 * second, 57*second + ms},
 		},
 	}
 	return t, h
@@ -84,7 +93,12 @@
 		"p1 serves a, which was dropped":                 func(t *Traffic, _ *Orders) { t.probes[4].Served = true },
 		"p1 serves b, which was dropped":                 func(t *Traffic, _ *Orders) { t.probes[0].Served = true },
 		"p3 serves a, which was dropped":                 func(t *Traffic, _ *Orders) { t.troubles = t.troubles[1:] },
-		"41.001 s: p1 serves a, which was dropped":       func(t *Traffic, _ *Orders) { t.troubles[2].Control = false },
+		"41.001 s: p4 serves a, which was dropped":       func(t *Traffic, _ *Orders) { t.troubles[2].Control = false },
+		"42.001 s: p4 goes back: it was at version 9":    func(t *Traffic, _ *Orders) { t.probes[6].Served, t.probes[7].Served = false, true },
+		"r6 at p2, sent at 68.000 s, has no answer":      func(t *Traffic, _ *Orders) { t.troubles[4].Everywhere = false },
+		"r7 at p2 is answered 3000 ms after":             func(t *Traffic, _ *Orders) { t.troubles[4].Everywhere = false },
+		"r8 at p2 is answered 501 ms after":              func(t *Traffic, _ *Orders) { t.statements[10].Done += ms },
+		"56.001 s: p1 goes back: it was at version 9":    func(t *Traffic, _ *Orders) { t.troubles[1].Kind = "hup" },
 		"25.001 s: p1 does not serve a, which was added": func(_ *Traffic, h *Orders) { h.answers = h.answers[:2] },
 	} {
 		traffic, orders := rightTraffic()
--- a/internal/kernel/listen.go
+++ b/internal/kernel/listen.go
@@ -42,9 +42,9 @@
 
 // Listen implements Network. Accepted connections carry no keep-alive of
 // their own: clients come and go quickly and idle time-outs cover the rest.
-func (HostNetwork) Listen(addr string) (net.Listener, error) {
+func (n HostNetwork) Listen(addr string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAlive: -1}
-	ln, err := lc.Listen(context.Background(), "tcp4", addr)
+	ln, err := lc.Listen(context.Background(), "tcp4", n.local(addr))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/kernel/seams.go
+++ b/internal/kernel/seams.go
@@ -91,11 +91,27 @@
 }
 
 // HostNetwork is the operating system's network.
-type HostNetwork struct{}
+type HostNetwork struct {
+	// BindIP is the address that is listened at and called from, where others reach this
+	// machine at another; "" if they don't.
+	BindIP string
+}
+
+// local is the address at which what others reach at addr is listened for.
+func (n HostNetwork) local(addr string) string {
+	_, port, err := net.SplitHostPort(addr)
+	if n.BindIP == "" || err != nil {
+		return addr
+	}
+	return net.JoinHostPort(n.BindIP, port)
+}
 
 // Dial implements Network.
-func (HostNetwork) Dial(ctx context.Context, addr string, silence Micros) (net.Conn, error) {
+func (n HostNetwork) Dial(ctx context.Context, addr string, silence Micros) (net.Conn, error) {
 	d := net.Dialer{KeepAlive: -1}
+	if n.BindIP != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(n.BindIP)}
+	}
 	if silence > 0 {
 		d.Control = func(_, _ string, c syscall.RawConn) error {
 			var err error
@@ -133,6 +149,6 @@
 }
 
 // ListenPacket implements Network.
-func (HostNetwork) ListenPacket(addr string) (net.PacketConn, error) {
-	return net.ListenPacket("udp4", addr)
+func (n HostNetwork) ListenPacket(addr string) (net.PacketConn, error) {
+	return net.ListenPacket("udp4", n.local(addr))
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -28,13 +28,16 @@
 // the operators set in milliseconds keep that unit here; Spans derives the
 // working times in microseconds.
 type Settings struct {
-	NodeName    string   `key:"node_name" validate:"required"`
-	IP          string   `key:"ip" validate:"required,ipv4"`
-	Zone        string   `key:"zone" validate:"required"`
-	Region      string   `key:"region"`
-	ClientAddr  string   `key:"listen.client_addr" validate:"omitempty,hostname_port"`
-	ReadyAddr   string   `key:"listen.ready_addr" validate:"omitempty,hostname_port"`
-	ControlAddr string   `key:"listen.control_addr" validate:"omitempty,hostname_port"`
+	NodeName    string `key:"node_name" validate:"required"`
+	IP          string `key:"ip" validate:"required,ipv4"`
+	Zone        string `key:"zone" validate:"required"`
+	Region      string `key:"region"`
+	ClientAddr  string `key:"listen.client_addr" validate:"omitempty,hostname_port"`
+	ReadyAddr   string `key:"listen.ready_addr" validate:"omitempty,hostname_port"`
+	ControlAddr string `key:"listen.control_addr" validate:"omitempty,hostname_port"`
+	// BindIP is the address that is listened at and called from, where others reach this
+	// machine at another, behind a translation of addresses say.
+	BindIP      string   `key:"listen.bind_ip" validate:"omitempty,ipv4"`
 	PortRange   []string `key:"port_range" validate:"len=2,dive,number"`
 	Seeds       []string `key:"seeds" validate:"required,dive,hostname_port"`
 	Bootstrap   bool     `key:"bootstrap"`
--- a/internal/simulation/group.go
+++ b/internal/simulation/group.go
@@ -50,7 +50,7 @@
 	}
 	var poolers []standin.Pooler
 	for _, z := range zones {
-		poolers = append(poolers, standin.Pooler{Number: z, Addr: ip(z) + ":8784", Network: w.clients(z)})
+		poolers = append(poolers, standin.Pooler{Number: z, Address: standin.At(ip(z) + ":8784"), Network: w.clients(z)})
 	}
 	return standin.NewLoad(g.Group, seed, poolers, nil)
 }
--- a/internal/simulation/leaving_test.go
+++ b/internal/simulation/leaving_test.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
+
+	"indigowalk/internal/standin"
 )
 
 // patientRoutes is a configuration whose statements may take longer than a process
@@ -24,13 +27,18 @@
 		before []string // statements that are answered before
 		ask    string
 		full   bool // every connection that there may be is busy
+		mute   bool // the database answers nothing at all, not only nothing that is work
 		want   string
 	}{
-		"a write":                  {[]string{"PUT z 1"}, "PUT a 1", false, "UNKNOWN"},
-		"a read":                   {[]string{"PUT z 1"}, "FETCH a", false, "RETRY"},
-		"in a transaction":         {[]string{"BEGIN", "PUT a 1"}, "PUT b 1", false, "ROLLEDBACK"},
-		"the commit":               {[]string{"BEGIN", "PUT a 1"}, "COMMIT", false, "UNKNOWN"},
-		"waiting for a connection": {nil, "PUT a 1", true, "RETRY"},
+		"a write":                  {[]string{"PUT z 1"}, "PUT a 1", false, false, "UNKNOWN"},
+		"a read":                   {[]string{"PUT z 1"}, "FETCH a", false, false, "RETRY"},
+		"in a transaction":         {[]string{"BEGIN", "PUT a 1"}, "PUT b 1", false, false, "ROLLEDBACK"},
+		"the commit":               {[]string{"BEGIN", "PUT a 1"}, "COMMIT", false, false, "UNKNOWN"},
+		"waiting for a connection": {nil, "PUT a 1", true, false, "RETRY"},
+		"its values":               {[]string{"PUT z 1", "OPTION colour blue"}, "PUT a 1", false, true, "RETRY"},
+		"its values, reading":      {[]string{"PUT z 1", "OPTION colour blue"}, "FETCH a", false, true, "RETRY"},
+		"a prepared name":          {[]string{"PUT z 1", "PARSE s1 PUT q"}, "RUN s1 a 1", false, true, "RETRY"},
+		"values in a transaction":  {[]string{"BEGIN", "PUT z 1", "OPTION colour blue"}, "PUT a 1", false, true, "ROLLEDBACK"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			play(t, func(w *World, g *Group) {
@@ -46,7 +54,11 @@
 						t.Fatalf("%s: %s %s", text, a.Code, a.Text)
 					}
 				}
-				g.Lead().Slow(time.Minute)
+				if c.mute {
+					g.Lead().Behave(standin.Silent, 1)
+				} else {
+					g.Lead().Slow(time.Minute)
+				}
 				if c.full {
 					busy(w, 60)
 				}
@@ -62,6 +74,54 @@
 	}
 }
 
+// EveryStatementIsAnswered, for sessions that come while a pooler leaves, and for those
+// that never rest: whatever it has read is answered when it ends, and it ends soon after
+// the time that open transactions have, however many come.
+func TestALeavingPoolerAnswersWhoeverComes(t *testing.T) {
+	play(t, func(w *World, g *Group) {
+		p := w.Process("pooler", 1)
+		g.Lead().Slow(50 * time.Millisecond)
+		over := make(chan struct{})
+		var clients sync.WaitGroup
+		for range 10 {
+			clients.Go(func() { neverRests(t, w, over) })
+		}
+		time.Sleep(time.Second)
+		start := time.Now()
+		p.Term()
+		if took := time.Since(start); took > grace/2+500*time.Millisecond {
+			t.Errorf("it took %v to end", took)
+		}
+		close(over)
+		clients.Wait()
+	})
+}
+
+// neverRests is a client that has a statement run all the time, and comes back at once
+// whenever its session ends.
+func neverRests(t *testing.T, w *World, over <-chan struct{}) {
+	for {
+		s, _ := w.Login(1, "p.ledger")
+		for s != nil {
+			start := time.Now()
+			a, id := s.Query("PUT y 1")
+			if a.Code != standin.Cut {
+				continue
+			}
+			if took := time.Since(start); took > 200*time.Millisecond {
+				t.Errorf("%s has no answer after %v", id, took)
+			}
+			s.Close()
+			s = nil
+		}
+		select {
+		case <-over:
+			return
+		case <-time.After(time.Millisecond / 10):
+		}
+	}
+}
+
 // grace is bounds.grace_s of the worlds here.
 const grace = 6 * time.Second
 
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -35,6 +35,10 @@
 	ran      map[string]bool
 	slow     time.Duration // more time for every log-in and statement
 	lose     int           // answers to be lost, their connections kept
+	quiet    bool          // it says nothing of its leaving but that it has left
+
+	manner      Manner
+	mannerShare float64
 }
 
 func (d *Database) start() {
@@ -75,7 +79,7 @@
 func (d *Database) Return(id string) {
 	d.g.mu.Lock()
 	d.ID, d.seq, d.held, d.beatAddr = id, 0, 0, ""
-	d.leftAt = time.Time{}
+	d.leftAt, d.manner = time.Time{}, WellBehaved
 	if d.role == "primary" && d.g.term > d.term {
 		d.role = replica
 	}
@@ -159,25 +163,17 @@
 	}
 	d.seq++
 	status := "up"
-	if d.draining {
+	if d.draining && !d.quiet {
 		status = "draining"
 	}
 	body, _ := json.Marshal(map[string]any{
 		"svc": d.g.Service, "address": d.Addr, "zone": d.zone, "rev": "v1", "slots": 7,
 		"status": status, "call_seq": d.seq, "target_role": d.role,
 	})
-	path, drains := "/Servers.Heartbeat/"+d.ID, d.draining
+	path, drains := "/Servers.Heartbeat/"+d.ID, status == "draining"
 	d.g.mu.Unlock()
-	if !d.call(path, body) || !drains {
-		return
-	}
-	d.g.mu.Lock()
-	defer d.g.mu.Unlock()
-	if d.leftAt.IsZero() {
-		d.leftAt = time.Now()
-		if d.g.Observe.Drains != nil {
-			d.g.Observe.Drains(d.g.Service, d.ID)
-		}
+	if d.call(path, body) && drains {
+		d.left()
 	}
 }
 
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -29,11 +29,14 @@
 
 // Pooler is where sessions are opened.
 type Pooler struct {
-	Number  int // names what is written through it
-	Addr    string
+	Number  int            // names what is written through it
+	Address func() string  // as the entry has it now
 	Network kernel.Network // of the clients there
 }
 
+// At is the address of a pooler that never moves.
+func At(address string) func() string { return func() string { return address } }
+
 // Statement is what a client asked, and what came of it.
 type Statement struct {
 	Pooler, Route string
@@ -135,7 +138,7 @@
 
 // login opens a session with a value of its own.
 func (l *Load) login(p Pooler, kind string) (*Session, *lineprotocol.Answer) {
-	s, _ := Login(p.Network, p.Addr, kind+"."+l.g.Service)
+	s, _ := Login(p.Network, p.Address(), kind+"."+l.g.Service)
 	if s == nil {
 		return nil, nil
 	}
@@ -143,12 +146,12 @@
 	return s, a
 }
 
-// told tells the observer of a statement.
-func (l *Load) told(p Pooler, kind string, s Statement, a *lineprotocol.Answer) {
+// told tells the observer of a statement on a session.
+func (l *Load) told(session *Session, kind string, s Statement, a *lineprotocol.Answer) {
 	if l.observe == nil {
 		return
 	}
-	s.Pooler, s.Route, s.Done, s.Code = p.Addr, kind+"."+l.g.Service, time.Now(), a.Code
+	s.Pooler, s.Route, s.Done, s.Code = session.Address, kind+"."+l.g.Service, time.Now(), a.Code
 	l.observe(s)
 }
 
@@ -188,7 +191,7 @@
 		a, _ = s.Query("COMMIT")
 	}
 	l.note(a, thing, n, id)
-	l.told(p, PrimaryRoute, Statement{ID: id, Write: true, Thing: thing, Value: n, Sent: sent}, a)
+	l.told(s, PrimaryRoute, Statement{ID: id, Write: true, Thing: thing, Value: n, Sent: sent}, a)
 	return a
 }
 
@@ -293,7 +296,7 @@
 	if a.Code == "" {
 		l.check(a, s, kind, thing, got, want, id)
 	}
-	l.told(p, kind, Statement{ID: id, Thing: thing, Value: got, Own: own, Sent: sent}, a)
+	l.told(s, kind, Statement{ID: id, Thing: thing, Value: got, Own: own, Sent: sent}, a)
 	return a
 }
 
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -23,8 +23,10 @@
 
 // Session is a client's session at a pooler.
 type Session struct {
-	Name  string
-	State string
+	Name string
+	// Address is that of the pooler.
+	Address string
+	State   string
 
 	c   net.Conn
 	r   *lineprotocol.Reader
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, Cut
 	}
-	s = &Session{Name: "s" + strconv.FormatInt(sessions.Add(1), 10), c: c, r: lineprotocol.NewReader(c)}
+	s = &Session{Name: "s" + strconv.FormatInt(sessions.Add(1), 10), Address: addr, c: c, r: lineprotocol.NewReader(c)}
 	if code := s.login(database, who); code != "" {
 		c.Close()
 		return nil, code
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -30,14 +30,23 @@
 	if !alive {
 		return
 	}
+	if d.mannered(MuteLogin) {
+		_, _ = r.Line() // until the caller goes
+		return
+	}
+	if d.mannered(WrongLogin) {
+		c.Write(lineprotocol.AppendMessage(nil, "ERROR", lineprotocol.WrongNode, "i-another"))
+		return
+	}
 	d.work(2 * time.Millisecond)
 	s := &dbSession{d: d, who: f[2], state: 'I', values: map[string]string{}, names: map[string]string{}}
 	out := lineprotocol.AppendMessage(nil, "IDLE", "I", d.position())
 	for {
-		if len(out) > 0 {
-			if _, err := c.Write(out); err != nil {
-				return
-			}
+		if len(out) > 0 && !d.deliver(c, out) {
+			return
+		}
+		if d.mannered(EndsUnread) {
+			return
 		}
 		if line, err = r.Line(); err != nil {
 			return
@@ -99,6 +108,9 @@
 		d.g.broke("UNASKED: %q without a client's id", text)
 		d.g.mu.Unlock()
 	}
+	if d.mannered(Sheds) {
+		return fail(lineprotocol.Retry, "full")
+	}
 	begins := s.state == 'I' || s.begun
 	s.begun = false
 	d.note(id, s.who, begins)
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -37,8 +37,11 @@
 	platform *standin.Platform
 	server   *http.Server
 
+	losses *losses
+
 	mu       sync.Mutex
 	machines []*machine
+	gone     []*machine // whose place others took
 	seeds    []string
 	added    int // machines that came in another's place
 }
@@ -56,13 +59,21 @@
 // Groups of addresses.
 const (
 	machineGroup  = 1
+	bindGroup     = 2   // at which the processes of machines listen
 	databaseGroup = 100 // and up, one for each service
 	platformGroup = 250
 	clientGroup   = 251
 )
 
+// operatorHost is the address from which operators call.
+func operatorHost() string { return address(clientGroup, 0) }
+
 func newCluster(plan Plan, program, dir string) *cluster {
-	c := &cluster{plan: plan, program: program, dir: dir, net: newLoopback(), platform: &standin.Platform{}}
+	c := &cluster{plan: plan, program: program, dir: dir, net: newLoopback(newLinks(uint64(plan.Seed))), platform: &standin.Platform{}}
+	c.losses = newLosses(tolerate)
+	if plan.Beyond {
+		c.losses = newLosses(0)
+	}
 	for i := range plan.machines() {
 		c.machines = append(c.machines, c.machine(i, i < int(plan.ControlNodes), i < int(plan.Carriers)))
 	}
@@ -73,15 +84,58 @@
 	return c
 }
 
-func (c *cluster) machine(n int, control, pooler bool) *machine {
+func (c *cluster) machine(n int, control, carrier bool) *machine {
 	m := &machine{
-		name: fmt.Sprintf("edge-%d", n+1), ip: address(machineGroup, n), zone: fmt.Sprintf("zone-%d", n%zones+1),
-		control: control, pooler: pooler,
+		name: fmt.Sprintf("edge-%d", n+1), ip: address(machineGroup, n), bind: address(bindGroup, n), zone: fmt.Sprintf("zone-%d", n%zones+1),
+		control: control, carrier: carrier,
 	}
-	m.processes(c.dir, c.program, c.plan.Cores)
+	m.processes(c.dir, c.program, c.plan.Tier, c.plan.Cores)
+	c.net.callsFrom(m.ip, m.bind)
 	return m
 }
 
+// ports are those at which a machine's processes are reached, and which of them for
+// datagrams too.
+func (m *machine) ports() (ports []string, datagrams []string) {
+	if m.control {
+		ports, datagrams = append(ports, controlPort, controlCallPort), append(datagrams, controlCallPort)
+	}
+	if m.carrier {
+		ports, datagrams = append(ports, clientPort, readyPort, carrierCallPort), append(datagrams, carrierCallPort)
+	}
+	return ports, datagrams
+}
+
+// relay puts relays in front of a machine's processes.
+func (c *cluster) relay(m *machine) error {
+	ports, datagrams := m.ports()
+	for _, port := range ports {
+		r, err := newRelay(c.net.links, c.net.hostOf, m.ip, m.ip+":"+port, m.bind+":"+port)
+		if err != nil {
+			return fmt.Errorf("testbed: the address %s:%s of %s: %w", m.ip, port, m.name, err)
+		}
+		m.relays = append(m.relays, r)
+	}
+	for _, port := range datagrams {
+		r, err := newDatagramRelay(c.net.links, c.net.hostOf, m.ip, m.ip+":"+port, m.bind+":"+port)
+		if err != nil {
+			return fmt.Errorf("testbed: the address %s:%s of %s: %w", m.ip, port, m.name, err)
+		}
+		m.datagrams = append(m.datagrams, r)
+	}
+	return nil
+}
+
+// unrelay takes the relays of a machine away.
+func (m *machine) unrelay() {
+	for _, r := range m.relays {
+		r.close()
+	}
+	for _, r := range m.datagrams {
+		r.close()
+	}
+}
+
 // tellControls has the platform know the control nodes that there are.
 func (c *cluster) tellControls() {
 	var addrs []string
@@ -111,6 +165,9 @@
 	c.server = &http.Server{Handler: c.platform, ReadHeaderTimeout: time.Second}
 	go c.server.Serve(ln)
 	for _, m := range c.all() {
+		if err := c.relay(m); err != nil {
+			return err
+		}
 		if err := c.startMachine(m, true); err != nil {
 			return err
 		}
@@ -124,7 +181,7 @@
 		return err
 	}
 	for _, p := range m.procs {
-		if err := p.write(m.settings(p, c.seeds, c.platformAddr(), bootstrap)); err != nil {
+		if err := p.write(m.settings(p, c.seeds, c.platformAddr(), c.plan.Tier == Gateway, bootstrap)); err != nil {
 			return fmt.Errorf("testbed: %w", err)
 		}
 		if err := p.start(); err != nil {
@@ -137,7 +194,7 @@
 // free tells whether the machine's addresses can be used.
 func free(m *machine) error {
 	var faults []error
-	for _, addr := range []string{m.clientAddr(), m.controlAddr()} {
+	for _, addr := range []string{m.bind + ":" + clientPort, m.bind + ":" + controlPort} {
 		ln, err := net.Listen("tcp4", addr)
 		if err != nil {
 			faults = append(faults, fmt.Errorf("testbed: the address %s of %s: %w", addr, m.name, err))
@@ -182,10 +239,12 @@
 // replace puts an empty machine at another address in a machine's place.
 func (c *cluster) replace(old *machine) (*machine, error) {
 	old.kill()
+	old.unrelay()
 	c.mu.Lock()
 	n := c.plan.machines() + c.added
 	c.added++
-	m := c.machine(n, old.control, old.pooler)
+	m := c.machine(n, old.control, old.carrier)
+	c.gone = append(c.gone, old)
 	for i := range c.machines {
 		if c.machines[i] == old {
 			c.machines[i] = m
@@ -193,6 +252,9 @@
 	}
 	c.tellControls()
 	c.mu.Unlock()
+	if err := c.relay(m); err != nil {
+		return m, err
+	}
 	return m, c.startMachine(m, false)
 }
 
@@ -215,6 +277,9 @@
 		wg.Go(m.term)
 	}
 	wg.Wait()
+	for _, m := range c.all() {
+		m.unrelay()
+	}
 	if c.server != nil {
 		c.server.Close()
 	}
@@ -224,7 +289,7 @@
 func (c *cluster) ready(ctx context.Context) error {
 	client := &http.Client{Timeout: time.Second}
 	for _, m := range c.all() {
-		for m.pooler && !isReady(client, m) {
+		for m.carrier && !isReady(client, m) {
 			select {
 			case <-ctx.Done():
 				return fmt.Errorf("testbed: %s is not ready: %w", m.name, context.Cause(ctx))
--- /dev/null
+++ b/internal/testbed/database_troubles.go
@@ -0,0 +1,77 @@
+package testbed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"indigowalk/internal/history"
+	"indigowalk/internal/standin"
+)
+
+// Spans of troubles of databases.
+const (
+	longestCrash   = 4 * time.Second
+	longestHang    = 1500 * time.Millisecond
+	longestDeaf    = 2 * time.Second
+	longestManners = 3 * time.Second
+	// drainsFor is how long a database that leaves serves on.
+	drainsFor = drainBound + time.Second
+)
+
+// strikeDatabase carries one trouble of a database out; none where one of the service is
+// away or leaves.
+func (t *troubles) strikeDatabase(ctx context.Context, kind string, r *rand.Rand) error {
+	number := r.IntN(len(t.groups))
+	g := t.groups[number]
+	var alive []*standin.Database
+	for _, d := range g.Databases() {
+		if d.Alive() && !d.Leaves() {
+			alive = append(alive, d)
+		}
+	}
+	if len(alive) < 3 {
+		return nil
+	}
+	d := alive[r.IntN(len(alive))]
+	noted := t.traffic.Begin(history.Trouble{Kind: kind, Node: d.ID, Planned: kind == Release, At: t.traffic.Now()})
+	defer func() { t.traffic.End(noted) }()
+	id := fmt.Sprintf("%s-r%d", g.Service, t.rounds.next())
+	switch kind {
+	case Crash:
+		d.Crash(r.IntN(3) == 0)
+		sleep(ctx, span(r, longestCrash))
+		d.Return(id)
+	case Release:
+		t.release(ctx, g, number, d, id, r)
+	case Reset:
+		t.cluster.net.Break(d.IP)
+	case Hang:
+		t.cluster.net.Silence(d.IP, true)
+		sleep(ctx, span(r, longestHang))
+		t.cluster.net.Silence(d.IP, false)
+	case Deaf:
+		d.Deaf(true)
+		sleep(ctx, span(r, longestDeaf))
+		d.Deaf(false)
+	case Manners:
+		manners := standin.AllManners
+		d.Behave(manners[r.IntN(len(manners))], r.Float64()/2)
+		sleep(ctx, span(r, longestManners))
+		d.Behave(standin.WellBehaved, 0)
+	}
+	return nil
+}
+
+// release replaces a database in order; some never say that they drain.
+func (t *troubles) release(ctx context.Context, g *standin.Group, number int, d *standin.Database, id string, r *rand.Rand) {
+	g.Add(id, address(databaseGroup+number, len(g.Databases())), fmt.Sprintf("zone-%d", 1+r.IntN(zones)), "replica")
+	sleep(ctx, time.Second)
+	if r.IntN(3) == 0 {
+		d.LeaveAtOnce(drainsFor)
+	} else {
+		d.Leave(drainsFor, true)
+	}
+	sleep(ctx, drainsFor+time.Second)
+}
--- a/internal/testbed/host.go
+++ b/internal/testbed/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"indigowalk/internal/kernel"
 )
@@ -11,14 +12,18 @@
 // loopback is this machine's network as stand-ins use it: hosts are addresses of the
 // loopback, whose connections can be reset and held up.
 type loopback struct {
+	links *links
+
 	mu       sync.Mutex
 	hosts    map[string]*host
-	controls []string // control addresses, as the platform knows them
+	callers  map[string]string // hosts by the address that they call from, if it is another
+	controls []string          // control addresses, as the platform knows them
 }
 
 // host is one address with what it has open.
 type host struct {
-	ip string
+	ip  string
+	net *loopback
 
 	mu        sync.Mutex
 	wake      *sync.Cond
@@ -27,14 +32,33 @@
 	conns     map[*hostConn]bool
 }
 
-func newLoopback() *loopback { return &loopback{hosts: map[string]*host{}} }
+func newLoopback(l *links) *loopback {
+	return &loopback{links: l, hosts: map[string]*host{}, callers: map[string]string{}}
+}
+
+// callsFrom notes that a host calls from another address.
+func (l *loopback) callsFrom(host, ip string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.callers[ip] = host
+}
+
+// hostOf is the host that calls from an address.
+func (l *loopback) hostOf(ip string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if host, other := l.callers[ip]; other {
+		return host
+	}
+	return ip
+}
 
 func (l *loopback) host(ip string) *host {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h := l.hosts[ip]
 	if h == nil {
-		h = &host{ip: ip, listeners: map[net.Listener]bool{}, conns: map[*hostConn]bool{}}
+		h = &host{ip: ip, net: l, listeners: map[net.Listener]bool{}, conns: map[*hostConn]bool{}}
 		h.wake = sync.NewCond(&h.mu)
 		l.hosts[ip] = h
 	}
@@ -57,16 +81,17 @@
 	l.controls = addrs
 }
 
-// Reaches implements standin.Environment: a host that is silent is not reached.
+// Reaches implements standin.Environment: a host that is silent, or cut off, is not
+// reached.
 func (l *loopback) Reaches(from, to string) bool {
-	return !l.silentAt(from) && !l.silentAt(to)
+	a, _, _ := net.SplitHostPort(from)
+	b, _, _ := net.SplitHostPort(to)
+	there, _ := l.links.state(a, b)
+	back, _ := l.links.state(b, a)
+	return !l.silentAt(a) && !l.silentAt(b) && !there.cut && !back.cut
 }
 
-func (l *loopback) silentAt(addr string) bool {
-	ip, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return false
-	}
+func (l *loopback) silentAt(ip string) bool {
 	h := l.host(ip)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -157,9 +182,11 @@
 	if err != nil {
 		return nil, err
 	}
+	ip, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	from := l.h.net.hostOf(ip)
 	l.h.mu.Lock()
 	defer l.h.mu.Unlock()
-	kept := &hostConn{c, l.h}
+	kept := &hostConn{Conn: c, h: l.h, from: from}
 	l.h.conns[kept] = true
 	return kept, nil
 }
@@ -167,22 +194,45 @@
 // hostConn is a connection that was made to a host.
 type hostConn struct {
 	net.Conn
-	h *host
+	h    *host
+	from string // who made it
 }
 
 // Read implements net.Conn.
 func (c *hostConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.h.await(c)
+	if n > 0 && !c.passes(c.from, c.h.ip) {
+		return 0, net.ErrClosed
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *hostConn) Write(b []byte) (int, error) {
 	c.h.await(c)
+	if !c.passes(c.h.ip, c.from) {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Write(b)
 }
 
+// passes waits until the link carries what is on its way; false if the connection breaks
+// by it.
+func (c *hostConn) passes(from, to string) bool {
+	for end := time.Now().Add(holdMost); ; {
+		state, changed := c.h.net.links.state(from, to)
+		if !state.cut && !state.refuse {
+			time.Sleep(state.delay)
+			return true
+		}
+		if state.refuse || !waitFor(changed, end, nil) {
+			abort(c.Conn)
+			return false
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *hostConn) Close() error {
 	c.h.mu.Lock()
--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -14,27 +14,34 @@
 )
 
 // Roles of processes.
-const (
-	controlRole = "control"
-	poolerRole  = "pooler"
-)
+const controlRole = "control"
 
 // Ports, alike on every machine.
 const (
+	controlCallPort = "7440"
+	carrierCallPort = "7441"
+
 	clientPort   = "8784"
 	readyPort    = "8785"
 	controlPort  = "8782"
 	platformPort = "8783"
 )
 
-// machine is an address with its processes.
+// machine is an address with its processes. Others reach it through relays at its
+// address; the processes listen at another, and call from there.
 type machine struct {
 	name    string
 	ip      string
+	bind    string
 	zone    string
 	control bool // a control node runs here
-	pooler  bool
+	carrier bool // a pooler or gateway does
 	procs   []*process
+
+	relays    []*relay
+	datagrams []*datagramRelay
+	// lifecycle is held by whoever starts or ends the processes.
+	lifecycle sync.Mutex
 }
 
 func (m *machine) clientAddr() string  { return m.ip + ":" + clientPort }
@@ -54,6 +61,7 @@
 	done     chan struct{}
 	expected bool // it is about to be ended from here
 	died     error
+	logs     *logPipe
 }
 
 // raceExit is the code with which a race-built program ends at the first race.
@@ -68,16 +76,16 @@
 
 // start starts the process; it must not run.
 func (p *process) start() error {
-	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	logs, err := newLogPipe(p.log)
 	if err != nil {
 		return fmt.Errorf("testbed: %w", err)
 	}
-	defer log.Close()
+	defer logs.in.Close()
 	cmd := exec.Command(p.program, p.role)
 	cmd.Env = append(os.Environ(),
 		"INDIGOWALK_SETTINGS="+p.settings(), "GOMAXPROCS="+strconv.FormatInt(p.cores, 10),
 		"GORACE=halt_on_error=1 exitcode="+strconv.Itoa(raceExit))
-	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Stdout, cmd.Stderr = logs.in, logs.in
 	// It must not outlive the testbed, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	if err := cmd.Start(); err != nil {
@@ -86,7 +94,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	done := make(chan struct{})
-	p.cmd, p.done, p.expected = cmd, done, false
+	p.cmd, p.done, p.expected, p.logs = cmd, done, false, logs
 	go p.wait(cmd, done)
 	return nil
 }
@@ -157,7 +165,7 @@
 }
 
 // processes adds the machine's processes.
-func (m *machine) processes(dir, program string, cores int64) {
+func (m *machine) processes(dir, program, tier string, cores int64) {
 	add := func(role string) {
 		name := m.name + "-" + role
 		m.procs = append(m.procs, &process{
@@ -167,18 +175,23 @@
 	if m.control {
 		add(controlRole)
 	}
-	if m.pooler {
-		add(poolerRole)
+	if m.carrier {
+		add(tier)
 	}
 }
 
 // settings are those of a process of the machine.
-func (m *machine) settings(p *process, seeds []string, platform string, bootstrap bool) string {
+func (m *machine) settings(p *process, seeds []string, platform string, gateways, bootstrap bool) string {
 	var b strings.Builder
 	line := func(key string, value any) { fmt.Fprintf(&b, "%s=%v\n", key, value) }
 	line("node_name", m.name)
 	line("role", p.role)
 	line("ip", m.ip)
+	line("listen.bind_ip", m.bind)
+	if p.role == Gateway || gateways {
+		line("deploy", "api")
+	}
+	line("limits.max_fds", maxDescriptors)
 	line("zone", m.zone)
 	line("listen.client_addr", m.clientAddr())
 	line("listen.ready_addr", m.ip+":"+readyPort)
--- a/internal/testbed/report.go
+++ b/internal/testbed/report.go
@@ -58,7 +58,7 @@
 // Clean tells whether nothing broke.
 func (r *Report) Clean() bool { return len(r.Breaches) == 0 && len(r.Processes) == 0 }
 
-func (b *bed) report() *Report {
+func (b *bed) report(leaks []history.Breach) *Report {
 	r := &Report{Seed: b.cfg.Plan.Seed, Troubles: map[string]int{}, Processes: b.cluster.faults()}
 	b.countStatements(r)
 	b.countOrders(r)
@@ -67,9 +67,10 @@
 	}
 	r.Promotions = b.cluster.platform.Calls()
 	r.Breaches = append(b.orders.Breaches(), b.traffic.Breaches(b.orders, history.Bounds{
-		Drain: drainBound, Apply: applyBound, Contact: contactBound, Slack: slackBound,
+		Drain: drainBound, Apply: applyBound, Contact: contactBound, Slack: slackBound, Answer: answerBound,
 	})...)
 	now := b.traffic.Now()
+	r.Breaches = append(append(r.Breaches, leaks...), b.cluster.logBreaches(now)...)
 	for _, g := range b.groups {
 		for _, text := range g.Broken() {
 			r.Breaches = append(r.Breaches, history.Breach{Rule: "DATABASES", At: now, Text: text})
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -30,11 +30,15 @@
 	bootWait = 30 * time.Second
 	// calmEnd is for how long nothing strikes before the end is checked.
 	calmEnd = contactBound + 2*time.Second
+	// closingEnd is that where everything is killed at the end.
+	closingEnd = calmEnd + 10*time.Second
 	// closingWait is how long the closing calls of operators may take.
 	closingWait = 20 * time.Second
 	// closingOrders is how many orders are sent again at the end: fewer than the
 	// control state knows again, of which some were never acknowledged.
 	closingOrders = 256
+	// answerBound is how much later than its deadline a statement may be answered.
+	answerBound = 500 * time.Millisecond
 	// probePause is between two probes of a pooler.
 	probePause = 250 * time.Millisecond
 )
@@ -68,7 +72,11 @@
 	if err := b.close(ctx); err != nil {
 		return nil, err
 	}
-	return b.report(), nil
+	leaks := b.cluster.leaks(ctx, b.traffic.Now())
+	for _, g := range b.groups {
+		g.End()
+	}
+	return b.report(leaks), nil
 }
 
 func newBed(cfg Config) *bed {
@@ -87,7 +95,7 @@
 		}
 		b.groups = append(b.groups, b.group(service))
 	}
-	b.operators = &operators{network: b.cluster.net.Network(address(clientGroup, 0)), net: b.cluster.net, orders: b.orders, frame: frame}
+	b.operators = &operators{network: b.cluster.net.Network(operatorHost()), net: b.cluster.net, orders: b.orders, frame: frame}
 	b.cluster.platform.Promote = b.promote
 	return b
 }
@@ -177,31 +185,71 @@
 	length := time.Duration(b.cfg.Plan.LengthS) * time.Second
 	calm, cancelCalm := context.WithTimeout(ctx, length)
 	defer cancelCalm()
-	rough, cancelRough := context.WithTimeout(ctx, max(length-calmEnd, 0))
+	rest := calmEnd
+	if b.cfg.Plan.Closing {
+		rest = closingEnd
+	}
+	rough, cancelRough := context.WithTimeout(ctx, max(length-rest, 0))
 	defer cancelRough()
 	b.startLoads()
-	var wg sync.WaitGroup
+	var clients, striking sync.WaitGroup
 	for i := range b.cfg.Plan.Operators {
-		wg.Go(func() { b.operators.run(calm, b.random(100+uint64(i))) })
+		clients.Go(func() { b.operators.run(calm, b.random(operatorStreams+uint64(i))) })
 	}
 	for i, m := range b.cluster.all() {
-		if m.pooler {
-			wg.Go(func() { b.probe(calm, m, b.random(200+uint64(i))) })
+		if m.carrier {
+			clients.Go(func() { b.probe(calm, i, b.random(probeStreams+uint64(i))) })
 		}
 	}
 	t := &troubles{
 		cluster: b.cluster, traffic: b.traffic, groups: b.groups,
-		pause: time.Duration(b.cfg.Plan.PauseMs) * time.Millisecond, failed: func(err error) { b.fail(err); cancelCalm(); cancelRough() },
+		failed: func(err error) { b.fail(err); cancelCalm(); cancelRough() },
+	}
+	for i, line := range t.timelines() {
+		striking.Go(func() { t.run(rough, line, b.random(troubleStreams+uint64(i))) })
 	}
-	wg.Go(func() { t.machines(rough, b.random(1)) })
-	wg.Go(func() { t.databases(rough, b.random(2)) })
-	wg.Wait()
-	sleep(ctx, max(0, length-b.traffic.Now()))
+	striking.Wait()
+	if b.cfg.Plan.Closing && b.failure() == nil {
+		if err := b.closing(calm); err != nil {
+			b.fail(err)
+		}
+	}
+	clients.Wait()
 	for _, l := range b.loads {
 		l.Stop()
 	}
 }
 
+// Streams of random numbers.
+const (
+	operatorStreams = 100
+	probeStreams    = 200
+	troubleStreams  = 1000
+	closingStream   = 4
+)
+
+// closing has all processes be killed right after an order was acknowledged, and one
+// control machine lose its disk with that.
+func (b *bed) closing(ctx context.Context) error {
+	before := len(b.orders.Acknowledged())
+	for ctx.Err() == nil && len(b.orders.Acknowledged()) == before {
+		sleep(ctx, probePause/50)
+	}
+	r := b.random(closingStream)
+	machines := b.cluster.all()
+	var controls []*machine
+	for _, m := range machines {
+		m.lifecycle.Lock()
+		defer m.lifecycle.Unlock()
+		if m.control {
+			controls = append(controls, m)
+		}
+	}
+	number := b.traffic.Begin(history.Trouble{Kind: All, Everywhere: true, Control: true, At: b.traffic.Now()})
+	defer func() { b.traffic.End(number) }()
+	return b.cluster.restart(ctx, span(r, longestDown), controls[r.IntN(len(controls))])
+}
+
 func (b *bed) fail(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -221,8 +269,11 @@
 	for _, g := range b.groups {
 		var poolers []standin.Pooler
 		for i, m := range b.cluster.all() {
-			if m.pooler {
-				poolers = append(poolers, standin.Pooler{Number: i + 1, Addr: m.clientAddr(), Network: b.cluster.net.Network(address(clientGroup, 1+i))})
+			if m.carrier {
+				poolers = append(poolers, standin.Pooler{
+					Number: i + 1, Address: func() string { return b.cluster.all()[i].clientAddr() },
+					Network: b.cluster.net.Network(address(clientGroup, 1+i)),
+				})
 			}
 		}
 		b.loads = append(b.loads, standin.NewLoad(g, uint64(b.cfg.Plan.Seed), poolers, func(s standin.Statement) { b.note(g.Service, s) }))
@@ -237,16 +288,17 @@
 	}
 	b.traffic.Asked(history.Statement{
 		Pooler: s.Pooler, Route: s.Route, Service: service, ID: s.ID, Write: s.Write, Thing: service + "/" + s.Thing, Value: s.Value,
-		MayLag: lag, Sent: b.traffic.Since(s.Sent), Done: b.traffic.Since(s.Done), Code: s.Code,
+		MayLag: lag, Within: standin.Deadline, Sent: b.traffic.Since(s.Sent), Done: b.traffic.Since(s.Done), Code: s.Code,
 	})
 }
 
-// probe opens sessions on the routes that operators change, at one machine's pooler.
-func (b *bed) probe(ctx context.Context, m *machine, r *rand.Rand) {
-	network := b.cluster.net.Network(address(clientGroup, 0))
+// probe opens sessions on the routes that operators change, at the pooler of the machine
+// that has a place.
+func (b *bed) probe(ctx context.Context, place int, r *rand.Rand) {
+	network := b.cluster.net.Network(operatorHost())
 	for ctx.Err() == nil {
 		sleep(ctx, probePause)
-		route := routeName(r)
+		route, m := routeName(r), b.cluster.all()[place]
 		sent := b.traffic.Now()
 		s, code := standin.Login(network, m.clientAddr(), route)
 		if s != nil {
@@ -283,7 +335,6 @@
 		if lead := g.Lead(); lead != nil {
 			b.traffic.Promoted(history.Promotion{Service: g.Service, Database: lead.ID, Holds: lead.Holds(), At: b.traffic.Now()})
 		}
-		g.End()
 	}
 	return nil
 }
