Leaving poolers: no wait past the end, no sessions taken until it

Cause: statements of the pooler's own (OPTION, PARSE, DISCARD, ABORT) waited for their answers without heeding the end of the process, each for as long as the client's statement had; a pooler that left took sessions until its end, and those that came after half of the grace were told nothing of it. At a database that answered nothing, such statements had no answer when the process ended (LOST around a SIGTERM), and a pooler whose clients come back at once took its whole grace. Class: a wait that looks at nothing but its own span; a check of a state and its use apart in time.

Change: one Patience for all that a statement needs before it, which ends with its deadline and with the process; the listener closes after the time that the entry needs; who comes while the pooler leaves is told with the admission, under one lock; a roll-back is waited for 0.3 s, since closing the connection does as well. Before the first state arrives no database is known to the health coordinator.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -128,6 +128,7 @@
 		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, origins: map[C]origin[W, C]{},
 	}
 	k.Counters.Gauge("connpool.open", s.openConnections)
+	health.Keep(map[string]bool{}) // none is known before the first Stock
 	return s
 }
 
--- a/internal/dbconn/conn.go
+++ b/internal/dbconn/conn.go
@@ -379,12 +379,26 @@
 	}
 }
 
+// Patience bounds the wait for the answers to statements of the pool's own, however many
+// are asked one after the other.
+type Patience struct {
+	Until  time.Time
+	Ending <-chan struct{} // the wait ends with ErrEnding when it closes
+}
+
+// For is the patience that lasts for a span and no longer than the process.
+func For(span kernel.Micros, ending <-chan struct{}) Patience {
+	return Patience{time.Now().Add(span.Duration()), ending}
+}
+
+func (p Patience) left() kernel.Micros { return kernel.Micros(time.Until(p.Until) / time.Microsecond) }
+
 // Ask sends a statement of the pool's own and waits for its answer.
-func (s *Conn) Ask(text string, wait kernel.Micros) (*lineprotocol.Answer, error) {
-	if err := s.Send(lineprotocol.AppendMessage(nil, "QUERY", "-", text), wait, nil); err != nil {
+func (s *Conn) Ask(text string, p Patience) (*lineprotocol.Answer, error) {
+	if err := s.Send(lineprotocol.AppendMessage(nil, "QUERY", "-", text), p.left(), nil); err != nil {
 		return nil, err
 	}
-	return s.Receive(wait, Watch{})
+	return s.Receive(p.left(), Watch{Ending: p.Ending})
 }
 
 // State is I, T or E as the database last told it.
--- a/internal/dbconn/conn_test.go
+++ b/internal/dbconn/conn_test.go
@@ -99,14 +99,14 @@
 					}
 					return a.Seal
 				}
-				if got := seal(conn.Ask("FETCH 1", c.wait)); got != c.first {
+				if got := seal(conn.Ask("FETCH 1", dbconn.For(c.wait, nil))); got != c.first {
 					t.Errorf("first answer %q", got)
 				}
 				time.Sleep(200 * time.Millisecond) // what is late comes
 				if clean := conn.Clean() && conn.Alive(); clean != c.clean {
 					t.Errorf("it may serve others: %v", clean)
 				}
-				if got := seal(conn.Ask("PUT 2 x", late)); got != c.next {
+				if got := seal(conn.Ask("PUT 2 x", dbconn.For(late, nil))); got != c.next {
 					t.Errorf("next answer %q", got)
 				}
 				conn.Close()
@@ -228,7 +228,7 @@
 		}
 		defer c.Close()
 		const limit = 200 * kernel.Millisecond
-		if _, err := c.Ask("OPTION colour blue", limit); err != nil {
+		if _, err := c.Ask("OPTION colour blue", dbconn.For(limit, nil)); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(2 * limit.Duration())
--- a/internal/dbconn/values.go
+++ b/internal/dbconn/values.go
@@ -5,7 +5,6 @@
 	"strconv"
 
 	"indigowalk/internal/connpool"
-	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
 )
 
@@ -19,12 +18,12 @@
 
 // Values puts the session's values, and no others, in force on the
 // connection.
-func (s *Conn) Values(want map[string]string, wait kernel.Micros) error {
+func (s *Conn) Values(want map[string]string, p Patience) error {
 	for name := range s.values {
 		if _, ok := want[name]; ok {
 			continue
 		}
-		if err := s.must("DISCARD", wait); err != nil {
+		if err := s.must("DISCARD", p); err != nil {
 			return err
 		}
 		clear(s.values)
@@ -35,7 +34,7 @@
 		if have, ok := s.values[name]; ok && have == value {
 			continue
 		}
-		if err := s.must("OPTION "+name+" "+value, wait); err != nil {
+		if err := s.must("OPTION "+name+" "+value, p); err != nil {
 			return err
 		}
 		s.values[name] = value
@@ -45,7 +44,7 @@
 
 // Name returns the connection's own prepared name for the statement, preparing it
 // if need be. Names of equal statements are equal on all connections.
-func (s *Conn) Name(statement Prepared, wait kernel.Micros) (string, error) {
+func (s *Conn) Name(statement Prepared, p Patience) (string, error) {
 	key := statement.key()
 	if name, ok := s.names[key]; ok {
 		return name, nil
@@ -56,7 +55,7 @@
 	for taken := s.holds(name); taken; taken = s.holds(name) {
 		name += "x"
 	}
-	if err := s.must("PARSE "+name+" "+key, wait); err != nil {
+	if err := s.must("PARSE "+name+" "+key, p); err != nil {
 		return "", err
 	}
 	s.names[key] = name
@@ -77,8 +76,8 @@
 
 // must asks for what only a broken connection can refuse; after any other
 // answer the connection's state is not known and it is closed.
-func (s *Conn) must(text string, wait kernel.Micros) error {
-	a, err := s.Ask(text, wait)
+func (s *Conn) must(text string, p Patience) error {
+	a, err := s.Ask(text, p)
 	if err != nil {
 		return err
 	}
--- a/internal/failover/statements.go
+++ b/internal/failover/statements.go
@@ -49,7 +49,7 @@
 
 func (c *Manager) say(conn *dbconn.Conn, text string) (statRow, error) {
 	for end := c.k.Clock.Now() + c.cfg.AskWait; ; {
-		a, err := conn.Ask(text, end-c.k.Clock.Now())
+		a, err := conn.Ask(text, dbconn.For(end-c.k.Clock.Now(), nil))
 		if err != nil {
 			return statRow{}, err
 		}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -47,6 +47,8 @@
 
 	mu       sync.Mutex
 	sessions map[*session]struct{}
+	listener net.Listener
+	hurrying bool // sessions end as soon as they have their answer
 	ended    kernel.Bell
 
 	second  allowance
@@ -77,9 +79,15 @@
 	}
 	defer context.AfterFunc(ctx, func() { ln.Close() })()
 	defer ln.Close()
+	d.mu.Lock()
+	d.listener = ln
+	d.mu.Unlock()
 	for {
 		c, err := ln.Accept()
 		if err != nil {
+			if d.leaving.Load() {
+				<-ctx.Done()
+			}
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -90,10 +98,7 @@
 			return fmt.Errorf("pooler: %w", err)
 		}
 		d.k.Counters.Add("pooler.sessions", 1)
-		s := newSession(d, c)
-		d.mu.Lock()
-		d.sessions[s] = struct{}{}
-		d.mu.Unlock()
+		s := d.admit(c)
 		go func() {
 			s.run()
 			d.mu.Lock()
@@ -104,6 +109,17 @@
 	}
 }
 
+// admit begins a session. One that comes while the pooler leaves is told with that: it
+// misses what the others were told.
+func (d *Pooler) admit(c net.Conn) *session {
+	s := newSession(d, c)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s.ending, s.rushed = d.leaving.Load(), d.hurrying
+	d.sessions[s] = struct{}{}
+	return s
+}
+
 // closeAfter is how long a leaving pooler still takes new sessions: the entry
 // asks every second and needs two misses.
 const closeAfter = 2200 * kernel.Millisecond
@@ -140,16 +156,20 @@
 	grace := d.cfg.Grace()
 	half, end := start+grace/2, start+grace-lastAnswers
 	d.each((*session).leave)
-	var told bool
+	var closed, told bool
 	for {
 		changed := d.ended.Wait()
 		now := d.k.Clock.Now()
 		d.mu.Lock()
 		left := len(d.sessions)
 		d.mu.Unlock()
+		if now >= min(start+closeAfter, half) && !closed {
+			closed = true
+			d.closeListener()
+		}
 		if now >= half && !told {
 			told = true
-			d.each((*session).hurry)
+			d.hurry()
 		}
 		if now >= end && !d.over() {
 			close(d.ending)
@@ -174,6 +194,23 @@
 	return int64(len(d.sessions))
 }
 
+// closeListener has no more sessions come.
+func (d *Pooler) closeListener() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listener != nil {
+		d.listener.Close()
+	}
+}
+
+// hurry has all sessions end as soon as they have their answer, those that come later too.
+func (d *Pooler) hurry() {
+	d.mu.Lock()
+	d.hurrying = true
+	d.mu.Unlock()
+	d.each((*session).hurry)
+}
+
 func (d *Pooler) each(f func(*session)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -19,8 +19,8 @@
 	// a leaving pooler closes a session that asked nothing for this long
 	restBeforeClose = 150 * kernel.Millisecond
 	writeWait       = 5 * kernel.Second
-	holdLogin       = kernel.Second // for the first configuration
-	endWait         = kernel.Second // for a roll-back
+	holdLogin       = kernel.Second            // for the first configuration
+	endWait         = 300 * kernel.Millisecond // for a roll-back: closing the connection does as well
 )
 
 // session is one client connection.
@@ -48,8 +48,7 @@
 
 func newSession(d *Pooler, c net.Conn) *session {
 	return &session{
-		d: d, c: c, r: lineprotocol.NewReader(c), values: map[string]string{}, names: map[string]dbconn.Prepared{},
-		asked: true, ending: d.leaving.Load(),
+		d: d, c: c, r: lineprotocol.NewReader(c), values: map[string]string{}, names: map[string]dbconn.Prepared{}, asked: true,
 	}
 }
 
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if rollBack && t.conn.Alive() && t.conn.State() != 'I' {
-		if a, err := t.conn.Ask("ABORT", endWait); err != nil || a.State != 'I' {
+		if a, err := t.conn.Ask("ABORT", dbconn.For(endWait, t.s.d.ending)); err != nil || a.State != 'I' {
 			t.conn.Close()
 		}
 	}
@@ -160,7 +160,7 @@
 	}
 	own := *j
 	own.q = t.begin
-	err = conn.Values(j.s.values, j.left())
+	err = conn.Values(j.s.values, j.patience())
 	if err != nil {
 		err = errors.Join(errUnsent, err)
 	} else {
@@ -240,7 +240,7 @@
 
 // runInside has the transaction's database run the statement.
 func (j *job) runInside(t *transaction) (*lineprotocol.Answer, error) {
-	if err := t.conn.Values(j.s.values, j.left()); err != nil {
+	if err := t.conn.Values(j.s.values, j.patience()); err != nil {
 		return nil, errors.Join(errUnsent, err)
 	}
 	text, err := j.text(t.conn)
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -128,6 +128,9 @@
 func (j *job) now() kernel.Micros  { return j.s.d.k.Clock.Now() }
 func (j *job) left() kernel.Micros { return j.deadline - j.now() }
 
+// patience is that for statements of the pooler's own which this one needs before it.
+func (j *job) patience() dbconn.Patience { return dbconn.For(j.left(), j.s.d.ending) }
+
 // want is what the statement wishes of a connection.
 func (j *job) want() dbconn.Want { return dbconn.Want{Tenant: nameOf(j.tenant), Values: j.s.values} }
 
@@ -214,7 +217,7 @@
 	if j.q.Verb != lineprotocol.Run {
 		return j.q.Text, nil
 	}
-	name, err := c.Name(j.shape, j.left())
+	name, err := c.Name(j.shape, j.patience())
 	if err != nil {
 		return "", err
 	}
@@ -337,7 +340,7 @@
 	// A lost answer does not end a read: it is sent once more, elsewhere if it
 	// can be, and the first is left to run out.
 	j.twice = !j.write && j.tries == 0
-	err := conn.Values(j.s.values, j.left())
+	err := conn.Values(j.s.values, j.patience())
 	var text string
 	if err == nil {
 		text, err = j.text(conn)
