--- a/internal/history/traffic.go
+++ b/internal/history/traffic.go
@@ -19,8 +19,10 @@
 	MayLag  time.Duration `json:"may_lag,omitempty"` // how old a state a read may see
 	Within  time.Duration `json:"within,omitempty"`  // the deadline of its route; 0 if that is not checked
 	Sent    time.Duration `json:"sent"`
-	Done    time.Duration `json:"done"`
-	Code    string        `json:"code,omitempty"` // of the error, "" for success
+	// Last is when the last message of it was sent, where that is later: its COMMIT.
+	Last time.Duration `json:"last,omitempty"`
+	Done time.Duration `json:"done"`
+	Code string        `json:"code,omitempty"` // of the error, "" for success
 }
 
 // Unanswered is the code of a statement whose connection ended without an answer.
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -46,7 +46,8 @@
 	Value         int  // written, or read
 	Own           bool // a read of what the session wrote itself
 	Sent, Done    time.Time
-	Code          string // of the error, "" for success
+	Last          time.Time // when the last message of it was sent: a COMMIT, where it is one in a transaction
+	Code          string    // of the error, "" for success
 }
 
 // Load is a workload that checks what clients are promised.
@@ -187,11 +188,13 @@
 	}
 	sent := time.Now()
 	a, id := s.Query(fmt.Sprintf("PUT %s %d", thing, n))
+	last := sent
 	if inside && a.Code == "" {
+		last = time.Now()
 		a, _ = s.Query("COMMIT")
 	}
 	l.note(a, thing, n, id)
-	l.told(s, PrimaryRoute, Statement{ID: id, Write: true, Thing: thing, Value: n, Sent: sent}, a)
+	l.told(s, PrimaryRoute, Statement{ID: id, Write: true, Thing: thing, Value: n, Sent: sent, Last: last}, a)
 	return a
 }
 
@@ -296,7 +299,7 @@
 	if a.Code == "" {
 		l.check(a, s, kind, thing, got, want, id)
 	}
-	l.told(s, kind, Statement{ID: id, Thing: thing, Value: got, Own: own, Sent: sent}, a)
+	l.told(s, kind, Statement{ID: id, Thing: thing, Value: got, Own: own, Sent: sent, Last: sent}, a)
 	return a
 }
 
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -288,7 +288,7 @@
 	}
 	b.traffic.Asked(history.Statement{
 		Pooler: s.Pooler, Route: s.Route, Service: service, ID: s.ID, Write: s.Write, Thing: service + "/" + s.Thing, Value: s.Value,
-		MayLag: lag, Within: standin.Deadline, Sent: b.traffic.Since(s.Sent), Done: b.traffic.Since(s.Done), Code: s.Code,
+		MayLag: lag, Within: standin.Deadline, Sent: b.traffic.Since(s.Sent), Last: b.traffic.Since(s.Last), Done: b.traffic.Since(s.Done), Code: s.Code,
 	})
 }
 
