--- a/internal/history/orders.go
+++ b/internal/history/orders.go
@@ -4,6 +4,7 @@
 package history
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -40,12 +41,13 @@
 // Frame is what every order of a history has besides its own routes.
 type Frame struct {
 	Service string // of the orders' routes
+	Type    string // of the orders' routes; primary if ""
 	Routes  []FrameRoute
 	Others  []string // more services
 }
 
 // FrameRoute is a route that is in every configuration.
-type FrameRoute struct{ Host, Type, Service string }
+type FrameRoute struct{ Host, Prefix, Type, Service string }
 
 type wireRoute struct {
 	Name       string `json:"name"`
@@ -88,7 +90,7 @@
 func (o Order) Body(f Frame) []byte {
 	var routes []wireRoute
 	for _, name := range slices.Sorted(maps.Keys(o.Routes)) {
-		routes = append(routes, wireRoute{Name: name, Host: name, Prefix: "/", Type: "primary", Service: f.Service, DeadlineMs: o.Routes[name]})
+		routes = append(routes, wireRoute{Name: name, Host: name, Prefix: "/", Type: cmp.Or(f.Type, "primary"), Service: f.Service, DeadlineMs: o.Routes[name]})
 	}
 	switch o.Invalid {
 	case UnknownService:
@@ -117,7 +119,7 @@
 func (f Frame) routes() (out []wireRoute) {
 	for _, r := range f.Routes {
 		out = append(out, wireRoute{
-			Name: "frame-" + r.Host, Host: r.Host, Prefix: "/", Type: r.Type, Service: r.Service,
+			Name: "frame-" + r.Host + r.Prefix, Host: r.Host, Prefix: cmp.Or(r.Prefix, "/"), Type: r.Type, Service: r.Service,
 			DeadlineMs: frameDeadlineMs, TargetMs: frameTargetMs, Tries: frameTries, StaleMs: frameStaleMs,
 		})
 	}
--- a/internal/simulation/explained_test.go
+++ b/internal/simulation/explained_test.go
@@ -66,12 +66,12 @@
 // So can a request.
 func TestAFailedRequestIsExplained(t *testing.T) {
 	serveRequests(t, func(w *World, s *Service) {
-		for _, d := range s.dbs {
+		for _, d := range s.Workers() {
 			d.Be(Loses)
 		}
 		s.Ask(1, "unsafe-1", false, "what")
 		explained(t, w.Process("gateway", 1), "unsafe-1", "no_whole_answer", "connection broken")
-		for _, d := range s.dbs {
+		for _, d := range s.Workers() {
 			d.Be(Sheds)
 		}
 		s.Ask(1, "unsafe-2", false, "what")
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"indigowalk/internal/routeconfig"
+	"indigowalk/internal/standin"
 )
 
 // serveRequests runs a scenario on a booted and configured cluster of four
@@ -135,7 +136,7 @@
 			for n, safe := range []bool{false, true, false} {
 				id := fmt.Sprintf("lost-%d-%d", z, n)
 				a := s.Ask(z, id, safe, "")
-				if runs := s.runs[id]; a.Status != 502 || a.Took > 300*time.Millisecond || runs > 2 || runs > 1 && !safe {
+				if runs := s.Runs(id); a.Status != 502 || a.Took > 300*time.Millisecond || runs > 2 || runs > 1 && !safe {
 					t.Errorf("%s, may run again %v: status %d after %v, %d runs", id, safe, a.Status, a.Took, runs)
 				}
 			}
@@ -213,13 +214,13 @@
 					t.Errorf("%s got %d requests long after it had said that it leaves", d.ID, n-late)
 				}
 				d.End()
-				s.Add(fmt.Sprint("new-", i), fmt.Sprintf("10.1.109.%d", i+1), 1)
+				s.Add(fmt.Sprint("new-", i), fmt.Sprintf("10.1.109.%d", i+1), "z1")
 			}
-			other.Add("feed-y", s.DB(0).IP, 1)
+			other.Add("feed-y", s.DB(0).IP, "z1")
 			time.Sleep(2 * time.Second)
 		})
 		most(t, l, 0)
-		if n := s.dbs[8].Count(); n == 0 {
+		if n := s.DB(8).Count(); n == 0 {
 			t.Error("a new database gets no requests")
 		}
 	})
@@ -333,7 +334,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			a := s.raw(conn, []byte(c.bytes))
+			a := standin.Raw(conn, []byte(c.bytes))
 			conn.Close()
 			if !strings.Contains(c.want, fmt.Sprint(a.Status)) {
 				t.Errorf("%s: %d, want %s", c.name, a.Status, c.want)
@@ -375,14 +376,12 @@
 		} {
 			id := fmt.Sprint("tenant-", i)
 			path := c.path + id
-			s.mu.Lock()
-			s.asked[id] = c.method + " " + path + " "
-			s.mu.Unlock()
+			s.Expect(id, c.method+" "+path+" ", true)
 			conn, err := w.Net.Host("10.251.0.1").Dial(context.Background(), ip(1)+":8784", 0)
 			if err != nil {
 				t.Fatal(err)
 			}
-			a := s.raw(conn, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: %s\r\nX-Api-Key: %s\r\nX-Indigowalk-Tenant: root\r\n\r\n",
+			a := standin.Raw(conn, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: %s\r\nX-Api-Key: %s\r\nX-Indigowalk-Tenant: root\r\n\r\n",
 				c.method, path, s.Name, id, c.key))
 			conn.Close()
 			if a.Status != c.status {
--- a/internal/simulation/leaving_test.go
+++ b/internal/simulation/leaving_test.go
@@ -161,11 +161,9 @@
 		ask := func(method, path string) Answer {
 			c := dial()
 			defer c.Close()
-			s.mu.Lock()
-			s.asked["r"+path], s.unsafe["r"+path] = method+" "+path+" ", false
-			s.mu.Unlock()
+			s.Expect("r"+path, method+" "+path+" ", true)
 			start := time.Now()
-			a := s.raw(c, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: r%s\r\n\r\n", method, path, s.Name, path))
+			a := standin.Raw(c, fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s.example\r\nX-Indigowalk-Request-Id: r%s\r\n\r\n", method, path, s.Name, path))
 			a.Took = time.Since(start)
 			return a
 		}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -257,7 +257,7 @@
 		g.End()
 	}
 	for _, s := range w.Services {
-		for _, d := range s.dbs {
+		for _, d := range s.Workers() {
 			d.Crash(false)
 		}
 	}
@@ -272,7 +272,7 @@
 		}
 	}
 	for _, s := range w.Services {
-		for _, b := range s.Broken {
+		for _, b := range s.Broken() {
 			w.T.Errorf("%s: %s", s.Name, b)
 		}
 	}
--- a/internal/standin/manners.go
+++ b/internal/standin/manners.go
@@ -12,20 +12,20 @@
 
 // Manners of databases.
 const (
-	WellBehaved Manner = iota
-	Silent             // it runs the statement and answers nothing, the connection stays
-	Pieces             // its answer comes in pieces
-	CutsShort          // its answer breaks off, and the connection ends
-	Surplus            // a second answer follows
-	EndsFirst          // it runs the statement and closes the connection
-	EndsUnread         // it closes the connection before it has read the statement
-	Sheds              // it runs nothing and says so
-	MuteLogin          // it takes connections and answers no log-in
-	WrongLogin         // it answers log-ins as another would
+	WellBehaved  Manner = iota
+	Silent              // it runs the statement and answers nothing, the connection stays
+	Pieces              // its answer comes in pieces
+	CutsShort           // its answer breaks off, and the connection ends
+	AnswersTwice        // a second answer follows
+	EndsFirst           // it runs the statement and closes the connection
+	EndsUnread          // it closes the connection before it has read the statement
+	ShedsLoad           // it runs nothing and says so
+	MuteLogin           // it takes connections and answers no log-in
+	WrongLogin          // it answers log-ins as another would
 )
 
 // AllManners are the ways to misbehave.
-var AllManners = []Manner{Silent, Pieces, CutsShort, Surplus, EndsFirst, EndsUnread, Sheds, MuteLogin, WrongLogin}
+var AllManners = []Manner{Silent, Pieces, CutsShort, AnswersTwice, EndsFirst, EndsUnread, ShedsLoad, MuteLogin, WrongLogin}
 
 // piece is how much of an answer comes at once in pieces, and piecePause what lies between.
 const (
@@ -57,7 +57,7 @@
 	case d.mannered(CutsShort):
 		_, _ = c.Write(answer[:len(answer)/2]) // it ends either way
 		return false
-	case d.mannered(Surplus):
+	case d.mannered(AnswersTwice):
 		answer = append(bytes.Clone(answer), "COMPLETE surplus\r\nIDLE I 9.999999\r\n"...)
 	case d.mannered(Pieces):
 		for len(answer) > piece {
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -108,7 +108,7 @@
 		d.g.broke("UNASKED: %q without a client's id", text)
 		d.g.mu.Unlock()
 	}
-	if d.mannered(Sheds) {
+	if d.mannered(ShedsLoad) {
 		return fail(lineprotocol.Retry, "full")
 	}
 	begins := s.state == 'I' || s.begun
--- a/internal/testbed/link_troubles.go
+++ b/internal/testbed/link_troubles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -52,11 +53,7 @@
 // others are the other machines, and what stands beside them, but for clients.
 func (t *troubles) others(m *machine) map[string]bool {
 	set := t.machineSet(func(o *machine) bool { return o != m })
-	for _, g := range t.groups {
-		for _, d := range g.Databases() {
-			set[d.IP] = true
-		}
-	}
+	maps.Copy(set, t.hosts(-1))
 	return set
 }
 
@@ -81,10 +78,7 @@
 	defer t.note(kind, m, false)()
 	far := t.machineSet(func(o *machine) bool { return o != m && o.control })
 	if kind == CutDatabases {
-		far = map[string]bool{}
-		for _, d := range t.groups[r.IntN(len(t.groups))].Databases() {
-			far[d.IP] = true
-		}
+		far = t.hosts(r.IntN(int(t.cluster.plan.Services)))
 	}
 	matches := between(hostSet(m.ip), far)
 	switch r.IntN(4) {
@@ -98,6 +92,9 @@
 
 // cutPrimary cuts a primary off from some machines, or from its replicas.
 func (t *troubles) cutPrimary(ctx context.Context, r *rand.Rand) {
+	if len(t.groups) == 0 {
+		return
+	}
 	g := t.groups[r.IntN(len(t.groups))]
 	lead := g.Lead()
 	if lead == nil {
@@ -142,11 +139,7 @@
 	defer func() { t.traffic.End(number) }()
 	own := t.machineSet(func(*machine) bool { return true })
 	own[operatorHost()] = true
-	for _, g := range t.groups {
-		for _, d := range g.Databases() {
-			own[d.IP] = true
-		}
-	}
+	maps.Copy(own, t.hosts(-1))
 	i := impairment{loseReply: mostReplyLoss * r.Float64()}
 	if kind == Datagrams {
 		i = impairment{lose: mostDatagramsOf * r.Float64(), repeat: mostDatagramsOf * r.Float64()}
--- a/internal/testbed/report.go
+++ b/internal/testbed/report.go
@@ -76,6 +76,11 @@
 			r.Breaches = append(r.Breaches, history.Breach{Rule: "DATABASES", At: now, Text: text})
 		}
 	}
+	for _, s := range b.services {
+		for _, text := range s.Broken() {
+			r.Breaches = append(r.Breaches, history.Breach{Rule: "DATABASES", At: now, Text: text})
+		}
+	}
 	for _, text := range b.cluster.platform.Broken() {
 		r.Breaches = append(r.Breaches, history.Breach{Rule: history.One, At: now, Text: text})
 	}
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -52,6 +52,8 @@
 	operators *operators
 	groups    []*standin.Group
 	loads     []*standin.Load
+	services  []*standin.Service
+	requests  []*standin.Requests
 
 	mu    sync.Mutex
 	fault error // for which the run could not go on
@@ -76,6 +78,11 @@
 	for _, g := range b.groups {
 		g.End()
 	}
+	for _, s := range b.services {
+		for _, d := range s.Workers() {
+			d.Crash(false)
+		}
+	}
 	return b.report(leaks), nil
 }
 
@@ -83,6 +90,9 @@
 	b := &bed{cfg: cfg, cluster: newCluster(cfg.Plan, cfg.Program, cfg.Dir), orders: history.NewOrders()}
 	b.traffic = history.NewTraffic(b.orders)
 	frame := history.Frame{}
+	if cfg.Plan.Tier == Gateway {
+		frame.Type = "idempotent"
+	}
 	for i := range int(cfg.Plan.Services) {
 		service := fmt.Sprintf("service%d", i+1)
 		if i == 0 {
@@ -90,6 +100,11 @@
 		} else {
 			frame.Others = append(frame.Others, service)
 		}
+		if cfg.Plan.Tier == Gateway {
+			frame.Routes = append(frame.Routes, requestRoutes(service)...)
+			b.services = append(b.services, b.service(service))
+			continue
+		}
 		for kind, routeType := range map[string]string{standin.PrimaryRoute: "primary", standin.BoundedRoute: "bounded", standin.NearestRoute: "nearest"} {
 			frame.Routes = append(frame.Routes, history.FrameRoute{Host: kind + "." + service, Type: routeType, Service: service})
 		}
@@ -119,6 +134,11 @@
 
 // databases starts the databases of every service.
 func (b *bed) databases() {
+	for n, s := range b.services {
+		for i := range workersAService {
+			s.Add(fmt.Sprintf("%s-%d", s.Name, i+1), address(databaseGroup+n, i), fmt.Sprintf("zone-%d", i%zones+1))
+		}
+	}
 	for n, g := range b.groups {
 		for i, role := range []string{"primary", "replica", "replica"} {
 			g.Add(fmt.Sprintf("%s-%d", g.Service, i+1), address(databaseGroup+n, i), fmt.Sprintf("zone-%d", i+1), role)
@@ -192,6 +212,7 @@
 	rough, cancelRough := context.WithTimeout(ctx, max(length-rest, 0))
 	defer cancelRough()
 	b.startLoads()
+	b.startRequests()
 	var clients, striking sync.WaitGroup
 	for i := range b.cfg.Plan.Operators {
 		clients.Go(func() { b.operators.run(calm, b.random(operatorStreams+uint64(i))) })
@@ -202,7 +223,7 @@
 		}
 	}
 	t := &troubles{
-		cluster: b.cluster, traffic: b.traffic, groups: b.groups,
+		cluster: b.cluster, traffic: b.traffic, groups: b.groups, services: b.services,
 		failed: func(err error) { b.fail(err); cancelCalm(); cancelRough() },
 	}
 	for i, line := range t.timelines() {
@@ -218,6 +239,9 @@
 	for _, l := range b.loads {
 		l.Stop()
 	}
+	for _, l := range b.requests {
+		l.Stop()
+	}
 }
 
 // Streams of random numbers.
@@ -296,10 +320,16 @@
 // that has a place.
 func (b *bed) probe(ctx context.Context, place int, r *rand.Rand) {
 	network := b.cluster.net.Network(operatorHost())
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		sleep(ctx, probePause)
 		route, m := routeName(r), b.cluster.all()[place]
 		sent := b.traffic.Now()
+		if b.cfg.Plan.Tier == Gateway {
+			if served, known := b.askRoute(m.clientAddr(), route, n); known {
+				b.traffic.Probed(history.Probe{Pooler: m.clientAddr(), Route: route, Served: served, Sent: sent, Done: b.traffic.Now()})
+			}
+			continue
+		}
 		s, code := standin.Login(network, m.clientAddr(), route)
 		if s != nil {
 			s.Close()
--- a/internal/testbed/timelines.go
+++ b/internal/testbed/timelines.go
@@ -14,10 +14,11 @@
 // between, drawn from a stream of its own; timelines know nothing of each other, so that
 // their troubles overlap in any way.
 type troubles struct {
-	cluster *cluster
-	traffic *history.Traffic
-	groups  []*standin.Group
-	failed  func(error)
+	cluster  *cluster
+	traffic  *history.Traffic
+	groups   []*standin.Group   // where poolers stand in front
+	services []*standin.Service // where gateways do
+	failed   func(error)
 
 	rounds rounds
 }
@@ -44,6 +45,10 @@
 
 // timelines are those of the plan that have any kind of trouble.
 func (t *troubles) timelines() []timeline {
+	databases := t.strikeDatabase
+	if t.cluster.plan.Tier == Gateway {
+		databases = t.strikeWorker
+	}
 	var all []timeline
 	for range t.cluster.plan.Timelines {
 		all = append(all, timeline{"machines", []string{Kill, Freeze, Term, Hup, Wipe, Replace, All}, t.strikeMachine})
@@ -51,8 +56,8 @@
 	all = append(all,
 		timeline{"links", []string{CutCore, CutCarrier, CutDatabases, CutPrimary, LoseReplies, Datagrams, Delay, ResetLinks, Split}, t.strikeLinks},
 		timeline{"limits", []string{Descriptors, FullDisk, LogReader}, t.strikeLimits},
-		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, t.strikeDatabase},
-		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, t.strikeDatabase},
+		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, databases},
+		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, databases},
 		timeline{"clients", []string{Rude}, t.strikeClients},
 	)
 	var some []timeline
@@ -89,6 +94,22 @@
 	}
 }
 
+// hosts are the databases of a service, by its number, or of all below 0.
+func (t *troubles) hosts(service int) map[string]bool {
+	set := map[string]bool{}
+	for i, g := range t.groups {
+		for _, d := range g.Databases() {
+			set[d.IP] = set[d.IP] || service < 0 || service == i
+		}
+	}
+	for i, s := range t.services {
+		for _, d := range s.Workers() {
+			set[d.IP] = set[d.IP] || service < 0 || service == i
+		}
+	}
+	return set
+}
+
 // note notes a trouble of a machine that goes on; own says that it strikes its processes
 // or its links to clients. The returned function ends it.
 func (t *troubles) note(kind string, m *machine, own bool) (over func()) {
