--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -47,11 +47,11 @@
 	Early           // turns long requests away before they are in, and reads on
 	Dribbles        // answers in pieces
 	Mislabels       // answers under another request's id
-	TooShort        // tells less than the length of its answer
+	Trails          // sends bytes behind its answer that are none
 )
 
 // AllFaults are those that there are.
-var AllFaults = []Fault{Mute, Loses, Breaks, Garbles, Surplus, Sheds, Resets, Errors, Forgetful, Early, Dribbles, Mislabels, TooShort}
+var AllFaults = []Fault{Mute, Loses, Breaks, Garbles, Surplus, Sheds, Resets, Errors, Forgetful, Early, Dribbles, Mislabels, Trails}
 
 // Worker is one database of a Service.
 type Worker struct {
@@ -367,8 +367,8 @@
 		header["X-Indigowalk-Request-Id"] = "of-another"
 	case Dribbles:
 		return dribble(c, header, "run "+id)
-	case TooShort:
-		_, err := io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Indigowalk-Request-Id: %s\r\nX-Indigowalk-Seal: s\r\nContent-Length: 2\r\n\r\nrun %s", id, id))
+	case Trails:
+		_, err := c.Write(append(encodeAnswer(http.StatusOK, header, "run "+id), "run and run"...))
 		return err == nil
 	}
 	if !answerTo(c, 200, header, "run "+id) {
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -62,7 +62,10 @@
 // Run plays a plan and returns what came of it. It ends what it has started, also
 // when ctx is over before.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	b := newBed(cfg)
+	b, err := newBed(cfg)
+	if err != nil {
+		return nil, err
+	}
 	defer b.cluster.end()
 	if err := b.boot(ctx); err != nil {
 		return nil, err
@@ -86,8 +89,12 @@
 	return b.report(leaks), nil
 }
 
-func newBed(cfg Config) *bed {
-	b := &bed{cfg: cfg, cluster: newCluster(cfg.Plan, cfg.Program, cfg.Dir), orders: history.NewOrders()}
+func newBed(cfg Config) (*bed, error) {
+	cluster, err := newCluster(cfg.Plan, cfg.Program, cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	b := &bed{cfg: cfg, cluster: cluster, orders: history.NewOrders()}
 	b.traffic = history.NewTraffic(b.orders)
 	frame := history.Frame{}
 	if cfg.Plan.Tier == Gateway {
@@ -112,7 +119,7 @@
 	}
 	b.operators = &operators{network: b.cluster.net.Network(operatorHost()), net: b.cluster.net, orders: b.orders, frame: frame}
 	b.cluster.platform.Promote = b.promote
-	return b
+	return b, nil
 }
 
 // group makes a service whose databases tell what they see.
