--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,25 @@
 	}
 }
 
+// open is how many requests are being worked on.
+func (t *Gateway) open() (n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, g := range t.guests {
+		if g.busy {
+			n++
+		}
+	}
+	return n
+}
+
+// connections is how many connections of clients there are.
+func (t *Gateway) connections() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int64(len(t.guests))
+}
+
 // inAnswer notes that the answer to a connection's request is being written.
 func (t *Gateway) inAnswer(c net.Conn) {
 	t.mu.Lock()
--- a/internal/simulation/service.go
+++ b/internal/simulation/service.go
@@ -34,6 +34,8 @@
 	Resets    = standin.Resets
 	Errors    = standin.Errors
 	Forgetful = standin.Forgetful
+	Long      = standin.Long
+	Stalls    = standin.Stalls
 )
 
 // requestHost is the address of the gateways' clients.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -48,8 +49,13 @@
 	Dribbles        // answers in pieces
 	Mislabels       // answers under another request's id
 	Trails          // sends bytes behind its answer that are none
+	Long            // answers at length, which is no fault
+	Stalls          // answers at length, and stops in the middle
 )
 
+// longAnswer is how long such an answer is.
+const longAnswer = 1 << 20
+
 // AllFaults are those that there are.
 var AllFaults = []Fault{Mute, Loses, Breaks, Garbles, Surplus, Sheds, Resets, Errors, Forgetful, Early, Dribbles, Mislabels, Trails}
 
@@ -371,6 +377,16 @@
 		_, err := c.Write(append(encodeAnswer(http.StatusOK, header, "run "+id), "run and run"...))
 		return err == nil
 	}
+	switch fault {
+	case Long:
+		return answerTo(c, 200, header, strings.Repeat("x", longAnswer))
+	case Stalls:
+		b := encodeAnswer(http.StatusOK, header, strings.Repeat("x", longAnswer))
+		if _, err := c.Write(b[:len(b)/2]); err == nil {
+			<-d.ctx.Done()
+		}
+		return false
+	}
 	if !answerTo(c, 200, header, "run "+id) {
 		return false
 	}
