Gateway: what a client has left ends; nobody holds a request by taking nothing

(2) Writes to clients had no time limit, and the rest of a long answer 30 s of silence: a client that took nothing, or a database that stopped in the middle, held the request, the client's connection and the database's without end; past the deadline in any case. Class: a retry or wait that outlives who asked; a wait without bound on a far end.

Change: a request whose client has closed is not sent any more; at its database it is given up if it may be repeated, and the connection closed, by which the database ends it. A connection that was turned away says nothing of its client.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,7 @@
 	t.mu.Unlock()
 	go t.watchGuests(ctx)
 	go t.watchLink(ctx)
-	if err := t.srv.Serve(meteredListener{ln, t.meter}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
+	if err := t.srv.Serve(clientListener{ln, t.meter}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
 		return fmt.Errorf("gateway: %w", err)
 	}
 	<-ctx.Done()
@@ -172,10 +172,10 @@
 }
 
 // inHand notes that a connection's request has been read, or is done.
-func (t *Gateway) inHand(c net.Conn, busy bool) {
+func (t *Gateway) inHand(c *clientConn, busy bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if g := t.guests[c]; g != nil {
+	if g := t.guests[net.Conn(c)]; g != nil {
 		g.busy, g.answering, g.since = busy, false, t.k.Clock.Now()
 	}
 }
@@ -200,10 +200,10 @@
 }
 
 // inAnswer notes that the answer to a connection's request is being written.
-func (t *Gateway) inAnswer(c net.Conn) {
+func (t *Gateway) inAnswer(c *clientConn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if g := t.guests[c]; g != nil {
+	if g := t.guests[net.Conn(c)]; g != nil {
 		g.answering = true
 	}
 }
@@ -233,40 +233,31 @@
 	for kernel.Sleep(ctx, 250*kernel.Millisecond) {
 		header, idle := t.limits()
 		now := t.k.Clock.Now()
-		var late []net.Conn
+		var late []*clientConn
 		t.mu.Lock()
 		for c, g := range t.guests {
 			limit := header
 			if g.state == http.StateIdle {
 				limit = idle
 			}
-			if !g.busy && now-g.since > limit {
-				late = append(late, c)
+			if client, ok := c.(*clientConn); ok && !g.busy && now-g.since > limit {
+				late = append(late, client)
 			}
 		}
 		t.mu.Unlock()
 		for _, c := range late {
 			t.k.Counters.Add("gateway.late_guests", 1)
-			turnAway(c)
+			c.turnAway()
 		}
 	}
 }
 
-// turnAway ends a connection on which no request is being worked on. What has come
-// on it and was not read is not read any more; a request that has just been read is
-// served all the same, as a connection closed from here might not be.
-func turnAway(c net.Conn) {
-	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		c.Close()
-	}
-}
-
 // connKey finds a request's connection in its context.
 type connKey struct{}
 
 // ServeHTTP implements http.Handler.
 func (t *Gateway) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	client, _ := q.Context().Value(connKey{}).(net.Conn)
+	client := clientOf(q)
 	t.inHand(client, true)
 	defer t.inHand(client, false)
 	t.k.Counters.Add("gateway.requests", 1)
@@ -280,6 +271,7 @@
 		h.Set("Connection", "close")
 	}
 	j, no := t.newJob(w, q)
+	defer j.watchClient(client)()
 	var reply *httpconn.Reply
 	if no == nil {
 		reply, no = j.serve()
@@ -294,6 +286,10 @@
 	if reply.Status >= http.StatusInternalServerError {
 		j.record(strconv.Itoa(reply.Status), causeDatabase)
 	}
+	if reply.Rest != nil {
+		client.writeUntil(time.Now().Add(j.left().Duration()))
+		defer client.writeUntil(time.Time{})
+	}
 	t.pass(w, reply)
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -68,6 +68,7 @@
 	failed   []failurelog.Attempt
 	// mayHaveRun says that a database may have run it.
 	mayHaveRun bool
+	gone       <-chan struct{} // closes when the client closes its connection
 }
 
 func (j *job) now() kernel.Micros { return j.t.k.Clock.Now() }
@@ -110,6 +111,15 @@
 	return &refusal{status: http.StatusBadGateway, text: "no whole answer"}
 }
 
+// clientGone is the answer to a request that was given up since its client has gone:
+// whoever only stopped sending hears it.
+func (j *job) clientGone(sent bool) *refusal {
+	if sent {
+		return j.unclear()
+	}
+	return j.busy("the client has gone")
+}
+
 // attempt is the request at one database.
 type attempt struct {
 	db    discovery.Database
@@ -134,7 +144,7 @@
 			if b, ok := j.second(keepForFaults); ok {
 				a, reply, err = j.race(a, b)
 			} else {
-				reply, err = j.t.await(a.ch, j.left())
+				reply, err = j.answerOf(a, j.left())
 			}
 		}
 		o, verdict := j.judge(reply, err)
@@ -152,6 +162,9 @@
 		if verdict == ran && !j.safe() {
 			return nil, j.unclear()
 		}
+		if j.abandoned() {
+			return nil, j.clientGone(sent)
+		}
 		b, ok := j.second(0)
 		if !ok {
 			if sent {
@@ -172,6 +185,9 @@
 		if j.t.over() {
 			return nil, j.busy("this node ends")
 		}
+		if j.abandoned() {
+			return nil, j.clientGone(false)
+		}
 		changed, health := j.t.control.Changed(), j.t.health.Changed()
 		a, err := j.send()
 		if err == nil {
@@ -191,6 +207,7 @@
 			case <-changed:
 			case <-health:
 			case <-j.t.ending:
+			case <-j.gone:
 			case <-t.C:
 			}
 			t.Stop()
@@ -203,7 +220,7 @@
 
 // second sends the request once more, to another database, if it may.
 func (j *job) second(keep float64) (*attempt, bool) {
-	if j.rest != nil || j.tries >= j.route.Tries || j.left() < 4*margin || j.t.over() || !j.t.again.Again(j.service, keep) {
+	if j.rest != nil || j.tries >= j.route.Tries || j.left() < 4*margin || j.t.over() || j.abandoned() || !j.t.again.Again(j.service, keep) {
 		return nil, false
 	}
 	for range 3 {
@@ -262,12 +279,12 @@
 // await waits for an attempt; quiet says that it is time to ask another.
 func (j *job) await(a *attempt) (reply *httpconn.Reply, quiet bool, err error) {
 	if soon, ask := j.quietAfter(); ask {
-		if reply, err = j.t.await(a.ch, soon); !errors.Is(err, httpconn.ErrQuiet) {
+		if reply, err = j.answerOf(a, soon); !errors.Is(err, httpconn.ErrQuiet) {
 			return reply, false, err
 		}
 		return nil, true, nil
 	}
-	reply, err = j.t.await(a.ch, j.left())
+	reply, err = j.answerOf(a, j.left())
 	return reply, false, err
 }
 
@@ -301,6 +318,9 @@
 	case <-j.t.ending:
 		j.leave(b)
 		return a, nil, httpconn.ErrQuiet
+	case <-j.gone: // only what may be repeated is sent twice
+		j.leave(b)
+		return a, nil, errClientGone
 	}
 	outcome, verdict := j.judge(r.Reply, r.Err)
 	if verdict == answer {
@@ -313,7 +333,7 @@
 	if r.Reply != nil {
 		r.Reply.Close()
 	}
-	reply, err := j.t.await(other.ch, j.left())
+	reply, err := j.answerOf(other, j.left())
 	return other, reply, err
 }
 
@@ -321,7 +341,7 @@
 func (j *job) leave(a *attempt) {
 	wait := j.left()
 	go func() {
-		reply, err := j.t.await(a.ch, wait)
+		reply, err := j.answerOf(a, wait)
 		o, _ := j.judge(reply, err)
 		j.done(a, o, reply, err)
 		if reply != nil {
@@ -344,6 +364,8 @@
 	switch {
 	case errors.Is(err, httpconn.ErrUnsent):
 		return loadbalance.Unused, unrun
+	case errors.Is(err, errClientGone):
+		return loadbalance.Unused, ran // the database is not at fault
 	case err != nil:
 		return loadbalance.Failed, ran
 	case r.Status == http.StatusMisdirectedRequest:
@@ -376,7 +398,10 @@
 // done gives an attempt's connection back and notes how the database served.
 func (j *job) done(a *attempt, o loadbalance.Outcome, r *httpconn.Reply, err error) {
 	t := j.t
-	if err != nil && !errors.Is(err, httpconn.ErrUnsent) {
+	if errors.Is(err, errClientGone) {
+		t.k.Counters.Add("gateway.client_gone", 1)
+		a.conn.Close()
+	} else if err != nil && !errors.Is(err, httpconn.ErrUnsent) {
 		t.k.Counters.Add("gateway.unanswered", 1)
 		if silent := errors.Is(err, connpool.ErrSilent); silent || errors.Is(err, connpool.ErrBroken) {
 			t.health.Report(a.db.ID, a.gen, silent)
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 
-	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
 )
 
@@ -61,7 +60,9 @@
 	defer t.mu.Unlock()
 	for c, g := range t.guests {
 		if !g.busy && (g.state == http.StateIdle || g.state == http.StateNew) {
-			turnAway(c)
+			if client, ok := c.(*clientConn); ok {
+				client.turnAway()
+			}
 		}
 	}
 	return len(t.guests)
@@ -76,9 +77,3 @@
 		return false
 	}
 }
-
-// await waits for the answer to what was sent, until the end of the process at the
-// latest.
-func (t *Gateway) await(ch <-chan httpconn.Result, wait kernel.Micros) (*httpconn.Reply, error) {
-	return httpconn.Await(ch, wait, t.ending)
-}
--- a/internal/gateway/linkmeter.go
+++ b/internal/gateway/linkmeter.go
@@ -86,17 +86,3 @@
 	c.g.out.bytes.Add(int64(n) + perWrite)
 	return n, err
 }
-
-// meteredListener counts what its connections carry.
-type meteredListener struct {
-	net.Listener
-	g *linkMeter
-}
-
-func (l meteredListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &metered{c, l.g}, nil
-}
--- a/internal/gateway/trace.go
+++ b/internal/gateway/trace.go
@@ -23,6 +23,8 @@
 	switch {
 	case errors.Is(err, httpconn.ErrUnsent):
 		result = "not sent"
+	case errors.Is(err, errClientGone):
+		result = "sent: given up, the client has gone"
 	case errors.Is(err, httpconn.ErrQuiet):
 		result = "sent: no answer in time"
 	case errors.Is(err, connpool.ErrSilent):
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -54,9 +54,6 @@
 	// not run twice: one that is forgotten by the far end shows it only when it
 	// is written to.
 	justUsed = 100 * kernel.Millisecond
-	// restWait is how long nothing may come of a long answer that has begun:
-	// longer than any deadline, so that silence alone ends none too soon.
-	restWait = 30 * kernel.Second
 )
 
 // Pools hold a gateway's connections to all databases.
@@ -88,9 +85,10 @@
 
 // asked is the request that is under way.
 type asked struct {
-	q  *http.Request
-	id string
-	ch chan Result
+	q     *http.Request
+	id    string
+	until time.Time // then its answer is of no use any more
+	ch    chan Result
 }
 
 // Result is an answer, or how the request ended without one.
@@ -186,7 +184,7 @@
 		s.Close()
 		return nil, err
 	}
-	r, err := Await(ch, wait, nil)
+	r, err := Await(ch, wait, nil, nil)
 	switch {
 	case errors.Is(err, ErrQuiet):
 		s.Close()
@@ -202,8 +200,8 @@
 }
 
 // Await waits for the answer to what was sent; ErrQuiet says that there is none
-// within the span, or when ending closes.
-func Await(ch <-chan Result, wait kernel.Micros, ending <-chan struct{}) (*Reply, error) {
+// within the span, or when ending or gone closes.
+func Await(ch <-chan Result, wait kernel.Micros, ending, gone <-chan struct{}) (*Reply, error) {
 	t := time.NewTimer(wait.Duration())
 	defer t.Stop()
 	select {
@@ -211,6 +209,7 @@
 		return r.Reply, r.Err
 	case <-t.C:
 	case <-ending:
+	case <-gone:
 	}
 	select {
 	case r := <-ch: // it came just before the end
@@ -222,9 +221,11 @@
 
 // Send writes a request within the span, unless one of the same id went this way
 // a moment ago: a surplus answer to that one could not be told from its own; the answer, or how it ended, comes on
-// the channel. If a body is not whole in memory it is streamed.
+// the channel. If a body is not whole in memory it is streamed. What is behind a long answer's
+// beginning is read within the span too.
 func (s *Conn) Send(q *http.Request, id string, wait kernel.Micros) (<-chan Result, error) {
-	a := &asked{q, id, make(chan Result, 1)}
+	until := time.Now().Add(wait.Duration())
+	a := &asked{q, id, until, make(chan Result, 1)}
 	s.mu.Lock()
 	if s.now != nil || s.closed || s.spoilt || !s.Alive() {
 		s.mu.Unlock()
@@ -239,7 +240,7 @@
 	s.sent++
 	s.now = a
 	s.mu.Unlock()
-	if err := s.c.SetWriteDeadline(time.Now().Add(wait.Duration())); err != nil {
+	if err := s.c.SetWriteDeadline(until); err != nil {
 		s.Close()
 		return nil, ErrUnsent
 	}
@@ -373,14 +374,15 @@
 	s.spoilt = true
 }
 
-// patient reads the rest of a long answer as long as it goes on.
+// patient reads the rest of a long answer until it is of no use any more.
 type patient struct {
-	r io.Reader
-	c net.Conn
+	r     io.Reader
+	c     net.Conn
+	until time.Time
 }
 
 func (p patient) Read(b []byte) (int, error) {
-	if err := p.c.SetReadDeadline(time.Now().Add(restWait.Duration())); err != nil {
+	if err := p.c.SetReadDeadline(p.until); err != nil {
 		return 0, err
 	}
 	return p.r.Read(b)
@@ -408,7 +410,7 @@
 		rest = make(chan struct{})
 		freed := make(chan struct{})
 		defer close(freed)
-		reply.Rest, reply.done, reply.Freed = patient{r.Body, s.c}, rest, freed
+		reply.Rest, reply.done, reply.Freed = patient{r.Body, s.c, a.until}, rest, freed
 	}
 	s.note(r)
 	if rest == nil {
@@ -417,7 +419,7 @@
 	a.ch <- Result{Reply: reply}
 	if rest != nil {
 		<-rest
-		if n, err := io.Copy(io.Discard, io.LimitReader(patient{r.Body, s.c}, maxWhole)); err != nil || n == maxWhole {
+		if n, err := io.Copy(io.Discard, io.LimitReader(patient{r.Body, s.c, a.until}, maxWhole)); err != nil || n == maxWhole {
 			return fmt.Errorf("%w: body not taken in full", connpool.ErrBroken)
 		}
 		s.free()
--- a/internal/httpconn/conn_test.go
+++ b/internal/httpconn/conn_test.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return ""
 	}
-	r, err := httpconn.Await(ch, wait, nil)
+	r, err := httpconn.Await(ch, wait, nil, nil)
 	if err != nil {
 		return ""
 	}
@@ -172,7 +172,7 @@
 				t.Errorf("%d bytes have left: %v", left, err)
 			}
 			if !unsent {
-				if _, err := httpconn.Await(ch, kernel.Second, nil); err == nil || errors.Is(err, httpconn.ErrQuiet) {
+				if _, err := httpconn.Await(ch, kernel.Second, nil, nil); err == nil || errors.Is(err, httpconn.ErrQuiet) {
 					t.Errorf("%d bytes have left, then %v", left, err)
 				}
 			}
--- a/internal/httpconn/fuzz_test.go
+++ b/internal/httpconn/fuzz_test.go
@@ -62,7 +62,7 @@
 				if err != nil {
 					return
 				}
-				r, err := httpconn.Await(ch, kernel.Second, nil)
+				r, err := httpconn.Await(ch, kernel.Second, nil, nil)
 				if err != nil {
 					c.Close()
 					return
