--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -62,6 +62,7 @@
 	expected bool // it is about to be ended from here
 	died     error
 	logs     *logPipe
+	began    time.Time
 }
 
 // raceExit is the code with which a race-built program ends at the first race.
@@ -94,7 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	done := make(chan struct{})
-	p.cmd, p.done, p.expected, p.logs = cmd, done, false, logs
+	p.cmd, p.done, p.expected, p.logs, p.began = cmd, done, false, logs, time.Now()
 	go p.wait(cmd, done)
 	return nil
 }
@@ -122,6 +123,13 @@
 	}
 }
 
+// age is for how long the process has run.
+func (p *process) age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.began)
+}
+
 // end ends the process and waits for it.
 func (p *process) end() {
 	p.signal(syscall.SIGKILL, true)
--- a/internal/testbed/machine_troubles.go
+++ b/internal/testbed/machine_troubles.go
@@ -18,6 +18,8 @@
 	longestFreeze = 3 * time.Second
 	// longestHalfFile is for how long a settings file is only written in half.
 	longestHalfFile = 80 * time.Millisecond
+	// beginning is how long a program takes to say which signals it takes.
+	beginning = 100 * time.Millisecond
 	// oneIn is how often what is told to end is killed before it has ended.
 	oneIn = 4
 )
@@ -126,7 +128,7 @@
 // files are only there in half.
 func (t *troubles) hup(ctx context.Context, m *machine, r *rand.Rand) error {
 	if !m.lifecycle.TryLock() {
-		m.signal(syscall.SIGHUP) // one that ends or starts is told too
+		m.reload() // one that ends or starts is told too
 		return nil
 	}
 	defer m.lifecycle.Unlock()
@@ -143,17 +145,28 @@
 			if err := p.write(text[:r.IntN(len(text))]); err != nil {
 				return fmt.Errorf("testbed: %w", err)
 			}
-			m.signal(syscall.SIGHUP)
+			m.reload()
 			sleep(ctx, span(r, longestHalfFile))
 		}
 		if err := p.write(text); err != nil {
 			return fmt.Errorf("testbed: %w", err)
 		}
 	}
-	m.signal(syscall.SIGHUP)
+	m.reload()
 	return nil
 }
 
+// reload tells a machine's processes that their settings have changed, but for those that
+// have only just begun: before a program has said that it takes the signal, the system
+// ends it by that, whatever the program is.
+func (m *machine) reload() {
+	for _, p := range m.procs {
+		if p.age() > beginning {
+			p.signal(syscall.SIGHUP, false)
+		}
+	}
+}
+
 // all kills every process at once and starts them again, where no machine is lost beside.
 func (t *troubles) all(ctx context.Context, r *rand.Rand) error {
 	machines := t.cluster.all()
