Control state: carriers that are gone are forgotten

Cause: a pooler or gateway enters its life in the control state before its first read lease, and nothing ever removed the entry. The class: a record that somebody makes and nobody ends.

Change: the primary removes the registration of a carrier that has neither polled nor held a lease for 24 leases (60 s). From the decision on until the removal is durable the carrier is neither heard nor granted anything, and a lease is granted only to one that is registered in the state that the answer was made from, so none is ever held that the next primary would not wait for. One that comes back registers anew.

TestLeaseInItsTerm asked for a lease without a registration; it has one now and asks besides that without it none is granted.

--- a/internal/distribution/publisher.go
+++ b/internal/distribution/publisher.go
@@ -339,8 +339,12 @@
 }
 
 func (o *Publisher) answer(q pollAsk, state controlstate.State, news json.RawMessage, seen *observations, term *controlstate.Term) (any, error) {
-	// The lease is noted before it is granted, and only in the term in which the
-	// state was read.
+	// Only a registered carrier is granted a lease: it may have been forgotten since its
+	// poll came. The lease is noted before it is granted, and only in the term in which
+	// the state was read.
+	if !failover.IsRegistered(state.Entries, q.Pooler, q.Life) {
+		return nil, errors.New("not registered any more")
+	}
 	if !o.readers.Grant(q.Pooler, q.Life, o.k.Clock.Now()+o.lease) {
 		return nil, errors.New("an earlier life of that pooler")
 	}
--- a/internal/distribution/publisher_test.go
+++ b/internal/distribution/publisher_test.go
@@ -64,7 +64,12 @@
 	o := &Publisher{k: kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), readers: failover.NewReaders(), lease: kernel.Second}
 	o.readers.Term(3, nil, 0, 0)
 	o.readers.Heard("d", 1, failover.Report{}, o.k.Clock.Now())
-	a, err := o.answer(pollAsk{Pooler: "d", Life: 1}, controlstate.State{Epoch: 2, Seq: 9}, json.RawMessage(`{}`), newObservations(o.k.Clock), nil)
+	state := controlstate.State{Epoch: 2, Seq: 9}
+	if a, err := o.answer(pollAsk{Pooler: "d", Life: 1}, state, nil, newObservations(o.k.Clock), nil); err == nil {
+		t.Errorf("answered %v to a pooler that is registered no more", a)
+	}
+	state.Entries = failover.Register("d", 1)
+	a, err := o.answer(pollAsk{Pooler: "d", Life: 1}, state, json.RawMessage(`{}`), newObservations(o.k.Clock), nil)
 	if got, ok := a.(pollAnswer); err != nil || !ok || got.Lease != 0 || got.Seq != 0 || got.News != nil {
 		t.Errorf("answered %s %v", a, err)
 	}
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -182,6 +182,7 @@
 	}
 	c.readers.Term(term.Began(), s.poolers, c.k.Clock.Now(), c.cfg.ReaderLease)
 	c.health.Keep(s.known)
+	c.forgetReaders(ctx)
 	if c.cfg.Leadless {
 		c.dismiss(ctx, s)
 		return
@@ -202,6 +203,34 @@
 	}
 }
 
+const (
+	// goneLeases is for how many leases a carrier polls no more until it is forgotten.
+	goneLeases = 24
+	// forgetting names that work among the services that are worked on.
+	forgetting = "\x00carriers"
+)
+
+// forgetReaders removes the registrations of carriers that are gone. One that comes back
+// registers anew before it is granted a lease.
+func (c *Manager) forgetReaders(ctx context.Context) {
+	gone := c.readers.Gone(c.k.Clock.Now(), goneLeases*c.cfg.ReaderLease)
+	if len(gone) == 0 {
+		return
+	}
+	c.spawn(forgetting, func() error {
+		err := c.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+			return Unregister(gone), nil
+		})
+		if err != nil {
+			return err
+		}
+		c.readers.Forget(gone)
+		c.k.Counters.Add("failover.carriers_forgotten", int64(len(gone)))
+		c.k.Log.Info("carriers forgotten", "names", gone)
+		return nil
+	})
+}
+
 // dismiss forgets databases that are gone, where they held nothing.
 func (c *Manager) dismiss(ctx context.Context, s *scene) {
 	var gone []string
--- a/internal/failover/readers.go
+++ b/internal/failover/readers.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 	"sync"
 
 	"indigowalk/internal/controlstate"
@@ -14,6 +15,10 @@
 type reader struct {
 	life  int64
 	until kernel.Micros
+	heard kernel.Micros
+	// removing says that its registration is being removed: it is granted nothing and
+	// heard no more until that is done.
+	removing bool
 	Report
 }
 
@@ -41,11 +46,15 @@
 func NewReaders() *Readers { return &Readers{poolers: map[string]*reader{}} }
 
 // Heard notes what a pooler reports, at that time. An earlier life of the pooler is
-// refused, and the newest returned.
+// refused, and the newest returned; so is one whose registration is being removed, with
+// no life to tell.
 func (r *Readers) Heard(pooler string, life int64, report Report, now kernel.Micros) (newest int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.poolers[pooler]
+	if d != nil && d.removing {
+		return 0, false
+	}
 	if d != nil && life < d.life {
 		return d.life, false
 	}
@@ -60,7 +69,7 @@
 	if changed := fresh || !maps.Equal(d.Left, report.Left); changed {
 		r.bell.Ring()
 	}
-	d.Report = report
+	d.Report, d.heard = report, now
 	return life, true
 }
 
@@ -70,7 +79,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	d := r.poolers[pooler]
-	if d == nil || d.life != life {
+	if d == nil || d.life != life || d.removing {
 		return false
 	}
 	d.until = max(d.until, until)
@@ -103,6 +112,39 @@
 	return wait == 0, wait
 }
 
+// Gone lists the poolers of which nothing was heard, and whose leases have been over, for
+// a span. From now on they are
+// neither heard nor granted anything, until Forget is called once their registrations
+// have been removed: a lease that no registration tells of would not be waited for by the
+// next primary.
+func (r *Readers) Gone(now, span kernel.Micros) (poolers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for pooler, d := range r.poolers {
+		if now-max(d.until, d.heard) > span {
+			d.removing = true
+		}
+		if d.removing {
+			poolers = append(poolers, pooler)
+		}
+	}
+	slices.Sort(poolers)
+	return poolers
+}
+
+// Forget drops poolers whose registrations have been removed.
+func (r *Readers) Forget(poolers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, pooler := range poolers {
+		if d := r.poolers[pooler]; d != nil && d.removing {
+			// What it acknowledged nobody reports any more.
+			r.acknowledged.lost = max(r.acknowledged.lost, d.until)
+			delete(r.poolers, pooler)
+		}
+	}
+}
+
 // Term starts a term of the control state's primary, once: any pooler that was ever
 // registered may hold a lease of the primary before, for that span. A term that
 // another has followed is not begun again: it knows fewer poolers.
@@ -143,6 +185,15 @@
 	return map[string]json.RawMessage{carrierPrefix + pooler: json.RawMessage(fmt.Sprint(life))}
 }
 
+// Unregister returns the change of the control state that removes poolers.
+func Unregister(poolers []string) map[string]json.RawMessage {
+	removed := make(map[string]json.RawMessage, len(poolers))
+	for _, pooler := range poolers {
+		removed[carrierPrefix+pooler] = nil
+	}
+	return removed
+}
+
 // IsRegistered tells whether that life of the pooler, or a later one, is entered.
 func IsRegistered(entries map[string]json.RawMessage, pooler string, life int64) bool {
 	var known int64
