A test red: far ends that vanish without a word are never noticed

An accepted connection that rests is never probed: a client whose machine lost power keeps its session, and the transaction's connection if it had one, until the pooler ends.

--- a/internal/kernel/host_test.go
+++ b/internal/kernel/host_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // stuck is a reader of the log that takes nothing until it is let.
@@ -126,3 +128,40 @@
 	}
 	t.Error("writing to a connection that was closed never fails")
 }
+
+// TestFarEndsThatVanishAreAskedFor: a far end that is gone without a word is found out
+// on an accepted connection, in minutes.
+func TestFarEndsThatVanishAreAskedFor(t *testing.T) {
+	ln, err := HostNetwork{}.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := HostNetwork{}.Dial(t.Context(), ln.Addr().String(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	raw, err := accepted.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	option := func(level, name int) (value int) {
+		if outer := raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), level, name) }); outer != nil || err != nil {
+			t.Fatal(outer, err)
+		}
+		return value
+	}
+	if option(unix.SOL_SOCKET, unix.SO_KEEPALIVE) == 0 {
+		t.Fatal("the far end of a connection that rests is never asked for")
+	}
+	idle, pause, asked := option(unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), option(unix.IPPROTO_TCP, unix.TCP_KEEPINTVL), option(unix.IPPROTO_TCP, unix.TCP_KEEPCNT)
+	if seconds := idle + pause*asked; idle < 60 || seconds > 300 {
+		t.Errorf("asked for after %d s of rest, given up after %d s", idle, seconds)
+	}
+}
