Sessions end whose client vanished; a stop told during the start is heeded

Cause: accepted connections had TCP's keep-alive switched off, on the ground that idle limits cover the rest; sessions have none. The class: a wait on a far end that says nothing when it goes. SIGTERM besides was taken from after the settings and plug-ins were read, so a stop before that ended the process with the signal instead of code 0.

Change: the operating system asks after two minutes of rest, and gives a far end up after three questions 20 s apart; SIGTERM is taken first of all.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -95,14 +95,18 @@
 }
 
 // heedSignals keeps signals from ending the process that are not meant to: SIGHUP
-// may come before the settings are watched, and whoever reads the log may go.
-func heedSignals() {
+// may come before the settings are watched, and whoever reads the log may go. The
+// channel tells when the process is to end.
+func heedSignals() <-chan os.Signal {
 	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
+	end := make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, syscall.SIGINT)
+	return end
 }
 
 func serve(role string, errs io.Writer) int {
-	heedSignals()
+	end := heedSignals()
 	tuneMemory()
 	book, err := settings.Open(os.Getenv(settings.EnvVar))
 	if err != nil {
@@ -121,10 +125,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		<-term
+		<-end
 		grace := kernel.Micros(book.Now().GraceS)*kernel.Second - 300*kernel.Millisecond
 		left, done := context.WithTimeout(ctx, grace.Duration())
 		k.Leave(left)
--- a/internal/kernel/listen.go
+++ b/internal/kernel/listen.go
@@ -40,10 +40,21 @@
 	return false
 }
 
-// Listen implements Network. Accepted connections carry no keep-alive of
-// their own: clients come and go quickly and idle time-outs cover the rest.
+// The operating system asks the far end of an accepted connection that rests for
+// acceptedIdle whether it is still there, and breaks the connection once acceptedAsked
+// questions have got no answer. Without it a client whose machine vanished without a word
+// would keep its session, and whatever that holds, for ever.
+const (
+	acceptedIdle  = 2 * time.Minute
+	acceptedPause = 20 * time.Second
+	acceptedAsked = 3
+)
+
+// Listen implements Network.
 func (n HostNetwork) Listen(addr string) (net.Listener, error) {
-	lc := net.ListenConfig{KeepAlive: -1}
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: acceptedIdle, Interval: acceptedPause, Count: acceptedAsked,
+	}}
 	ln, err := lc.Listen(context.Background(), "tcp4", n.local(addr))
 	if err != nil {
 		return nil, err
