Settings: a file that is being written is waited for

Cause: the settings file was read once, whenever. The class: a check and its use apart in time, here of a file. A process that started at that moment ended by itself; a reload took a file that was cut behind its last required key, and what the file no longer said fell back to defaults.

Change: a file is read until it is the same at two looks 20 ms apart, ten at most; a start looks again at a faulty file for a second before it refuses it.

Of a writer that rests in the middle of a file for longer, with every required key written, the middle is still taken until the rest is there; the watch of the file notices that within a second.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/go-playground/validator/v10"
 	"github.com/magiconair/properties"
@@ -143,15 +145,6 @@
 	return out
 }
 
-// Load reads and checks a settings file.
-func Load(path string) (*Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, &Error{EnvVar, err.Error()}
-	}
-	return Parse(raw)
-}
-
 // Parse reads and checks settings; the error joins every fault found.
 func Parse(raw []byte) (*Settings, error) {
 	s := &Settings{}
@@ -253,14 +246,49 @@
 	bell   kernel.Bell
 }
 
-// Open reads settings from path. A change of the file from then on is noticed.
+// A file may be read while it is being written.
+const (
+	// startWait is for how long a start waits for a faulty file to be whole.
+	startWait = kernel.Second
+	// startPause lies between two looks at such a file.
+	startPause = 50 * kernel.Millisecond
+	// settled is for how long a file is the same before it is put in force.
+	settled = 20 * kernel.Millisecond
+	// settledLooks is how often a file that keeps changing is read at most; its next
+	// change is noticed anyway.
+	settledLooks = 10
+)
+
+// Open reads settings from path. A change of the file from then on is noticed. A faulty
+// file is refused once it has had a second to be written in full.
 func Open(path string) (*Live, error) {
-	before := stamp(path)
-	s, err := Load(path)
-	if err != nil {
-		return nil, err
+	for waited := kernel.Micros(0); ; waited += startPause {
+		before := stamp(path)
+		s, err := loadSettled(path)
+		if err == nil {
+			return &Live{path: path, loaded: before, now: s}, nil
+		}
+		if waited >= startWait {
+			return nil, err
+		}
+		time.Sleep(startPause.Duration())
+	}
+}
+
+// loadSettled reads and checks a settings file that does not change meanwhile.
+func loadSettled(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	for range settledLooks {
+		if err != nil {
+			return nil, &Error{EnvVar, err.Error()}
+		}
+		before := raw
+		time.Sleep(settled.Duration())
+		if raw, err = os.ReadFile(path); err == nil && bytes.Equal(raw, before) {
+			break
+		}
 	}
-	return &Live{path: path, loaded: before, now: s}, nil
+	return Parse(raw)
 }
 
 // NewLive wraps settings that do not change.
@@ -278,7 +306,7 @@
 
 // Reload reads the file again. A bad file leaves the old values in force.
 func (b *Live) Reload() error {
-	s, err := Load(b.path)
+	s, err := loadSettled(b.path)
 	if err != nil {
 		return err
 	}
