--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,27 @@
+package discovery
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/kernel"
+)
+
+// A control node outlives many generations of databases.
+func TestWhatDatabasesThatWentSaidIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), nil)
+		for day := range 1000 {
+			if !a.note(fmt.Sprint("database-", day), Beat{Seq: 1, Role: "replica"}) {
+				t.Fatal("a first beat was taken for an old one")
+			}
+			time.Sleep(24 * time.Hour)
+		}
+		if n := len(a.Soft()); n > 2 {
+			t.Errorf("what %d databases that went said is remembered", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/readrouting/forget_test.go
@@ -0,0 +1,22 @@
+package readrouting
+
+import (
+	"fmt"
+	"testing"
+
+	"indigowalk/internal/kernel"
+)
+
+// A process outlives many generations of databases and routes.
+func TestWhatWasSeenOfDatabasesThatWentIsDropped(t *testing.T) {
+	clock := &fixed{}
+	a := New(clock)
+	for day := range 1000 {
+		clock.now += 24 * 3600 * kernel.Second
+		a.Lagging(fmt.Sprint("replica-", day))
+		a.Took("p.ledger", fmt.Sprint("replica-", day), 3*kernel.Millisecond)
+	}
+	if n := len(a.lag) + len(a.pace); n > 4 {
+		t.Errorf("%d things are remembered of databases that went", n)
+	}
+}
