What is remembered of databases and routes that went is dropped

Change: each is dropped once it has not been heard of for an hour, times of repeated work after ten minutes. The usual time by route stood twice, in readrouting and loadbalance: it is one type now, internal/latency.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -97,9 +97,10 @@
 	decoded  *controlstate.Decoded[Database]
 	departed *controlstate.Decoded[departure]
 
-	mu   sync.Mutex
-	soft map[string]Soft
-	bell kernel.Bell
+	mu    sync.Mutex
+	soft  map[string]Soft
+	sweep kernel.Sweep // of what databases that went said
+	bell  kernel.Bell
 }
 
 // New returns the list kept in v.
@@ -176,6 +177,9 @@
 		a.mu.Unlock()
 		return false
 	}
+	if a.sweep.Due(now) {
+		maps.DeleteFunc(a.soft, func(_ string, s Soft) bool { return now-s.Heard > kernel.Kept })
+	}
 	a.soft[id] = Soft{b.Role, b.Seq, now}
 	a.mu.Unlock()
 	if old.Role != b.Role {
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strconv"
 	"time"
 
@@ -118,11 +119,21 @@
 	}
 }
 
+// pacedKept is for how long the time at which something was last tried is remembered.
+// What it was of may be over; it is longer than any pace.
+const pacedKept = 600 * kernel.Second
+
+// dropPaced drops the times of what was last tried long ago. The caller holds c.mu.
+func (c *Manager) dropPaced(now kernel.Micros) {
+	maps.DeleteFunc(c.tried, func(_ string, at kernel.Micros) bool { return now-at > pacedKept })
+}
+
 // due paces what is repeated until it has worked.
 func (c *Manager) due(what string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
+	c.dropPaced(now)
 	if now-c.tried[what] < kernel.Second && c.tried[what] != 0 {
 		return false
 	}
@@ -137,11 +148,12 @@
 	delete(c.tried, what)
 }
 
-// since tells how long ago it was asked that first.
+// since tells how long ago it was asked that first, if it is asked again and again.
 func (c *Manager) since(what string) kernel.Micros {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.k.Clock.Now()
+	c.dropPaced(now)
 	if c.tried[what] == 0 {
 		c.tried[what] = now
 	}
--- /dev/null
+++ b/internal/latency/latency_test.go
@@ -0,0 +1,32 @@
+package latency
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"indigowalk/internal/kernel"
+)
+
+func TestUsualFollowsAnswers(t *testing.T) {
+	var u Usual
+	if u.Of("a") != 0 {
+		t.Error("a time is usual of which nothing was seen")
+	}
+	if usual := u.Add("a", 1000, 1); usual != 1000 {
+		t.Errorf("the first answer makes %v usual", usual)
+	}
+	if usual := u.Add("a", 2000, 2); math.Abs(usual-1020) > 1e-9 || u.Of("a") != usual {
+		t.Errorf("the second makes %v usual", usual)
+	}
+}
+
+func TestRoutesThatAreNotUsedAreDropped(t *testing.T) {
+	var u Usual
+	for day := range kernel.Micros(1000) {
+		u.Add(fmt.Sprint("route-", day), 3*kernel.Millisecond, day*24*3600*kernel.Second)
+	}
+	if len(u.of) > 2 {
+		t.Errorf("%d routes are remembered", len(u.of))
+	}
+}
--- a/internal/loadbalance/loadbalance.go
+++ b/internal/loadbalance/loadbalance.go
@@ -13,18 +13,18 @@
 
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/latency"
 )
 
 // How a database's answers weigh: its pace is their time over what is usual on
 // their route. What was seen fades, so that one that was slow is tried again.
 const (
-	paceWeight  = 0.12
-	mostPace    = 4 // of one answer: a long one may be the request's own
-	usualWeight = 0.02
-	fades       = 3 * kernel.Second // to what all nodes say
-	toldFades   = 20 * kernel.Second
-	illWeight   = 0.3
-	illFades    = 3 * kernel.Second
+	paceWeight = 0.12
+	mostPace   = 4                 // of one answer: a long one may be the request's own
+	fades      = 3 * kernel.Second // to what all nodes say
+	toldFades  = 20 * kernel.Second
+	illWeight  = 0.3
+	illFades   = 3 * kernel.Second
 	// illCost is how many requests a database that fails all seems to have.
 	illCost = 30
 	// fullFor is how long one that said it was full is passed over.
@@ -58,10 +58,10 @@
 
 	mu    sync.Mutex
 	of    map[string]*standing
-	usual map[string]float64 // time of an answer by route, in microseconds
-	lists map[string]list    // by service
-	told  map[string]told    // by all nodes
-	sight map[string]Sight   // since it was last told
+	usual latency.Usual
+	lists map[string]list  // by service
+	told  map[string]told  // by all nodes
+	sight map[string]Sight // since it was last told
 }
 
 // told is what a request at a database costs, as all nodes together saw it.
@@ -109,7 +109,7 @@
 // New returns a load balancer that has seen nothing.
 func New(clock kernel.Clock) *Balancer {
 	return &Balancer{
-		clock: clock, of: map[string]*standing{}, usual: map[string]float64{}, lists: map[string]list{},
+		clock: clock, of: map[string]*standing{}, lists: map[string]list{},
 		told: map[string]told{}, sight: map[string]Sight{},
 	}
 }
@@ -241,7 +241,7 @@
 func (r *Balancer) Pick(route string, s Scene) (discovery.Database, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now, usual := r.clock.Now(), r.usual[route]
+	now, usual := r.clock.Now(), r.usual.Of(route)
 	l := r.listOf(s)
 	var best discovery.Database
 	least, found := 0.0, false
@@ -298,12 +298,7 @@
 	ill := faded(st.ill, 0, st.illAt, now, illFades)
 	switch o {
 	case Served:
-		usual, known := r.usual[route]
-		if !known {
-			usual = float64(now - began)
-		}
-		usual += usualWeight * (float64(now-began) - usual)
-		r.usual[route] = usual
+		usual := r.usual.Add(route, now-began, now)
 		pace := faded(st.pace, r.common(id, now), st.paceAt, now, fades)
 		st.pace = pace + paceWeight*(min(float64(now-began)/max(usual, 1), mostPace)-pace)
 		st.paceAt, st.seen = now, now
@@ -337,7 +332,7 @@
 func (r *Balancer) Usual(route string) kernel.Micros {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return kernel.Micros(r.usual[route])
+	return kernel.Micros(r.usual.Of(route))
 }
 
 // Answered is when the database last served a request.
--- a/internal/readrouting/readrouting.go
+++ b/internal/readrouting/readrouting.go
@@ -7,6 +7,7 @@
 package readrouting
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -14,6 +15,7 @@
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/failover"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/latency"
 	"indigowalk/internal/lineprotocol"
 	"indigowalk/internal/routeconfig"
 )
@@ -71,9 +73,8 @@
 // what is usual on their route, of late; a pace not heard of for a while fades
 // to the usual, so that a slow database is tried again.
 const (
-	paceWeight  = 0.15
-	usualWeight = 0.02
-	fades       = 1500 * kernel.Millisecond
+	paceWeight = 0.15
+	fades      = 1500 * kernel.Millisecond
 )
 
 type pace struct {
@@ -94,16 +95,18 @@
 
 	mu   sync.Mutex
 	seen map[string][]observation
-	lag  map[string]laggard
-	pace map[string]pace    // by database
-	used map[string]float64 // usual time by route, in microseconds
+	// By database; what is not used any more is dropped at the sweep.
+	lag   map[string]laggard
+	pace  map[string]pace
+	sweep kernel.Sweep
+
+	usual latency.Usual
 }
 
 // New returns a router without observations.
 func New(clock kernel.Clock) *Router {
 	return &Router{
-		clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{},
-		pace: map[string]pace{}, used: map[string]float64{},
+		clock: clock, seen: map[string][]observation{}, lag: map[string]laggard{}, pace: map[string]pace{},
 	}
 }
 
@@ -161,13 +164,12 @@
 func (a *Router) Took(route, id string, span kernel.Micros) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	usual, known := a.used[route]
-	if !known {
-		usual = float64(span)
-	}
-	usual += usualWeight * (float64(span) - usual)
-	a.used[route] = usual
 	now := a.clock.Now()
+	usual := a.usual.Add(route, span, now)
+	if a.sweep.Due(now) {
+		maps.DeleteFunc(a.lag, func(_ string, l laggard) bool { return now-l.until > kernel.Kept })
+		maps.DeleteFunc(a.pace, func(_ string, p pace) bool { return now-p.at > kernel.Kept })
+	}
 	r := a.pace[id].now(now)
 	a.pace[id] = pace{r + paceWeight*(float64(span)/max(usual, 1)-r), now}
 }
@@ -176,7 +178,7 @@
 func (a *Router) Usual(route string) kernel.Micros {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return kernel.Micros(a.used[route])
+	return kernel.Micros(a.usual.Of(route))
 }
 
 func (a *Router) paceOf(id string) float64 {
