--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -27,6 +27,7 @@
 	log      []entry // received; clipped when it is shared, so that whoever appends copies
 	deaf     bool
 	alive    bool
+	taken    bool // somebody has it crash or leave
 	draining bool
 	leftAt   time.Time // when a control node first acknowledged that it drains
 	seq      int64
@@ -42,7 +43,10 @@
 }
 
 func (d *Database) start() {
-	d.alive, d.stop = true, make(chan struct{})
+	stop := make(chan struct{})
+	d.g.mu.Lock()
+	d.alive, d.stop = true, stop
+	d.g.mu.Unlock()
 	ln, err := d.network().Listen(d.Addr)
 	if err != nil {
 		panic(err)
@@ -56,7 +60,26 @@
 			go d.serve(c)
 		}
 	}()
-	go d.beats(d.stop)
+	go d.beats(stop)
+}
+
+// Take has a database that runs crash or leave by one at a time; false if it does
+// already.
+func (d *Database) Take() bool {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	if d.taken || !d.alive || d.draining {
+		return false
+	}
+	d.taken = true
+	return true
+}
+
+// Give ends what Take began.
+func (d *Database) Give() {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.taken = false
 }
 
 // Crash ends the database; a dark one just falls silent.
--- a/internal/testbed/database_troubles.go
+++ b/internal/testbed/database_troubles.go
@@ -35,6 +35,12 @@
 		return nil
 	}
 	d := alive[r.IntN(len(alive))]
+	if kind == Crash || kind == Release {
+		if !d.Take() {
+			return nil
+		}
+		defer d.Give()
+	}
 	noted := t.traffic.Begin(history.Trouble{Kind: kind, Node: d.ID, Planned: kind == Release, At: t.traffic.Now()})
 	defer func() { t.traffic.End(noted) }()
 	id := fmt.Sprintf("%s-r%d", g.Service, t.rounds.next())
@@ -66,7 +72,10 @@
 
 // release replaces a database in order; some never say that they drain.
 func (t *troubles) release(ctx context.Context, g *standin.Group, number int, d *standin.Database, id string, r *rand.Rand) {
-	g.Add(id, address(databaseGroup+number, len(g.Databases())), fmt.Sprintf("zone-%d", 1+r.IntN(zones)), "replica")
+	zone := fmt.Sprintf("zone-%d", 1+r.IntN(zones))
+	t.adding.Lock()
+	g.Add(id, address(databaseGroup+number, len(g.Databases())), zone, "replica")
+	t.adding.Unlock()
 	sleep(ctx, time.Second)
 	if r.IntN(3) == 0 {
 		d.LeaveAtOnce(drainsFor)
--- a/internal/testbed/gateways.go
+++ b/internal/testbed/gateways.go
@@ -114,7 +114,9 @@
 		t.cluster.net.Silence(d.IP, false)
 		s.Add(id, d.IP, d.Zone)
 	case Release:
-		s.Add(id, address(databaseGroup+number, len(workers)), d.Zone)
+		t.adding.Lock()
+		s.Add(id, address(databaseGroup+number, len(s.Workers())), d.Zone)
+		t.adding.Unlock()
 		if r.IntN(3) == 0 {
 			d.Deregister()
 		} else {
--- a/internal/testbed/testbed_test.go
+++ b/internal/testbed/testbed_test.go
@@ -63,27 +63,41 @@
 	return testbed.Run(ctx, cfg)
 }
 
-// The program itself, with processes that are killed and told to end, and a database
-// that crashes, breaks no rule; and nothing is left behind.
+// The program itself, with several troubles at once, breaks no rule, and nothing is left
+// behind.
 func TestShortRun(t *testing.T) {
-	report, err := run(t, testbed.Config{Plan: small(testbed.Kill, testbed.Term, testbed.Crash, testbed.Reset)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	var text strings.Builder
-	report.Print(&text)
-	t.Log(text.String())
-	if !report.Clean() {
-		t.Error("a rule is broken, or a process ended by itself")
-	}
-	if report.Statements.Count < 100 || report.OrdersAcked < 5 || len(report.Troubles) == 0 {
-		t.Error("too little happened")
+	for tier, troubles := range map[string][]string{
+		testbed.Pooler: {
+			testbed.Kill, testbed.Term, testbed.Hup, testbed.Freeze, testbed.CutCore, testbed.CutCarrier, testbed.LoseReplies,
+			testbed.Datagrams, testbed.LogReader, testbed.Crash, testbed.Reset, testbed.Manners, testbed.Rude,
+		},
+		testbed.Gateway: {
+			testbed.Kill, testbed.Term, testbed.Hup, testbed.CutDatabases, testbed.ResetLinks, testbed.Delay,
+			testbed.Crash, testbed.Release, testbed.Hang, testbed.Manners, testbed.Rude,
+		},
+	} {
+		plan := small(troubles...)
+		plan.Tier = tier
+		report, err := run(t, testbed.Config{Plan: plan})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var text strings.Builder
+		report.Print(&text)
+		t.Logf("%s\n%s", tier, text.String())
+		if !report.Clean() {
+			t.Errorf("%s: a rule is broken, or a process ended by itself", tier)
+		}
+		if report.Statements.Count < 100 || report.OrdersAcked < 5 || len(report.Troubles) < 5 {
+			t.Errorf("%s: too little happened", tier)
+		}
 	}
 }
 
 // A platform that promotes a database which has lost its newest commits is noticed.
 func TestPlantedLoss(t *testing.T) {
-	plan := small(testbed.Crash)
+	plan := small(testbed.Crash, testbed.Release)
+	plan.PauseMs = 0
 	lossy := func(groups []*standin.Group, _, id string) int {
 		for _, d := range groups[0].Databases() {
 			if d.ID == id {
--- a/internal/testbed/timelines.go
+++ b/internal/testbed/timelines.go
@@ -21,6 +21,7 @@
 	failed   func(error)
 
 	rounds rounds
+	adding sync.Mutex // held while a database gets an address and is added with it
 }
 
 // timeline is one row of troubles.
--- a/internal/testbed/verdict.go
+++ b/internal/testbed/verdict.go
@@ -80,6 +80,9 @@
 	lettingGo = 4 * time.Second
 )
 
+// clientCounters are 0 at a process without clients.
+var clientCounters = []string{"pooler.sessions_open", "gateway.connections_open", "gateway.requests_open"}
+
 // leaks asks all processes what they hold, until none holds too much or time is up.
 func (c *cluster) leaks(ctx context.Context, now time.Duration) (out []history.Breach) {
 	for end := time.Now().Add(lettingGo); ; sleep(ctx, lettingGo/10) {
@@ -91,10 +94,8 @@
 
 // held lists what processes hold too much of.
 func (c *cluster) held(ctx context.Context, now time.Duration) (out []history.Breach) {
-	leak := func(format string, args ...any) {
-		out = append(out, history.Breach{Rule: Leak, At: now, Text: fmt.Sprintf(format, args...)})
-	}
 	var asked []string
+	open := map[string]int{}
 	for _, m := range c.all() {
 		if m.control {
 			asked = append(asked, m.ip+":"+controlCallPort)
@@ -103,19 +104,35 @@
 			asked = append(asked, m.ip+":"+carrierCallPort)
 		}
 		for _, p := range m.procs {
-			if n, err := descriptors(p.pid()); err == nil && n > mostDescriptors {
-				leak("%s has %d descriptors open", p.name, n)
+			if n, err := descriptors(p.pid()); err == nil {
+				open[p.name] = n
 			}
 		}
 	}
 	network := kernel.HostNetwork{BindIP: operatorHost()}
-	system := tools.Ask(ctx, network, asked, false)
+	for _, text := range leaksOf(open, tools.Ask(ctx, network, asked, false)) {
+		out = append(out, history.Breach{Rule: Leak, At: now, Text: text})
+	}
+	return out
+}
+
+// leaksOf says which processes have too much, by the descriptors that each has open and
+// by what they report.
+func leaksOf(open map[string]int, system *tools.System) (out []string) {
+	leak := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	for name, n := range open {
+		if n > mostDescriptors {
+			leak("%s has %d descriptors open", name, n)
+		}
+	}
 	for _, r := range system.Reports {
 		if n := r.Counters["kernel.goroutines"]; n > mostGoroutines {
 			leak("%s %s has %d goroutines", r.Role, r.Node, n)
 		}
-		if n := r.Counters["pooler.sessions_open"]; n > 0 {
-			leak("%s %s has %d sessions open, and no client is there", r.Role, r.Node, n)
+		for _, counter := range clientCounters {
+			if n := r.Counters[counter]; n > 0 {
+				leak("%s %s: %s is %d, and no client is there", r.Role, r.Node, counter, n)
+			}
 		}
 	}
 	for addr, why := range system.Missing {
--- /dev/null
+++ b/internal/testbed/verdict_test.go
@@ -0,0 +1,99 @@
+package testbed
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/history"
+	"indigowalk/internal/invariant"
+	"indigowalk/internal/tools"
+)
+
+func TestLogsThatTellOfFaultsAreFound(t *testing.T) {
+	for line, rule := range map[string]string{
+		`{"level":"ERROR","msg":"` + invariant.LogMessage + `","name":"one_primary"}`: Invariant,
+		"panic: runtime error: index out of range":                                    Log,
+		"WARNING: DATA RACE": Log,
+		"fatal error: all goroutines are asleep - deadlock!":         Log,
+		`{"level":"WARN","msg":"the control state is not heard of"}`: "",
+	} {
+		path := filepath.Join(t.TempDir(), "log")
+		if err := os.WriteFile(path, []byte(`{"msg":"start"}`+"\n"+line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		breaches := logBreaches("edge-1-pooler", path, time.Second)
+		if rule == "" && len(breaches) > 0 || rule != "" && (len(breaches) != 1 || breaches[0].Rule != rule || !strings.Contains(breaches[0].Text, line)) {
+			t.Errorf("%s: found %v, want %q", line, breaches, rule)
+		}
+	}
+}
+
+func TestWhatIsNotLetGoIsFound(t *testing.T) {
+	report := func(name string, n int64) *tools.System {
+		return &tools.System{Reports: []*tools.Report{{Node: "edge-1", Role: "pooler", Counters: map[string]int64{name: n}}}}
+	}
+	for want, c := range map[string]struct {
+		open   map[string]int
+		system *tools.System
+	}{
+		"edge-1-pooler has 5000 descriptors":      {map[string]int{"edge-1-pooler": 5000}, &tools.System{}},
+		"has 900 goroutines":                      {nil, report("kernel.goroutines", 900)},
+		"pooler.sessions_open is 1":               {nil, report("pooler.sessions_open", 1)},
+		"gateway.connections_open is 2":           {nil, report("gateway.connections_open", 2)},
+		"gateway.requests_open is 1":              {nil, report("gateway.requests_open", 1)},
+		"10.0.0.1:7440 does not answer: no route": {nil, &tools.System{Missing: map[string]string{"10.0.0.1:7440": "no route"}}},
+	} {
+		if leaks := leaksOf(c.open, c.system); len(leaks) != 1 || !strings.Contains(leaks[0], want) {
+			t.Errorf("%q is not found: %v", want, leaks)
+		}
+	}
+	if leaks := leaksOf(map[string]int{"edge-1-pooler": 40}, report("kernel.goroutines", 40)); len(leaks) > 0 {
+		t.Errorf("nothing is held: %v", leaks)
+	}
+}
+
+func TestNoMoreMachinesAreLostThanMayBe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second, carrier := &machine{control: true}, &machine{control: true}, &machine{}
+		l := newLosses(1)
+		if !l.take(first) || !l.take(first) || !l.take(carrier) {
+			t.Fatal("one machine may be lost, by several troubles, and any that keeps no control state")
+		}
+		l.give(first)
+		if l.take(second) || l.none() {
+			t.Error("a second machine is lost beside one that still is")
+		}
+		l.give(first)
+		if l.take(second) {
+			t.Error("a second machine is lost before the first has caught up")
+		}
+		time.Sleep(catchup + time.Millisecond)
+		if !l.none() || !l.takeDisk(second) {
+			t.Error("a machine may not be lost though all have caught up")
+		}
+		if l.takeDisk(first) {
+			t.Error("two disks are lost at once")
+		}
+		unbounded := newLosses(0)
+		if !unbounded.take(first) || !unbounded.take(second) {
+			t.Error("a machine may not be lost though there is no bound")
+		}
+		if unbounded.takeDisk(first) {
+			t.Error("a disk is lost while another machine is")
+		}
+	})
+}
+
+// A breach names the rule that was broken and when.
+func TestFirstBreachComesWithWhatWasAround(t *testing.T) {
+	r := &Report{Breaches: []history.Breach{{Rule: Leak, At: 3 * time.Second, Text: "text"}}, Around: []string{"2.900 s: kill"}}
+	var out strings.Builder
+	r.Print(&out)
+	if text := out.String(); r.Clean() || !strings.Contains(text, "LEAK at 3.000 s: text") || !strings.Contains(text, "2.900 s: kill") {
+		t.Errorf("printed:\n%s", text)
+	}
+}
