--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -4,7 +4,6 @@
 package failover
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,7 +17,6 @@
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
-	"indigowalk/internal/routeconfig"
 )
 
 // retryPause is between two tries at the same step.
@@ -63,9 +61,9 @@
 	tried              map[string]kernel.Micros // when what is paced was last tried
 	waits              map[string]string        // why a service's move waits
 	woken              map[string]*woken        // by service
-	seen               *scene                   // the control state of seenEpoch and seenSeq
+	seen               *snapshot                // the control state of seenEpoch and seenSeq
 	seenEpoch, seenSeq int64
-	confRaw            json.RawMessage // that the scene's configuration was read from
+	confRaw            json.RawMessage // that the snapshot's configuration was read from
 	progress           kernel.Bell
 }
 
@@ -98,75 +96,6 @@
 	return nil
 }
 
-// scene is what one look at the control state shows.
-type scene struct {
-	databases map[string]discovery.Database
-	known     map[string]bool // databases by id
-	services  map[string][]discovery.Database
-	leads     map[string]Lead
-	conf      *routeconfig.Configuration
-	soft      map[string]discovery.Soft
-	poolers   map[string]int64
-}
-
-// look decodes the control state, once for each change of it.
-func (c *Manager) look() (*scene, error) {
-	state, err := c.v.Durable()
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.seen == nil || c.seenSeq != state.Seq || c.seenEpoch != state.Epoch {
-		s := &scene{services: map[string][]discovery.Database{}, known: map[string]bool{}}
-		entries := state.Entries
-		if s.databases, err = c.databases.Of(entries); err != nil {
-			return nil, err
-		}
-		for _, d := range s.databases {
-			s.known[d.ID] = true
-			s.services[d.Service] = append(s.services[d.Service], d)
-		}
-		if s.leads, err = c.leads.Of(entries); err != nil {
-			return nil, err
-		}
-		if s.poolers, err = c.poolers.Of(entries); err != nil {
-			return nil, err
-		}
-		if c.seen != nil && bytes.Equal(c.confRaw, entries[routeconfig.Key]) {
-			s.conf = c.seen.conf
-		} else if _, s.conf, err = routeconfig.Decode(entries[routeconfig.Key]); err != nil {
-			return nil, err
-		}
-		c.seen, c.seenSeq, c.seenEpoch, c.confRaw = s, state.Seq, state.Epoch, entries[routeconfig.Key]
-	}
-	s := *c.seen
-	s.soft = c.acc.Soft()
-	return &s, nil
-}
-
-// replicas lists the databases of a service besides one.
-func (s *scene) replicas(service, besides string) []discovery.Database {
-	var out []discovery.Database
-	for _, d := range s.services[service] {
-		if d.ID != besides {
-			out = append(out, d)
-		}
-	}
-	return out
-}
-
-func (s *scene) syncReplicas(service string) int {
-	if s.conf != nil {
-		for _, svc := range s.conf.Services {
-			if svc.Name == service {
-				return svc.SyncReplicas
-			}
-		}
-	}
-	return 1
-}
-
 func (c *Manager) reconcile() {
 	term, err := c.v.Term()
 	if err != nil {
@@ -184,7 +113,7 @@
 	c.health.Keep(s.known)
 	c.forgetReaders(ctx)
 	if c.cfg.Leadless {
-		c.dismiss(ctx, s)
+		c.forgetDatabases(ctx, s)
 		return
 	}
 	c.readers.Led(slices.Collect(maps.Keys(s.leads)))
@@ -203,47 +132,6 @@
 	}
 }
 
-const (
-	// goneLeases is for how many leases a carrier polls no more until it is forgotten.
-	goneLeases = 24
-	// forgetting names that work among the services that are worked on.
-	forgetting = "\x00carriers"
-)
-
-// forgetReaders removes the registrations of carriers that are gone. One that comes back
-// registers anew before it is granted a lease.
-func (c *Manager) forgetReaders(ctx context.Context) {
-	gone := c.readers.Gone(c.k.Clock.Now(), goneLeases*c.cfg.ReaderLease)
-	if len(gone) == 0 {
-		return
-	}
-	c.spawn(forgetting, func() error {
-		err := c.v.Update(ctx, func(map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-			return Unregister(gone), nil
-		})
-		if err != nil {
-			return err
-		}
-		c.readers.Forget(gone)
-		c.k.Counters.Add("failover.carriers_forgotten", int64(len(gone)))
-		c.k.Log.Info("carriers forgotten", "names", gone)
-		return nil
-	})
-}
-
-// dismiss forgets databases that are gone, where they held nothing.
-func (c *Manager) dismiss(ctx context.Context, s *scene) {
-	var gone []string
-	for id, d := range s.databases {
-		if d.Gone {
-			gone = append(gone, id)
-		}
-	}
-	if len(gone) > 0 && c.due("dismiss") {
-		c.spawn("", func() error { return c.acc.Remove(ctx, gone...) })
-	}
-}
-
 // spawn runs one piece of work at a time for each service.
 func (c *Manager) spawn(svc string, f func() error) {
 	c.mu.Lock()
@@ -268,7 +156,7 @@
 }
 
 // adopt notes who leads a service that nobody has moved yet.
-func (c *Manager) adopt(ctx context.Context, s *scene, svc string) error {
+func (c *Manager) adopt(ctx context.Context, s *snapshot, svc string) error {
 	var found []string
 	for _, d := range s.replicas(svc, "") {
 		if s.soft[d.ID].Role == "primary" {
@@ -289,7 +177,7 @@
 
 // returned finds the lead that crashed and is back, as the primary that it
 // was: with its log, and nobody promoted meanwhile.
-func (s *scene) returned(l Lead) string {
+func (s *snapshot) returned(l Lead) string {
 	for _, d := range s.services[l.Service] {
 		if d.Had(l.ID) && s.soft[d.ID].Role == "primary" {
 			return d.ID
@@ -300,7 +188,7 @@
 
 // old finds the database that a service is led away from, also under the id
 // with which it returned.
-func (s *scene) old(l Lead) (discovery.Database, bool) {
+func (s *snapshot) old(l Lead) (discovery.Database, bool) {
 	id := l.ID
 	if back := s.returned(l); back != "" {
 		id = back
@@ -310,7 +198,7 @@
 }
 
 // resume gives the lead back to a database that returned under a new id.
-func (c *Manager) resume(ctx context.Context, s *scene, l Lead, id string) error {
+func (c *Manager) resume(ctx context.Context, s *snapshot, l Lead, id string) error {
 	err := c.save(ctx, l.Service, func(now *Lead) error {
 		if now.Turn == l.Turn && now.ID == l.ID && !now.Called {
 			*now = now.settled(id, now.Term)
--- a/internal/failover/leaving.go
+++ b/internal/failover/leaving.go
@@ -119,7 +119,7 @@
 // forgotten, with what the lead held after it had ended. One that drains is
 // paused, and its limit noted, as long as a replica that stays receives; if
 // none does it receives again.
-func (c *Manager) tend(ctx context.Context, s *scene, l Lead) error {
+func (c *Manager) tend(ctx context.Context, s *snapshot, l Lead) error {
 	lead, there := s.databases[l.ID]
 	if !there {
 		return errNotYet
@@ -171,7 +171,7 @@
 // pauseLeaving pauses, once the lead has failed, the replicas that leave: they may
 // end before every pooler has left the lead, and nobody could say then what they
 // held. It returns the term at which they are paused.
-func (c *Manager) pauseLeaving(ctx context.Context, s *scene, l Lead) int64 {
+func (c *Manager) pauseLeaving(ctx context.Context, s *snapshot, l Lead) int64 {
 	leaving := pick(s.replicas(l.Service, l.ID), func(d discovery.Database) bool {
 		return d.Draining && !d.Gone && d.Limit == "" && c.health.Up(d.ID)
 	})
--- a/internal/failover/move.go
+++ b/internal/failover/move.go
@@ -78,7 +78,7 @@
 
 // choose pauses the replicas, compares what they hold and makes the choice
 // durable.
-func (c *Manager) choose(ctx context.Context, s *scene, l *Lead) error {
+func (c *Manager) choose(ctx context.Context, s *snapshot, l *Lead) error {
 	if err := c.letLeave(ctx, s, l); err != nil {
 		return err
 	}
@@ -126,7 +126,7 @@
 // is acknowledged to a client, even if a replica is woken by a CONTINUE that comes late;
 // what was acknowledged before is held by the replicas that are asked. What the poolers
 // have under way at a primary that answers ends before those are paused.
-func (c *Manager) letLeave(ctx context.Context, s *scene, l *Lead) error {
+func (c *Manager) letLeave(ctx context.Context, s *snapshot, l *Lead) error {
 	early := make(chan int64, 1)
 	go func(l Lead) {
 		if !l.Failed {
@@ -142,7 +142,7 @@
 
 // situation is what is known of a choice before the replicas are asked, and the newest
 // term that was heard of.
-func (c *Manager) situation(ctx context.Context, s *scene, l Lead, old discovery.Database, alive bool) (sit Situation, newest int64) {
+func (c *Manager) situation(ctx context.Context, s *snapshot, l Lead, old discovery.Database, alive bool) (sit Situation, newest int64) {
 	sit = Situation{Sync: s.syncReplicas(l.Service)}
 	sit.Least, _ = lineprotocol.ParsePosition(l.Least)
 	if floor, ok := lineprotocol.ParsePosition(l.Floor); ok {
@@ -234,7 +234,7 @@
 // settleOn makes the choice durable, unless a database has joined since the look
 // that it rests on. The promotion lets every replica receive
 // again, so no limit holds any longer but that of the databases that are gone.
-func (c *Manager) settleOn(ctx context.Context, s *scene, l *Lead, to string, newest, hold int64, floor lineprotocol.Position) error {
+func (c *Manager) settleOn(ctx context.Context, s *snapshot, l *Lead, to string, newest, hold int64, floor lineprotocol.Position) error {
 	err := c.edit(ctx, l.Service, func(now *Lead, known map[string]discovery.Database) error {
 		if !now.Moving || now.Turn != l.Turn {
 			return errNotYet
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -16,7 +16,7 @@
 
 // promote has the platform make the chosen database the primary, waits until
 // it leads, and makes that known.
-func (c *Manager) promote(ctx context.Context, s *scene, l Lead) error {
+func (c *Manager) promote(ctx context.Context, s *snapshot, l Lead) error {
 	if err := c.awaitLeft(ctx, l); err != nil {
 		return err
 	}
@@ -105,7 +105,7 @@
 
 // tidy makes a replica of every database that leads without being the lead,
 // and looks after those that leave.
-func (c *Manager) tidy(ctx context.Context, s *scene, l Lead) {
+func (c *Manager) tidy(ctx context.Context, s *snapshot, l Lead) {
 	c.wake(ctx, s, l)
 	ending := false
 	for _, d := range s.replicas(l.Service, l.ID) {
--- a/internal/failover/readers.go
+++ b/internal/failover/readers.go
@@ -12,7 +12,7 @@
 	"indigowalk/internal/lineprotocol"
 )
 
-type reader struct {
+type leaseHolder struct {
 	life  int64
 	until kernel.Micros
 	heard kernel.Micros
@@ -27,7 +27,7 @@
 type Readers struct {
 	mu           sync.Mutex
 	epoch        int64
-	poolers      map[string]*reader
+	poolers      map[string]*leaseHolder
 	acknowledged acknowledged
 	bell         kernel.Bell
 }
@@ -43,7 +43,7 @@
 }
 
 // NewReaders returns an empty set.
-func NewReaders() *Readers { return &Readers{poolers: map[string]*reader{}} }
+func NewReaders() *Readers { return &Readers{poolers: map[string]*leaseHolder{}} }
 
 // Heard notes what a pooler reports, at that time. An earlier life of the pooler is
 // refused, and the newest returned; so is one whose registration is being removed, with
@@ -62,7 +62,7 @@
 	if fresh {
 		// A new life holds no lease of the one before, whose last
 		// acknowledgements nobody reports any more.
-		d = &reader{life: life}
+		d = &leaseHolder{life: life}
 		r.poolers[pooler] = d
 		r.acknowledged.lost = max(r.acknowledged.lost, now)
 	}
@@ -154,9 +154,9 @@
 	if epoch <= r.epoch {
 		return
 	}
-	r.epoch, r.poolers, r.acknowledged = epoch, map[string]*reader{}, acknowledged{lost: now}
+	r.epoch, r.poolers, r.acknowledged = epoch, map[string]*leaseHolder{}, acknowledged{lost: now}
 	for pooler, life := range registered {
-		r.poolers[pooler] = &reader{life: life, until: now + lease}
+		r.poolers[pooler] = &leaseHolder{life: life, until: now + lease}
 	}
 }
 
--- a/internal/failover/wake.go
+++ b/internal/failover/wake.go
@@ -18,8 +18,8 @@
 // its connection or with the process that was to say it, and a replica that stays
 // paused receives nothing for ever. Saying it again does no harm, nor does a late
 // one: once a move has begun, no commit of the old primary counts (distribution,
-// Card.Covers).
-func (c *Manager) wake(ctx context.Context, s *scene, l Lead) {
+// Subscriber.Covers).
+func (c *Manager) wake(ctx context.Context, s *snapshot, l Lead) {
 	if l.Turn == 0 {
 		return // nobody was ever paused
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,14 +68,14 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	guests   map[net.Conn]*guest
+	clients  map[net.Conn]*clientState
 }
 
 // New returns a gateway.
 func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Gateway {
 	t := &Gateway{
 		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures, stalls: stalls,
-		guests: map[net.Conn]*guest{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
+		clients: map[net.Conn]*clientState{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
 		Handler: t, MaxHeaderBytes: maxHeader, ConnState: t.noteState,
@@ -141,7 +141,7 @@
 	t.mu.Lock()
 	t.listener = ln
 	t.mu.Unlock()
-	go t.watchGuests(ctx)
+	go t.watchClients(ctx)
 	go t.watchLink(ctx)
 	if err := t.srv.Serve(clientListener{ln, t.meter}); err != nil && !errors.Is(err, http.ErrServerClosed) && !t.leaving.Load() {
 		return fmt.Errorf("gateway: %w", err)
@@ -150,108 +150,6 @@
 	return nil
 }
 
-// guest is a client's connection. Its times are bounded by the configuration,
-// which may change while it is open.
-type guest struct {
-	state http.ConnState
-	since kernel.Micros
-	busy  bool // a request has been read
-	// answering says that its answer is being written.
-	answering bool
-}
-
-func (t *Gateway) noteState(c net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	switch state {
-	case http.StateClosed, http.StateHijacked:
-		delete(t.guests, c)
-	default:
-		t.guests[c] = &guest{state: state, since: t.k.Clock.Now()}
-	}
-}
-
-// inHand notes that a connection's request has been read, or is done.
-func (t *Gateway) inHand(c *clientConn, busy bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if g := t.guests[net.Conn(c)]; g != nil {
-		g.busy, g.answering, g.since = busy, false, t.k.Clock.Now()
-	}
-}
-
-// open is how many requests are being worked on.
-func (t *Gateway) open() (n int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, g := range t.guests {
-		if g.busy {
-			n++
-		}
-	}
-	return n
-}
-
-// connections is how many connections of clients there are.
-func (t *Gateway) connections() int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return int64(len(t.guests))
-}
-
-// inAnswer notes that the answer to a connection's request is being written.
-func (t *Gateway) inAnswer(c *clientConn) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if g := t.guests[net.Conn(c)]; g != nil {
-		g.answering = true
-	}
-}
-
-// Bounds where the configuration has none.
-const (
-	defaultHeaderWait = 5 * kernel.Second
-	defaultIdle       = 60 * kernel.Second
-)
-
-func (t *Gateway) limits() (header, idle kernel.Micros) {
-	header, idle = defaultHeaderWait, defaultIdle
-	if conf := t.control.Config(); conf != nil {
-		if ms := conf.Limits.HeaderTimeoutMs; ms > 0 {
-			header = kernel.Micros(ms) * kernel.Millisecond
-		}
-		if ms := conf.Limits.IdleTimeoutMs; ms > 0 {
-			idle = kernel.Micros(ms) * kernel.Millisecond
-		}
-	}
-	return header, idle
-}
-
-// watchGuests closes connections that are idle, or take too long over a
-// request's head.
-func (t *Gateway) watchGuests(ctx context.Context) {
-	for kernel.Sleep(ctx, 250*kernel.Millisecond) {
-		header, idle := t.limits()
-		now := t.k.Clock.Now()
-		var late []*clientConn
-		t.mu.Lock()
-		for c, g := range t.guests {
-			limit := header
-			if g.state == http.StateIdle {
-				limit = idle
-			}
-			if client, ok := c.(*clientConn); ok && !g.busy && now-g.since > limit {
-				late = append(late, client)
-			}
-		}
-		t.mu.Unlock()
-		for _, c := range late {
-			t.k.Counters.Add("gateway.late_guests", 1)
-			c.turnAway()
-		}
-	}
-}
-
 // connKey finds a request's connection in its context.
 type connKey struct{}
 
--- a/internal/gateway/invariants.go
+++ b/internal/gateway/invariants.go
@@ -29,7 +29,7 @@
 func (t *Gateway) watchEnd(began kernel.Micros) {
 	t.mu.Lock()
 	unanswered := 0
-	for _, g := range t.guests {
+	for _, g := range t.clients {
 		if g.busy && !g.answering {
 			unanswered++
 		}
--- a/internal/gateway/invariants_test.go
+++ b/internal/gateway/invariants_test.go
@@ -24,11 +24,11 @@
 		"sent too often":           {func(j *job) { j.tries = 3; j.watchSend("a") }, []invariant.Invariant{invariant.TriesBounded}},
 		"sent where it may have run": {func(j *job) { j.mayHaveRun = true; j.watchSend("a") },
 			[]invariant.Invariant{invariant.SentOnce}},
-		"being answered at the end": {func(j *job) { j.t.guests[nil].answering = true; j.t.watchEnd(0) }, nil},
+		"being answered at the end": {func(j *job) { j.t.clients[nil].answering = true; j.t.watchEnd(0) }, nil},
 		"waiting at the end":        {func(j *job) { j.t.watchEnd(0) }, []invariant.Invariant{invariant.NothingUnanswered}},
 	} {
 		k := kernel.NewKernel("gateway", nil, slog.New(slog.DiscardHandler))
-		g := &Gateway{k: k, guests: map[net.Conn]*guest{nil: {busy: true}}}
+		g := &Gateway{k: k, clients: map[net.Conn]*clientState{nil: {busy: true}}}
 		route := &routeconfig.Route{Manner: routeconfig.Manner{Type: routeconfig.Mutating, Tries: 2}}
 		c.play(&job{t: g, id: "r1", route: route})
 		if got := k.Invariants.Violated(); !slices.Equal(got, c.want) {
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -240,7 +240,7 @@
 	if err := j.admit(); err != nil {
 		return nil, err
 	}
-	db, ok := t.balancer.Pick(j.route.Host+j.route.Prefix, t.scene(j.service, j.avoid))
+	db, ok := t.balancer.Pick(j.route.Host+j.route.Prefix, t.candidates(j.service, j.avoid))
 	if !ok {
 		return nil, errNoPlace
 	}
@@ -268,9 +268,9 @@
 	return &attempt{db, conn, t.conns.Generation(conn), began, ch}, nil
 }
 
-// scene is what the choice of a database is made from.
-func (t *Gateway) scene(service string, avoid []string) loadbalance.Scene {
-	return loadbalance.Scene{
+// candidates are what the choice of a database is made from.
+func (t *Gateway) candidates(service string, avoid []string) loadbalance.Candidates {
+	return loadbalance.Candidates{
 		Service: service, Databases: t.control.Serving(service), Zone: t.cfg.Zone,
 		Self: t.ring.Self().Addr, Peers: t.ring.Near(), Up: t.health.Up, Avoid: avoid,
 	}
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -58,14 +58,14 @@
 func (t *Gateway) turnAwayIdle() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c, g := range t.guests {
+	for c, g := range t.clients {
 		if !g.busy && (g.state == http.StateIdle || g.state == http.StateNew) {
 			if client, ok := c.(*clientConn); ok {
 				client.turnAway()
 			}
 		}
 	}
-	return len(t.guests)
+	return len(t.clients)
 }
 
 // over tells whether whatever is still waited for is given up.
--- a/internal/loadbalance/loadbalance.go
+++ b/internal/loadbalance/loadbalance.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// Scene is what a choice is made from.
-type Scene struct {
+// Candidates is what a choice is made from.
+type Candidates struct {
 	Service   string
 	Databases []discovery.Database
 	Self      string
@@ -151,7 +151,7 @@
 // of a zone stand in the order of their hashes, and each node has a stretch of
 // the databases that begins at its own place: all are covered evenly, and who
 // comes or goes moves the stretches by a little.
-func (r *Balancer) listOf(s Scene) list {
+func (r *Balancer) listOf(s Candidates) list {
 	l := r.lists[s.Service]
 	if same(l.databases, s.Databases) && slices.Equal(l.peers, s.Peers) {
 		return l
@@ -238,7 +238,7 @@
 }
 
 // Pick returns the database to send to, or false if there is none.
-func (r *Balancer) Pick(route string, s Scene) (discovery.Database, bool) {
+func (r *Balancer) Pick(route string, s Candidates) (discovery.Database, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, usual := r.clock.Now(), r.usual.Of(route)
--- a/internal/loadbalance/loadbalance_test.go
+++ b/internal/loadbalance/loadbalance_test.go
@@ -12,8 +12,8 @@
 
 func (c *clock) Now() kernel.Micros { return c.now }
 
-func scene(self int, nodes, near, far int) Scene {
-	s := Scene{Service: "s", Self: fmt.Sprint("node-", self), Zone: "a", Up: func(string) bool { return true }}
+func candidates(self int, nodes, near, far int) Candidates {
+	s := Candidates{Service: "s", Self: fmt.Sprint("node-", self), Zone: "a", Up: func(string) bool { return true }}
 	for i := range nodes {
 		s.Peers = append(s.Peers, fmt.Sprint("node-", i))
 	}
@@ -34,7 +34,7 @@
 		by = map[string]int{}
 		for n := range nodes {
 			mine := map[string]bool{}
-			for _, d := range New(&clock{1}).listOf(scene(n, nodes, 51, 150)).own {
+			for _, d := range New(&clock{1}).listOf(candidates(n, nodes, 51, 150)).own {
 				by[d.ID]++
 				mine[d.ID] = true
 			}
@@ -77,7 +77,7 @@
 		"hanging": func(*Balancer, *clock, string, kernel.Micros) {},
 	} {
 		c := &clock{kernel.Second}
-		r, s := New(c), scene(0, 1, 8, 0)
+		r, s := New(c), candidates(0, 1, 8, 0)
 		bad := 0
 		for n := range 400 {
 			d, ok := r.Pick("r", s)
@@ -99,7 +99,7 @@
 		}
 	}
 	c := &clock{kernel.Second}
-	r, s := New(c), scene(0, 1, 8, 0)
+	r, s := New(c), candidates(0, 1, 8, 0)
 	r.Told(map[string]int{"i-3": 900})
 	for range 200 {
 		if d, _ := r.Pick("r", s); d.ID == "i-3" {
@@ -107,7 +107,7 @@
 		}
 	}
 	// With all its own down, the others serve.
-	s = scene(0, 1, 3, 5)
+	s = candidates(0, 1, 3, 5)
 	s.Up = func(id string) bool { return id == "i-6" }
 	if d, ok := r.Pick("r", s); !ok || d.ID != "i-6" {
 		t.Errorf("%v %v, and only i-6 is up", d.ID, ok)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -226,11 +226,11 @@
 	return r, svc, conf
 }
 
-// scene is what a database is picked from, as things are now.
-func (d *Pooler) scene(service string, want dbconn.Want) readrouting.Scene {
+// candidates is what a database is picked from, as things are now.
+func (d *Pooler) candidates(service string, want dbconn.Want) readrouting.Candidates {
 	dbs, lead := d.control.Databases(service)
 	_, err := d.control.Primary(service)
-	return readrouting.Scene{
+	return readrouting.Candidates{
 		Databases: dbs, Lead: lead, Leased: err == nil, Zone: d.cfg.Zone,
 		Up: d.health.Up, Busy: d.pool.Busy, Idle: func(id string) bool { return d.pool.Idle(id, want) },
 	}
@@ -238,7 +238,7 @@
 
 // place picks a database for the request as things are now.
 func (d *Pooler) place(q readrouting.Request, want dbconn.Want) (readrouting.Choice, bool) {
-	return d.router.Pick(q, d.scene(q.Service, want))
+	return d.router.Pick(q, d.candidates(q.Service, want))
 }
 
 // refusal is an answer of the pooler's own.
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -158,7 +158,7 @@
 // is given, the router tells it.
 func (j *job) noPlace(cause string, write bool) error {
 	if cause == "" {
-		cause = j.s.d.router.Explain(j.request(write), j.s.d.scene(j.route.Service, j.want()))
+		cause = j.s.d.router.Explain(j.request(write), j.s.d.candidates(j.route.Service, j.want()))
 	}
 	return &noPlaceError{cause}
 }
--- a/internal/readrouting/readrouting.go
+++ b/internal/readrouting/readrouting.go
@@ -38,8 +38,8 @@
 	Avoid    map[string]bool       // tried in vain
 }
 
-// Scene is what a choice is made from.
-type Scene struct {
+// Candidates is what a choice is made from.
+type Candidates struct {
 	Databases []discovery.Database
 	Lead      failover.Lead
 	Leased    bool // the read lease covers the lead now
@@ -188,7 +188,7 @@
 }
 
 // Pick returns a choice, or false if there is none at present.
-func (a *Router) Pick(q Request, s Scene) (Choice, bool) {
+func (a *Router) Pick(q Request, s Candidates) (Choice, bool) {
 	if q.Type != routeconfig.Primary && !q.Write {
 		if c, ok := a.replica(q, s); ok {
 			return c, true
@@ -218,7 +218,7 @@
 
 // Explain tells why there was no choice, as things are now: what keeps the primary from
 // being used and, for reads that a replica may serve, what keeps those.
-func (a *Router) Explain(q Request, s Scene) string {
+func (a *Router) Explain(q Request, s Candidates) string {
 	if q.Type == routeconfig.Primary || q.Write {
 		return primaryReason(s)
 	}
@@ -230,7 +230,7 @@
 }
 
 // primaryReason tells what keeps the primary from being used.
-func primaryReason(s Scene) string {
+func primaryReason(s Candidates) string {
 	switch {
 	case s.Lead.ID == "":
 		return NoLead
@@ -244,7 +244,7 @@
 	return LeadUnknown
 }
 
-func (a *Router) replica(q Request, s Scene) (Choice, bool) {
+func (a *Router) replica(q Request, s Candidates) (Choice, bool) {
 	pos, ok := a.covering(q.Service, q.Received-q.Stale)
 	if !ok {
 		return Choice{}, false
--- a/internal/readrouting/readrouting_test.go
+++ b/internal/readrouting/readrouting_test.go
@@ -23,7 +23,7 @@
 	a.Observe("svc", clock.now-500*ms, pos(9))
 	down := map[string]bool{}
 	busy := map[string]int{}
-	s := Scene{
+	s := Candidates{
 		Databases: []discovery.Database{
 			{ID: "p", Zone: "z1", Slots: 7}, {ID: "near", Zone: "z1", Slots: 7}, {ID: "far", Zone: "z2", Slots: 7},
 		},
