--- a/internal/kernel/stall.go
+++ b/internal/kernel/stall.go
@@ -7,10 +7,13 @@
 
 const (
 	// stallTick is between two looks at whether the process runs.
-	stallTick = 500 * Millisecond
+	stallTick = 200 * Millisecond
 	// stallLeast is how late a look has to be to count: the process was frozen, or got
 	// no processor.
-	stallLeast = 300 * Millisecond
+	stallLeast = 150 * Millisecond
+	// LongestUnseenStall is how long the process may have stood still without being
+	// noticed. Whoever takes a wait for too long otherwise waits for longer than this.
+	LongestUnseenStall = stallTick + stallLeast
 	// stallLogged is from when on a stall is a change of state that is logged.
 	stallLogged = Second
 )
--- a/internal/pooler/invariants_test.go
+++ b/internal/pooler/invariants_test.go
@@ -39,3 +39,10 @@
 		}
 	}
 }
+
+// A process that stood still must not be taken for one that let its clients wait.
+func TestStallsThatMatterAreSeen(t *testing.T) {
+	if answerSlack <= kernel.LongestUnseenStall {
+		t.Errorf("an answer counts as late after %d us, a stall of %d us is not seen", answerSlack, kernel.LongestUnseenStall)
+	}
+}
