Pooler: an attempt that says nothing at the deadline is refused, not answered with nothing

Cause: an attempt told in two values whether it had an answer and whether another attempt may be made; that there is neither was possible, where the time was looked at twice. A replica's LAGGING that was read once the deadline had passed, or a promise inside a transaction whose pause met the deadline, left a nil answer, and the pooler ended with a panic: every session at it was cut. A process that was frozen meets this whenever such an answer waits for it. The class: two results that can contradict each other, a check and its use apart in time.

Change: an attempt gives one value, the answer or nil; whether time is left for another is decided in one place after every attempt, by a refusal that promises that nothing was kept.

The gateway's verdicts are typed and were looked through for the same; nothing was found there.

--- a/internal/pooler/retry_test.go
+++ b/internal/pooler/retry_test.go
@@ -31,8 +31,16 @@
 func TestPromisesAtTheDeadlineAreAnswered(t *testing.T) {
 	for _, code := range []string{lineprotocol.Lagging, lineprotocol.Retry, lineprotocol.ReadOnly, lineprotocol.NoSuch} {
 		j, conn, choice := atDeadline(t)
-		if a, again := j.judge(conn, choice, &lineprotocol.Answer{Code: code, State: 'I'}); a == nil && !again {
-			t.Errorf("%s outside a transaction: no answer", code)
+		if a := j.settle(j.judge(conn, choice, &lineprotocol.Answer{Code: code, State: 'I'})); a == nil || a.Code != lineprotocol.Retry {
+			t.Errorf("%s outside a transaction: answered %v", code, a)
+		}
+	}
+	for ran, want := range map[int]string{0: lineprotocol.Retry, 2: lineprotocol.RolledBack} {
+		j, _, _ := atDeadline(t)
+		open := &transaction{s: j.s, ran: ran}
+		j.s.tx = open
+		if a := j.settleInside(open, nil); a == nil || a.Code != want || a.State != 'I' || j.s.tx != nil {
+			t.Errorf("in a transaction with %d statements: answered %v", ran, a)
 		}
 	}
 }
--- a/internal/pooler/transaction.go
+++ b/internal/pooler/transaction.go
@@ -123,35 +123,51 @@
 func (j *job) insideTx(t *transaction) *lineprotocol.Answer {
 	defer j.permit.Release()
 	for {
-		if t.conn == nil {
-			again, a := j.start(t)
-			if a != nil {
-				return a
-			}
-			if again {
-				continue
-			}
-		}
-		a, again := j.step(t)
-		if !again {
+		if a := j.settleInside(t, j.attemptInside(t)); a != nil {
 			return a
 		}
 		j.s.d.retries.Add(1)
 	}
 }
 
-// start borrows a connection and begins the transaction on it.
-func (j *job) start(t *transaction) (again bool, a *lineprotocol.Answer) {
+// settleInside is settle for a statement of a transaction, which ends with a refusal.
+func (j *job) settleInside(t *transaction, a *lineprotocol.Answer) *lineprotocol.Answer {
+	if a != nil || j.left() > 0 {
+		return a
+	}
+	if t.ran > 0 {
+		j.s.trace.because(causeDeadline)
+		return j.s.abandon("deadline passed")
+	}
+	j.s.tx = nil
+	t.letGo(true)
+	return j.refuse(errLate)
+}
+
+// attemptInside runs the statement once. It returns the client's answer, or nil if
+// another attempt may be made in the time that is left.
+func (j *job) attemptInside(t *transaction) *lineprotocol.Answer {
+	if t.conn == nil {
+		if a := j.start(t); a != nil || t.conn == nil {
+			return a
+		}
+	}
+	return j.step(t)
+}
+
+// start borrows a connection and begins the transaction on it. Without an answer and
+// without a connection another attempt may be made.
+func (j *job) start(t *transaction) *lineprotocol.Answer {
 	d := j.s.d
 	if a := j.admit(); a != nil {
 		j.s.tx = nil
 		a.State = 'I'
-		return false, a
+		return a
 	}
 	conn, choice, err := j.find(t.plain)
 	if err != nil {
 		j.s.tx = nil
-		return false, j.refuse(err)
+		return j.refuse(err)
 	}
 	t.conn, t.choice, t.service, t.tenant = conn, choice, j.route.Service, nameOf(j.tenant)
 	t.b = d.health.Bind(conn.DB.ID)
@@ -160,6 +176,7 @@
 	}
 	own := *j
 	own.q = t.begin
+	var a *lineprotocol.Answer
 	err = conn.Values(j.s.values, j.patience())
 	if err != nil {
 		err = errors.Join(errUnsent, err)
@@ -167,7 +184,7 @@
 		a, err = own.run(conn, choice, t.b, t.begin.Text, opening)
 	}
 	if err == nil && a.Code == "" && a.State == 'T' {
-		return false, nil
+		return nil
 	}
 	j.s.trace.failed(conn.DB.ID, j.now(), err, a)
 	if err != nil {
@@ -184,9 +201,9 @@
 	t.letGo(true)
 	if j.tries > j.route.Tries || err == nil && !j.pauseAfter(a.Code) || j.left() <= 0 {
 		j.s.tx = nil
-		return false, j.refuse(errTries)
+		return j.refuse(errTries)
 	}
-	return true, nil
+	return nil
 }
 
 // lost reports a broken connection and closes one without an answer.
@@ -200,13 +217,13 @@
 	j.tries++
 }
 
-// step runs the statement on the transaction's connection. Nothing of an
+// step runs the statement on the transaction's connection; nil has another attempt made. Nothing of an
 // unfinished transaction is kept once its connection is closed, so every
 // failure but that of COMMIT can be promised.
-func (j *job) step(t *transaction) (a *lineprotocol.Answer, again bool) {
+func (j *job) step(t *transaction) *lineprotocol.Answer {
 	if db, _ := t.b.Bound(); db == "" && t.ran > 0 {
 		t.conn.Close()
-		return j.s.abandon("the database failed"), false
+		return j.s.abandon("the database failed")
 	}
 	commit := j.q.Verb == lineprotocol.Commit
 	// The first statement may start the transaction anew: the one left behind
@@ -224,7 +241,7 @@
 			left.conn.Close()
 			left.letGo(false)
 		})
-		return nil, true
+		return nil
 	case err != nil:
 		return j.unanswered(t, commit, err)
 	case a.Code != "":
@@ -235,7 +252,7 @@
 	if a.State != 'T' {
 		a = j.ended(t, commit, a)
 	}
-	return a, false
+	return a
 }
 
 // runInside has the transaction's database run the statement.
@@ -254,8 +271,9 @@
 	return j.run(t.conn, t.choice, t.b, text, at)
 }
 
-// unanswered deals with a statement of the transaction that got no answer.
-func (j *job) unanswered(t *transaction, commit bool, err error) (a *lineprotocol.Answer, again bool) {
+// unanswered deals with a statement of the transaction that got no answer; nil has
+// another attempt made.
+func (j *job) unanswered(t *transaction, commit bool, err error) *lineprotocol.Answer {
 	s := j.s
 	unsent := errors.Is(err, errUnsent)
 	j.lost(t, err)
@@ -264,13 +282,13 @@
 		s.tx = nil
 		s.d.k.Counters.Add("pooler.unknown", 1)
 		s.trace.because(causeUnanswered)
-		return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I'), false
+		return refusal(lineprotocol.Unknown, "no answer to COMMIT", 'I')
 	}
 	if t.ran == 0 && j.tries <= j.route.Tries && j.left() > 0 {
-		return nil, true
+		return nil
 	}
 	s.tx = nil
-	return s.rolledBack("no answer"), false
+	return s.rolledBack("no answer")
 }
 
 // ended deals with the answer by which the transaction ended, and returns what the
@@ -290,8 +308,8 @@
 }
 
 // refusedInside deals with an error that the database answered inside the
-// transaction.
-func (j *job) refusedInside(t *transaction, a *lineprotocol.Answer) (*lineprotocol.Answer, bool) {
+// transaction; nil has another attempt made.
+func (j *job) refusedInside(t *transaction, a *lineprotocol.Answer) *lineprotocol.Answer {
 	s := j.s
 	j.tries++
 	more := j.tries <= j.route.Tries && j.left() > 0
@@ -299,11 +317,11 @@
 	case a.Code == lineprotocol.NoSuch:
 		t.conn.Lost(j.shape)
 		if a.State == 'T' && more {
-			return nil, true
+			return nil
 		}
 	case a.Code == lineprotocol.Retry && a.State == 'T':
 		if more && j.pauseAfter(a.Code) {
-			return nil, true
+			return nil
 		}
 	}
 	if t.ran == 0 && promised(a.Code) && more {
@@ -312,10 +330,11 @@
 			j.shun(t.conn.DB.ID)
 		}
 		t.letGo(true)
-		return nil, j.pauseAfter(a.Code) || j.left() > 0
+		j.pauseAfter(a.Code)
+		return nil
 	}
 	if promised(a.Code) {
-		return s.abandon(a.Code), false
+		return s.abandon(a.Code)
 	}
 	if a.State == 'I' {
 		s.tx = nil
@@ -323,5 +342,5 @@
 	} else {
 		t.failed = a.State == 'E'
 	}
-	return a, false
+	return a
 }
--- a/internal/pooler/work.go
+++ b/internal/pooler/work.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"strconv"
-	"sync"
 	"time"
 
 	"indigowalk/internal/connpool"
@@ -47,36 +46,6 @@
 // taken for lost, or its database for silent.
 const quietTimes = 4
 
-// allowance bounds how many statements are sent a second time: a share of all,
-// so that a database that is slow under load is not loaded with more.
-type allowance struct {
-	mu   sync.Mutex
-	left float64
-}
-
-const (
-	secondShare = 0.1
-	secondMost  = 10
-)
-
-// earn counts a statement.
-func (a *allowance) earn() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.left = min(a.left+secondShare, secondMost)
-}
-
-// take uses one up, if there is one.
-func (a *allowance) take() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.left < 1 {
-		return false
-	}
-	a.left--
-	return true
-}
-
 // promised tells whether an error code promises that nothing is kept.
 func promised(code string) bool {
 	switch code {
@@ -312,17 +281,26 @@
 		if err != nil {
 			return j.refuse(err)
 		}
-		a, again := j.attempt(conn, choice)
-		if !again {
+		if a := j.settle(j.attempt(conn, choice)); a != nil {
 			return a
 		}
 		s.d.retries.Add(1)
 	}
 }
 
+// settle returns what the client hears after an attempt: what the attempt says, or a
+// refusal if it says nothing and no time is left for another. A process may have stood
+// still between any two looks at the time, so this is asked after every attempt.
+func (j *job) settle(a *lineprotocol.Answer) *lineprotocol.Answer {
+	if a == nil && j.left() <= 0 {
+		return j.refuse(errLate)
+	}
+	return a
+}
+
 // attempt runs the statement once on conn and gives conn back. It returns the
-// client's answer, or says that another attempt may be made.
-func (j *job) attempt(conn *dbconn.Conn, choice readrouting.Choice) (a *lineprotocol.Answer, again bool) {
+// client's answer, or nil if another attempt may be made in the time that is left.
+func (j *job) attempt(conn *dbconn.Conn, choice readrouting.Choice) (a *lineprotocol.Answer) {
 	d, id := j.s.d, choice.Database.ID
 	j.watchSend(id)
 	b := d.health.Bind(id)
@@ -356,14 +334,14 @@
 	}
 	if errors.Is(err, dbconn.ErrQuiet) {
 		j.leaveBehind(conn, choice, release)
-		return nil, true
+		return nil
 	}
 	defer release()
 	if err != nil {
 		return j.failed(conn, b, err)
 	}
 	if j.write && a.Code == "" && !d.control.Acknowledge(j.route.Service, id, term, a.Pos) {
-		return j.s.leftMeanwhile(id), false
+		return j.s.leftMeanwhile(id)
 	}
 	return j.judge(conn, choice, a)
 }
@@ -392,8 +370,8 @@
 	return refusal(lineprotocol.Unknown, "the lead moved from "+id, 'I')
 }
 
-// failed deals with an attempt that got no answer.
-func (j *job) failed(conn *dbconn.Conn, b *health.Binding, err error) (*lineprotocol.Answer, bool) {
+// failed deals with an attempt that got no answer; nil has another one made.
+func (j *job) failed(conn *dbconn.Conn, b *health.Binding, err error) *lineprotocol.Answer {
 	d, id := j.s.d, conn.DB.ID
 	if silent := errors.Is(err, connpool.ErrSilent); silent || errors.Is(err, connpool.ErrBroken) {
 		_, gen := b.Bound()
@@ -407,19 +385,19 @@
 	case j.write && !unsent:
 		d.k.Counters.Add("pooler.unknown", 1)
 		j.s.trace.because(causeUnanswered)
-		return refusal(lineprotocol.Unknown, "no answer from "+id, 'I'), false
+		return refusal(lineprotocol.Unknown, "no answer from "+id, 'I')
 	case j.left() <= 0:
 		if unsent {
-			return j.refuse(err), false
+			return j.refuse(err)
 		}
 		d.k.Counters.Add("pooler.expired", 1)
 		j.s.trace.because(causeDeadline)
-		return refusal(lineprotocol.Expired, "deadline passed", 'I'), false
+		return refusal(lineprotocol.Expired, "deadline passed", 'I')
 	}
 	if !withheld(err) {
 		j.shun(id)
 	}
-	return nil, true
+	return nil
 }
 
 // withheld tells whether a statement was not sent for a reason that is not the
@@ -428,8 +406,9 @@
 	return errors.Is(err, distribution.ErrNoLease) || errors.Is(err, quota.ErrEnded)
 }
 
-// judge decides what becomes of a database's answer outside a transaction.
-func (j *job) judge(conn *dbconn.Conn, choice readrouting.Choice, a *lineprotocol.Answer) (*lineprotocol.Answer, bool) {
+// judge decides what becomes of a database's answer outside a transaction; nil has
+// another attempt made.
+func (j *job) judge(conn *dbconn.Conn, choice readrouting.Choice, a *lineprotocol.Answer) *lineprotocol.Answer {
 	d, id := j.s.d, choice.Database.ID
 	switch a.Code {
 	case "":
@@ -438,11 +417,11 @@
 				j.s.last = pos
 			}
 		}
-		return a, false
+		return a
 	case lineprotocol.Lagging:
 		d.router.Lagging(id)
 		j.shun(id)
-		return nil, j.left() > 0
+		return nil
 	case lineprotocol.NoSuch:
 		conn.Lost(j.shape)
 	case lineprotocol.Retry:
@@ -453,13 +432,13 @@
 	if promised(a.Code) || a.Code == lineprotocol.Failed && !j.write {
 		j.tries++
 		if j.tries <= j.route.Tries && j.pauseAfter(a.Code) {
-			return nil, true
+			return nil
 		}
 		if a.Code != lineprotocol.Failed {
-			return j.refuse(errTries), false
+			return j.refuse(errTries)
 		}
 	}
-	return a, false
+	return a
 }
 
 // pauseAfter waits a little where trying again at once would meet the same
@@ -482,6 +461,9 @@
 // errTries says that a statement was sent as often as its route allows.
 var errTries = errors.New("pooler: sent as often as the route allows")
 
+// errLate says that no time is left for another attempt.
+var errLate = errors.New("pooler: no time is left")
+
 // refuse gives the statement up, unrun, and says when to come back.
 func (j *job) refuse(why error) *lineprotocol.Answer {
 	j.s.d.k.Counters.Add("pooler.refused", 1)
