--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -266,6 +266,8 @@
 	n := c.plan.machines() + c.added
 	c.added++
 	m := c.machine(n, old.control, old.carrier)
+	m.lifecycle.Lock() // nothing strikes it before it has started
+	defer m.lifecycle.Unlock()
 	c.gone = append(c.gone, old)
 	for i := range c.machines {
 		if c.machines[i] == old {
