--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -127,7 +127,7 @@
 	s := &Pools[W, C]{
 		k: k, cfg: cfg, health: health, ctx: context.Background(), pools: map[string]*pool[W, C]{}, origins: map[C]origin[W, C]{},
 	}
-	k.Counters.Gauge("connpool.open", s.openConnections)
+	k.Counters.Observable("connpool.open", s.openConnections)
 	health.Keep(map[string]bool{}) // none is known before the first Stock
 	return s
 }
--- a/internal/distribution/plugin.go
+++ b/internal/distribution/plugin.go
@@ -79,11 +79,11 @@
 
 // tell has the newest configuration and the lease told with the counters.
 func (c *Subscriber) tell(counters *kernel.Counters) {
-	counters.Gauge("distribution.revision", func() int64 {
+	counters.Observable("distribution.revision", func() int64 {
 		_, _, revision, _ := c.Version()
 		return revision
 	})
-	counters.Gauge("distribution.lease_left_ms", func() int64 {
+	counters.Observable("distribution.lease_left_ms", func() int64 {
 		_, _, _, left := c.Version()
 		return left.Millis()
 	})
--- a/internal/gateway/plugin.go
+++ b/internal/gateway/plugin.go
@@ -45,8 +45,8 @@
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
 			}
-			k.Counters.Gauge("gateway.requests_open", t.open)
-			k.Counters.Gauge("gateway.connections_open", t.connections)
+			k.Counters.Observable("gateway.requests_open", t.open)
+			k.Counters.Observable("gateway.connections_open", t.connections)
 			k.Supervise("gateway", t.Serve)
 			k.OnLeave(t.Leave)
 			k.Supervise("ready", func(ctx context.Context) error { return kernel.ServeReady(ctx, k.Net, s.ReadyAddr, t.Ready) })
--- a/internal/kernel/counters.go
+++ b/internal/kernel/counters.go
@@ -8,8 +8,8 @@
 // Counters are the first thing to look at: everything that happens often is
 // counted, and only changes of state are logged.
 type Counters struct {
-	m      sync.Map // *atomic.Int64 by name
-	gauges sync.Map // func() int64 by name
+	m           sync.Map // *atomic.Int64 by name
+	observables sync.Map // func() int64 by name
 }
 
 // NewCounters returns an empty set.
@@ -27,14 +27,14 @@
 	return v.(*atomic.Int64)
 }
 
-// Gauge has a value that goes up and down told with the counters; it is asked for each
+// Observable has a value that goes up and down told with the counters; it is asked for each
 // time, from any goroutine.
-func (c *Counters) Gauge(name string, value func() int64) { c.gauges.Store(name, value) }
+func (c *Counters) Observable(name string, value func() int64) { c.observables.Store(name, value) }
 
-// Snapshot copies all counters, and the values of all gauges.
+// Snapshot copies all counters, and the values of all observables.
 func (c *Counters) Snapshot() map[string]int64 {
 	out := map[string]int64{}
-	c.gauges.Range(func(k, v any) bool {
+	c.observables.Range(func(k, v any) bool {
 		out[k.(string)] = v.(func() int64)()
 		return true
 	})
--- a/internal/kernel/metrics_test.go
+++ b/internal/kernel/metrics_test.go
@@ -38,14 +38,14 @@
 func (l pipeListener) Close() error   { return nil }
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// Counters and gauges are told as text, also where the address was in use at first.
+// Counters and observables are told as text, also where the address was in use at first.
 func TestMetrics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := &pipeNetwork{conns: make(chan net.Conn)}
 		k := NewKernel("pooler", network, slog.New(slog.DiscardHandler))
 		k.Counters.Add("pooler.refused", 3)
 		k.Counters.Add("failure.no_replica_fresh_and_up and lead_moves", 1)
-		k.Counters.Gauge("connpool.open", func() int64 { return 7 })
+		k.Counters.Observable("connpool.open", func() int64 { return 7 })
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go k.ServeMetrics(ctx, "10.0.0.1:9464")
--- a/internal/pooler/plugin.go
+++ b/internal/pooler/plugin.go
@@ -30,7 +30,7 @@
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
 				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k))
-			k.Counters.Gauge("pooler.sessions_open", d.open)
+			k.Counters.Observable("pooler.sessions_open", d.open)
 			k.Supervise("pooler", d.Serve)
 			k.OnLeave(d.Leave)
 			k.Supervise("ready", func(ctx context.Context) error {
--- a/internal/settings/plugin.go
+++ b/internal/settings/plugin.go
@@ -30,7 +30,7 @@
 			if addr := b.Now().MetricsAddr(k.Role); addr != "" && k.Role != "hollow" {
 				k.Supervise("metrics", func(ctx context.Context) error { return k.ServeMetrics(ctx, addr) })
 			}
-			k.Counters.Gauge("kernel.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
+			k.Counters.Observable("kernel.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 			stalls := kernel.NewStalls(k)
 			kernel.Offer(k, stalls)
 			k.Supervise("stalls", stalls.Serve)
