--- a/cmd/indigowalk/testbed.go
+++ b/cmd/indigowalk/testbed.go
@@ -17,8 +17,8 @@
 const testbedUsage = `indigowalk testbed [--json] [--plan FILE] [--program PATH] [--keep DIR] [KEY=VALUE...]
 
 Plays the real program on loopback addresses of this machine: control nodes and
-poolers as processes, beside stand-ins of databases, the platform, operators and
-clients, under troubles drawn from a seed. All that processes say to each other goes
+poolers or gateways as processes, beside stand-ins of databases, the platform,
+operators and clients, under troubles drawn from a seed. All that processes say to each other goes
 through relays, which cut, delay, lose and reset it. Several timelines of troubles
 run side by side and know nothing of each other. Checks what everybody saw against
 the rules, looks through the logs for violated invariants and crashes, and for what
@@ -31,7 +31,8 @@
                   temporary one, which goes)
   --json          the report as JSON
 
-Keys, with what they are if nothing is said: seed=1, control_nodes=4, carriers=10,
+Keys, with what they are if nothing is said: seed=1, tier=pooler (or gateway),
+control_nodes=4, carriers=10,
 services=2, operators=3, length_s=60, cores=2 (GOMAXPROCS of each process),
 pause_ms=1500 (mean, between two troubles of a timeline), timelines=2 (of machines;
 databases have two; links, limits and clients one each), beyond=false (more machines
@@ -48,6 +49,7 @@
     indigowalk testbed length_s=30 seed=7
     go build -race -o /tmp/indigowalk-race ./cmd/indigowalk
     indigowalk testbed --program /tmp/indigowalk-race length_s=120 cores=4
+    indigowalk testbed tier=gateway timelines=3 pause_ms=400
     indigowalk testbed control_nodes=4 carriers=4 troubles=term,hup,cut_core
 
 Exit codes: 0 no rule was broken and no process ended by itself, 1 otherwise or if
