Three tests red: memory that clients make a pooler hold

Found by reading, after the doubt D8 of docs/promises.md: each session may hold a message of 1 MiB, whole or not, 4,096 values and as many prepared names of up to 1 MiB each, and nothing bounds them together; one client can have the process ended for its memory, with every session at it. Connections to databases keep every prepared name until they close.

--- /dev/null
+++ b/internal/simulation/memory_test.go
@@ -0,0 +1,144 @@
+package simulation
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"indigowalk/internal/lineprotocol"
+)
+
+// playSmall runs a scenario on a cluster whose processes have 64 MB.
+func playSmall(t *testing.T, f func(w *World, g *Group)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 4)
+		defer w.Close()
+		w.Settings = "limits.mem_mb=64\n"
+		g := w.Group("ledger")
+		w.Boot()
+		w.Configure()
+		f(w, g)
+	})
+}
+
+// told returns the message that a session is sent within a span, "" for none.
+func told(s *Session, wait time.Duration) string {
+	line := make(chan string, 1)
+	go func() {
+		text, _ := s.Line()
+		line <- text
+	}()
+	select {
+	case text := <-line:
+		return text
+	case <-time.After(wait):
+		return ""
+	}
+}
+
+// Messages that never become whole take a bounded part of a process's memory, for a
+// bounded time, and short statements are served meanwhile.
+func TestHalfMessagesAreBounded(t *testing.T) {
+	const clients, length = 30, 900 << 10
+	playSmall(t, func(w *World, g *Group) {
+		var sessions []*Session
+		for range clients {
+			s, code := w.Login(1, "p.ledger")
+			if code != "" {
+				t.Fatalf("log-in: %s", code)
+			}
+			defer s.Close()
+			go s.Send([]byte("QUERY half PUT thing " + strings.Repeat("x", length)))
+			sessions = append(sessions, s)
+		}
+		time.Sleep(time.Second)
+		refused, open := 0, []*Session{}
+		for _, s := range sessions {
+			switch text := told(s, 10*time.Millisecond); {
+			case strings.HasPrefix(text, "ERROR "+lineprotocol.Retry):
+				refused++
+			case text == "":
+				open = append(open, s)
+			default:
+				t.Errorf("a half message is told %q", text)
+			}
+		}
+		if held := len(open) * length; held > 16<<20 {
+			t.Errorf("%d of %d half messages are held, %d MB of 64", len(open), clients, held>>20)
+		}
+		other, _ := w.Login(1, "p.ledger")
+		defer other.Close()
+		if a, _ := other.Query("PUT short 1"); a.Code != "" {
+			t.Errorf("a short statement beside them: %s", a.Code)
+		}
+		time.Sleep(31 * time.Second)
+		if a, _ := other.Query("PUT long " + strings.Repeat("y", length)); a.Code != "" {
+			t.Errorf("a long statement half a minute later: %s", a.Code)
+		}
+	})
+}
+
+// What a session keeps is bounded, by itself and with all others.
+func TestWhatSessionsKeepIsBounded(t *testing.T) {
+	const clients, shapes, length = 100, 40, 30 << 10
+	playSmall(t, func(w *World, g *Group) {
+		kept, sessions := 0, []*Session{}
+		for range clients {
+			s, code := w.Login(1, "p.ledger")
+			if code != "" {
+				t.Fatalf("log-in: %s", code)
+			}
+			sessions = append(sessions, s)
+			own := 0
+			for i := range shapes {
+				a, _ := s.Query(fmt.Sprintf("PARSE s%d PUT %s", i, strings.Repeat("q", length)))
+				if a.Code != "" {
+					break
+				}
+				own += length
+			}
+			if own == 0 && kept == 0 || own > 1<<20 {
+				t.Errorf("a session may keep %d bytes", own)
+			}
+			kept += own
+		}
+		if kept > 16<<20 {
+			t.Errorf("%d sessions keep %d MB of 64", clients, kept>>20)
+		}
+		for _, s := range sessions {
+			s.Close()
+		}
+		time.Sleep(time.Second)
+		s, _ := w.Login(1, "p.ledger")
+		defer s.Close()
+		if a, _ := s.Query("PARSE s PUT " + strings.Repeat("q", length)); a.Code != "" {
+			t.Errorf("after all of them have gone: %s", a.Code)
+		}
+	})
+}
+
+// A connection to a database keeps the prepared names of clients that went, but not all
+// that there ever were.
+func TestPreparedNamesOfConnectionsAreBounded(t *testing.T) {
+	const shapes, most = 1500, 600
+	play(t, func(w *World, g *Group) {
+		s, _ := w.Login(1, "p.ledger")
+		defer s.Close()
+		s.Query("OPTION colour red")
+		for i := range shapes {
+			s.Query(fmt.Sprintf("PARSE s PUT shape%d", i))
+			if a, _ := s.Query(fmt.Sprintf("RUN s thing %d", i)); a.Code != "" {
+				t.Fatalf("shape %d: %s", i, a.Code)
+			}
+			s.Query("CLOSE s")
+		}
+		for i := range 3 {
+			if n := g.DB(i).MostPrepared(); n > most {
+				t.Errorf("a connection to database %d has %d prepared names", i+1, n)
+			}
+		}
+	})
+}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -37,6 +37,7 @@
 	slow     time.Duration // more time for every log-in and statement
 	lose     int           // answers to be lost, their connections kept
 	quiet    bool          // it says nothing of its leaving but that it has left
+	prepared int           // the most prepared names that one connection had
 
 	manner      Manner
 	mannerShare float64
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -83,6 +83,20 @@
 	begun  bool // a transaction, in which nothing has run yet
 }
 
+// notePrepared notes how many prepared names a connection has.
+func (d *Database) notePrepared(names int) {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	d.prepared = max(d.prepared, names)
+}
+
+// MostPrepared is the most prepared names that one connection to the database had.
+func (d *Database) MostPrepared() int {
+	d.g.mu.Lock()
+	defer d.g.mu.Unlock()
+	return d.prepared
+}
+
 func fail(code, text string) *lineprotocol.Answer {
 	return &lineprotocol.Answer{Code: code, Text: text}
 }
@@ -148,6 +162,7 @@
 		clear(s.names)
 	case "PARSE":
 		s.names[first] = then
+		s.d.notePrepared(len(s.names))
 	case "STAT", "PAUSE", "CONTINUE", "STEPDOWN":
 		return s.d.Control(verb, rest)
 	case "WAITPOS":
