Soak: a call that reaches no process is no request that was lost

The relay before the process had taken the call, found nobody, and reset it after 208 ms; without a relay the client would have got no connection. Relays tell now which calls reached nobody, and those count as not sent. TestCallsThatReachNobodyAreTold.

--- a/internal/simulation/group.go
+++ b/internal/simulation/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/standin"
@@ -63,6 +64,8 @@
 func (e environment) Silence(ip string, silent bool)   { e.w.Net.Dark(ip, silent) }
 func (e environment) Reset(ip string)                  { e.w.Net.Reset(ip) }
 
+func (e environment) Made(net.Conn) bool { return true }
+
 func (e environment) Reaches(from, to string) bool {
 	e.w.Net.mu.Lock()
 	defer e.w.Net.mu.Unlock()
--- a/internal/standin/environment.go
+++ b/internal/standin/environment.go
@@ -23,6 +23,9 @@
 	Controls() []string
 	// Reaches tells whether packets pass from one address to another.
 	Reaches(from, to string) bool
+	// Made tells whether a connection that broke had reached whom it was made to: where
+	// a relay stands between, that takes calls for others, it may not have.
+	Made(c net.Conn) bool
 	// Silence has a host answer nothing any more, or answer again.
 	Silence(ip string, silent bool)
 	// Reset breaks a host's connections and closes its addresses.
--- a/internal/standin/requests.go
+++ b/internal/standin/requests.go
@@ -22,7 +22,7 @@
 	Header http.Header
 	Body   string
 	Closes bool // the connection ends with it
-	Unsent bool // there was no connection
+	Unsent bool // there was no connection to the gateway
 	Took   time.Duration
 }
 
@@ -51,6 +51,7 @@
 	b.WriteString("\r\n" + body)
 	a := Raw(c, b.Bytes())
 	a.Took = time.Since(start)
+	a.Unsent = a.Status == 0 && !s.env.Made(c)
 	if a.Status == http.StatusOK {
 		s.succeeded(id, a)
 	}
--- a/internal/testbed/host.go
+++ b/internal/testbed/host.go
@@ -98,6 +98,9 @@
 	return h.silent
 }
 
+// Made implements standin.Environment.
+func (l *loopback) Made(c net.Conn) bool { return l.links.made(c.LocalAddr().String()) }
+
 // Silence implements standin.Environment: the host reads and writes nothing.
 func (l *loopback) Silence(ip string, silent bool) {
 	h := l.host(ip)
--- a/internal/testbed/links.go
+++ b/internal/testbed/links.go
@@ -39,15 +39,32 @@
 	next    int
 	changed chan struct{} // closes at the next change of the rules
 	random  *rand.Rand
+	unmade  map[string]bool // calls that relays took and could not pass on, by the caller's address
 }
 
 func newLinks(seed uint64) *links {
-	return &links{rules: map[int]rule{}, changed: make(chan struct{}), random: rand.New(rand.NewPCG(seed, linksStream))}
+	return &links{rules: map[int]rule{}, changed: make(chan struct{}), unmade: map[string]bool{}, random: rand.New(rand.NewPCG(seed, linksStream))}
 }
 
 // linksStream is the stream of random numbers that links draw from.
 const linksStream = 9000
 
+// noteUnmade notes that a call was taken by a relay and reached nobody behind it.
+func (l *links) noteUnmade(caller string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unmade[caller] = true
+}
+
+// made tells, once, whether a call from that address reached whom it was for.
+func (l *links) made(caller string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unmade := l.unmade[caller]
+	delete(l.unmade, caller)
+	return !unmade
+}
+
 // impair puts a rule in force and returns what takes it back.
 func (l *links) impair(matches func(from, to string) bool, i impairment) (heal func()) {
 	l.mu.Lock()
--- a/internal/testbed/relay.go
+++ b/internal/testbed/relay.go
@@ -98,12 +98,12 @@
 	ip, _, _ := net.SplitHostPort(caller.RemoteAddr().String())
 	from := r.hostOf(ip)
 	if !r.open(from, caller) {
-		abort(caller)
+		r.refuse(caller)
 		return
 	}
 	callee, err := net.DialTimeout("tcp4", r.target, targetWait)
 	if err != nil {
-		abort(caller)
+		r.refuse(caller)
 		return
 	}
 	p := &pipe{caller: caller, callee: callee, over: make(chan struct{})}
@@ -125,6 +125,13 @@
 	r.mu.Unlock()
 }
 
+// refuse ends a call that reaches nobody. Without a relay the caller would not have got a
+// connection.
+func (r *relay) refuse(caller net.Conn) {
+	r.links.noteUnmade(caller.RemoteAddr().String())
+	abort(caller)
+}
+
 // abort closes a connection with a reset.
 func abort(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
--- a/internal/testbed/relay_test.go
+++ b/internal/testbed/relay_test.go
@@ -166,3 +166,34 @@
 		t.Errorf("arrived: %s", got.String())
 	}
 }
+
+// A call that a relay took for a process that is gone is told from one that broke.
+func TestCallsThatReachNobodyAreTold(t *testing.T) {
+	for name, made := range map[string]bool{"a process that runs": true, "a process that is gone": false} {
+		l, addr := echoBehindRelay(t)
+		if !made {
+			ln, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			target := ln.Addr().String()
+			ln.Close()
+			r, err := newRelay(l, func(string) string { return "caller" }, "callee", "127.0.0.1:0", target)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(r.close)
+			addr = r.ln.Addr().String()
+		}
+		conn, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		passed := exchange(conn, longEnough) == nil
+		told := (&loopback{links: l}).Made(conn)
+		conn.Close()
+		if passed != made || told != made {
+			t.Errorf("%s: the line came back: %t, told as made: %t", name, passed, told)
+		}
+	}
+}
