Pooler: what clients send and keep is bounded, by session and over all

Cause: a session could hold a message of 1 MiB, whole or not, for ever, 4,096 values and as many prepared names of up to 1 MiB each, and the buffer of its longest message for its life; nothing bounded all sessions together. Some three hundred half messages, or one client with a few hundred prepared names, had the process killed for its memory, and every session at it cut. The class: a bound that holds for each and not for all. Connections to databases kept every prepared name until they closed: a record that somebody makes and nobody ends.

Change: memorybudget, a sixth of limits.mem_mb for what clients send and keep over 16 KiB a session; what it can't bear is refused at once with RETRY, which has not been read as a statement. A long message has 30 s to become whole. A session keeps 256 KiB of values and names. A connection outside a transaction with over 512 prepared names, or 128 KiB of them, is discarded before its next use. The invariant memory_given_back watches that nothing is taken when no client is left.

--- a/internal/dbconn/conn.go
+++ b/internal/dbconn/conn.go
@@ -56,6 +56,8 @@
 	values map[string]string
 	names  map[string]string // server-side name by kind and text
 	state  byte
+	// preparedBytes is what the texts of names take, at the most.
+	preparedBytes int
 
 	mu     sync.Mutex
 	out    bool // a statement was sent, whose answer nobody has taken
--- a/internal/dbconn/values.go
+++ b/internal/dbconn/values.go
@@ -16,19 +16,22 @@
 
 func (p Prepared) key() string { return lineprotocol.KindName(p.Kind) + " " + p.Text }
 
+// Bounds of the prepared names that a connection keeps for clients to come.
+const (
+	maxPrepared      = 512
+	maxPreparedBytes = 128 << 10
+)
+
 // Values puts the session's values, and no others, in force on the
-// connection.
+// connection. Prepared names go where there are too many of them.
 func (s *Conn) Values(want map[string]string, p Patience) error {
-	for name := range s.values {
-		if _, ok := want[name]; ok {
-			continue
-		}
+	if s.foreign(want) || s.crowded() {
 		if err := s.must("DISCARD", p); err != nil {
 			return err
 		}
 		clear(s.values)
 		clear(s.names)
-		break
+		s.preparedBytes = 0
 	}
 	for name, value := range want {
 		if have, ok := s.values[name]; ok && have == value {
@@ -42,6 +45,22 @@
 	return nil
 }
 
+// foreign tells whether a value is in force that is not wanted.
+func (s *Conn) foreign(want map[string]string) bool {
+	for name := range s.values {
+		if _, ok := want[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// crowded tells whether the connection has more prepared names than are kept, and is in
+// no transaction, which might need them.
+func (s *Conn) crowded() bool {
+	return s.state == 'I' && (len(s.names) >= maxPrepared || s.preparedBytes > maxPreparedBytes)
+}
+
 // Name returns the connection's own prepared name for the statement, preparing it
 // if need be. Names of equal statements are equal on all connections.
 func (s *Conn) Name(statement Prepared, p Patience) (string, error) {
@@ -59,6 +78,7 @@
 		return "", err
 	}
 	s.names[key] = name
+	s.preparedBytes += len(key)
 	return name, nil
 }
 
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -46,12 +46,14 @@
 	// NothingUnanswered: a process that was told to end has answered all that it read
 	// when it ends.
 	NothingUnanswered Invariant = "nothing_unanswered_at_the_end"
+	// MemoryGivenBack: a process without clients holds nothing for clients.
+	MemoryGivenBack Invariant = "memory_given_back"
 )
 
 // All are the invariants that there are.
 var All = []Invariant{
 	StateKept, OnePrimary, ConfigurationForward, OrderRecorded, AnsweredInTime, NothingUnanswered, SentOnce, TriesBounded,
-	LentOnce, ConnectionsCounted, CountsPositive, DownIsKnown, PromotedHoldsFloor,
+	LentOnce, ConnectionsCounted, CountsPositive, DownIsKnown, PromotedHoldsFloor, MemoryGivenBack,
 }
 
 // Violation is an invariant that was found broken.
--- a/internal/lineprotocol/lineprotocol.go
+++ b/internal/lineprotocol/lineprotocol.go
@@ -35,6 +35,7 @@
 var (
 	ErrOversize  = errors.New("lineprotocol: message too long")
 	ErrMalformed = errors.New("lineprotocol: malformed message")
+	ErrNoRoom    = errors.New("lineprotocol: no memory for the message")
 )
 
 // Position is a place in a database's log.
@@ -65,13 +66,17 @@
 
 // Reader takes messages off a connection.
 type Reader struct {
+	// Room, if there is one, is asked before a message that comes in parts takes so many
+	// bytes, and told 0 when the next one begins.
+	Room func(bytes int) bool
+
 	b    *bufio.Reader
 	part []byte // of a message whose rest has not come, or that is longer than the buffer
 	kept bool   // part is of the message that is read next
 }
 
 // keptMost is the largest buffer that is kept for further messages.
-const keptMost = 64 << 10
+const keptMost = 16 << 10
 
 // NewReader wraps r.
 func NewReader(r io.Reader) *Reader { return &Reader{b: bufio.NewReaderSize(r, 2048)} }
@@ -80,6 +85,9 @@
 // call. After an error that passes, as the end of a wait, the next call goes on
 // where this one stopped.
 func (r *Reader) Line() ([]byte, error) {
+	if !r.kept && r.part != nil {
+		r.letGo()
+	}
 	line, err := r.b.ReadSlice('\n')
 	if err != nil || r.kept {
 		if line, err = r.gather(line, err); err != nil {
@@ -93,16 +101,22 @@
 	return line[:len(line)-1], nil
 }
 
-// gather puts a message together that comes in parts.
-func (r *Reader) gather(line []byte, err error) ([]byte, error) {
-	switch {
-	case r.kept:
-	case cap(r.part) > keptMost:
+// letGo drops the message in hand, whose memory is kept for the next one if it is small.
+func (r *Reader) letGo() {
+	if r.part = r.part[:0]; cap(r.part) > keptMost {
 		r.part = nil
-	default:
-		r.part = r.part[:0]
 	}
+	if r.Room != nil {
+		r.Room(0)
+	}
+}
+
+// gather puts a message together that comes in parts.
+func (r *Reader) gather(line []byte, err error) ([]byte, error) {
 	for {
+		if r.Room != nil && !r.Room(len(r.part)+len(line)) {
+			return nil, ErrNoRoom
+		}
 		r.part = append(r.part, line...)
 		r.kept = len(r.part) > 0
 		if len(r.part) > MaxMessage {
--- a/internal/pooler/invariants_test.go
+++ b/internal/pooler/invariants_test.go
@@ -8,6 +8,7 @@
 	"indigowalk/internal/invariant"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/memorybudget"
 )
 
 // A late answer, a write that is sent a second time, and a statement that is left without
@@ -25,10 +26,16 @@
 		"resting at the end":        {func(s *session, _ *job) { s.asked = false; s.d.watchEnd(0) }, nil},
 		"being answered at the end": {func(s *session, _ *job) { s.answering = true; s.d.watchEnd(0) }, nil},
 		"waiting at the end":        {func(s *session, _ *job) { s.d.watchEnd(0) }, []invariant.Invariant{invariant.NothingUnanswered}},
+		"memory of a session":       {func(s *session, _ *job) { s.memory.Resize(1); s.d.watchMemory() }, nil},
+		"memory of nobody": {func(s *session, _ *job) {
+			s.memory.Resize(1)
+			delete(s.d.sessions, s)
+			s.d.watchMemory()
+		}, []invariant.Invariant{invariant.MemoryGivenBack}},
 	} {
 		k := kernel.NewKernel("pooler", nil, slog.New(slog.DiscardHandler))
-		d := &Pooler{k: k}
-		s := &session{d: d, asked: true}
+		d := &Pooler{k: k, memory: memorybudget.New(0)}
+		s := &session{d: d, asked: true, memory: d.memory.Hold(0)}
 		d.sessions = map[*session]struct{}{s: {}}
 		j := &job{s: s, q: lineprotocol.Statement{ID: "s1.1"}}
 		s.trace.begin(k.Clock.Now())
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -16,6 +16,7 @@
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/quota"
 	"indigowalk/internal/readrouting"
 	"indigowalk/internal/routeconfig"
@@ -27,6 +28,7 @@
 	Zone       string
 	Grace      func() kernel.Micros
 	Quiet      kernel.Micros // an answer that takes longer casts doubt on its database
+	MemoryMB   float64       // of the process; 0 if it is not known
 }
 
 // Pooler takes sessions and runs their statements.
@@ -51,6 +53,7 @@
 	hurrying bool // sessions end as soon as they have their answer
 	ended    kernel.Bell
 
+	memory  *memorybudget.Budget // of what sessions send and keep
 	second  allowance
 	outages outages
 
@@ -61,6 +64,7 @@
 func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Pooler {
 	return &Pooler{
 		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures, stalls: stalls,
+		memory:     memorybudget.New(cfg.MemoryMB),
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
@@ -104,6 +108,7 @@
 			d.mu.Lock()
 			delete(d.sessions, s)
 			d.mu.Unlock()
+			d.watchMemory()
 			d.ended.Ring()
 		}()
 	}
--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -9,6 +9,7 @@
 	"indigowalk/internal/dbconn"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/routeconfig"
 )
 
@@ -38,6 +39,11 @@
 	out      []byte
 	trace    trace
 
+	memory    *memorybudget.Holding
+	message   int           // bytes of the message in hand, if it came in parts
+	kept      int           // bytes of values and names
+	longUntil kernel.Micros // a long message is to be whole by then; 0 if there is none
+
 	mu    sync.Mutex
 	asked bool // a statement is being worked on
 	// answering says that its answer is being written.
@@ -47,13 +53,17 @@
 }
 
 func newSession(d *Pooler, c net.Conn) *session {
-	return &session{
+	s := &session{
 		d: d, c: c, r: lineprotocol.NewReader(c), values: map[string]string{}, names: map[string]dbconn.Prepared{}, asked: true,
+		memory: d.memory.Hold(freeBytes),
 	}
+	s.r.Room = s.room
+	return s
 }
 
 // run serves the session until either side ends it.
 func (s *session) run() {
+	defer s.memory.Release()
 	defer s.c.Close()
 	defer func() {
 		if s.tx != nil {
@@ -169,6 +179,16 @@
 		s.trace.because(causeMalformed)
 		s.end(lineprotocol.Malformed, "lines end with CR LF")
 		s.drainInput()
+	case errors.Is(err, lineprotocol.ErrNoRoom):
+		s.d.k.Counters.Add("pooler.memory_full", 1)
+		s.trace.because(causeMemory)
+		s.end(lineprotocol.Retry, hint(kernel.Second))
+		s.drainInput()
+	case errors.Is(err, errLateMessage):
+		s.d.k.Counters.Add("pooler.late_messages", 1)
+		s.trace.because(causeMalformed)
+		s.end(lineprotocol.Retry, hint(kernel.Second))
+		s.drainInput()
 	}
 }
 
@@ -205,6 +225,9 @@
 			if s.mayClose(more) {
 				return nil, net.ErrClosed
 			}
+			if s.tooLate() {
+				return nil, errLateMessage
+			}
 			if more {
 				continue
 			}
@@ -217,6 +240,7 @@
 		if err != nil {
 			return nil, err
 		}
+		s.longUntil = 0
 		s.mu.Lock()
 		s.asked = true
 		s.mu.Unlock()
@@ -237,6 +261,12 @@
 		rest = restBeforeClose
 	}
 	deadline := time.Time{}
+	if s.longUntil > 0 {
+		left := s.longUntil - s.d.k.Clock.Now()
+		if rest == 0 || left < rest {
+			rest = max(left, 1)
+		}
+	}
 	if rest > 0 {
 		deadline = time.Now().Add(rest.Duration())
 	}
@@ -264,7 +294,7 @@
 func (s *session) flush() bool {
 	s.c.SetWriteDeadline(time.Now().Add(writeWait.Duration()))
 	_, err := s.c.Write(s.out)
-	if cap(s.out) > 64<<10 {
+	if cap(s.out) > freeBytes {
 		s.out = nil
 	}
 	return err == nil
@@ -324,16 +354,24 @@
 		if _, ok := s.values[q.Name]; !ok && len(s.values) >= maxNames {
 			return refusal(lineprotocol.Malformed, "too many values", s.state())
 		}
+		if a := s.keep(entrySize(q.Name, q.Rest) - s.sizeOfValue(q.Name)); a != nil {
+			return a
+		}
 		s.values[q.Name] = q.Rest
 	case lineprotocol.Parse:
 		if len(s.names) >= maxNames {
 			return refusal(lineprotocol.Malformed, "too many prepared names", s.state())
 		}
-		s.names[q.Name] = dbconn.Prepared{Kind: q.Kind, Text: q.Rest}
+		statement := dbconn.Prepared{Kind: q.Kind, Text: q.Rest}
+		if a := s.keep(preparedSize(q.Name, statement) - s.sizeOfPrepared(q.Name)); a != nil {
+			return a
+		}
+		s.names[q.Name] = statement
 	case lineprotocol.Close:
 		if _, ok := s.names[q.Name]; !ok {
 			return refusal(lineprotocol.NoSuch, q.Name, s.state())
 		}
+		s.keep(-s.sizeOfPrepared(q.Name))
 		delete(s.names, q.Name)
 	}
 	return &lineprotocol.Answer{Seal: "-", State: s.state()}
--- a/internal/pooler/trace.go
+++ b/internal/pooler/trace.go
@@ -15,6 +15,7 @@
 // Causes of statements that were not served, beside those of readrouting.
 const (
 	causeMalformed    = "malformed"
+	causeMemory       = "no_memory_for_message"
 	causeNoRoute      = "no_route"
 	causeNotReady     = "no_configuration_yet"
 	causeDenied       = "key_unknown"
--- a/internal/simulation/memory_test.go
+++ b/internal/simulation/memory_test.go
@@ -24,17 +24,22 @@
 	})
 }
 
-// told returns the message that a session is sent within a span, "" for none.
-func told(s *Session, wait time.Duration) string {
+// told passes on what a session is sent first.
+func told(s *Session) <-chan string {
 	line := make(chan string, 1)
 	go func() {
-		text, _ := s.Line()
+		text, _ := s.LineWithin(time.Minute)
 		line <- text
 	}()
+	return line
+}
+
+// heard returns what has been passed on, "" if nothing has.
+func heard(line <-chan string) string {
 	select {
 	case text := <-line:
 		return text
-	case <-time.After(wait):
+	default:
 		return ""
 	}
 }
@@ -44,7 +49,7 @@
 func TestHalfMessagesAreBounded(t *testing.T) {
 	const clients, length = 30, 900 << 10
 	playSmall(t, func(w *World, g *Group) {
-		var sessions []*Session
+		var lines []<-chan string
 		for range clients {
 			s, code := w.Login(1, "p.ledger")
 			if code != "" {
@@ -52,16 +57,15 @@
 			}
 			defer s.Close()
 			go s.Send([]byte("QUERY half PUT thing " + strings.Repeat("x", length)))
-			sessions = append(sessions, s)
+			lines = append(lines, told(s))
 		}
 		time.Sleep(time.Second)
-		refused, open := 0, []*Session{}
-		for _, s := range sessions {
-			switch text := told(s, 10*time.Millisecond); {
+		var open []<-chan string
+		for _, line := range lines {
+			switch text := heard(line); {
 			case strings.HasPrefix(text, "ERROR "+lineprotocol.Retry):
-				refused++
 			case text == "":
-				open = append(open, s)
+				open = append(open, line)
 			default:
 				t.Errorf("a half message is told %q", text)
 			}
@@ -75,9 +79,20 @@
 			t.Errorf("a short statement beside them: %s", a.Code)
 		}
 		time.Sleep(31 * time.Second)
+		for _, line := range open {
+			if text := heard(line); !strings.HasPrefix(text, "ERROR "+lineprotocol.Retry) {
+				t.Errorf("a message that is not whole after half a minute is told %q", text)
+			}
+		}
 		if a, _ := other.Query("PUT long " + strings.Repeat("y", length)); a.Code != "" {
 			t.Errorf("a long statement half a minute later: %s", a.Code)
 		}
+		time.Sleep(31 * time.Second)
+		other.Query("BEGIN")
+		time.Sleep(time.Second)
+		if a, _ := other.Query("PUT short 2"); a.Code != "" || other.State != "T" {
+			t.Errorf("a transaction long after a long statement: %s in state %s", a.Code, other.State)
+		}
 	})
 }
 
--- a/internal/standin/session.go
+++ b/internal/standin/session.go
@@ -126,6 +126,14 @@
 	return err
 }
 
+// LineWithin reads one message that comes within a span.
+func (s *Session) LineWithin(wait time.Duration) (string, error) {
+	if err := s.c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return "", err
+	}
+	return s.Line()
+}
+
 // Line reads one message.
 func (s *Session) Line() (string, error) {
 	line, err := s.r.Line()
