A test red: bodies that never become whole fill a gateway and a control node

The same cause as at the poolers, looked for elsewhere: a body of 64 KiB a request at a gateway, of 2 MiB a call at a control node for ten seconds, and no bound over all of them.

--- a/internal/simulation/memory_test.go
+++ b/internal/simulation/memory_test.go
@@ -1,7 +1,10 @@
 package simulation
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -157,3 +160,75 @@
 		}
 	})
 }
+
+// half sends so many requests, each with a body of which all but the end comes, and tells
+// a second later how many are not answered; the others must have been answered 503.
+func half(t *testing.T, w *World, addr, head string, requests, length int) (open int) {
+	t.Helper()
+	var answers []<-chan int
+	for range requests {
+		c, err := w.Net.Host(requestHost).Dial(context.Background(), addr, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		answer := make(chan int, 1)
+		answers = append(answers, answer)
+		go func() {
+			fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, length, strings.Repeat("x", length-1))
+		}()
+		go func() {
+			if a, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+				a.Body.Close()
+				answer <- a.StatusCode
+			}
+		}()
+	}
+	time.Sleep(time.Second)
+	for _, answer := range answers {
+		select {
+		case status := <-answer:
+			if status != http.StatusServiceUnavailable {
+				t.Errorf("half a body is answered %d", status)
+			}
+		default:
+			open++
+		}
+	}
+	return open
+}
+
+// Bodies that never become whole take a bounded part of a gateway's memory, and of a
+// control node's.
+func TestHalfBodiesAreBounded(t *testing.T) {
+	for role, c := range map[string]struct {
+		requests, length int
+		port, head       string
+	}{
+		"gateway": {400, 60 << 10, "8784", "POST /unsafe/a HTTP/1.1\r\nHost: intake.example\r\nX-Indigowalk-Request-Id: half\r\n"},
+		"control": {60, 1500 << 10, "8782", "POST /Conf.Replace HTTP/1.1\r\nHost: control\r\nX-Indigowalk-Base-Version: 1\r\n"},
+	} {
+		t.Run(role, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := NewWorld(t, 1, 4)
+				w.Deploy, w.Settings = "api", "limits.mem_mb=64\n"
+				defer w.Close()
+				w.Service("intake", 2)
+				w.Boot()
+				w.Configure()
+				zone := 1
+				if role == "control" {
+					zone = controlPrimary(w)
+				}
+				open := half(t, w, ip(zone)+":"+c.port, c.head, c.requests, c.length)
+				if held := open * c.length; open == 0 || held > 16<<20 {
+					t.Errorf("%d of %d half bodies are held, %d MB of 64", open, c.requests, held>>20)
+				}
+				time.Sleep(15 * time.Second)
+				if again := half(t, w, ip(zone)+":"+c.port, c.head, 1, c.length); again != 1 {
+					t.Error("once they are gone, one is refused")
+				}
+			})
+		})
+	}
+}
