A test red: a refusal waits for the request's body

Found while bounding bodies: a request that is refused before its body was read has its answer only once the body is there, or 5 s later. The HTTP server reads what is left before it answers.

--- a/internal/simulation/clients_test.go
+++ b/internal/simulation/clients_test.go
@@ -9,6 +9,7 @@
 
 	"indigowalk/internal/connpool"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/standin"
 )
 
 // lent is how many connections to databases requests hold at a zone's gateway.
@@ -106,3 +107,33 @@
 		})
 	}
 }
+
+// A request that is refused has its answer at once, whether its body has come or not, and
+// one whose body never comes holds nothing.
+func TestRefusalsDoNotWaitForBodies(t *testing.T) {
+	for name, c := range map[string]struct {
+		line, id string
+		status   int
+	}{
+		"no route": {"POST /else", "a", 404},
+		"no id":    {"POST /unsafe/1", "", 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			serveRequests(t, func(w *World, _ *Service) {
+				conn, err := w.Net.Host(requestHost).Dial(context.Background(), ip(1)+":8784", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer conn.Close()
+				began := time.Now()
+				a := standin.Raw(conn, fmt.Appendf(nil, "%s HTTP/1.1\r\nHost: intake.example\r\nX-Indigowalk-Request-Id: %s\r\nContent-Length: 100\r\n\r\nhalf", c.line, c.id))
+				if took := time.Since(began); a.Status != c.status || took > 200*time.Millisecond {
+					t.Errorf("answered %d after %v, want %d at once", a.Status, took, c.status)
+				}
+				if held(w, 1) != 0 {
+					t.Errorf("%d requests are held", held(w, 1))
+				}
+			})
+		})
+	}
+}
