Gateway and control node: bodies are bounded over all callers; a refusal waits for none

Cause: as at the poolers, a bound that holds for each request and not for all: 400 half bodies of 60 KiB held 23 MB of a gateway's 64, 60 of 1.5 MiB would have held 87 MB at a control node. And a request that was refused before its body was read had its answer when the body was there, or 5.2 s later: net/http reads up to 256 KiB of it before it answers. The class: a wait that outlives who asked for it.

Change: one memorybudget for each process, which bodies are counted in as they come; what it can't bear gets 503. A gateway counts bodies over 4 KiB, a control node all, twice over. A refusal gives what is left of the body 20 ms, then answers and closes. Heads at the control address have 64 KiB.

--- a/internal/controlapi/controlapi.go
+++ b/internal/controlapi/controlapi.go
@@ -22,6 +22,7 @@
 	"indigowalk/internal/discovery"
 	"indigowalk/internal/failurelog"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/routeconfig"
 	"indigowalk/internal/settings"
 )
@@ -29,6 +30,13 @@
 // maxBeat bounds a beat.
 const maxBeat = 16 << 10
 
+const (
+	// maxHead bounds the head of a call.
+	maxHead = 64 << 10
+	// bodyCopies is how often a body lies in memory: as it came and as what it says.
+	bodyCopies = 2
+)
+
 // callWait bounds the work on one call: callers give up after a second.
 const callWait = 900 * time.Millisecond
 
@@ -45,6 +53,7 @@
 	cat  *routeconfig.Registry
 
 	failures *failurelog.Log
+	memory   *memorybudget.Budget
 }
 
 func init() {
@@ -57,6 +66,7 @@
 			}
 			r := New(k, s.ControlAddr, kernel.Need[*controlstate.Replica](k),
 				kernel.Need[*discovery.Registry](k), kernel.Need[*routeconfig.Registry](k))
+			r.memory = kernel.Need[*memorybudget.Budget](k)
 			r.failures = kernel.Need[*failurelog.Log](k)
 			k.Supervise("controlapi", r.Serve)
 			return nil
@@ -81,7 +91,7 @@
 	mux.HandleFunc("POST /Conf.Replace", r.primary(r.change(r.cat.Replace)))
 	mux.HandleFunc("POST /Conf.Update", r.primary(r.change(r.cat.Update)))
 	mux.HandleFunc("GET /Conf.Fetch", r.primary(r.fetch))
-	srv := &http.Server{Handler: r.recordFailures(mux), ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
+	srv := &http.Server{Handler: r.recordFailures(mux), MaxHeaderBytes: maxHead, ReadHeaderTimeout: 3 * time.Second, ReadTimeout: 10 * time.Second, IdleTimeout: 60 * time.Second}
 	closed := make(chan struct{})
 	defer context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -183,11 +193,16 @@
 	}
 }
 
-// body reads at most limit bytes; it has answered if it returns false.
-func (r *Server) body(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, bool) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, q.Body, limit))
+// body reads at most limit bytes; it has answered if it returns false. What it has read
+// is held.
+func (r *Server) body(w http.ResponseWriter, q *http.Request, holding *memorybudget.Holding, limit int64) ([]byte, bool) {
+	raw, err := holding.ReadAll(http.MaxBytesReader(w, q.Body, limit), bodyCopies)
 	var long *http.MaxBytesError
 	switch {
+	case errors.Is(err, memorybudget.ErrFull):
+		r.k.Counters.Add("controlapi.memory_full", 1)
+		r.fail(w, http.StatusServiceUnavailable, err.Error())
+		return nil, false
 	case errors.As(err, &long):
 		r.fail(w, http.StatusRequestEntityTooLarge, "body over "+strconv.FormatInt(limit, 10)+" bytes")
 		return nil, false
@@ -202,7 +217,9 @@
 }
 
 func (r *Server) heartbeat(w http.ResponseWriter, q *http.Request) {
-	raw, ok := r.body(w, q, maxBeat)
+	holding := r.memory.Hold(maxBeat * bodyCopies)
+	defer holding.Release()
+	raw, ok := r.body(w, q, holding, maxBeat)
 	if !ok {
 		return
 	}
@@ -236,7 +253,9 @@
 // change takes a whole configuration, or a change of named items.
 func (r *Server) change(take func(ctx context.Context, base int64, raw []byte) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
-		raw, ok := r.body(w, q, routeconfig.MaxBody)
+		holding := r.memory.Hold(0)
+		defer holding.Release()
+		raw, ok := r.body(w, q, holding, routeconfig.MaxBody)
 		if !ok {
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
 	"indigowalk/internal/membership"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/quota"
 	"indigowalk/internal/retrybudget"
 	"indigowalk/internal/routeconfig"
@@ -60,6 +61,7 @@
 	failures *failurelog.Log
 	stalls   *kernel.Stalls
 	meter    *linkMeter
+	memory   *memorybudget.Budget // of requests' bodies
 
 	crowded atomic.Bool
 	leaving atomic.Bool
@@ -72,9 +74,9 @@
 }
 
 // New returns a gateway.
-func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Gateway {
+func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls, memory *memorybudget.Budget) *Gateway {
 	t := &Gateway{
-		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures, stalls: stalls,
+		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures, stalls: stalls, memory: memory,
 		clients: map[net.Conn]*clientState{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
@@ -169,6 +171,7 @@
 		h.Set("Connection", "close")
 	}
 	j, no := t.newJob(w, q)
+	defer j.memory.Release()
 	defer j.watchClient(client)()
 	var reply *httpconn.Reply
 	if no == nil {
@@ -178,6 +181,7 @@
 	t.inAnswer(client)
 	if no != nil {
 		j.record(strconv.Itoa(no.status), no.text)
+		j.leaveBody(w)
 		t.refuse(w, no)
 		return
 	}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -16,6 +16,7 @@
 	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/quota"
 	"indigowalk/internal/routeconfig"
 )
@@ -52,6 +53,7 @@
 	target   *url.URL
 	id       string
 	header   http.Header
+	memory   *memorybudget.Holding // what the body takes
 	body     []byte
 	rest     *bounded // what follows a body that is not kept
 	route    *routeconfig.Route
--- a/internal/gateway/plugin.go
+++ b/internal/gateway/plugin.go
@@ -11,6 +11,7 @@
 	"indigowalk/internal/kernel"
 	"indigowalk/internal/loadbalance"
 	"indigowalk/internal/membership"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/quota"
 	"indigowalk/internal/retrybudget"
 	"indigowalk/internal/settings"
@@ -40,7 +41,8 @@
 				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, subscriber, kernel.Need[*httpconn.Pools](k), kernel.Need[*loadbalance.Balancer](k),
-				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k))
+				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k),
+				kernel.Need[*memorybudget.Budget](k))
 			kernel.Offer[httpconn.Wrap](k, func(c net.Conn) net.Conn { return &metered{c, t.meter} })
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,15 +12,19 @@
 
 	"indigowalk/internal/httpconn"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/routeconfig"
 )
 
+// freeBody is how long a body may be without being counted.
+const freeBody = 4 << 10
+
 func malformed(text string) *refusal { return &refusal{status: http.StatusBadRequest, text: text} }
 
 // newJob reads a request, against one configuration. The job is there also where it is
 // refused.
 func (t *Gateway) newJob(w http.ResponseWriter, q *http.Request) (*job, *refusal) {
-	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(httpconn.RequestID)}
+	j := &job{t: t, in: q, received: t.k.Clock.Now(), id: q.Header.Get(httpconn.RequestID), memory: t.memory.Hold(freeBody)}
 	conf := j.configuration()
 	if conf == nil {
 		return j, &refusal{http.StatusServiceUnavailable, "no configuration yet", startsIn}
@@ -148,9 +152,12 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(j.left().Duration())); err != nil {
 		j.t.k.Counters.Add("gateway.no_read_deadline", 1)
 	}
-	raw, err := io.ReadAll(io.LimitReader(body, maxKept+1))
+	raw, err := j.memory.ReadAll(io.LimitReader(body, maxKept+1), 1)
 	var long *http.MaxBytesError
 	switch {
+	case errors.Is(err, memorybudget.ErrFull):
+		j.t.k.Counters.Add("gateway.memory_full", 1)
+		return j.busy("no memory for the body")
 	case errors.As(err, &long):
 		return &refusal{status: http.StatusRequestEntityTooLarge, text: "body over " + strconv.FormatInt(limit, 10) + " bytes"}
 	case err != nil && j.left() <= 0:
@@ -166,6 +173,21 @@
 	return nil
 }
 
+// leaveWait is how long the rest of a refused request's body is waited for: a connection on
+// which it has come can be kept.
+const leaveWait = 20 * kernel.Millisecond
+
+// leaveBody has a refusal not wait for what is left of the body, which the HTTP server
+// reads before it answers: where that has not come, the connection closes after the answer.
+func (j *job) leaveBody(w http.ResponseWriter) {
+	if j.in.ContentLength == 0 {
+		return
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(leaveWait.Duration())); err != nil {
+		j.t.k.Counters.Add("gateway.no_read_deadline", 1)
+	}
+}
+
 // bounded remembers whether a body that is passed on as it comes turned out
 // too long.
 type bounded struct {
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -3,7 +3,14 @@
 // waits for it: what it can't bear is refused at once.
 package memorybudget
 
-import "sync/atomic"
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+)
+
+// ErrFull says that the budget can't bear what is being read.
+var ErrFull = errors.New("memorybudget: clients take as much memory as they may")
 
 const (
 	// share is the part of a process's memory that clients may take: the garbage
@@ -65,5 +72,29 @@
 	return true
 }
 
+// ReadAll reads to the end and holds what it has read, so many times over as it will lie
+// in memory. What it held before is held no more.
+func (h *Holding) ReadAll(r io.Reader, copies int64) ([]byte, error) {
+	return io.ReadAll(&countedReader{r: r, holding: h, copies: copies})
+}
+
+// countedReader holds what is read through it.
+type countedReader struct {
+	r       io.Reader
+	holding *Holding
+	copies  int64
+	read    int64
+}
+
+// Read implements io.Reader.
+func (c *countedReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.read += int64(n)
+	if !c.holding.Resize(c.read * c.copies) {
+		return n, ErrFull
+	}
+	return n, err
+}
+
 // Release ends the holding.
 func (h *Holding) Release() { h.Resize(0) }
--- a/internal/memorybudget/memorybudget_test.go
+++ b/internal/memorybudget/memorybudget_test.go
@@ -1,6 +1,8 @@
 package memorybudget
 
 import (
+	"errors"
+	"strings"
 	"sync"
 	"testing"
 )
@@ -31,6 +33,24 @@
 	}
 }
 
+func TestReadAll(t *testing.T) {
+	b := New(6) // 1 MiB
+	h := b.Hold(0)
+	text := strings.Repeat("x", 400<<10)
+	if raw, err := h.ReadAll(strings.NewReader(text), 2); err != nil || string(raw) != text || b.Used() != 800<<10 {
+		t.Errorf("%d bytes are read, %d taken: %v", len(raw), b.Used(), err)
+	}
+	other := b.Hold(0)
+	if _, err := other.ReadAll(strings.NewReader(text), 2); !errors.Is(err, ErrFull) {
+		t.Errorf("more is read than the budget bears: %v", err)
+	}
+	h.Release()
+	other.Release()
+	if b.Used() != 0 {
+		t.Errorf("%d bytes are taken by nobody", b.Used())
+	}
+}
+
 func TestHoldingsSideBySide(t *testing.T) {
 	b := New(6)
 	var all sync.WaitGroup
--- a/internal/pooler/plugin.go
+++ b/internal/pooler/plugin.go
@@ -8,6 +8,7 @@
 	"indigowalk/internal/failurelog"
 	"indigowalk/internal/health"
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/memorybudget"
 	"indigowalk/internal/quota"
 	"indigowalk/internal/readrouting"
 	"indigowalk/internal/settings"
@@ -26,12 +27,12 @@
 				return &settings.Error{Key: "listen.ready_addr", Reason: "a pooler needs it"}
 			}
 			d := New(k, Config{
-				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs), MemoryMB: s.MemMB,
+				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs),
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
 			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
-				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k))
+				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k),
+				kernel.Need[*memorybudget.Budget](k))
 			k.Counters.Observable("pooler.sessions_open", d.open)
-			k.Counters.Observable("pooler.memory_taken", d.memory.Used)
 			k.Supervise("pooler", d.Serve)
 			k.OnLeave(d.Leave)
 			k.Supervise("ready", func(ctx context.Context) error {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -28,7 +28,6 @@
 	Zone       string
 	Grace      func() kernel.Micros
 	Quiet      kernel.Micros // an answer that takes longer casts doubt on its database
-	MemoryMB   float64       // of the process; 0 if it is not known
 }
 
 // Pooler takes sessions and runs their statements.
@@ -61,10 +60,10 @@
 }
 
 // New returns a pooler.
-func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls) *Pooler {
+func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls, memory *memorybudget.Budget) *Pooler {
 	return &Pooler{
 		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures, stalls: stalls,
-		memory:     memorybudget.New(cfg.MemoryMB),
+		memory:     memory,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
--- a/internal/settings/plugin.go
+++ b/internal/settings/plugin.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/memorybudget"
 )
 
 func init() {
@@ -30,6 +31,9 @@
 			if addr := b.Now().MetricsAddr(k.Role); addr != "" && k.Role != "hollow" {
 				k.Supervise("metrics", func(ctx context.Context) error { return k.ServeMetrics(ctx, addr) })
 			}
+			budget := memorybudget.New(b.Now().MemMB)
+			kernel.Offer(k, budget)
+			k.Counters.Observable("memorybudget.used", budget.Used)
 			k.Counters.Observable("kernel.goroutines", func() int64 { return int64(runtime.NumGoroutine()) })
 			stalls := kernel.NewStalls(k)
 			kernel.Offer(k, stalls)
