Connections: what a process overslept is no database's silence

Cause: the time limit of a connection that is being made is met on the process's own clock. A process that stood still finds it met before it looks whether the connection was made; the database counted as silent, which is a sure fault: held as down here for 0.1 s at least, and told to all peers. The class: a timer across a freeze.

Change: an attempt that took twice its span decides nothing; one more is made.

Looked for elsewhere: a quiet database is only doubted, and checked; members have second opinions; polls ask elsewhere.

--- a/internal/connpool/dial.go
+++ b/internal/connpool/dial.go
@@ -13,8 +13,13 @@
 // none would be made in time, and every database would seem silent.
 const MaxDials = 16
 
+// overslept is how many times its span an attempt has to take for the process itself to
+// have stood still meanwhile: its time limit was met before anybody looked for an answer.
+const overslept = 2
+
 // Dial makes a connection, once the pace allows it; connect counts from then on.
-// A database that takes none within it is silent.
+// A database that takes none within it is silent, unless the process stood still; then
+// another attempt decides.
 func Dial(ctx context.Context, n kernel.Network, pace chan struct{}, addr string, connect, silence kernel.Micros) (net.Conn, error) {
 	if pace != nil {
 		select {
@@ -24,7 +29,11 @@
 			return nil, ctx.Err()
 		}
 	}
+	began := time.Now()
 	c, err := dialTwice(ctx, n, addr, connect, silence)
+	if err != nil && time.Since(began) >= overslept*connect.Duration() {
+		c, err = dialTwice(ctx, n, addr, connect, silence)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrSilent, err)
 	}
