--- a/internal/controlstate/controlstate.go
+++ b/internal/controlstate/controlstate.go
@@ -61,7 +61,7 @@
 	leaseEnd  kernel.Micros
 	renewAt   kernel.Micros
 	members   memberPolicy
-	missed    map[string]int // retry budget in a row that a control node left unanswered
+	missed    map[string]int // renewals in a row that a control node left unanswered
 	leaving   bool
 	standAt   kernel.Micros
 	toldAt    kernel.Micros
--- a/internal/controlstate/election.go
+++ b/internal/controlstate/election.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// missedMost retry budget in a row that a backup leaves unanswered are too many.
+// missedMost renewals in a row that a backup leaves unanswered are too many.
 const missedMost = 2
 
 // renewWith tells one control node of the lease and notes whether it takes part.
