--- a/cmd/indigowalk/testbed.go
+++ b/cmd/indigowalk/testbed.go
@@ -37,12 +37,14 @@
 pause_ms=1500 (mean, between two troubles of a timeline), timelines=2 (of machines;
 databases have two; links, limits and clients one each), beyond=false (more machines
 may be lost at once than are to be borne: service may rest, nothing may be lost),
-closing=false (at the end everything is killed, and one disk lost), troubles: all but
-split. What may come:
+closing=false (at the end everything is killed, and one disk lost),
+spare_control=false (machines with a control node are struck by nothing, so that
+carriers are held to every bound), troubles: all but split. What may come:
   processes  kill freeze term hup wipe replace all
   links      cut_core cut_carrier cut_databases cut_primary split lose_replies
              datagrams delay reset_links
   limits     descriptors full_disk log_reader
+  processors throttle (a part of each tenth of a second only; it excuses nothing)
   databases  crash release reset hang deaf manners
   clients    rude; or none
 
--- a/internal/history/answers.go
+++ b/internal/history/answers.go
@@ -11,7 +11,7 @@
 // excused tells whether a node itself was struck without warning in a span, or its links
 // to clients: whatever else fails, it owes its clients an answer.
 func (c *check) excused(node string, from, to time.Duration) bool {
-	return slices.ContainsFunc(c.t.troubles, func(d Trouble) bool {
+	return slices.ContainsFunc(c.excuses, func(d Trouble) bool {
 		own := d.Everywhere || d.Node == node && !d.Elsewhere
 		return own && !d.Planned && d.At <= to && d.Till+settled >= from
 	})
--- a/internal/history/forward.go
+++ b/internal/history/forward.go
@@ -35,8 +35,8 @@
 // livesBefore counts the lives of a node's process that have ended, or may have, when a
 // probe was done.
 func (c *check) livesBefore(p Probe) (n int) {
-	for _, d := range c.t.troubles {
-		ends := d.Kind != "freeze" && d.Kind != "hup" && !d.Elsewhere
+	for _, d := range c.excuses {
+		ends := d.Kind != "freeze" && d.Kind != settingsChange && !d.Elsewhere
 		if ends && (d.Everywhere || d.Node == p.Pooler) && d.At <= p.Done {
 			n++
 			if d.Till <= p.Sent {
--- a/internal/history/traffic.go
+++ b/internal/history/traffic.go
@@ -65,9 +65,11 @@
 	// what it depends on.
 	Elsewhere bool `json:"elsewhere,omitempty"`
 	// Everywhere: every node was struck.
-	Everywhere bool          `json:"everywhere,omitempty"`
-	At         time.Duration `json:"at"`
-	Till       time.Duration `json:"till"`
+	Everywhere bool `json:"everywhere,omitempty"`
+	// Calm: it excuses nothing, and is only told of.
+	Calm bool          `json:"calm,omitempty"`
+	At   time.Duration `json:"at"`
+	Till time.Duration `json:"till"`
 }
 
 // Probe is a session that a client opened on a route of the operators.
@@ -169,7 +171,7 @@
 func (t *Traffic) Breaches(orders *Orders, b Bounds) []Breach {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &check{t: t, b: b}
+	c := newCheck(t, b)
 	c.lostCommits()
 	c.lostAnswers()
 	c.lateAnswers()
@@ -183,11 +185,31 @@
 	return c.out
 }
 
+// Judged is how many of the probes are held to the configuration in force: nothing else
+// that may delay it was going on.
+func (t *Traffic) Judged(b Bounds) (judged, all int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := newCheck(t, b)
+	for _, p := range t.probes {
+		if !c.disturbed(p) {
+			judged++
+		}
+	}
+	return judged, len(t.probes)
+}
+
 // check goes through one history.
 type check struct {
-	t   *Traffic
-	b   Bounds
-	out []Breach
+	t       *Traffic
+	b       Bounds
+	excuses []Trouble // the troubles that are not calm
+	out     []Breach
+}
+
+func newCheck(t *Traffic, b Bounds) *check {
+	excuses := slices.DeleteFunc(slices.Clone(t.troubles), func(d Trouble) bool { return d.Calm })
+	return &check{t: t, b: b, excuses: excuses}
 }
 
 func (c *check) broke(rule string, at time.Duration, format string, args ...any) {
@@ -213,7 +235,7 @@
 // troubled tells whether a trouble lasted, or had ended for less than contact, in a
 // span.
 func (c *check) troubled(from, to time.Duration, which func(Trouble) bool) bool {
-	return slices.ContainsFunc(c.t.troubles, func(d Trouble) bool {
+	return slices.ContainsFunc(c.excuses, func(d Trouble) bool {
 		return which(d) && d.At <= to && d.Till+c.b.Contact >= from
 	})
 }
@@ -287,13 +309,23 @@
 	}
 }
 
+// disturbed tells whether a probe met a trouble of its node or of the control nodes. A
+// change of settings is none.
+func (c *check) disturbed(p Probe) bool {
+	return c.troubled(p.Sent, p.Done, func(d Trouble) bool {
+		return d.Kind != settingsChange && (d.Control || d.Node == p.Pooler)
+	})
+}
+
+// settingsChange is the kind of trouble that changes a node's settings.
+const settingsChange = "hup"
+
 // probes: once a configuration has been in force for long enough, an undisturbed
 // pooler serves its routes and no others.
 func (c *check) probes(orders *Orders) {
 	versions := orders.inForce()
 	for _, p := range c.t.probes {
-		disturbed := c.troubled(p.Sent, p.Done, func(d Trouble) bool { return d.Control || d.Node == p.Pooler })
-		if disturbed {
+		if c.disturbed(p) {
 			continue
 		}
 		in, out := versions.around(p.Route, p.Sent-c.b.Apply, p.Done)
--- a/internal/history/traffic_test.go
+++ b/internal/history/traffic_test.go
@@ -99,6 +99,8 @@
 		"r7 at p2 is answered 3000 ms after":             func(t *Traffic, _ *Orders) { t.troubles[4].Everywhere = false },
 		"r8 at p2 is answered 501 ms after":              func(t *Traffic, _ *Orders) { t.statements[10].Done += ms },
 		"56.001 s: p1 goes back: it was at version 9":    func(t *Traffic, _ *Orders) { t.troubles[1].Kind = "hup" },
+		"r6 at p2, sent at 68.000 s, has no answer\n":    func(t *Traffic, _ *Orders) { t.troubles[4].Calm = true },
+		"p3 serves a, which was dropped\n":               func(t *Traffic, _ *Orders) { t.troubles[0].Kind = "hup" },
 		"25.001 s: p1 does not serve a, which was added": func(_ *Traffic, h *Orders) { h.answers = h.answers[:2] },
 	} {
 		traffic, orders := rightTraffic()
--- a/internal/testbed/machine_troubles.go
+++ b/internal/testbed/machine_troubles.go
@@ -25,15 +25,15 @@
 )
 
 // draw picks a machine: a control machine where it must be one, and half of the time
-// otherwise too.
+// otherwise too, unless these are spared.
 func (t *troubles) draw(r *rand.Rand, control bool) *machine {
-	all := t.cluster.all()
-	if !control && r.IntN(2) == 0 {
+	all, spared := t.cluster.all(), t.cluster.plan.SpareControl
+	if !control && !spared && r.IntN(2) == 0 {
 		return all[r.IntN(len(all))]
 	}
 	var some []*machine
 	for _, m := range all {
-		if m.control {
+		if m.control != spared {
 			some = append(some, m)
 		}
 	}
--- a/internal/testbed/plan.go
+++ b/internal/testbed/plan.go
@@ -43,6 +43,7 @@
 	Descriptors = "descriptors" // it has hardly any left
 	FullDisk    = "full_disk"   // its files may not grow
 	LogReader   = "log_reader"  // nobody reads its log
+	Throttle    = "throttle"    // it runs for a part of each tenth of a second only
 )
 
 // Kinds of trouble of databases.
@@ -80,9 +81,12 @@
 	Timelines int64 `key:"timelines" default:"2" validate:"gte=1,lte=8"`
 	// Beyond lets more machines be lost at once than may be; service may rest then.
 	Beyond bool `key:"beyond"`
+	// SpareControl has machines with a control node be struck by nothing, so that carriers are
+	// held to all that they owe while control nodes are calm.
+	SpareControl bool `key:"spare_control"`
 	// Closing has one disk be lost, and all processes killed, after the last order.
 	Closing  bool     `key:"closing"`
-	Troubles []string `key:"troubles" default:"kill,freeze,term,hup,wipe,replace,all,cut_core,cut_carrier,cut_databases,cut_primary,lose_replies,datagrams,delay,reset_links,descriptors,full_disk,log_reader,crash,release,reset,hang,deaf,manners,rude" validate:"dive,oneof=none kill freeze term hup wipe replace all cut_core cut_carrier cut_databases cut_primary lose_replies datagrams delay reset_links split descriptors full_disk log_reader crash release reset hang deaf manners rude"`
+	Troubles []string `key:"troubles" default:"kill,freeze,term,hup,wipe,replace,all,cut_core,cut_carrier,cut_databases,cut_primary,lose_replies,datagrams,delay,reset_links,descriptors,full_disk,log_reader,throttle,crash,release,reset,hang,deaf,manners,rude" validate:"dive,oneof=none kill freeze term hup wipe replace all cut_core cut_carrier cut_databases cut_primary lose_replies datagrams delay reset_links split descriptors full_disk log_reader throttle crash release reset hang deaf manners rude"`
 }
 
 // DefaultPlan is a plan that says nothing.
--- a/internal/testbed/report.go
+++ b/internal/testbed/report.go
@@ -13,22 +13,28 @@
 	"indigowalk/internal/standin"
 )
 
+// historyBounds are those that a run is held to.
+var historyBounds = history.Bounds{Drain: drainBound, Apply: applyBound, Contact: contactBound, Slack: slackBound, Answer: answerBound}
+
 // Report is what came of a run.
 type Report struct {
-	Seed        int64            `json:"seed"`
-	Statements  Latencies        `json:"statements"`
-	Orders      Latencies        `json:"orders"` // from the first sending to the first acknowledgement
-	Refused     int              `json:"statements_refused"`
-	Unclear     int              `json:"statements_unclear"`
-	Cut         int              `json:"statements_cut"`
-	OrdersSent  int              `json:"orders_sent"`
-	OrdersAcked int              `json:"orders_acknowledged"`
-	Readings    int              `json:"readings"`
-	Promotions  int              `json:"platform_calls"`
-	Troubles    map[string]int   `json:"troubles"`
-	Breaches    []history.Breach `json:"breaches"`
-	Processes   []string         `json:"processes_that_ended"`
-	Around      []string         `json:"around_the_first_breach,omitempty"`
+	Seed        int64     `json:"seed"`
+	Statements  Latencies `json:"statements"`
+	Orders      Latencies `json:"orders"` // from the first sending to the first acknowledgement
+	Refused     int       `json:"statements_refused"`
+	Unclear     int       `json:"statements_unclear"`
+	Cut         int       `json:"statements_cut"`
+	OrdersSent  int       `json:"orders_sent"`
+	OrdersAcked int       `json:"orders_acknowledged"`
+	Readings    int       `json:"readings"`
+	Probes      int       `json:"probes"`
+	// ProbesJudged are those in calm times, which are held to the newest configuration.
+	ProbesJudged int              `json:"probes_judged"`
+	Promotions   int              `json:"platform_calls"`
+	Troubles     map[string]int   `json:"troubles"`
+	Breaches     []history.Breach `json:"breaches"`
+	Processes    []string         `json:"processes_that_ended"`
+	Around       []string         `json:"around_the_first_breach,omitempty"`
 }
 
 // Latencies are times in microseconds.
@@ -66,9 +72,7 @@
 		r.Troubles[d.Kind]++
 	}
 	r.Promotions = b.cluster.platform.Calls()
-	r.Breaches = append(b.orders.Breaches(), b.traffic.Breaches(b.orders, history.Bounds{
-		Drain: drainBound, Apply: applyBound, Contact: contactBound, Slack: slackBound, Answer: answerBound,
-	})...)
+	r.Breaches = append(b.orders.Breaches(), b.traffic.Breaches(b.orders, historyBounds)...)
 	now := b.traffic.Now()
 	r.Breaches = append(append(r.Breaches, leaks...), b.cluster.logBreaches(now)...)
 	for _, g := range b.groups {
@@ -123,6 +127,7 @@
 		}
 	}
 	r.OrdersAcked, r.Orders = len(acked), took.latencies()
+	r.ProbesJudged, r.Probes = b.traffic.Judged(historyBounds)
 }
 
 // aroundSpan is how much before and after a breach is shown.
@@ -165,6 +170,7 @@
 	row("orders", r.Orders)
 	fmt.Fprintf(w, "statements refused %d, unclear %d, cut %d\n", r.Refused, r.Unclear, r.Cut)
 	fmt.Fprintf(w, "orders sent %d, acknowledged %d; read back %d times\n", r.OrdersSent, r.OrdersAcked, r.Readings)
+	fmt.Fprintf(w, "probes of routes %d, of which %d in calm times\n", r.Probes, r.ProbesJudged)
 	fmt.Fprintf(w, "calls of the platform %d; troubles:", r.Promotions)
 	for _, kind := range slices.Sorted(maps.Keys(r.Troubles)) {
 		fmt.Fprintf(w, " %s %d", kind, r.Troubles[kind])
--- a/internal/testbed/timelines.go
+++ b/internal/testbed/timelines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,7 @@
 	}
 	all = append(all,
 		timeline{"links", []string{CutCore, CutCarrier, CutDatabases, CutPrimary, LoseReplies, Datagrams, Delay, ResetLinks, Split}, t.strikeLinks},
+		timeline{"processors", []string{Throttle}, t.strikeProcessors},
 		timeline{"limits", []string{Descriptors, FullDisk, LogReader}, t.strikeLimits},
 		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, databases},
 		timeline{"databases", []string{Crash, Release, Reset, Hang, Deaf, Manners}, databases},
@@ -70,10 +72,14 @@
 	return some
 }
 
+// strikesControl are the kinds of trouble that strike control nodes, or everybody.
+var strikesControl = []string{Wipe, Replace, All, CutCore, Split, LoseReplies, Datagrams, FullDisk}
+
 // planned are those kinds of trouble that the plan lets come.
 func (t *troubles) planned(kinds []string) (some []string) {
+	plan := t.cluster.plan
 	for _, kind := range kinds {
-		if t.cluster.plan.has(kind) {
+		if plan.has(kind) && !(plan.SpareControl && slices.Contains(strikesControl, kind)) {
 			some = append(some, kind)
 		}
 	}
