Soak: a stand-in's write that is in its log is not promised away

Every path on which the pooler itself promises for a write was read again: what it refuses after a write has left is what a database answered.

--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -136,7 +136,7 @@
 
 // Final checks, at the end, that the primary holds what clients were told of, and
 // nothing that they were promised not to be kept.
-func (g *Group) Final(promised map[string]bool) {
+func (g *Group) Final(promised map[string]promise) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	lead := g.newest()
@@ -145,8 +145,8 @@
 	}
 	held := lead.holds()
 	for id := range held {
-		if promised[id] {
-			g.broke("REFUSED: %s was committed against a promise", id)
+		if p, ok := promised[id]; ok {
+			g.broke("REFUSED: %s was committed, though %s answered %s at %s", id, p.pooler, p.code, p.at.Format(time.StampMilli))
 		}
 	}
 	for id := range g.acked {
@@ -186,13 +186,22 @@
 	return d
 }
 
+// outcome is what came of a commit.
+type outcome int
+
+const (
+	committed outcome = iota
+	notRun            // the database does not lead
+	unclear           // it is in the log, and whether a replica has received it is not known
+)
+
 // commit appends at the primary and waits until one replica has received it.
-func (d *Database) commit(writes []entry) (lineprotocol.Position, bool) {
+func (d *Database) commit(writes []entry) outcome {
 	g := d.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if d.role != primary {
-		return lineprotocol.Position{}, false
+		return notRun
 	}
 	pos := lineprotocol.Position{Term: d.term, Number: int64(len(d.log)) + 1}
 	for _, e := range writes {
@@ -205,7 +214,7 @@
 	}
 	for {
 		if !d.alive || d.role != primary {
-			return lineprotocol.Position{}, false
+			return unclear // another commit may have taken it to a replica
 		}
 		received := false
 		for _, r := range g.dbs {
@@ -215,7 +224,7 @@
 			}
 		}
 		if received {
-			return pos, true
+			return committed
 		}
 		g.mu.Unlock()
 		time.Sleep(5 * time.Millisecond)
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -57,8 +57,8 @@
 	observe func(Statement)
 
 	mu       sync.Mutex
-	acks     map[string][]ack // by thing: counters acknowledged, with the time
-	promised map[string]bool  // ids of which nothing may be kept
+	acks     map[string][]ack   // by thing: counters acknowledged, with the time
+	promised map[string]promise // by id, of which nothing may be kept
 	Served   int
 	Refused  int
 	Unsure   int
@@ -69,6 +69,12 @@
 	wg         sync.WaitGroup
 }
 
+// promise is an answer after which nothing may be kept.
+type promise struct {
+	pooler, code string
+	at           time.Time
+}
+
 type ack struct {
 	n  int
 	at time.Time
@@ -82,7 +88,7 @@
 // is one, is told of every statement.
 func NewLoad(g *Group, seed uint64, poolers []Pooler, observe func(Statement)) *Load {
 	l := &Load{
-		g: g, poolers: poolers, observe: observe, acks: map[string][]ack{}, promised: map[string]bool{},
+		g: g, poolers: poolers, observe: observe, acks: map[string][]ack{}, promised: map[string]promise{},
 		stop: make(chan struct{}), lastServed: time.Now(),
 	}
 	for _, p := range poolers {
@@ -193,12 +199,12 @@
 		last = time.Now()
 		a, _ = s.Query("COMMIT")
 	}
-	l.note(a, thing, n, id)
+	l.note(s, a, thing, n, id)
 	l.told(s, PrimaryRoute, Statement{ID: id, Write: true, Thing: thing, Value: n, Sent: sent, Last: last}, a)
 	return a
 }
 
-func (l *Load) note(a *lineprotocol.Answer, thing string, n int, id string) {
+func (l *Load) note(s *Session, a *lineprotocol.Answer, thing string, n int, id string) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -211,7 +217,7 @@
 		l.g.Ack(id)
 	case Promises(a.Code):
 		l.Refused++
-		l.promised[id] = true
+		l.promised[id] = promise{s.Address, a.Code, now}
 	default:
 		l.Unsure++
 	}
--- a/internal/standin/statements.go
+++ b/internal/standin/statements.go
@@ -210,14 +210,11 @@
 	if len(writes) == 0 {
 		return s.d.g.seal()
 	}
-	if _, ok := s.d.commit(writes); !ok {
-		s.d.g.mu.Lock()
-		alive := s.d.alive
-		s.d.g.mu.Unlock()
-		if !alive {
-			return nil
-		}
+	switch s.d.commit(writes) {
+	case notRun:
 		return fail(lineprotocol.ReadOnly, s.d.ID)
+	case unclear:
+		return nil
 	}
 	return s.d.g.seal()
 }
