--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,10 +73,25 @@
 	clients  map[net.Conn]*clientState
 }
 
+// Services are the parts of the process that a gateway works with.
+type Services struct {
+	Control  ControlState
+	Conns    *httpconn.Pools
+	Balancer *loadbalance.Balancer
+	Health   *health.Monitor
+	Ring     *membership.Ring
+	Retries  *retrybudget.Allowance
+	Quota    *quota.Client
+	Failures *failurelog.Log
+	Stalls   *kernel.Stalls
+	Memory   *memorybudget.Budget
+}
+
 // New returns a gateway.
-func New(k *kernel.Kernel, cfg Config, control ControlState, conns *httpconn.Pools, r *loadbalance.Balancer, health *health.Monitor, ring *membership.Ring, again *retrybudget.Allowance, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls, memory *memorybudget.Budget) *Gateway {
+func New(k *kernel.Kernel, cfg Config, with Services) *Gateway {
 	t := &Gateway{
-		k: k, cfg: cfg, control: control, conns: conns, balancer: r, health: health, ring: ring, again: again, quota: quota, failures: failures, stalls: stalls, memory: memory,
+		k: k, cfg: cfg, control: with.Control, conns: with.Conns, balancer: with.Balancer, health: with.Health, ring: with.Ring,
+		again: with.Retries, quota: with.Quota, failures: with.Failures, stalls: with.Stalls, memory: with.Memory,
 		clients: map[net.Conn]*clientState{}, ending: make(chan struct{}), meter: newLinkMeter(k.Clock, cfg.NetMbps),
 	}
 	t.srv = &http.Server{
--- a/internal/gateway/plugin.go
+++ b/internal/gateway/plugin.go
@@ -40,9 +40,18 @@
 			t := New(k, Config{
 				ClientAddr: s.ClientAddr, Zone: s.Zone, NetMbps: s.NetMbps,
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
-			}, subscriber, kernel.Need[*httpconn.Pools](k), kernel.Need[*loadbalance.Balancer](k),
-				kernel.Need[*health.Monitor](k), kernel.Need[*membership.Ring](k), again, kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k),
-				kernel.Need[*memorybudget.Budget](k))
+			}, Services{
+				Control:  subscriber,
+				Conns:    kernel.Need[*httpconn.Pools](k),
+				Balancer: kernel.Need[*loadbalance.Balancer](k),
+				Health:   kernel.Need[*health.Monitor](k),
+				Ring:     kernel.Need[*membership.Ring](k),
+				Retries:  again,
+				Quota:    kernel.Need[*quota.Client](k),
+				Failures: kernel.Need[*failurelog.Log](k),
+				Stalls:   kernel.Need[*kernel.Stalls](k),
+				Memory:   kernel.Need[*memorybudget.Budget](k),
+			})
 			kernel.Offer[httpconn.Wrap](k, func(c net.Conn) net.Conn { return &metered{c, t.meter} })
 			t.srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connKey{}, c)
--- a/internal/kernel/host_test.go
+++ b/internal/kernel/host_test.go
@@ -84,23 +84,28 @@
 	})
 }
 
-// What there is no room for is not waited for, and nothing is lost of the rest.
-func TestTryWriteNeverWaits(t *testing.T) {
+// connected returns both ends of a connection of the host's network.
+func connected(t *testing.T) (c, accepted net.Conn) {
+	t.Helper()
 	ln, err := HostNetwork{}.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	c, err := HostNetwork{}.Dial(t.Context(), ln.Addr().String(), 0)
-	if err != nil {
+	if c, err = (HostNetwork{}).Dial(t.Context(), ln.Addr().String(), 0); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	far, err := ln.Accept()
-	if err != nil {
+	t.Cleanup(func() { c.Close() })
+	if accepted, err = ln.Accept(); err != nil {
 		t.Fatal(err)
 	}
-	defer far.Close()
+	t.Cleanup(func() { accepted.Close() })
+	return c, accepted
+}
+
+// What there is no room for is not waited for, and nothing is lost of the rest.
+func TestTryWriteNeverWaits(t *testing.T) {
+	c, far := connected(t)
 	w, ok := c.(TryWriter)
 	if !ok {
 		t.Fatal("a connection of the host can't try to write")
@@ -122,7 +127,7 @@
 		t.Error(err)
 	}
 	for range 100 {
-		if _, err = w.TryWrite([]byte("x")); err != nil {
+		if _, err := w.TryWrite([]byte("x")); err != nil {
 			return
 		}
 	}
@@ -132,21 +137,7 @@
 // TestFarEndsThatVanishAreAskedFor: a far end that is gone without a word is found out
 // on an accepted connection, in minutes.
 func TestFarEndsThatVanishAreAskedFor(t *testing.T) {
-	ln, err := HostNetwork{}.Listen("127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	c, err := HostNetwork{}.Dial(t.Context(), ln.Addr().String(), 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
-	accepted, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer accepted.Close()
+	_, accepted := connected(t)
 	raw, err := accepted.(syscall.Conn).SyscallConn()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/pooler/plugin.go
+++ b/internal/pooler/plugin.go
@@ -29,9 +29,16 @@
 			d := New(k, Config{
 				ClientAddr: s.ClientAddr, Zone: s.Zone, Quiet: settings.Span(s.QuietMs),
 				Grace: func() kernel.Micros { return kernel.Micros(book.Now().GraceS) * kernel.Second },
-			}, kernel.Need[*distribution.Subscriber](k), kernel.Need[*readrouting.Router](k),
-				kernel.Need[*dbconn.Pool](k), kernel.Need[*health.Monitor](k), kernel.Need[*quota.Client](k), kernel.Need[*failurelog.Log](k), kernel.Need[*kernel.Stalls](k),
-				kernel.Need[*memorybudget.Budget](k))
+			}, Services{
+				Control:  kernel.Need[*distribution.Subscriber](k),
+				Router:   kernel.Need[*readrouting.Router](k),
+				Pool:     kernel.Need[*dbconn.Pool](k),
+				Health:   kernel.Need[*health.Monitor](k),
+				Quota:    kernel.Need[*quota.Client](k),
+				Failures: kernel.Need[*failurelog.Log](k),
+				Stalls:   kernel.Need[*kernel.Stalls](k),
+				Memory:   kernel.Need[*memorybudget.Budget](k),
+			})
 			k.Counters.Observable("pooler.sessions_open", d.open)
 			k.Supervise("pooler", d.Serve)
 			k.OnLeave(d.Leave)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -59,11 +59,23 @@
 	statements, retries *atomic.Int64
 }
 
+// Services are the parts of the process that a pooler works with.
+type Services struct {
+	Control  *distribution.Subscriber
+	Router   *readrouting.Router
+	Pool     *dbconn.Pool
+	Health   *health.Monitor
+	Quota    *quota.Client
+	Failures *failurelog.Log
+	Stalls   *kernel.Stalls
+	Memory   *memorybudget.Budget
+}
+
 // New returns a pooler.
-func New(k *kernel.Kernel, cfg Config, control *distribution.Subscriber, router *readrouting.Router, pool *dbconn.Pool, health *health.Monitor, quota *quota.Client, failures *failurelog.Log, stalls *kernel.Stalls, memory *memorybudget.Budget) *Pooler {
+func New(k *kernel.Kernel, cfg Config, with Services) *Pooler {
 	return &Pooler{
-		k: k, cfg: cfg, control: control, router: router, pool: pool, health: health, quota: quota, failures: failures, stalls: stalls,
-		memory:     memory,
+		k: k, cfg: cfg, control: with.Control, router: with.Router, pool: with.Pool, health: with.Health, quota: with.Quota,
+		failures: with.Failures, stalls: with.Stalls, memory: with.Memory,
 		sessions:   map[*session]struct{}{},
 		ending:     make(chan struct{}),
 		statements: k.Counters.Of("pooler.statements"),
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -48,19 +48,7 @@
 	d.g.mu.Lock()
 	d.alive, d.stop = true, stop
 	d.g.mu.Unlock()
-	ln, err := d.network().Listen(d.Addr)
-	if err != nil {
-		panic(err)
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go d.serve(c)
-		}
-	}()
+	serveAt(d.network(), d.Addr, d.serve)
 	go d.beats(stop)
 }
 
--- a/internal/standin/environment.go
+++ b/internal/standin/environment.go
@@ -32,6 +32,23 @@
 	Reset(ip string)
 }
 
+// serveAt has connections to an address be served until the address is closed.
+func serveAt(network kernel.Network, addr string, serve func(net.Conn)) {
+	ln, err := network.Listen(addr)
+	if err != nil {
+		panic(err) // two stand-ins at one address
+	}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+}
+
 const (
 	// callWait is how long callers of the control address wait for an answer.
 	callWait = time.Second
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -94,19 +94,7 @@
 	s.workers = append(s.workers, d)
 	s.mu.Unlock()
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	ln, err := s.env.Network(ip).Listen(net.JoinHostPort(ip, workerPort))
-	if err != nil {
-		panic(err)
-	}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go d.serve(c)
-		}
-	}()
+	serveAt(s.env.Network(ip), net.JoinHostPort(ip, workerPort), d.serve)
 	go d.beats()
 	return d
 }
--- a/internal/testbed/database_troubles.go
+++ b/internal/testbed/database_troubles.go
@@ -20,6 +20,13 @@
 	drainsFor = drainBound + time.Second
 )
 
+// hang has a host answer nothing for a while.
+func (t *troubles) hang(ctx context.Context, ip string, r *rand.Rand) {
+	t.cluster.net.Silence(ip, true)
+	sleep(ctx, span(r, longestHang))
+	t.cluster.net.Silence(ip, false)
+}
+
 // strikeDatabase carries one trouble of a database out; none where one of the service is
 // away or leaves.
 func (t *troubles) strikeDatabase(ctx context.Context, kind string, r *rand.Rand) error {
@@ -54,9 +61,7 @@
 	case Reset:
 		t.cluster.net.Break(d.IP)
 	case Hang:
-		t.cluster.net.Silence(d.IP, true)
-		sleep(ctx, span(r, longestHang))
-		t.cluster.net.Silence(d.IP, false)
+		t.hang(ctx, d.IP, r)
 	case Deaf:
 		d.Deaf(true)
 		sleep(ctx, span(r, longestDeaf))
--- a/internal/testbed/gateways.go
+++ b/internal/testbed/gateways.go
@@ -127,9 +127,7 @@
 	case Reset:
 		t.cluster.net.Break(d.IP)
 	case Hang:
-		t.cluster.net.Silence(d.IP, true)
-		sleep(ctx, span(r, longestHang))
-		t.cluster.net.Silence(d.IP, false)
+		t.hang(ctx, d.IP, r)
 	case Manners:
 		d.Be(standin.AllFaults[r.IntN(len(standin.AllFaults))])
 		sleep(ctx, span(r, longestManners))
