Control state: newcomers stand in for a half of the witnesses that is lost for good

Cause: of 2f control nodes f were replaced at once by new machines at other addresses. Half of the witnesses is no majority, and what was new could only be taken in by a primary.

Change: a control node that came with an empty disk keeps to which set of witnesses it is new (register.NewTo), until that set is followed. A candidate with the promises of just half of a set of 2f asks the others; f newcomers of it take the places of the silent half, in a view that each of those that voted must accept (View.Unanimous).

TestHalfOfTheWitnessesReplacedAtOnce plays the daemon, twice in a row, and fails without.

--- a/internal/controlstate/candidacy.go
+++ b/internal/controlstate/candidacy.go
@@ -17,11 +17,12 @@
 	if err != nil {
 		return err
 	}
-	disks, highest, won := v.promises(ctx, c.epoch, c.sets)
-	state, err := v.promised(c, highest, won)
+	answers := v.elect(ctx, &c)
+	state, err := v.promised(c, answers)
 	if err != nil {
 		return err
 	}
+	disks := disksOf(answers)
 	if c.view.Backups, err = v.spread(ctx, state, c, disks); err != nil {
 		return err
 	}
@@ -66,11 +67,65 @@
 	return c, nil
 }
 
+// elect asks the witnesses for their promises, and newcomers too where only half of a set
+// of witnesses is left; with their help the view has others in the places of those that
+// are lost.
+func (v *Replica) elect(ctx context.Context, c *candidacy) map[string]promiseAnswer {
+	decided := func(got map[string]promiseAnswer) bool {
+		possible := func(addr string) bool { // may still be granted in this round
+			a, ok := got[addr]
+			return !ok || a.Granted
+		}
+		return majorities(c.sets, grantedIn(got)) || !majorities(c.sets, possible)
+	}
+	answers := v.promises(ctx, c.epoch, union(c.sets...), decided)
+	if won := majorities(c.sets, grantedIn(answers)); won || !v.halfLeft(c.known, answers) {
+		return answers
+	}
+	others := slices.DeleteFunc(union(v.cfg.ControlNodes()), grantedIn(answers))
+	all := func(map[string]promiseAnswer) bool { return false }
+	maps.Copy(answers, v.promises(ctx, c.epoch, others, all))
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if view, ok := v.members.succession(c.known, c.view, answers); ok {
+		v.k.Counters.Add("controlstate.half_succeeded", 1)
+		v.k.Log.Warn("half of the witnesses are lost, newcomers take their places", "epoch", c.epoch, "witnesses", view.Witnesses)
+		c.view, c.sets = view, view.sets()
+	}
+	return answers
+}
+
+func (v *Replica) halfLeft(known View, answers map[string]promiseAnswer) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members.halfLeft(known, grantedIn(answers))
+}
+
+// grantedIn tells who has promised.
+func grantedIn(answers map[string]promiseAnswer) func(addr string) bool {
+	return func(addr string) bool { return answers[addr].Granted }
+}
+
+// disksOf are the disks of those that have promised.
+func disksOf(answers map[string]promiseAnswer) map[string]string {
+	disks := map[string]string{}
+	for addr, a := range answers {
+		if a.Granted {
+			disks[addr] = a.Disk
+		}
+	}
+	return disks
+}
+
 // promised takes in what the witnesses answered, and returns the state under the new
 // epoch if they promised.
-func (v *Replica) promised(c candidacy, highest View, won bool) (State, error) {
+func (v *Replica) promised(c candidacy, answers map[string]promiseAnswer) (State, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	won, highest := majorities(c.sets, grantedIn(answers)), highestInForce(c.epoch, answers)
+	if wait := leaseOf(c.sets, answers); !won && !v.active && wait > 0 {
+		v.seenTill = max(v.seenTill, v.k.Clock.Now()+wait)
+	}
 	switch {
 	case highest.Epoch > c.known.Epoch:
 		v.observe(highest)
@@ -119,7 +174,7 @@
 	v.active, v.state, v.seen = true, state, c.view
 	v.seenTill = v.leaseEnd
 	clear(v.missed)
-	if len(c.view.Prior) > 0 {
+	if c.view.inChange() {
 		v.poke() // the set before is to be let go
 	}
 	v.k.Counters.Add("controlstate.epochs", 1)
--- a/internal/controlstate/election.go
+++ b/internal/controlstate/election.go
@@ -134,67 +134,54 @@
 	promiseWait = 450 * kernel.Millisecond
 )
 
-// promises asks for the promises of the sets' witnesses, and returns the disk
-// of each that gave one and the highest view that may be in force.
-func (v *Replica) promises(ctx context.Context, epoch int64, sets [][]string) (disks map[string]string, highest View, won bool) {
+// promises asks control nodes for their promises of an epoch, until the answers will do,
+// and returns what each answered.
+func (v *Replica) promises(ctx context.Context, epoch int64, voters []string, done func(got map[string]promiseAnswer) bool) map[string]promiseAnswer {
 	type reply struct {
 		addr   string
 		answer *promiseAnswer
 	}
 	ctx, cancel := context.WithTimeout(ctx, promiseWait.Duration())
 	defer cancel()
-	voters := union(sets...)
 	v.mu.Lock()
 	q := promiseAsk{epoch, v.self, v.voided}
 	v.mu.Unlock()
 	ch := make(chan reply, len(voters))
 	for _, addr := range voters {
-		go func() {
-			for {
-				a := &promiseAnswer{}
-				err := v.endpoint.Call(ctx, addr, "controlstate.promise", q, a, promiseTry)
-				if err == nil {
-					ch <- reply{addr, a}
-					return
-				}
-				if errors.As(err, new(*rpc.Refused)) || !kernel.Sleep(ctx, 20*kernel.Millisecond) {
-					ch <- reply{addr, nil}
-					return
-				}
-			}
-		}()
+		go func() { ch <- reply{addr, v.promiseOf(ctx, addr, q)} }()
 	}
 	got := map[string]promiseAnswer{}
-	possible := func(addr string) bool { // may still be granted in this round
-		a, ok := got[addr]
-		return !ok || a.Granted
-	}
-	granted := func(addr string) bool { return got[addr].Granted }
 	for range voters {
 		r := <-ch
 		if r.answer == nil {
 			r.answer = &promiseAnswer{}
 		}
-		got[r.addr] = *r.answer
-		if majorities(sets, granted) || !majorities(sets, possible) {
+		if got[r.addr] = *r.answer; done(got) {
 			break
 		}
 	}
-	disks = map[string]string{}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.tried = max(v.tried, epoch)
-	for addr, a := range got {
-		if a.Granted {
-			disks[addr] = a.Disk
-		}
+	for _, a := range got {
 		v.tried = max(v.tried, a.Promised)
 	}
-	won, highest = majorities(sets, granted), highestInForce(epoch, got)
-	if wait := leaseOf(sets, got); !won && !v.active && wait > 0 {
-		v.seenTill = max(v.seenTill, v.k.Clock.Now()+wait)
+	return got
+}
+
+// promiseOf asks one control node, again and again while it does not answer; nil if it
+// never does.
+func (v *Replica) promiseOf(ctx context.Context, addr string, q promiseAsk) *promiseAnswer {
+	for {
+		a := &promiseAnswer{}
+		err := v.endpoint.Call(ctx, addr, "controlstate.promise", q, a, promiseTry)
+		if err == nil {
+			return a
+		}
+		if errors.As(err, new(*rpc.Refused)) || !kernel.Sleep(ctx, 20*kernel.Millisecond) {
+			return nil
+		}
 	}
-	return disks, highest, won
 }
 
 // leaseOf is how long leases stand against a majority; one that a few stale
--- a/internal/controlstate/membership.go
+++ b/internal/controlstate/membership.go
@@ -159,7 +159,7 @@
 // change, or has changed and its predecessor can be let go.
 func (m *memberPolicy) wantsAnother(view View, now kernel.Micros) bool {
 	addrs := backupAddrs(view)
-	return len(view.Prior) > 0 ||
+	return view.inChange() ||
 		slices.ContainsFunc(addrs, func(addr string) bool { return m.isShunned(addr, now) }) ||
 		len(addrs) < m.losses && len(m.spares(append(addrs, m.self.Addr), now)) > 0 ||
 		!slices.Equal(m.wantedWitnesses(view.Witnesses, now), view.Witnesses)
@@ -171,7 +171,7 @@
 func (m *memberPolicy) proposal(known View, active bool, epoch int64, now kernel.Micros) (view View, sets [][]string) {
 	view = View{Epoch: epoch, Primary: m.self, Witnesses: known.Witnesses}
 	sets = known.sets()
-	if !active || len(known.Prior) > 0 {
+	if !active || known.inChange() {
 		return view, sets
 	}
 	if wanted := m.wantedWitnesses(known.Witnesses, now); !slices.Equal(wanted, known.Witnesses) {
@@ -181,6 +181,65 @@
 	return view, sets
 }
 
+// halfLeft tells whether a majority voted, or just half where the set is no larger than
+// twice the losses to be borne, of each set of witnesses; of those others more may never
+// be back.
+func (m *memberPolicy) halfLeft(known View, voted func(addr string) bool) bool {
+	for _, set := range known.sets() {
+		if !majorities([][]string{set}, voted) && !m.isHalf(set, voted) {
+			return false
+		}
+	}
+	return len(known.Unanimous) == 0
+}
+
+func (m *memberPolicy) isHalf(set []string, voted func(addr string) bool) bool {
+	return len(set) == 2*m.losses && len(votersOf(set, voted)) == m.losses
+}
+
+func votersOf(set []string, voted func(addr string) bool) []string {
+	return slices.DeleteFunc(slices.Clone(set), func(addr string) bool { return !voted(addr) })
+}
+
+// succession is the view in which newcomers stand by a half of the witnesses that is left.
+// It needs as many newcomers as losses are to be borne: control nodes that came with empty
+// disks after that set was formed. While they are none of its witnesses no more of them can
+// be there than were lost, so they can't stand by both halves of a set that was merely cut.
+// Each of those that vote for it has to accept it.
+func (m *memberPolicy) succession(known, view View, answers map[string]promiseAnswer) (View, bool) {
+	granted := func(addr string) bool { return answers[addr].Granted }
+	if !m.halfLeft(known, granted) {
+		return view, false
+	}
+	view.Witnesses, view.Prior = known.Witnesses, nil
+	for _, set := range known.sets() {
+		if !m.isHalf(set, granted) {
+			continue
+		}
+		newcomers := newcomersTo(set, answers)
+		if len(newcomers) < m.losses {
+			return view, false
+		}
+		voters := append(votersOf(set, granted), newcomers[:m.losses]...)
+		view.Unanimous = union(view.Unanimous, voters)
+		if slices.Equal(set, known.Witnesses) {
+			view.Witnesses = voters
+		}
+	}
+	return view, true
+}
+
+// newcomersTo are those that have promised and are new to a set of witnesses.
+func newcomersTo(set []string, answers map[string]promiseAnswer) (newcomers []string) {
+	for addr, a := range answers {
+		if a.Granted && slices.Equal(a.NewTo, set) && !slices.Contains(set, addr) {
+			newcomers = append(newcomers, addr)
+		}
+	}
+	slices.Sort(newcomers)
+	return newcomers
+}
+
 // mayStand: only a member of the highest view, with that same disk; at the
 // very first start, while there is no view, a witness.
 func (m *memberPolicy) mayStand(view View, first bool) bool {
--- a/internal/controlstate/membership_model_test.go
+++ b/internal/controlstate/membership_model_test.go
@@ -13,14 +13,49 @@
 var sizes = []struct{ f, controlNodes int }{{1, 3}, {1, 4}, {1, 5}, {1, 7}, {2, 4}, {2, 5}, {2, 6}, {2, 7}}
 
 func TestMembershipModel(t *testing.T) {
+	taken := 0
 	for _, c := range sizes {
 		for seed := range uint64(200) {
-			if w := walk(seed, c.f, c.controlNodes, ""); w.broken != "" {
+			w := walk(seed, c.f, c.controlNodes, "")
+			if taken += w.taken; w.broken != "" {
 				t.Errorf("f %d, %d control nodes, seed %d: %s\n%s", c.f, c.controlNodes, seed, w.broken, strings.Join(w.trace, "\n"))
 				break
 			}
 		}
 	}
+	if taken == 0 {
+		t.Error("newcomers never took the places of lost witnesses")
+	}
+}
+
+// Whatever is cut off or down, with no more disks lost than may be, there is one primary, and
+// what was acknowledged is there.
+func TestMembershipModelOfAnyCuts(t *testing.T) {
+	taken := 0
+	for _, c := range append(sizes, struct{ f, controlNodes int }{2, 8}) {
+		for seed := range uint64(200) {
+			w := newModel(seed, c.f, c.controlNodes, "").boot()
+			w.cuts = true
+			w.wander(200)
+			if taken += w.taken; w.broken != "" {
+				t.Errorf("f %d, %d control nodes, seed %d: %s\n%s", c.f, c.controlNodes, seed, w.broken, strings.Join(w.trace, "\n"))
+				break
+			}
+		}
+	}
+	if taken == 0 {
+		t.Error("newcomers never took the places of lost witnesses")
+	}
+}
+
+// AcknowledgedSurvives, open: where more control nodes are away than may be lost, their disks
+// whole, a change is acknowledged on fewer disks than may be lost.
+func TestAcknowledgedOutlastsAnyCuts(t *testing.T) {
+	w := newModel(3532, 2, 4, "").boot()
+	w.cuts = true
+	if w.wander(200); w.broken != "" {
+		t.Errorf("%s\n%s", w.broken, strings.Join(w.trace, "\n"))
+	}
 }
 
 // explore tries each row of troubles that may come, with up to 40 steps between
--- a/internal/controlstate/model_test.go
+++ b/internal/controlstate/model_test.go
@@ -26,6 +26,8 @@
 	leaders map[int64]string // by epoch
 	without string           // the guard that is taken out
 	over    bool             // more than f are lost, since one left as another was
+	taken   int              // views in which newcomers took the places of half of the witnesses
+	cuts    bool             // any number may be cut off, or down with their disks whole
 	broken  string           // the invariant that was broken, and how
 	trace   []string
 }
@@ -329,7 +331,7 @@
 		}
 		reg, newest, err := registerFrom(view, answers)
 		if w.without == "IntactOverlap" && err != nil && len(newest.Witnesses) > 0 {
-			reg, err = register{newest.Epoch, newest}, nil
+			reg, err = register{Promised: newest.Epoch, Accepted: newest}, nil
 		}
 		if err != nil {
 			return
--- a/internal/controlstate/model_troubles_test.go
+++ b/internal/controlstate/model_troubles_test.go
@@ -55,9 +55,12 @@
 			n.wipe(w)
 		}
 		w.note("%s lost, wiped %v", n.addr, what == wiped)
-	case what == cut && n.up && !n.far && mayLose:
+	case what == cut && n.up && !n.far && (mayLose || w.cuts):
 		w.note("%s cut off", n.addr)
-		n.counted, n.far = true, true
+		n.counted, n.far = n.counted || !w.cuts, true
+	case what == killed && n.up && w.cuts:
+		w.note("%s down", n.addr)
+		n.stop()
 	case what == left && n.up && !n.leaving && !n.far && lost+leaving < w.f && !w.over:
 		w.note("%s leaves", n.addr)
 		n.leaving = true
@@ -213,7 +216,23 @@
 // walk plays one random history and returns the model.
 func walk(seed uint64, f, controlNodes int, without string) *model {
 	w := newModel(seed, f, controlNodes, without).boot()
-	for range 160 {
+	w.wander(160)
+	if w.broken != "" {
+		return w
+	}
+	w.remains(false)
+	w.close()
+	if w.rng.IntN(2) == 0 {
+		w.power()
+	}
+	w.check()
+	w.remains(true)
+	return w
+}
+
+// wander plays so many random steps, or fewer if an invariant breaks.
+func (w *model) wander(steps int) {
+	for range steps {
 		busy := w.busy()
 		switch r := w.rng.IntN(100); {
 		case r < 12:
@@ -239,20 +258,12 @@
 		}
 		w.check()
 		if w.broken != "" {
-			return w
+			return
 		}
-		if w.rng.IntN(40) == 0 {
+		if !w.cuts && w.rng.IntN(40) == 0 {
 			w.remains(w.rng.IntN(2) == 0)
 		}
 	}
-	w.remains(false)
-	w.close()
-	if w.rng.IntN(2) == 0 {
-		w.power()
-	}
-	w.check()
-	w.remains(true)
-	return w
 }
 
 // power has all that run begin another life at once, with what is on disk. All
--- a/internal/controlstate/model_votes_test.go
+++ b/internal/controlstate/model_votes_test.go
@@ -14,7 +14,8 @@
 	sets    [][]string
 	was     bool // primary already
 	todo    []string
-	phase   int // 0 promises, 1 copies, 2 acceptances
+	phase   int  // 0 promises, 1 copies, 2 acceptances
+	further bool // newcomers were asked too
 	disks   map[string]string
 	answers map[string]promiseAnswer
 	granted map[string]bool
@@ -77,6 +78,14 @@
 		}
 		return
 	}
+	if asked := w.alive(n); !won && !s.further && n.members.halfLeft(s.known, has(s.disks)) {
+		s.further = true
+		s.todo = slices.DeleteFunc(asked, func(addr string) bool { return s.answers[addr].Granted })
+		return
+	}
+	if view, ok := n.members.succession(s.known, s.view, s.answers); !won && ok {
+		s.view, s.sets, won = view, view.sets(), true
+	}
 	n.tried = max(n.tried, s.view.Epoch)
 	if highest := highestInForce(s.view.Epoch, s.answers); highest.Epoch > s.known.Epoch && w.without != "NewerViewStops" {
 		n.observe(w, highest)
@@ -142,7 +151,10 @@
 	n.active, n.seen, n.leaseEnd = true, s.view, s.start+modelLease
 	n.seenTill = n.leaseEnd
 	clear(n.missed)
-	w.note("%s leads %d with %v of %v %v", n.addr, s.view.Epoch, backupAddrs(s.view), s.view.Witnesses, s.view.Prior)
+	w.note("%s leads %d with %v of %v %v %v", n.addr, s.view.Epoch, backupAddrs(s.view), s.view.Witnesses, s.view.Prior, s.view.Unanimous)
+	if len(s.view.Unanimous) > 0 {
+		w.taken++
+	}
 	if n.leads(w.now) && n.content&w.acked != w.acked {
 		w.breaks("OldStateNeverLeads", "%s leads epoch %d with %b of %b", n.addr, s.view.Epoch, n.content, w.acked)
 	}
@@ -150,7 +162,7 @@
 		w.breaks("OnePrimaryPerEpoch", "%s and %s in epoch %d", other, n.disk, s.view.Epoch)
 	}
 	w.leaders[s.view.Epoch] = n.disk
-	if len(s.view.Prior) > 0 && w.without != "PriorLetGoAtOnce" {
+	if s.view.inChange() && w.without != "PriorLetGoAtOnce" {
 		n.stand(w)
 	}
 }
--- a/internal/controlstate/witness.go
+++ b/internal/controlstate/witness.go
@@ -27,6 +27,10 @@
 	// Prior is the set of witnesses before a change of the set. While it is
 	// named, a majority of it must agree too.
 	Prior []string `json:"prior,omitempty"`
+	// Unanimous are control nodes of which each must agree while they are named: the half
+	// that was left of the witnesses before, and the newcomers that took the places of the
+	// others (see succession).
+	Unanimous []string `json:"unanimous,omitempty"`
 }
 
 // Has reports whether m, with its disk, keeps the state.
@@ -36,12 +40,29 @@
 
 // sets are the sets of witnesses of each of which a majority is needed.
 func (v View) sets() [][]string {
+	sets := [][]string{v.Witnesses}
 	if len(v.Prior) > 0 {
-		return [][]string{v.Witnesses, v.Prior}
+		sets = append(sets, v.Prior)
 	}
-	return [][]string{v.Witnesses}
+	for _, addr := range v.Unanimous {
+		sets = append(sets, []string{addr})
+	}
+	return sets
 }
 
+// standing are the witnesses that a majority of stands for as long as the view is not
+// followed: those before a change that may not be done.
+func (v View) standing() []string {
+	if len(v.Prior) > 0 {
+		return v.Prior
+	}
+	return v.Witnesses
+}
+
+// inChange tells whether the view names more than its witnesses, and is to be followed by
+// one that does not.
+func (v View) inChange() bool { return len(v.Prior) > 0 || len(v.Unanimous) > 0 }
+
 // union lists the members of all sets once.
 func union(sets ...[]string) []string {
 	var out []string
@@ -92,6 +113,9 @@
 type register struct {
 	Promised int64 `json:"promised"`
 	Accepted View  `json:"accepted"`
+	// NewTo are the witnesses that there were when the disk came empty and the rest was
+	// read from others, as long as they are.
+	NewTo []string `json:"new_to,omitempty"`
 }
 
 // highestInForce is the highest view that may have a majority's acceptance, by
@@ -126,6 +150,7 @@
 	Accepted View          `json:"accepted"`
 	Disk     string        `json:"disk"`
 	Wait     kernel.Micros `json:"wait_us,omitempty"` // a lease runs this long yet
+	NewTo    []string      `json:"new_to,omitempty"`
 }
 
 // acceptAsk carries the disk on which the witness promised: an acceptance
@@ -178,7 +203,7 @@
 // another epoch while it runs: with its own next life or next backups it does
 // not compete.
 func (e *witness) promise(now kernel.Micros, q promiseAsk) (promiseAnswer, error) {
-	a := promiseAnswer{Promised: e.reg.Promised, Accepted: e.reg.Accepted}
+	a := promiseAnswer{Promised: e.reg.Promised, Accepted: e.reg.Accepted, NewTo: e.reg.NewTo}
 	if e.abstains {
 		return a, errAbstains
 	}
@@ -202,7 +227,11 @@
 	if v.Epoch < e.reg.Promised || v.Epoch <= e.reg.Accepted.Epoch {
 		return renewAnswer{Promised: e.reg.Promised}, nil
 	}
-	e.reg = register{Promised: v.Epoch, Accepted: v}
+	newTo := e.reg.NewTo
+	if !v.inChange() && !slices.Equal(v.Witnesses, newTo) {
+		newTo = nil // a view in change may never be in force
+	}
+	e.reg = register{Promised: v.Epoch, Accepted: v, NewTo: newTo}
 	e.until = now + e.lease
 	return renewAnswer{Granted: true, Promised: v.Epoch}, nil
 }
@@ -327,5 +356,5 @@
 	case !overlap(view.sets(), intact):
 		return register{}, newest, errors.New("too few intact registers answer")
 	}
-	return register{max(reg.Promised, view.Epoch), view}, view, nil
+	return register{Promised: max(reg.Promised, view.Epoch), Accepted: view, NewTo: view.standing()}, view, nil
 }
--- a/internal/simulation/replacement_test.go
+++ b/internal/simulation/replacement_test.go
@@ -151,6 +151,35 @@
 	}
 }
 
+// MajorityRemains: with just twice as many control nodes as may be lost, half of them are
+// lost for good at once, and as many new ones come, at once or one after the other.
+func TestHalfOfTheWitnessesReplacedAtOnce(t *testing.T) {
+	for _, between := range []time.Duration{0, time.Second, 3 * time.Second} {
+		core(t, 4, 2, func(w *World, g *Group) {
+			rev := int64(1)
+			for range 2 {
+				changed(w, rev, rev+6)
+				rev += 6
+				w.lose(controlPrimary(w), backups(w)[0])
+				w.Seeds = nil
+				for z := 1; z <= w.Zones; z++ {
+					if w.Process("control", z) != nil {
+						w.Seeds = append(w.Seeds, ip(z)+":8782")
+					}
+				}
+				for range 2 {
+					time.Sleep(between)
+					w.Zones++
+					w.Start("control", w.Zones, false)
+				}
+				lasts(w, rev)
+				rev++
+				time.Sleep(catchup)
+			}
+		})
+	}
+}
+
 // MajorityRemains: a witness is lost for good and replaced, and the primary is
 // lost before or while the new machine gets its place. When that one counts as
 // back, the last that may be lost is lost too.
