--- a/cmd/indigowalk/testbed.go
+++ b/cmd/indigowalk/testbed.go
@@ -35,8 +35,9 @@
 control_nodes=4, carriers=10,
 services=2, operators=3, length_s=60, cores=2 (GOMAXPROCS of each process),
 pause_ms=1500 (mean, between two troubles of a timeline), timelines=2 (of machines;
-databases have two; links, limits and clients one each), beyond=false (more machines
-may be lost at once than are to be borne: service may rest, nothing may be lost),
+databases have two; links, limits and clients one each), tolerate=1 (how
+many control machines may be lost at once), beyond=false (more may: service may rest,
+nothing may be lost),
 closing=false (at the end everything is killed, and one disk lost),
 spare_control=false (machines with a control node are struck by nothing, so that
 carriers are held to every bound), troubles: all but split. What may come:
--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -23,7 +23,6 @@
 	slackBound   = 200 * time.Millisecond
 	catchup      = 4 * time.Second
 	grace        = 6 * time.Second
-	tolerate     = 1
 )
 
 // zones is over how many zones the machines are spread.
@@ -96,7 +95,7 @@
 		return nil, err
 	}
 	c := &cluster{listener: listener, plan: plan, program: program, dir: dir, net: newLoopback(newLinks(uint64(plan.Seed))), platform: &standin.Platform{}}
-	c.losses = newLosses(tolerate)
+	c.losses = newLosses(int(c.plan.Tolerate))
 	if plan.Beyond {
 		c.losses = newLosses(0)
 	}
@@ -203,7 +202,7 @@
 		return err
 	}
 	for _, p := range m.procs {
-		if err := p.write(m.settings(p, c.seeds, platformAddr(), c.plan.Tier == Gateway, bootstrap)); err != nil {
+		if err := p.write(m.settings(p, c.plan, c.seeds, platformAddr(), bootstrap)); err != nil {
 			return fmt.Errorf("testbed: %w", err)
 		}
 		if err := p.start(); err != nil {
--- a/internal/testbed/losses.go
+++ b/internal/testbed/losses.go
@@ -75,7 +75,8 @@
 // its: the others may have been lost meanwhile, where there is no bound on that.
 const diskCatchup = 20 * time.Second
 
-// takeDisk notes that a machine loses its disk, if one may be lost now.
+// takeDisk notes that a machine loses its disk, if one may be lost now: where there is a bound
+// on machines it holds for disks too.
 func (l *losses) takeDisk(m *machine) bool {
 	if !l.take(m) {
 		return false
@@ -83,13 +84,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if now.Before(l.disks) || l.others(m) > 0 {
+	if l.most == 0 && (now.Before(l.disks) || l.others(m) > 0) {
 		l.lost[m].troubles--
 		return false
 	}
 	l.disks = now.Add(diskCatchup)
-	if l.most > 0 {
-		l.disks = now // the bound on machines holds for disks too
-	}
 	return true
 }
--- a/internal/testbed/machine.go
+++ b/internal/testbed/machine.go
@@ -189,14 +189,14 @@
 }
 
 // settings are those of a process of the machine.
-func (m *machine) settings(p *process, seeds []string, platform string, gateways, bootstrap bool) string {
+func (m *machine) settings(p *process, plan Plan, seeds []string, platform string, bootstrap bool) string {
 	var b strings.Builder
 	line := func(key string, value any) { fmt.Fprintf(&b, "%s=%v\n", key, value) }
 	line("node_name", m.name)
 	line("role", p.role)
 	line("ip", m.ip)
 	line("listen.bind_ip", m.bind)
-	if p.role == Gateway || gateways {
+	if plan.Tier == Gateway {
 		line("deploy", "api")
 	}
 	line("limits.max_fds", maxDescriptors)
@@ -210,7 +210,7 @@
 	if p.role == controlRole {
 		line("data_dir", p.dir)
 	}
-	line("tolerate.hosts", tolerate)
+	line("tolerate.hosts", plan.Tolerate)
 	line("bounds.drain_ms", drainBound.Milliseconds())
 	line("bounds.contact_ms", contactBound.Milliseconds())
 	line("bounds.apply_ms", applyBound.Milliseconds())
--- a/internal/testbed/plan.go
+++ b/internal/testbed/plan.go
@@ -79,6 +79,8 @@
 	// many there are of machines; databases have two, links, limits and clients one each.
 	PauseMs   int64 `key:"pause_ms" default:"1500" validate:"gte=0,lte=600000"`
 	Timelines int64 `key:"timelines" default:"2" validate:"gte=1,lte=8"`
+	// Tolerate is how many machines with a control node may be lost at once.
+	Tolerate int64 `key:"tolerate" default:"1" validate:"gte=1,lte=3"`
 	// Beyond lets more machines be lost at once than may be; service may rest then.
 	Beyond bool `key:"beyond"`
 	// SpareControl has machines with a control node be struck by nothing, so that carriers are
