Leaving: what a process overslept is part of its grace

Cause: the grace of a process that is told to end was taken from when it heard so. Told while it stood still, it heard it when it went on, 2.6 s late, and was killed with that much of its plan left, statements unanswered. The class: a timer across a freeze.

Change: a process that has only just gone on takes the time that it stood still off its grace (kernel.Stalls.Left); 0.6 s are left for last answers in any case.

--- a/cmd/indigowalk/main.go
+++ b/cmd/indigowalk/main.go
@@ -105,6 +105,14 @@
 	return end
 }
 
+const (
+	// lastSteps is kept of the grace for the end of the process itself.
+	lastSteps = 300 * kernel.Millisecond
+	// shortestEnd is what a process that is told to end takes for its last answers, even
+	// where its grace should be over.
+	shortestEnd = 600 * kernel.Millisecond
+)
+
 func serve(role string, errs io.Writer) int {
 	end := heedSignals()
 	tuneMemory()
@@ -127,7 +135,8 @@
 	defer cancel()
 	go func() {
 		<-end
-		grace := kernel.Micros(book.Now().GraceS)*kernel.Second - 300*kernel.Millisecond
+		grace := kernel.Need[*kernel.Stalls](k).Left(kernel.Micros(book.Now().GraceS) * kernel.Second)
+		grace = max(shortestEnd, grace-lastSteps)
 		left, done := context.WithTimeout(ctx, grace.Duration())
 		k.Leave(left)
 		done()
--- a/internal/gateway/leave.go
+++ b/internal/gateway/leave.go
@@ -27,7 +27,7 @@
 	start := t.k.Clock.Now()
 	t.leaving.Store(true)
 	t.k.Log.Info("leaving")
-	end := start + t.cfg.Grace() - lastAnswers
+	end := start + max(0, t.stalls.Left(t.cfg.Grace())-lastAnswers)
 	if !kernel.Sleep(ctx, min(closeAfter, end-start)) {
 		return
 	}
--- a/internal/kernel/stall.go
+++ b/internal/kernel/stall.go
@@ -24,6 +24,8 @@
 	k     *Kernel
 	until atomic.Int64 // when the last stall was over
 	due   atomic.Int64 // when the next look is due, 0 before the first
+	// lasted is how long the last stall was.
+	lasted atomic.Int64
 }
 
 // NewStalls returns a watch that has seen none.
@@ -48,6 +50,7 @@
 	if late < stallLeast {
 		return
 	}
+	s.lasted.Store(int64(late))
 	s.until.Store(int64(now))
 	s.k.Counters.Add("kernel.stalls", 1)
 	s.k.Counters.Add("kernel.stalled_ms", late.Millis())
@@ -56,6 +59,27 @@
 	}
 }
 
+// Left is what is left of a span that began when this process was told something, if that
+// has just come: it may have come at any moment while the process stood still.
+func (s *Stalls) Left(span Micros) Micros {
+	if s == nil {
+		return span
+	}
+	return max(0, span-s.justOver())
+}
+
+// justOver is how long the process stood still, if it has only just gone on.
+func (s *Stalls) justOver() Micros {
+	now := s.k.Clock.Now()
+	if due := Micros(s.due.Load()); due > 0 && now >= due+stallLeast {
+		return now - due
+	}
+	if now-Micros(s.until.Load()) < stallTick {
+		return Micros(s.lasted.Load())
+	}
+	return 0
+}
+
 // Since tells whether the process stood still at that time or later. A look that is
 // overdue says that it just has.
 func (s *Stalls) Since(at Micros) bool {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -169,8 +169,8 @@
 	start := d.k.Clock.Now()
 	d.leaving.Store(true)
 	d.k.Log.Info("leaving")
-	grace := d.cfg.Grace()
-	half, end := start+grace/2, start+grace-lastAnswers
+	grace := d.stalls.Left(d.cfg.Grace())
+	half, end := start+grace/2, start+max(0, grace-lastAnswers)
 	d.each((*session).leave)
 	var closed, told bool
 	for {
