--- a/internal/pooler/leave_test.go
+++ b/internal/pooler/leave_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"indigowalk/internal/kernel"
+	"indigowalk/internal/memorybudget"
 )
 
 // jumpingClock is a steady clock as a process sees it that stands still now and then.
@@ -46,3 +48,36 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// A statement that has come when a leaving pooler ends its sessions is read, also where the
+// session has not had its turn yet.
+func TestHurryReadsWhatHasCome(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	client, err := net.Dial("tcp4", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	c, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	k := kernel.NewKernel("pooler", nil, slog.New(slog.DiscardHandler))
+	s := newSession(&Pooler{k: k, memory: memorybudget.New(0)}, c)
+	if !s.listen(0) {
+		t.Fatal("a session that nobody told to end does not listen")
+	}
+	if _, err := client.Write([]byte("QUERY s1.1 FETCH x\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.hurry()
+	if line, err := s.r.Line(); err != nil {
+		t.Errorf("what has come is left unread: %q, %v", line, err)
+	}
+}
