Leaving poolers: what has come when sessions are ended is read

Cause: sessions that rest were ended by a read limit in the past, with which a read returns before it looks at the socket. A statement that had come, and whose session had not had its turn on a busy machine, was left unread and its connection closed.

Change: the limit lies 30 ms ahead.

--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -20,6 +20,8 @@
 	// a leaving pooler closes a session that asked nothing for this long
 	restBeforeClose = 150 * kernel.Millisecond
 	writeWait       = 5 * kernel.Second
+	// and in a hurry, for this long
+	restBeforeHurry = 30 * kernel.Millisecond
 	holdLogin       = kernel.Second            // for the first configuration
 	endWait         = 300 * kernel.Millisecond // for a roll-back: closing the connection does as well
 )
@@ -113,7 +115,8 @@
 	defer s.mu.Unlock()
 	s.ending, s.rushed = true, true
 	if !s.asked {
-		s.c.SetReadDeadline(time.Unix(1, 0))
+		// What has come is read yet: a read whose time is over looks at nothing.
+		s.c.SetReadDeadline(time.Now().Add(restBeforeHurry.Duration()))
 	}
 }
 
