--- a/internal/pooler/session.go
+++ b/internal/pooler/session.go
@@ -19,9 +19,9 @@
 	loginWait = 3 * kernel.Second
 	// a leaving pooler closes a session that asked nothing for this long
 	restBeforeClose = 150 * kernel.Millisecond
-	writeWait       = 5 * kernel.Second
-	// and in a hurry, for this long
+	// and for this long once it hurries
 	restBeforeHurry = 30 * kernel.Millisecond
+	writeWait       = 5 * kernel.Second
 	holdLogin       = kernel.Second            // for the first configuration
 	endWait         = 300 * kernel.Millisecond // for a roll-back: closing the connection does as well
 )
