--- a/internal/testbed/cluster.go
+++ b/internal/testbed/cluster.go
@@ -43,8 +43,7 @@
 	mu       sync.Mutex
 	machines []*machine
 	gone     []*machine // whose place others took
-	seeds    []string
-	added    int // machines that came in another's place
+	added    int        // machines that came in another's place
 }
 
 const (
@@ -102,9 +101,6 @@
 	for i := range plan.machines() {
 		c.machines = append(c.machines, c.machine(i, i < int(plan.ControlNodes), i < int(plan.Carriers)))
 	}
-	for _, m := range c.machines[:3] {
-		c.seeds = append(c.seeds, m.controlAddr())
-	}
 	c.tellControls()
 	return c, nil
 }
@@ -196,13 +192,22 @@
 	return nil
 }
 
+// mostSeeds is how many control nodes a process is told of.
+const mostSeeds = 3
+
+// seeds are the first control nodes that there are now.
+func (c *cluster) seeds() []string {
+	controls := c.net.Controls()
+	return controls[:min(mostSeeds, len(controls))]
+}
+
 // startMachine starts a machine's processes.
 func (c *cluster) startMachine(m *machine, bootstrap bool) error {
 	if err := free(m); err != nil {
 		return err
 	}
 	for _, p := range m.procs {
-		if err := p.write(m.settings(p, c.plan, c.seeds, platformAddr(), bootstrap)); err != nil {
+		if err := p.write(m.settings(p, c.plan, c.seeds(), platformAddr(), bootstrap)); err != nil {
 			return fmt.Errorf("testbed: %w", err)
 		}
 		if err := p.start(); err != nil {
