Soak: a stand-in's old primary does not come back as one

A stand-in's primary crashed while it was also struck deaf; when the deafness ended it took the new primary's term, gone as it was, came back as a primary of that term beside the other, and a replica copied its log. The control node's log shows it known as a primary 0.4 s after the lead had moved. TestStandinReturnsAsAReplica failed before; only a replica that runs catches up now.

--- a/internal/simulation/standin_test.go
+++ b/internal/simulation/standin_test.go
@@ -64,3 +64,23 @@
 		})
 	}
 }
+
+// A stand-in's primary that went while it was deaf, and is deaf no more before it is back,
+// comes back as a replica if another leads by then.
+func TestStandinReturnsAsAReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := NewWorld(t, 1, 3)
+		defer w.Close()
+		g := w.Group("ledger")
+		old := g.Lead()
+		old.Deaf(true)
+		old.Crash(false)
+		g.PromoteTo(g.DB(1).ID)
+		time.Sleep(time.Second)
+		old.Deaf(false)
+		old.Return("ledger-1b")
+		if lead := g.DB(1); old.Role() != "replica" || g.Lead() != lead {
+			t.Errorf("the old primary is back as a %s, and %v leads", old.Role(), g.Lead().ID)
+		}
+	})
+}
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -107,7 +107,7 @@
 func (d *Database) Deaf(deaf bool) {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
-	if d.deaf = deaf; !deaf {
+	if d.deaf = deaf; !deaf && d.alive && d.role == replica {
 		d.catchUp()
 	}
 }
