--- a/internal/connpool/dial_test.go
+++ b/internal/connpool/dial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,12 +18,11 @@
 	kernel.Network
 	stands   time.Duration
 	failures int
-	calls    int
+	calls    atomic.Int64
 }
 
 func (f *frozenNetwork) Dial(ctx context.Context, _ string, _ kernel.Micros) (net.Conn, error) {
-	f.calls++
-	if f.calls > f.failures {
+	if f.calls.Add(1) > int64(f.failures) {
 		c, far := net.Pipe()
 		far.Close()
 		return c, nil
