--- a/internal/kernel/metrics_test.go
+++ b/internal/kernel/metrics_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -72,10 +73,10 @@
 // jumpingClock is a clock that stands still for a while when it is told to.
 type jumpingClock struct {
 	Clock
-	ahead Micros
+	ahead atomic.Int64
 }
 
-func (c *jumpingClock) Now() Micros { return c.Clock.Now() + c.ahead }
+func (c *jumpingClock) Now() Micros { return c.Clock.Now() + Micros(c.ahead.Load()) }
 
 // A process that stood still is noticed, before its own watch has run again too.
 func TestStalls(t *testing.T) {
@@ -92,7 +93,7 @@
 		if began := k.Clock.Now(); s.Since(began-Second) || k.Counters.Of("kernel.stalls").Load() != 0 {
 			t.Error("a stall where there was none")
 		}
-		clock.ahead += 2 * Second
+		clock.ahead.Add(int64(2 * Second))
 		if !s.Since(k.Clock.Now() - Second) {
 			t.Error("a stall that has just ended is not noticed")
 		}
--- a/internal/quota/client_test.go
+++ b/internal/quota/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,7 @@
 	*testing.T
 	client *Client
 	ledger *Ledger
-	asked  int
+	asked  atomic.Int64
 	away   bool
 }
 
@@ -30,7 +31,7 @@
 		f.ledger = NewLedger(1, k.Clock.Now(), testLease, strict)
 		f.ledger.SetLimits(k.Clock.Now(), map[string]Limit{"ann": limit, "bob": limit})
 		f.client = NewClient(k, "a", func(_ context.Context, q ask) (answer, error) {
-			f.asked++
+			f.asked.Add(1)
 			time.Sleep(time.Millisecond)
 			if f.away {
 				return answer{}, errors.New("not reached")
@@ -73,8 +74,8 @@
 				f.Errorf("no limit: %v after %v", ok, took)
 			}
 		}
-		if f.asked != 0 {
-			f.Errorf("asked %d times for a tenant without a limit", f.asked)
+		if f.asked.Load() != 0 {
+			f.Errorf("asked %d times for a tenant without a limit", f.asked.Load())
 		}
 		for range 20 {
 			time.Sleep(3 * time.Second)
@@ -82,10 +83,10 @@
 				f.Errorf("seldom used: %v after %v", ok, took)
 			}
 		}
-		if f.asked != 20 {
-			f.Errorf("asked %d times for 20 operations, one in 3 s", f.asked)
+		if f.asked.Load() != 20 {
+			f.Errorf("asked %d times for 20 operations, one in 3 s", f.asked.Load())
 		}
-		f.asked = 0
+		f.asked.Store(0)
 		waited := 0
 		for i := range 1000 {
 			time.Sleep(20 * time.Millisecond)
@@ -97,8 +98,8 @@
 				waited++
 			}
 		}
-		if f.asked > 150 || waited > 20 {
-			f.Errorf("asked %d times for 1,000 operations, of which %d waited", f.asked, waited)
+		if f.asked.Load() > 150 || waited > 20 {
+			f.Errorf("asked %d times for 1,000 operations, of which %d waited", f.asked.Load(), waited)
 		}
 		time.Sleep(2 * time.Second)
 		if held := f.client.Uses()["ann"].Held; held != 0 {
@@ -135,8 +136,8 @@
 				served++
 			}
 		}
-		if served < 180 || served > 212 || slowest > 100*time.Millisecond || f.asked > 400 {
-			f.Errorf("%d of %d served, the slowest after %v, with %d calls", served, sent, slowest, f.asked)
+		if served < 180 || served > 212 || slowest > 100*time.Millisecond || f.asked.Load() > 400 {
+			f.Errorf("%d of %d served, the slowest after %v, with %d calls", served, sent, slowest, f.asked.Load())
 		}
 	})
 }
@@ -205,8 +206,8 @@
 			f.Errorf("a leave for %d ms", left.Millis())
 		}
 		f.client.Unused(a)
-		asked := f.asked
-		if ok, took := f.spend("ann", limit); !ok || took > 0 || f.asked != asked {
+		asked := f.asked.Load()
+		if ok, took := f.spend("ann", limit); !ok || took > 0 || f.asked.Load() != asked {
 			f.Errorf("what was not sent: %v after %v", ok, took)
 		}
 		b, err := f.client.Admit("ann", limit, 100*kernel.Millisecond)
@@ -266,8 +267,8 @@
 				f.Error("refused")
 			}
 		}
-		if f.asked < 3000/mostAsked || f.asked > 20 {
-			f.Errorf("asked %d times", f.asked)
+		if f.asked.Load() < 3000/mostAsked || f.asked.Load() > 20 {
+			f.Errorf("asked %d times", f.asked.Load())
 		}
 		time.Sleep(3 * forgetAfter.Duration())
 		if n := len(f.client.allotments); n > 0 {
