Review case 2: acknowledged commits are lost where a new replica is not known yet

The other replica receives nothing for a while and the primary crashes: that replica is promoted though the manager knows that acknowledged commits reach further.

--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -12,6 +12,7 @@
 // cases are the plays, by name.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (int, error){
 	"deregister-first": deregisterFirst,
+	"late-first-beat":  lateFirstBeat,
 }
 
 // claims is the service of the cases.
@@ -28,13 +29,15 @@
 	if err = w.configure(ctx, claims); err != nil {
 		return
 	}
-	at := func(n int) string { return fmt.Sprintf("%s%d:%d", w.prefix, 100+n, databasePort) }
-	p, err1 := g.add("i-p", at(1), "hall-1", leads, 0)
-	r, err2 := g.add("i-r", at(2), "hall-2", follows, time.Millisecond)
-	d, err3 := g.add("i-d", at(3), "hall-3", follows, time.Millisecond)
+	p, err1 := g.add("i-p", w.at(1), "hall-1", leads, 0, 0)
+	r, err2 := g.add("i-r", w.at(2), "hall-2", follows, time.Millisecond, 0)
+	d, err3 := g.add("i-d", w.at(3), "hall-3", follows, time.Millisecond, 0)
 	return g, p, r, d, errors.Join(err1, err2, err3)
 }
 
+// at is the address of a database.
+func (w *world) at(n int) string { return fmt.Sprintf("%s%d:%d", w.prefix, 100+n, databasePort) }
+
 // written waits until so many writes have been acknowledged.
 func (g *group) written(ctx context.Context, n int) error {
 	for ctx.Err() == nil {
@@ -108,12 +111,7 @@
 	pause(ctx, 8*time.Second)
 	stop()
 	clients.Wait()
-	acked, lost := g.counts()
-	w.record("end", "%d writes acknowledged, %d of them not in the log of a promoted database", acked, lost)
-	if lost > 0 {
-		return broken, nil
-	}
-	return held, nil
+	return w.judgeLost(g), nil
 }
 
 // drain has a database say from now on that it drains.
@@ -129,3 +127,68 @@
 	defer g.mu.Unlock()
 	d.deaf = !hears
 }
+
+// lateFirstBeat has a replica be released: the new one starts first, and its beats come
+// 3 s late; the old one says that it drains. Meanwhile the other replica receives nothing
+// for a while and the primary crashes; it is back, with its log, later.
+func lateFirstBeat(ctx context.Context, w *world, trouble bool) (int, error) {
+	g, p, r, d, err := w.ledger(ctx)
+	if err != nil {
+		return noRun, err
+	}
+	traffic, stop := context.WithCancel(ctx)
+	defer stop()
+	clients := w.writers(traffic, g, 8)
+	if err := g.written(ctx, 50); err != nil {
+		return noRun, err
+	}
+	pause(ctx, 2*time.Second)
+	late := 3 * time.Second
+	n, err := g.add("i-n", w.at(4), "hall-4", follows, time.Millisecond, late)
+	if err != nil {
+		return noRun, err
+	}
+	w.record("database", "%s starts; its beats come %v late", n.id, late)
+	pause(ctx, 300*time.Millisecond)
+	g.drain(d)
+	if !d.beat() {
+		return noRun, errors.New("the leaving was not acknowledged")
+	}
+	w.record("database", "it is acknowledged that %s drains; it serves on for 10 s", d.id)
+	leaves := time.AfterFunc(10*time.Second, func() {
+		d.deregister(time.Second)
+		w.record("database", "%s ends", d.id)
+		d.crash()
+	})
+	defer leaves.Stop()
+	pause(ctx, 1200*time.Millisecond)
+	if trouble {
+		w.record("trouble", "%s receives nothing from now on, for 6 s", r.id)
+		g.hear(r, false)
+		pause(ctx, 600*time.Millisecond)
+		w.record("trouble", "the primary %s crashes, for 7 s", p.id)
+		p.crash()
+		pause(ctx, 5400*time.Millisecond)
+		g.hear(r, true)
+		w.record("trouble", "%s receives again", r.id)
+		pause(ctx, 1600*time.Millisecond)
+		if err := p.comeBack("i-p2"); err != nil {
+			return noRun, err
+		}
+		w.record("trouble", "the database that crashed is back as i-p2 with its log")
+	}
+	pause(ctx, 8*time.Second)
+	stop()
+	clients.Wait()
+	return w.judgeLost(g), nil
+}
+
+// judgeLost tells whether an acknowledged write was lost.
+func (w *world) judgeLost(g *group) int {
+	acked, lost := g.counts()
+	w.record("end", "%d writes acknowledged, %d of them not in the log of a promoted database", acked, lost)
+	if lost > 0 {
+		return broken
+	}
+	return held
+}
--- a/review/world/databases.go
+++ b/review/world/databases.go
@@ -65,6 +65,7 @@
 	alive    bool
 	deaf     bool
 	lag      time.Duration // of what it receives
+	late     time.Duration // of its beats, on their way
 	call     int64
 	draining bool
 	listener net.Listener
@@ -78,9 +79,9 @@
 	return g
 }
 
-// add starts a database.
-func (g *group) add(id, addr, zone, role string, lag time.Duration) (*database, error) {
-	d := &database{g: g, id: id, addr: addr, zone: zone, role: role, term: 1, lag: lag}
+// add starts a database, whose beats are late by a span.
+func (g *group) add(id, addr, zone, role string, lag, late time.Duration) (*database, error) {
+	d := &database{g: g, id: id, addr: addr, zone: zone, role: role, term: 1, lag: lag, late: late}
 	g.mu.Lock()
 	g.dbs = append(g.dbs, d)
 	g.mu.Unlock()
@@ -260,7 +261,7 @@
 	t := time.NewTicker(beatEvery)
 	defer t.Stop()
 	for {
-		d.beat()
+		go d.beat()
 		select {
 		case <-ctx.Done():
 			return
@@ -284,8 +285,9 @@
 		"svc": d.g.service, "address": d.addr, "zone": d.zone, "rev": "v1", "slots": 7, "status": status,
 		"warmup_left_ms": 0, "call_seq": d.call, "target_role": d.role,
 	})
-	id := d.id
+	id, late := d.id, d.late
 	d.g.mu.Unlock()
+	time.Sleep(late)
 	return err == nil && d.g.w.callControl("/Servers.Heartbeat/"+id, nil, body) == http.StatusOK
 }
 
