--- a/review/world/cases.go
+++ b/review/world/cases.go
@@ -13,6 +13,8 @@
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) (int, error){
 	"deregister-first": deregisterFirst,
 	"late-first-beat":  lateFirstBeat,
+	"two-disks":        twoDisks,
+	"third-disk":       thirdDisk,
 }
 
 // claims is the service of the cases.
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -56,6 +56,8 @@
 	prefix  string // of the addresses
 	command map[string][]string
 	machine []*machine
+	roles   []string // that each machine runs
+	extra   [][2]any // settings that differ from those below
 
 	mu  sync.Mutex
 	out *os.File
@@ -98,7 +100,7 @@
 		return noRun
 	}
 	defer os.RemoveAll(dir)
-	w := &world{dir: dir, began: time.Now(), out: out}
+	w := &world{dir: dir, began: time.Now(), out: out, roles: []string{"control", "pooler"}}
 	defer w.end()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -151,7 +153,7 @@
 }
 
 // start starts a small deployment: as many machines as asked for, each with a control
-// node and a pooler.
+// node and a pooler, or the roles that were set.
 func (w *world) start(machines int) error {
 	if err := errors.Join(w.addresses(), w.commands()); err != nil {
 		return err
@@ -162,7 +164,7 @@
 		})
 	}
 	for _, m := range w.machine {
-		for _, role := range []string{"control", "pooler"} {
+		for _, role := range w.roles {
 			if err := w.launch(m, role, true); err != nil {
 				return err
 			}
@@ -178,7 +180,7 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", o.ip, controlPort))
 	}
 	var b strings.Builder
-	for _, line := range [][2]any{
+	for _, line := range append([][2]any{
 		{"node_name", m.name}, {"role", role}, {"machine_class", "edge"}, {"ip", m.ip}, {"zone", m.zone}, {"region", "here"},
 		{"listen.client_addr", fmt.Sprintf("%s:%d", m.ip, clientPort)}, {"listen.ready_addr", fmt.Sprintf("%s:%d", m.ip, readyPort)},
 		{"listen.control_addr", fmt.Sprintf("%s:%d", m.ip, controlPort)}, {"port_range", fmt.Sprintf("%d,%d", firstPort, lastPort)},
@@ -188,7 +190,7 @@
 		{"bounds.drain_ms", 7000}, {"bounds.grace_s", 6}, {"bounds.loss_slack_ms", 200}, {"bounds.apply_ms", 3000}, {"bounds.revert_slack_ms", 250},
 		{"bounds.skew_max_ms", 12000}, {"bounds.recovery_s", 12}, {"bounds.fencing", false}, {"bounds.unfreeze_ms", 300},
 		{"platform.address", fmt.Sprintf("%s200:%d", w.prefix, platformPort)}, {"platform.rate_per_s", 50.0}, {"platform.duties", "failover"}, {"platform.duties_per_s", 50.0},
-	} {
+	}, w.extra...) {
 		fmt.Fprintf(&b, "%v=%v\n", line[0], line[1])
 	}
 	path := filepath.Join(w.dir, m.name+"-"+role+".conf")
@@ -230,7 +232,7 @@
 			continue
 		}
 		for line := range strings.Lines(string(raw)) {
-			if strings.Contains(line, "lead") || strings.Contains(line, "database ") || strings.Contains(line, "move ") {
+			if strings.Contains(line, "lead") || strings.Contains(line, "database ") || strings.Contains(line, "move ") || strings.Contains(line, "primary") || strings.Contains(line, "itness") {
 				w.record("control log", "%s", strings.TrimSpace(line))
 			}
 		}
