--- a/review/play2/client.go
+++ b/review/play2/client.go
@@ -16,6 +16,18 @@
 	codes map[string]int       // number of answers by code
 }
 
+// awaitWrite waits until one more write is answered with success, for a second at most.
+func (l *ledger) awaitWrite() {
+	count := func() int {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.acked)
+	}
+	for before, end := count(), time.Now().Add(time.Second); count() == before && time.Now().Before(end); {
+		time.Sleep(200 * time.Microsecond)
+	}
+}
+
 // client is one session that sends single statements, one after the other.
 type client struct {
 	rec  *recorder
--- a/review/play2/database.go
+++ b/review/play2/database.go
@@ -38,6 +38,15 @@
 	term     int
 	dbs      []*database
 	promoted []promotion
+	reads    map[string]read     // where reads ran, by id; nil if that is not needed
+	commits  map[string]position // where writes were committed, by id
+	twice    []string            // ids of writes that were committed more than once
+}
+
+// read is where a read ran: the newest entry in the log of its database.
+type read struct {
+	last position
+	id   string
 }
 
 // promotion is what a database held when it took the lead.
@@ -66,6 +75,7 @@
 	alive    bool
 	draining bool
 	seq      int
+	deaf     bool       // receives nothing from its primary
 	received *sync.Cond // signalled when a replica has received something
 	conns    map[net.Conn]bool
 	listener net.Listener
@@ -129,6 +139,59 @@
 	d.s.mu.Unlock()
 }
 
+// restart starts a database that has crashed, with its log and another id.
+func (d *database) restart(id string) error {
+	ln, err := net.Listen("tcp4", d.addr())
+	if err != nil {
+		return err
+	}
+	d.s.mu.Lock()
+	d.id, d.seq, d.paused, d.alive, d.listener, d.draining = id, 0, 0, true, ln, false
+	if d.term < d.s.term {
+		d.primary = false
+	}
+	if !d.primary && !d.deaf {
+		d.catchUp()
+	}
+	d.s.c.rec.printf("database %s starts again, primary %v, its log reaches %s", id, d.primary, d.last())
+	d.s.mu.Unlock()
+	go d.accept(ln)
+	go d.beat()
+	return nil
+}
+
+// setDeaf stops a replica from receiving anything, or lets it receive again.
+func (d *database) setDeaf(deaf bool) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.deaf = deaf
+	d.s.c.rec.printf("database %s receives nothing: %v", d.id, deaf)
+	if !deaf && d.alive && !d.primary && d.paused == 0 {
+		d.catchUp()
+	}
+}
+
+// leave says that the database is draining, serves on for drain_ms after that was acknowledged and a
+// little longer, deregisters and ends.
+func (d *database) leave() {
+	d.s.mu.Lock()
+	d.draining = true
+	d.s.mu.Unlock()
+	d.sendBeat()
+	time.Sleep(7300 * time.Millisecond)
+	for _, addr := range d.s.c.controls() {
+		if status, _ := call(http.MethodPost, addr, "/Servers.Deregister/"+d.id, nil, nil); status/100 == 2 {
+			break
+		}
+	}
+	d.s.mu.Lock()
+	alive := d.alive
+	d.s.mu.Unlock()
+	if alive {
+		d.crash()
+	}
+}
+
 // stop ends all databases.
 func (s *service) stop() {
 	for _, d := range s.dbs {
@@ -140,9 +203,13 @@
 
 // beat sends the heartbeats of the database, about every heartbeat_ms.
 func (d *database) beat() {
+	own := ""
 	for {
 		d.s.mu.Lock()
-		alive := d.alive
+		if own == "" {
+			own = d.id
+		}
+		alive := d.alive && d.id == own
 		d.s.mu.Unlock()
 		if !alive {
 			return
@@ -208,6 +275,7 @@
 	readOnly bool
 	writes   []string
 	prepared map[string]string
+	options  map[string]string
 }
 
 // serve answers the messages of one connection.
@@ -228,7 +296,7 @@
 		fmt.Fprintf(c, "ERROR WRONGNODE %s\r\n", d.id)
 		return
 	}
-	s := &session{d: d, state: 'I', prepared: map[string]string{}}
+	s := &session{d: d, state: 'I', prepared: map[string]string{}, options: map[string]string{}}
 	for {
 		d.s.mu.Lock()
 		alive, last := d.alive, d.last()
@@ -266,7 +334,15 @@
 	verb, rest, _ := strings.Cut(text, " ")
 	first, more, _ := strings.Cut(rest, " ")
 	switch verb {
-	case "OPTION", "CLOSE", "DISCARD":
+	case "OPTION":
+		s.options[first] = more
+		return "COMPLETE -\r\n", true
+	case "CLOSE":
+		delete(s.prepared, first)
+		return "COMPLETE -\r\n", true
+	case "DISCARD":
+		clear(s.options)
+		clear(s.prepared)
 		return "COMPLETE -\r\n", true
 	case "PARSE":
 		s.prepared[first] = more
@@ -295,14 +371,24 @@
 	case "ABORT":
 		s.state, s.writes = 'I', nil
 		return "COMPLETE -\r\n", true
-	case "RUN":
-		verb, _, _ = strings.Cut(s.prepared[first], " ")
+	}
+	shape := "-"
+	if verb == "RUN" {
+		if s.prepared[first] == "" {
+			return "ERROR NOSUCH " + first + "\r\n", true
+		}
+		verb, shape, _ = strings.Cut(s.prepared[first], " ")
 	}
 	d.s.c.rec.printf("%s runs %s %s", d.id, id, text)
 	time.Sleep(time.Millisecond)
 	switch verb {
 	case "FETCH":
-		return "ROW x\r\n" + complete(id), true
+		d.s.mu.Lock()
+		if d.s.reads != nil {
+			d.s.reads[id] = read{d.last(), d.id}
+		}
+		d.s.mu.Unlock()
+		return fmt.Sprintf("ROW %s %s %s\r\n", id, s.options["colour"], shape) + complete(id), true
 	case "PUT":
 		s.writes = append(s.writes, id)
 		if s.state == 'T' {
@@ -336,6 +422,14 @@
 		number = d.log[n-1].pos.number + 1
 	}
 	e := entry{position{d.term, number}, ids}
+	if d.s.commits != nil {
+		for _, id := range ids {
+			if _, known := d.s.commits[id]; known {
+				d.s.twice = append(d.s.twice, id)
+			}
+			d.s.commits[id] = e.pos
+		}
+	}
 	d.log = append(d.log, e)
 	end := len(d.log)
 	acked := false
@@ -344,7 +438,7 @@
 			time.AfterFunc(r.lag, func() {
 				d.s.mu.Lock()
 				defer d.s.mu.Unlock()
-				if d.alive && d.primary && r.alive && !r.primary && r.paused == 0 && r.term <= d.term {
+				if d.alive && d.primary && r.alive && !r.deaf && !r.primary && r.paused == 0 && r.term <= d.term {
 					if len(r.log) < end || r.term < d.term {
 						r.log, r.term = append([]entry(nil), d.log[:end]...), d.term
 					}
@@ -422,7 +516,18 @@
 		s.promoted = append(s.promoted, promotion{id, s.term, append([]entry(nil), target.log...), time.Now()})
 		s.c.rec.printf("platform: %s leads term %d with a log up to %s", id, s.term, target.last())
 		for _, d := range s.dbs {
-			if d != target && d.alive && !d.primary {
+			if d != target && d.alive && d.primary {
+				time.AfterFunc(time.Second, func() {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					if d.alive && d.primary && d.term < s.term {
+						d.primary = false
+						d.catchUp()
+						d.received.Broadcast()
+					}
+				})
+			}
+			if d != target && d.alive && !d.primary && !d.deaf {
 				if target.last().less(d.last()) {
 					s.c.rec.printf("platform: %s held %s and is cut back", d.id, d.last())
 				}
@@ -436,7 +541,7 @@
 }
 
 // servePlatform serves the platform's API.
-func servePlatform(c *cluster, s *service, promoteTime time.Duration) (*http.Server, error) {
+func servePlatform(c *cluster, promoteTime time.Duration, services ...*service) (*http.Server, error) {
 	ln, err := net.Listen("tcp4", c.platformAddr())
 	if err != nil {
 		return nil, err
@@ -447,7 +552,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		status := s.promote(body.ID, promoteTime)
+		status := http.StatusConflict
+		for _, s := range services {
+			if s.name == body.Svc {
+				status = s.promote(body.ID, promoteTime)
+			}
+		}
 		c.rec.printf("platform: POST /failover %s %s by %s with fence %s: %d", body.Svc, body.ID, q.Header.Get("X-Indigowalk-Duty-Holder"), q.Header.Get("X-Indigowalk-Fence"), status)
 		w.WriteHeader(status)
 	})}
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -40,7 +40,7 @@
 	record := flag.String("record", "record.txt", "file for the record of the run")
 	program := flag.String("program", "target/indigowalk", "the program under test")
 	flag.Parse()
-	scenarios := map[string]scenario{"late-beat": lateBeat}
+	scenarios := map[string]scenario{"late-beat": lateBeat, "soak": soak, "dropped": droppedDatabase}
 	play := scenarios[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -87,7 +87,7 @@
 	defer c.stop()
 	s := &service{c: c, name: "huvo11a", term: 1}
 	defer s.stop()
-	platform, err := servePlatform(c, s, 600*time.Millisecond)
+	platform, err := servePlatform(c, 600*time.Millisecond, s)
 	if err != nil {
 		return couldNot, err.Error()
 	}
