--- a/review/play2/database.go
+++ b/review/play2/database.go
@@ -160,6 +160,13 @@
 	return nil
 }
 
+// setBeatDelay sets how long the beats take from now on.
+func (d *database) setBeatDelay(delay time.Duration) {
+	d.s.mu.Lock()
+	defer d.s.mu.Unlock()
+	d.beatDelay = delay
+}
+
 // setDeaf stops a replica from receiving anything, or lets it receive again.
 func (d *database) setDeaf(deaf bool) {
 	d.s.mu.Lock()
@@ -234,16 +241,16 @@
 		"svc": d.s.name, "address": d.addr(), "zone": d.zone, "rev": "v1", "slots": 7, "status": status,
 		"warmup_left_ms": 0, "target_role": role, "call_seq": d.seq,
 	})
-	seq := d.seq
+	seq, id, delay := d.seq, d.id, d.beatDelay
 	d.s.mu.Unlock()
-	time.Sleep(d.beatDelay)
+	time.Sleep(delay)
 	addrs := d.s.c.controls()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	for _, addr := range addrs {
-		status, _ := call(http.MethodPost, addr, "/Servers.Heartbeat/"+d.id, nil, body)
+		status, _ := call(http.MethodPost, addr, "/Servers.Heartbeat/"+id, nil, body)
 		if status/100 == 2 {
 			if seq < 3 {
-				d.s.c.rec.printf("beat %d of %s acknowledged by %s", seq, d.id, addr)
+				d.s.c.rec.printf("beat %d of %s acknowledged by %s", seq, id, addr)
 			}
 			return
 		}
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -138,7 +138,13 @@
 	if trouble {
 		rec.printf("zone %s loses power", lost.zone)
 		dbs[0].crash()
-		if os.Getenv("ONLY_DATABASE") == "" {
+		switch os.Getenv("WITH") {
+		case "nothing": // the database alone
+		case "control":
+			if lead := c.controlPrimary(); lead != nil {
+				lead.kill("control")
+			}
+		default:
 			lost.killAll()
 		}
 	}
--- a/review/play2/soak.go
+++ b/review/play2/soak.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -250,8 +251,8 @@
 	if status := c.order(readyWait, "/Conf.Replace", map[string]string{"X-Indigowalk-Base-Version": "0"}, configuration(7, s.name)); status != 200 {
 		return couldNot, fmt.Sprint("the configuration was answered ", status)
 	}
-	created := 0
-	nextID := func() string { created++; return fmt.Sprint("i-", created) }
+	var created atomic.Int64
+	nextID := func() string { return fmt.Sprint("i-", created.Add(1)) }
 	for i := range 3 {
 		if _, err := s.add(nextID(), c.ip(100+i), zones[i], i == 0, time.Duration(1+r.IntN(40))*time.Millisecond, 0); err != nil {
 			return couldNot, err.Error()
@@ -304,7 +305,7 @@
 	for_ := time.Duration(1000+r.IntN(3000)) * time.Millisecond
 	allowed := os.Getenv("EVENTS")
 	for {
-		name := []string{"crash-primary", "crash-replica", "kill-pooler", "kill-control", "release", "stop-pooler", "stop-control", "deaf", "term-pooler", "release-primary", "zone"}[r.IntN(11)]
+		name := []string{"crash-primary", "crash-replica", "kill-pooler", "kill-control", "release", "stop-pooler", "stop-control", "deaf", "term-pooler", "release-primary", "zone", "flap"}[r.IntN(12)]
 		if allowed != "" && !strings.Contains(","+allowed+",", ","+name+",") {
 			continue
 		}
@@ -322,6 +323,21 @@
 			d := running[r.IntN(len(running))]
 			d.crash()
 			time.AfterFunc(for_, func() { d.restart(nextID()) })
+		case "flap":
+			if len(running) < 2 {
+				return "none"
+			}
+			d := running[r.IntN(len(running))]
+			go func() {
+				for range 3 {
+					d.crash()
+					time.Sleep(300 * time.Millisecond)
+					d.setBeatDelay(time.Duration(rand.IntN(3)) * 1200 * time.Millisecond)
+					d.restart(nextID())
+					time.Sleep(time.Duration(300+rand.IntN(900)) * time.Millisecond)
+				}
+				d.setBeatDelay(0)
+			}()
 		case "kill-pooler":
 			m.kill("pooler")
 			time.AfterFunc(500*time.Millisecond, func() { m.start("pooler", false) })
