--- a/review/play2/client.go
+++ b/review/play2/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync"
@@ -71,7 +72,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(pause):
+		case <-time.After(pause*3/4 + rand.N(pause/2)): // clients do not act in step
 		}
 		k.n++
 		id := fmt.Sprintf("%s.%d", k.name, k.n)
--- a/review/play2/cluster.go
+++ b/review/play2/cluster.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -209,20 +208,6 @@
 	return m.start("pooler", bootstrap)
 }
 
-// signal sends a signal to one process of the machine.
-func (m *machine) signal(role string, sig syscall.Signal) {
-	m.mu.Lock()
-	cmd := m.procs[role]
-	m.mu.Unlock()
-	if cmd == nil {
-		return
-	}
-	m.c.rec.printf("signal %v to %s %s, process %d", sig, m.name, role, cmd.Process.Pid)
-	if err := cmd.Process.Signal(sig); err != nil {
-		m.c.rec.printf("signal: %v", err)
-	}
-}
-
 // kill kills one process of the machine and waits for its end.
 func (m *machine) kill(role string) {
 	m.mu.Lock()
--- a/review/play2/database.go
+++ b/review/play2/database.go
@@ -38,15 +38,6 @@
 	term     int
 	dbs      []*database
 	promoted []promotion
-	reads    map[string]read     // where reads ran, by id; nil if that is not needed
-	commits  map[string]position // where writes were committed, by id
-	twice    []string            // ids of writes that were committed more than once
-}
-
-// read is where a read ran: the newest entry in the log of its database.
-type read struct {
-	last position
-	id   string
 }
 
 // promotion is what a database held when it took the lead.
@@ -73,9 +64,7 @@
 	paused   int
 	log      []entry
 	alive    bool
-	draining bool
 	seq      int
-	deaf     bool       // receives nothing from its primary
 	received *sync.Cond // signalled when a replica has received something
 	conns    map[net.Conn]bool
 	listener net.Listener
@@ -139,66 +128,6 @@
 	d.s.mu.Unlock()
 }
 
-// restart starts a database that has crashed, with its log and another id.
-func (d *database) restart(id string) error {
-	ln, err := net.Listen("tcp4", d.addr())
-	if err != nil {
-		return err
-	}
-	d.s.mu.Lock()
-	d.id, d.seq, d.paused, d.alive, d.listener, d.draining = id, 0, 0, true, ln, false
-	if d.term < d.s.term {
-		d.primary = false
-	}
-	if !d.primary && !d.deaf {
-		d.catchUp()
-	}
-	d.s.c.rec.printf("database %s starts again, primary %v, its log reaches %s", id, d.primary, d.last())
-	d.s.mu.Unlock()
-	go d.accept(ln)
-	go d.beat()
-	return nil
-}
-
-// setBeatDelay sets how long the beats take from now on.
-func (d *database) setBeatDelay(delay time.Duration) {
-	d.s.mu.Lock()
-	defer d.s.mu.Unlock()
-	d.beatDelay = delay
-}
-
-// setDeaf stops a replica from receiving anything, or lets it receive again.
-func (d *database) setDeaf(deaf bool) {
-	d.s.mu.Lock()
-	defer d.s.mu.Unlock()
-	d.deaf = deaf
-	d.s.c.rec.printf("database %s receives nothing: %v", d.id, deaf)
-	if !deaf && d.alive && !d.primary && d.paused == 0 {
-		d.catchUp()
-	}
-}
-
-// leave says that the database is draining, serves on for drain_ms after that was acknowledged and a
-// little longer, deregisters and ends.
-func (d *database) leave() {
-	d.s.mu.Lock()
-	d.draining = true
-	d.s.mu.Unlock()
-	d.sendBeat()
-	time.Sleep(7300 * time.Millisecond)
-	for _, addr := range d.s.c.controls() {
-		if status, _ := call(http.MethodPost, addr, "/Servers.Deregister/"+d.id, nil, nil); status/100 == 2 {
-			break
-		}
-	}
-	d.s.mu.Lock()
-	alive := d.alive
-	d.s.mu.Unlock()
-	if alive {
-		d.crash()
-	}
-}
-
 // stop ends all databases.
 func (s *service) stop() {
 	for _, d := range s.dbs {
@@ -210,13 +139,9 @@
 
 // beat sends the heartbeats of the database, about every heartbeat_ms.
 func (d *database) beat() {
-	own := ""
 	for {
 		d.s.mu.Lock()
-		if own == "" {
-			own = d.id
-		}
-		alive := d.alive && d.id == own
+		alive := d.alive
 		d.s.mu.Unlock()
 		if !alive {
 			return
@@ -230,15 +155,12 @@
 func (d *database) sendBeat() {
 	d.s.mu.Lock()
 	d.seq++
-	role, status := "replica", "up"
+	role := "replica"
 	if d.primary {
 		role = "primary"
 	}
-	if d.draining {
-		status = "draining"
-	}
 	body, _ := json.Marshal(map[string]any{
-		"svc": d.s.name, "address": d.addr(), "zone": d.zone, "rev": "v1", "slots": 7, "status": status,
+		"svc": d.s.name, "address": d.addr(), "zone": d.zone, "rev": "v1", "slots": 7, "status": "up",
 		"warmup_left_ms": 0, "target_role": role, "call_seq": d.seq,
 	})
 	seq, id, delay := d.seq, d.id, d.beatDelay
@@ -390,11 +312,6 @@
 	time.Sleep(time.Millisecond)
 	switch verb {
 	case "FETCH":
-		d.s.mu.Lock()
-		if d.s.reads != nil {
-			d.s.reads[id] = read{d.last(), d.id}
-		}
-		d.s.mu.Unlock()
 		return fmt.Sprintf("ROW %s %s %s\r\n", id, s.options["colour"], shape) + complete(id), true
 	case "PUT":
 		s.writes = append(s.writes, id)
@@ -429,14 +346,6 @@
 		number = d.log[n-1].pos.number + 1
 	}
 	e := entry{position{d.term, number}, ids}
-	if d.s.commits != nil {
-		for _, id := range ids {
-			if _, known := d.s.commits[id]; known {
-				d.s.twice = append(d.s.twice, id)
-			}
-			d.s.commits[id] = e.pos
-		}
-	}
 	d.log = append(d.log, e)
 	end := len(d.log)
 	acked := false
@@ -445,7 +354,7 @@
 			time.AfterFunc(r.lag, func() {
 				d.s.mu.Lock()
 				defer d.s.mu.Unlock()
-				if d.alive && d.primary && r.alive && !r.deaf && !r.primary && r.paused == 0 && r.term <= d.term {
+				if d.alive && d.primary && r.alive && !r.primary && r.paused == 0 && r.term <= d.term {
 					if len(r.log) < end || r.term < d.term {
 						r.log, r.term = append([]entry(nil), d.log[:end]...), d.term
 					}
@@ -534,7 +443,7 @@
 					}
 				})
 			}
-			if d != target && d.alive && !d.primary && !d.deaf {
+			if d != target && d.alive && !d.primary {
 				if target.last().less(d.last()) {
 					s.c.rec.printf("platform: %s held %s and is cut back", d.id, d.last())
 				}
--- a/review/play2/dropped.go
+++ b/review/play2/dropped.go
@@ -70,7 +70,7 @@
 	stop := make(chan struct{})
 	for i, m := range c.machines {
 		k := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("w", i)}
-		go k.run(stop, "lepu270", 60*time.Millisecond, func(n int) string { return fmt.Sprintf("PUT k%d v%d", n%50, n) })
+		go k.run(stop, "lepu270", 100*time.Millisecond, func(n int) string { return fmt.Sprintf("PUT k%d v%d", n%50, n) })
 		q := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("r", i)}
 		go q.run(stop, "lepu270", 20*time.Millisecond, func(n int) string { return fmt.Sprintf("FETCH k%d", n%50) })
 	}
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -40,7 +40,7 @@
 	record := flag.String("record", "record.txt", "file for the record of the run")
 	program := flag.String("program", "target/indigowalk", "the program under test")
 	flag.Parse()
-	scenarios := map[string]scenario{"late-beat": lateBeat, "soak": soak, "dropped": droppedDatabase}
+	scenarios := map[string]scenario{"late-beat": lateBeat, "dropped": droppedDatabase, "deregister": deregisterAlone}
 	play := scenarios[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
