--- a/review/play2/database.go
+++ b/review/play2/database.go
@@ -261,21 +261,49 @@
 func (s *session) query(id, text string) (string, bool) {
 	d := s.d
 	verb, rest, _ := strings.Cut(text, " ")
+	if answer, ok := s.instant(id, verb, rest); answer != "" || !ok {
+		return answer, ok
+	}
+	shape := "-"
+	if verb == "RUN" {
+		name, _, _ := strings.Cut(rest, " ")
+		if s.prepared[name] == "" {
+			return "ERROR NOSUCH " + name + "\r\n", true
+		}
+		verb, shape, _ = strings.Cut(s.prepared[name], " ")
+	}
+	d.s.c.rec.printf("%s runs %s %s", d.id, id, text)
+	time.Sleep(time.Millisecond)
+	switch verb {
+	case "FETCH":
+		return fmt.Sprintf("ROW %s %s %s\r\n", id, s.options["colour"], shape) + complete(id), true
+	case "PUT":
+		s.writes = append(s.writes, id)
+		if s.state == 'T' {
+			return complete(id), true
+		}
+		return s.commit(id)
+	case "COMMIT":
+		s.state = 'I'
+		return s.commit(id)
+	}
+	return "ERROR MALFORMED " + text + "\r\n", true
+}
+
+// instant runs the texts that are no read, write or commit; the answer is empty if it is another one.
+func (s *session) instant(id, verb, rest string) (answer string, ok bool) {
+	d, success := s.d, "COMPLETE -\r\n"
 	first, more, _ := strings.Cut(rest, " ")
 	switch verb {
 	case "OPTION":
 		s.options[first] = more
-		return "COMPLETE -\r\n", true
 	case "CLOSE":
 		delete(s.prepared, first)
-		return "COMPLETE -\r\n", true
 	case "DISCARD":
 		clear(s.options)
 		clear(s.prepared)
-		return "COMPLETE -\r\n", true
 	case "PARSE":
 		s.prepared[first] = more
-		return "COMPLETE -\r\n", true
 	case "STAT", "PAUSE", "CONTINUE", "STEPDOWN":
 		return d.control(verb, rest), true
 	case "WAITPOS":
@@ -296,34 +324,12 @@
 			return "ERROR RDONLY " + d.id + "\r\n", true
 		}
 		s.state, s.writes, s.readOnly = 'T', nil, rest != ""
-		return "COMPLETE -\r\n", true
 	case "ABORT":
 		s.state, s.writes = 'I', nil
-		return "COMPLETE -\r\n", true
-	}
-	shape := "-"
-	if verb == "RUN" {
-		if s.prepared[first] == "" {
-			return "ERROR NOSUCH " + first + "\r\n", true
-		}
-		verb, shape, _ = strings.Cut(s.prepared[first], " ")
+	default:
+		return "", true
 	}
-	d.s.c.rec.printf("%s runs %s %s", d.id, id, text)
-	time.Sleep(time.Millisecond)
-	switch verb {
-	case "FETCH":
-		return fmt.Sprintf("ROW %s %s %s\r\n", id, s.options["colour"], shape) + complete(id), true
-	case "PUT":
-		s.writes = append(s.writes, id)
-		if s.state == 'T' {
-			return complete(id), true
-		}
-		return s.commit(id)
-	case "COMMIT":
-		s.state = 'I'
-		return s.commit(id)
-	}
-	return "ERROR MALFORMED " + text + "\r\n", true
+	return success, true
 }
 
 // commit appends the session's writes to the log and waits until one replica has received them.
--- a/review/play2/deregister.go
+++ b/review/play2/deregister.go
@@ -29,63 +29,54 @@
 // deregisterAlone plays a replica that leaves by Deregister alone and serves on, and the crash of
 // the primary meanwhile.
 func deregisterAlone(rec *recorder, program string, trouble bool) (int, string) {
-	zones := []string{"burnaby-a", "burnaby-b", "surrey-c", "richmond-d"}
-	c, err := newCluster(rec, program, zones, placesSettings)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer c.stop()
-	s := &service{c: c, name: "huvo11a", term: 1}
-	defer s.stop()
-	platform, err := servePlatform(c, 600*time.Millisecond, s)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer platform.Close()
-	for _, m := range c.machines {
-		if err := m.startAll(true); err != nil {
-			return couldNot, err.Error()
-		}
-	}
-	if status := c.order(readyWait, "/Conf.Replace", map[string]string{"X-Indigowalk-Base-Version": "0"}, configuration(7, s.name)); status != 200 {
-		return couldNot, fmt.Sprint("the configuration was answered ", status)
-	}
+	return playLeaving(rec, program, trouble, leavingPlay{lag: 20 * time.Millisecond, pause: 100 * time.Millisecond})
+}
+
+// releaseAlone plays two databases of a service that are replaced one after the other, a replica and
+// then the primary, both of which leave by Deregister alone and serve on. Nothing crashes.
+func releaseAlone(rec *recorder, program string, trouble bool) (int, string) {
+	return playLeaving(rec, program, trouble, leavingPlay{lag: 60 * time.Millisecond, pause: 120 * time.Millisecond, primaryLeaves: true})
+}
+
+// leavingPlay is what differs between the plays of leaving databases.
+type leavingPlay struct {
+	lag           time.Duration // how far the replicas that stay are behind
+	pause         time.Duration // of a client that writes
+	primaryLeaves bool          // the primary leaves in order, and does not crash
+}
+
+// serveOn is how long a database serves on after its deregistering was acknowledged.
+const serveOn = 15 * time.Second
+
+// playLeaving plays a replica that leaves by Deregister alone, and the crash or the leaving of the
+// primary meanwhile.
+func playLeaving(rec *recorder, program string, trouble bool, play leavingPlay) (int, string) {
+	w := newWorld(rec, program, "huvo11a")
+	defer w.close()
+	w.boot(configuration(7, "huvo11a"))
+	s := w.services[0]
 	var dbs []*database
-	for i, lag := range []time.Duration{0, 20 * time.Millisecond, 2 * time.Millisecond} {
-		d, err := s.add(fmt.Sprint("i-", i+1), c.ip(100+i), zones[i], i == 0, lag, 0)
-		if err != nil {
-			return couldNot, err.Error()
-		}
-		dbs = append(dbs, d)
-	}
-	if !c.awaitReady(readyWait) {
-		return couldNot, "the poolers did not become ready"
-	}
-	time.Sleep(3 * time.Second)
-	l := &ledger{acked: map[string]time.Time{}, codes: map[string]int{}}
-	stop := make(chan struct{})
-	for i, m := range c.machines {
-		k := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("w", i)}
-		go k.run(stop, "lepu270", 100*time.Millisecond, func(n int) string { return fmt.Sprintf("PUT k%d v%d", n%50, n) })
-		q := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("r", i)}
-		go q.run(stop, "lepu270", 20*time.Millisecond, func(n int) string { return fmt.Sprintf("FETCH k%d", n%50) })
+	for i, lag := range []time.Duration{0, play.lag, 2 * time.Millisecond} {
+		dbs = append(dbs, w.add(s, fmt.Sprint("i-", i+1), 100+i, zones[i], i == 0, lag, 0))
 	}
+	w.settle()
+	w.startClients(always(play.pause))
 	time.Sleep(2 * time.Second)
-	// i-3 is replaced: the new one starts first.
-	if _, err := s.add("i-4", c.ip(103), zones[2], false, 20*time.Millisecond, 0); err != nil {
-		return couldNot, err.Error()
+	// Who is replaced leaves after the new one has started.
+	w.add(s, "i-4", 103, zones[2], false, play.lag, 0)
+	if play.primaryLeaves {
+		w.add(s, "i-5", 104, zones[0], false, play.lag, 0)
 	}
 	time.Sleep(2 * time.Second)
-	if !dbs[2].deregisterFirst(duration("SERVE_MS", 15*time.Second)) {
-		return couldNot, "the deregistering was not acknowledged"
-	}
-	time.Sleep(duration("CRASH_MS", 3*time.Second))
+	require(dbs[2].deregisterFirst(serveOn), "the deregistering was not acknowledged")
+	time.Sleep(3 * time.Second)
 	if trouble {
-		l.awaitWrite()
-		dbs[0].crash()
+		w.l.awaitWrite()
+		if play.primaryLeaves {
+			require(dbs[0].deregisterFirst(serveOn), "the deregistering of the primary was not acknowledged")
+		} else {
+			dbs[0].crash()
+		}
 	}
-	time.Sleep(17 * time.Second)
-	close(stop)
-	time.Sleep(300 * time.Millisecond)
-	return judgeLost(rec, s, l)
+	return w.finish(17 * time.Second)
 }
--- a/review/play2/dropped.go
+++ b/review/play2/dropped.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 )
 
@@ -26,83 +25,38 @@
 // droppedDatabase plays a late beat of a database that crashed, whose address a database of another
 // service has taken since; later the primary of that other service crashes.
 func droppedDatabase(rec *recorder, program string, trouble bool) (int, string) {
-	zones := []string{"burnaby-a", "burnaby-b", "surrey-c", "richmond-d"}
-	c, err := newCluster(rec, program, zones, placesSettings)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer c.stop()
-	other := &service{c: c, name: "wuno96b", term: 1}
-	defer other.stop()
-	s := &service{c: c, name: "huvo11a", term: 1}
-	defer s.stop()
-	platform, err := servePlatform(c, 600*time.Millisecond, s, other)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer platform.Close()
-	for _, m := range c.machines {
-		if err := m.startAll(true); err != nil {
-			return couldNot, err.Error()
-		}
-	}
-	if status := c.order(readyWait, "/Conf.Replace", map[string]string{"X-Indigowalk-Base-Version": "0"}, twoServices(7, s.name, other.name)); status != 200 {
-		return couldNot, fmt.Sprint("the configuration was answered ", status)
-	}
+	w := newWorld(rec, program, "huvo11a", "wuno96b")
+	defer w.close()
+	w.boot(twoServices(7, "huvo11a", "wuno96b"))
+	s, other := w.services[0], w.services[1]
 	var primary *database
 	for i := range 3 {
-		d, err := s.add(fmt.Sprint("i-", i+1), c.ip(100+i), zones[i], i == 0, 20*time.Millisecond, 0)
-		if err != nil {
-			return couldNot, err.Error()
-		}
+		d := w.add(s, fmt.Sprint("i-", i+1), 100+i, zones[i], i == 0, 20*time.Millisecond, 0)
 		if i == 0 {
 			primary = d
 		}
-		if _, err := other.add(fmt.Sprint("o-", i+1), c.ip(110+i), zones[i], i == 0, 20*time.Millisecond, 0); err != nil {
-			return couldNot, err.Error()
-		}
-	}
-	if !c.awaitReady(readyWait) {
-		return couldNot, "the poolers did not become ready"
-	}
-	time.Sleep(3 * time.Second)
-	l := &ledger{acked: map[string]time.Time{}, codes: map[string]int{}}
-	stop := make(chan struct{})
-	for i, m := range c.machines {
-		k := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("w", i)}
-		go k.run(stop, "lepu270", 100*time.Millisecond, func(n int) string { return fmt.Sprintf("PUT k%d v%d", n%50, n) })
-		q := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("r", i)}
-		go q.run(stop, "lepu270", 20*time.Millisecond, func(n int) string { return fmt.Sprintf("FETCH k%d", n%50) })
+		w.add(other, fmt.Sprint("o-", i+1), 110+i, zones[i], i == 0, 20*time.Millisecond, 0)
 	}
+	w.settle()
+	w.startClients(always(100 * time.Millisecond))
 	// A replica of the other service starts, and is lost for good a second later. Without the
 	// trouble it doesn't start at all.
 	if trouble {
-		a, err := other.add("o-4", c.ip(120), zones[2], false, 20*time.Millisecond, duration("BEAT_MS", 5*time.Second))
-		if err != nil {
-			return couldNot, err.Error()
-		}
+		lost := w.add(other, "o-4", 120, zones[2], false, 20*time.Millisecond, duration("BEAT_MS", 5*time.Second))
 		time.Sleep(time.Second)
-		a.crash()
+		lost.crash()
 	} else {
 		time.Sleep(time.Second)
 	}
 	// After addr_reuse_s its address goes to a new replica of the first service.
 	time.Sleep(2300 * time.Millisecond)
-	b, err := s.add("i-4", c.ip(120), zones[3], false, 2*time.Millisecond, 0)
-	if err != nil {
-		return couldNot, err.Error()
-	}
+	next := w.add(s, "i-4", 120, zones[3], false, 2*time.Millisecond, 0)
 	time.Sleep(9 * time.Second)
-	rec.printf("a beat of i-4: %v", c.beatStatus(b))
+	rec.printf("a beat of i-4: %v", w.c.beatStatus(next))
 	// The primary of the first service crashes, and stays away for the rest of the run.
-	if os.Getenv("ONLY_DROP") == "" {
-		l.awaitWrite()
-		primary.crash()
-	}
-	time.Sleep(16 * time.Second)
-	close(stop)
-	time.Sleep(300 * time.Millisecond)
-	return judgeLost(rec, s, l)
+	w.l.awaitWrite()
+	primary.crash()
+	return w.finish(16 * time.Second)
 }
 
 // beatStatus sends one beat of a database and returns the statuses of the control nodes.
--- a/review/play2/main.go
+++ b/review/play2/main.go
@@ -40,7 +40,7 @@
 	record := flag.String("record", "record.txt", "file for the record of the run")
 	program := flag.String("program", "target/indigowalk", "the program under test")
 	flag.Parse()
-	scenarios := map[string]scenario{"late-beat": lateBeat, "dropped": droppedDatabase, "deregister": deregisterAlone}
+	scenarios := map[string]scenario{"late-beat": lateBeat, "dropped": droppedDatabase, "deregister": deregisterAlone, "release": releaseAlone}
 	play := scenarios[flag.Arg(0)]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "unknown case")
@@ -52,12 +52,26 @@
 		os.Exit(couldNot)
 	}
 	go stopOnSignal(rec)
-	code, text := play(rec, *program, os.Getenv("TROUBLE") != "0")
+	code, text := run(play, rec, *program)
 	rec.printf("result %d: %s", code, text)
 	fmt.Println(code, text)
 	os.Exit(code)
 }
 
+// run plays a case, and reports one that can't run as such.
+func run(play scenario, rec *recorder, program string) (code int, text string) {
+	defer func() {
+		if r := recover(); r != nil {
+			setup, ok := r.(setupError)
+			if !ok {
+				panic(r)
+			}
+			code, text = couldNot, setup.text
+		}
+	}()
+	return play(rec, program, os.Getenv("TROUBLE") != "0")
+}
+
 // stopOnSignal ends all processes that were started when the run is ended from outside.
 func stopOnSignal(rec *recorder) {
 	signals := make(chan os.Signal, 1)
@@ -76,84 +90,6 @@
 	return def
 }
 
-// lateBeat plays the loss of a zone while a new replica, which receives commits, is not known yet
-// because its beats come late.
-func lateBeat(rec *recorder, program string, trouble bool) (int, string) {
-	zones := []string{"burnaby-a", "burnaby-b", "surrey-c", "richmond-d"}
-	c, err := newCluster(rec, program, zones, placesSettings)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer c.stop()
-	s := &service{c: c, name: "huvo11a", term: 1}
-	defer s.stop()
-	platform, err := servePlatform(c, 600*time.Millisecond, s)
-	if err != nil {
-		return couldNot, err.Error()
-	}
-	defer platform.Close()
-	for _, m := range c.machines {
-		if err := m.startAll(true); err != nil {
-			return couldNot, err.Error()
-		}
-	}
-	if status := c.order(readyWait, "/Conf.Replace", map[string]string{"X-Indigowalk-Base-Version": "0"}, configuration(7, s.name)); status != 200 {
-		return couldNot, fmt.Sprint("the configuration was answered ", status)
-	}
-	lost := c.machines[3]
-	if lead := c.controlPrimary(); lead != nil {
-		rec.printf("control is led from %s", lead.name)
-	}
-	var dbs []*database
-	for i, zone := range []string{zones[3], zones[0], zones[1]} {
-		d, err := s.add(fmt.Sprint("i-", i+1), c.ip(100+i), zone, i == 0, 20*time.Millisecond, 0)
-		if err != nil {
-			return couldNot, err.Error()
-		}
-		dbs = append(dbs, d)
-	}
-	if !c.awaitReady(readyWait) {
-		return couldNot, "the poolers did not become ready"
-	}
-	time.Sleep(3 * time.Second)
-	l := &ledger{acked: map[string]time.Time{}, codes: map[string]int{}}
-	stop := make(chan struct{})
-	put := func(n int) string { return fmt.Sprintf("PUT k%d v%d", n%50, n) }
-	for i, m := range c.machines {
-		pause := 300 * time.Millisecond
-		if m == lost {
-			pause = 5 * time.Millisecond
-		}
-		k := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("w", i)}
-		go k.run(stop, "lepu270", pause, put)
-		q := &client{rec: rec, l: l, addr: m.clientAddr(), name: fmt.Sprint("r", i)}
-		go q.run(stop, "lepu270", 20*time.Millisecond, func(n int) string { return fmt.Sprintf("FETCH k%d", n%50) })
-	}
-	time.Sleep(3 * time.Second)
-	// A further replica starts, close to the primary; its beats come late.
-	if _, err := s.add("i-4", c.ip(103), zones[2], false, 2*time.Millisecond, duration("BEAT_MS", 5*time.Second)); err != nil {
-		return couldNot, err.Error()
-	}
-	time.Sleep(700 * time.Millisecond)
-	if trouble {
-		rec.printf("zone %s loses power", lost.zone)
-		dbs[0].crash()
-		switch os.Getenv("WITH") {
-		case "nothing": // the database alone
-		case "control":
-			if lead := c.controlPrimary(); lead != nil {
-				lead.kill("control")
-			}
-		default:
-			lost.killAll()
-		}
-	}
-	time.Sleep(14 * time.Second)
-	close(stop)
-	time.Sleep(300 * time.Millisecond)
-	return judgeLost(rec, s, l)
-}
-
 // judgeLost checks that each promoted database held what had been acknowledged before it took the
 // lead.
 func judgeLost(rec *recorder, s *service, l *ledger) (int, string) {
