--- a/review/play2/latebeat.go
+++ b/review/play2/latebeat.go
@@ -46,6 +46,22 @@
 		default:
 			lost.killAll()
 		}
+		time.Sleep(zoneLoss)
+		w.giveBack(lost, primary)
+	}
+	return w.finish(9 * time.Second)
+}
+
+// zoneLoss is how long a zone is without power, as the site file has it.
+const zoneLoss = 5500 * time.Millisecond
+
+// giveBack starts what was struck of a zone again.
+func (w *world) giveBack(lost *machine, primary *database) {
+	w.rec.printf("zone %s has power again", lost.zone)
+	err := primary.restart("i-1b")
+	require(err == nil, "%v", err)
+	if os.Getenv("WITH") == "" {
+		err := lost.startAll(false)
+		require(err == nil, "%v", err)
 	}
-	return w.finish(14 * time.Second)
 }
