failover: the log of a choice says on what it rests

A recording alone showed which bounds a choice of a primary rested on; the log said so only where the choice was refused. Both now log the same attributes, so that a choice made without an upper bound of the acknowledged commits can be told from one that had reached it.

--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -177,6 +177,15 @@
 	return p.String()
 }
 
+// logAttributes returns the input as attributes of a log line.
+func (input ChoiceInput) logAttributes() []any {
+	return []any{
+		"answered", input.Paused, "absent", input.Absent, "least", input.MinPosition.String(),
+		"held", positionText(input.PrimaryPosition), "acked", positionText(input.AckedUpperBound),
+		"certain", positionText(input.AckedLowerBound), "beats_due", input.FirstHeartbeatsElapsed,
+	}
+}
+
 // mayBeAhead lists the absent replicas that may hold commits past a position.
 func (input ChoiceInput) mayBeAhead(position lineprotocol.Position) []AbsentReplica {
 	return slices.DeleteFunc(slices.Clone(input.Absent), func(a AbsentReplica) bool { return a.CommitLimit != nil && !position.Less(*a.CommitLimit) })
--- a/internal/failover/choose_target.go
+++ b/internal/failover/choose_target.go
@@ -98,6 +98,7 @@
 	l.PauseTerm = result.pauseTerm
 	target, refusal := m.decideTarget(l, input)
 	if target != "" {
+		m.k.Log.Info("choice", append(input.logAttributes(), "service", l.Service, "to", target)...)
 		return m.commitChoice(ctx, s, l, target, result.newestTerm, result.pauseTerm, result.positions[target])
 	}
 	if refusal == removedMayHaveHeldCommit && (!found || oldPrimary.Gone) {
@@ -291,7 +292,7 @@
 	m.waitReasons[svc] = detail
 	m.mu.Unlock()
 	if !unchanged {
-		m.k.Log.Info("move waits", "service", svc, "why", reason, "answered", input.Paused, "absent", input.Absent, "least", input.MinPosition.String(), "acked", positionText(input.AckedUpperBound), "certain", positionText(input.AckedLowerBound))
+		m.k.Log.Info("move waits", append(input.logAttributes(), "service", svc, "why", reason)...)
 	}
 }
 
