--- a/internal/failover/acknowledged.go
+++ b/internal/failover/acknowledged.go
@@ -91,29 +91,37 @@
 	return services
 }
 
-// AcknowledgedUpperBound returns a position that covers every commit of the service that was
-// acknowledged to a client; false if none is known. It is valid once AllReleased holds for that
-// failover.
-func (r *ReadLeases) AcknowledgedUpperBound(service string, failoverID int64) (lineprotocol.Position, bool) {
+// ReportedCommits is what is known of the commits of a service that were acknowledged to clients.
+type ReportedCommits struct {
+	// UpperBound covers the commits acknowledged by the poolers that report, and all those
+	// acknowledged before the latest observation.
+	UpperBound lineprotocol.Position
+	// UnreportedUntil is the time until which poolers that no longer report may have acknowledged
+	// commits.
+	UnreportedUntil kernel.Micros
+	// Complete says that UpperBound covers what those poolers acknowledged, too.
+	Complete bool
+}
+
+// ReportedCommits returns what is known of the service's commits that were acknowledged to clients.
+// It is valid once AllReleased holds for that failover.
+func (r *ReadLeases) ReportedCommits(service string, failoverID int64) ReportedCommits {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	unreportedUntil := r.acks.unreportedUntil
-	var bound lineprotocol.Position
+	commits := ReportedCommits{UnreportedUntil: r.acks.unreportedUntil}
 	for _, holder := range r.poolers {
 		if holder.Released[service] < failoverID {
-			unreportedUntil = max(unreportedUntil, holder.leaseEnd)
-		} else if acked := holder.AckedUpperBound[service]; bound.Less(acked) {
-			bound = acked
+			commits.UnreportedUntil = max(commits.UnreportedUntil, holder.leaseEnd)
+		} else if acked := holder.AckedUpperBound[service]; commits.UpperBound.Less(acked) {
+			commits.UpperBound = acked
 		}
 	}
 	observed, known := r.acks.observed[service]
-	if !known || observed.before < unreportedUntil {
-		return lineprotocol.Position{}, false
-	}
-	if bound.Less(observed.position) {
-		bound = observed.position
+	if commits.UpperBound.Less(observed.position) {
+		commits.UpperBound = observed.position
 	}
-	return bound, true
+	commits.Complete = known && observed.before >= commits.UnreportedUntil
+	return commits
 }
 
 // AcknowledgedLowerBound returns a position such that a commit at it, or at a later one, was
--- a/internal/failover/acknowledged_test.go
+++ b/internal/failover/acknowledged_test.go
@@ -30,17 +30,18 @@
 // poolers that acknowledge them to clients, and of the control node. Polls and responses may be
 // lost, and so may the control node with what it keeps in memory.
 type history struct {
-	r            *rand.Rand
-	now          kernel.Micros
-	term         int64
-	failoverID   int64
-	inFailover   bool
-	lastNumber   int64
-	newestAcked  lineprotocol.Position // newest commit that was acknowledged to a client
-	readLeases   *ReadLeases
-	poolers      []*simPooler
-	incarnations int64
-	boundsGiven  int // in how many failovers an upper bound was known
+	r             *rand.Rand
+	now           kernel.Micros
+	term          int64
+	failoverID    int64
+	inFailover    bool
+	lastNumber    int64
+	newestAcked   lineprotocol.Position // newest commit that was acknowledged to a client
+	newestAckedAt kernel.Micros
+	readLeases    *ReadLeases
+	poolers       []*simPooler
+	incarnations  int64
+	boundsGiven   int // in how many failovers an upper bound was known
 	// Injected faults, which the check must detect.
 	ignoresEndedIncarnations, stampsInFuture, acceptsOldReports, lowerBoundTooHigh bool
 }
@@ -132,7 +133,7 @@
 	if h.r.IntN(2) == 0 {
 		h.lastNumber++
 		if p.released < h.failoverID || !h.inFailover {
-			h.newestAcked = lineprotocol.Position{Term: 1, Number: h.lastNumber}
+			h.newestAcked, h.newestAckedAt = lineprotocol.Position{Term: 1, Number: h.lastNumber}, h.now
 			p.lowerBound = p.acked.Next()
 			if h.lowerBoundTooHigh {
 				p.lowerBound = h.newestAcked.Next()
@@ -146,7 +147,8 @@
 }
 
 // step takes one random step. It returns false if the control node's upper bound does not cover all
-// acknowledged commits, or if its lower bound is past them.
+// acknowledged commits, if one that it does not cover was acknowledged later than the control node
+// assumes, or if its lower bound is past them.
 func (h *history) step() bool {
 	h.now += kernel.Micros(1 + h.r.IntN(4))
 	p := h.poolers[h.r.IntN(len(h.poolers))]
@@ -173,14 +175,17 @@
 		if h.acceptsOldReports {
 			failoverID--
 		}
-		bound, known := h.readLeases.AcknowledgedUpperBound("svc", failoverID)
-		if known && bound.Less(h.newestAcked) {
+		commits := h.readLeases.ReportedCommits("svc", failoverID)
+		if commits.Complete && commits.UpperBound.Less(h.newestAcked) {
+			return false
+		}
+		if commits.UpperBound.Less(h.newestAcked) && commits.UnreportedUntil < h.newestAckedAt {
 			return false
 		}
 		if lowerBound, known := h.readLeases.AcknowledgedLowerBound("svc", h.failoverID); known && h.newestAcked.Less(lowerBound) {
 			return false
 		}
-		if known {
+		if commits.Complete {
 			h.boundsGiven++
 		}
 		h.inFailover = false // another database leads, or the failover is cancelled
--- a/internal/failover/choose_target.go
+++ b/internal/failover/choose_target.go
@@ -151,9 +151,12 @@
 	if position, ok := lineprotocol.ParsePosition(l.ChosenPosition); ok {
 		input.ChosenPosition = &position
 	}
-	if upperBound, known := m.readLeases.AcknowledgedUpperBound(l.Service, l.FailoverID); known {
-		input.AckedUpperBound = &upperBound
+	reported := m.readLeases.ReportedCommits(l.Service, l.FailoverID)
+	input.ReportedUpperBound = reported.UpperBound
+	if reported.Complete {
+		input.AckedUpperBound = &reported.UpperBound
 	}
+	input.UnreportedElapsed = m.k.Clock.Now()-reported.UnreportedUntil > m.cfg.FirstHeartbeatTimeout
 	waived, _ := lineprotocol.ParsePosition(l.WaivedPosition)
 	if lowerBound, known := m.readLeases.AcknowledgedLowerBound(l.Service, l.FailoverID); known && waived.Less(lowerBound) {
 		input.AckedLowerBound = &lowerBound
--- a/internal/failover/model_steps_test.go
+++ b/internal/failover/model_steps_test.go
@@ -122,15 +122,7 @@
 		primaryPosition := n.position()
 		input.PrimaryPosition = &primaryPosition
 	}
-	lowerBound := newestOf(m.acked)
-	if m.boundsKnown && (m.managerOnly || m.r.IntN(2) == 0) {
-		upperBound := m.upperBound(m.acked)
-		input.AckedUpperBound = &upperBound
-		if m.r.IntN(2) == 0 { // the lower bound need not include the newest acknowledged commit
-			lowerBound = newestOf(m.acked[:max(0, len(m.acked)-1)])
-		}
-	}
-	input.AckedLowerBound, input.FirstHeartbeatsElapsed = &lowerBound, m.firstHeartbeats(m.allHeartbeatsProcessed())
+	m.addAckedBounds(&input)
 	replicas := filter(m.replicas(m.leader.ID), func(d discovery.Database) bool { return d.ID != oldPrimary })
 	for _, d := range replicas {
 		if n := m.node(d.ID); m.up(d.ID) && n.primary && m.leader.PlatformCalled && n.term > m.leader.Term {
@@ -162,6 +154,28 @@
 	return false
 }
 
+// addAckedBounds adds what is known of the acknowledged commits. A pooler that is lost reports none of
+// those that it acknowledged, which may be the newest ones, and then no upper bound is known. A known
+// lower bound need not include the newest acknowledged commit, whether a pooler is lost or not.
+func (m *model) addAckedBounds(input *ChoiceInput) {
+	allButNewest := m.acked[:max(0, len(m.acked)-1)]
+	reported, lowerBound := m.upperBound(m.acked), newestOf(m.acked)
+	if m.r.IntN(2) == 0 {
+		lowerBound = newestOf(allButNewest)
+	}
+	if m.boundsKnown && (m.managerOnly || m.r.IntN(2) == 0) {
+		input.AckedUpperBound = &reported
+	} else if m.r.IntN(2) == 0 {
+		reported = newestOf(allButNewest)
+	}
+	input.ReportedUpperBound, input.AckedLowerBound = reported, &lowerBound
+	due := m.firstHeartbeatsDue(lowerBound)
+	input.FirstHeartbeatsElapsed = m.firstHeartbeats(due)
+	// If the rest of the commits is reported, the others may have been acknowledged long ago.
+	othersLongAgo := reported == newestOf(m.acked) && m.r.IntN(2) == 0
+	input.UnreportedElapsed = m.unreportedHeartbeats(due || othersLongAgo)
+}
+
 func (m *model) commitChoice(target string, position lineprotocol.Position) {
 	m.leader.Target, m.leader.PlatformCalled, m.leader.ChosenPosition = target, true, position.String()
 	removeGone(&m.leader, m.entries, position)
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -50,6 +50,9 @@
 	sameDatabase    func(old discovery.Database) bool // whether a new database at its address is its next incarnation
 	upperBound      func(acked []lineprotocol.Position) lineprotocol.Position
 	firstHeartbeats func(due bool) bool // whether all first heartbeats are assumed to be processed
+	// unreportedHeartbeats is the same for those of replicas that may hold commits which no pooler
+	// reports.
+	unreportedHeartbeats func(due bool) bool
 }
 
 func newModel(seed uint64, tolerable bool) *model {
@@ -57,6 +60,7 @@
 		r: rand.New(rand.NewPCG(seed, 1)), tolerable: tolerable, entries: map[string]discovery.Database{}, term: 1,
 		choose: ChoosePrimary, clearLimits: clearCommitLimits, sameDatabase: func(old discovery.Database) bool { return !old.Draining },
 		boundsKnown: seed/2%2 == 0, upperBound: newestOf, firstHeartbeats: func(due bool) bool { return due },
+		unreportedHeartbeats: func(due bool) bool { return due },
 	}
 	for range 3 {
 		m.add(m.created, nil)
@@ -225,12 +229,14 @@
 	}
 }
 
-// allHeartbeatsProcessed reports whether the first heartbeat of every database that receives commits
-// has been processed. That of a database that is lost before never is. Once it is overdue, the model
-// does not cover a commit that only this database and the primary held and that no known lower bound
-// includes.
-func (m *model) allHeartbeatsProcessed() bool {
-	return !slices.ContainsFunc(m.nodes, func(n *node) bool { return n.heartbeatPending })
+// firstHeartbeatsDue reports whether the first heartbeat of every database that receives commits has
+// been processed, or is overdue since the database was lost before. In the second case the model does
+// not cover a commit that only this database and the primary held and that the known lower bound does
+// not include.
+func (m *model) firstHeartbeatsDue(lowerBound lineprotocol.Position) bool {
+	return !slices.ContainsFunc(m.nodes, func(n *node) bool {
+		return n.heartbeatPending && (n.alive || lowerBound != newestOf(m.acked))
+	})
 }
 
 func (m *model) restart(n *node) {
@@ -378,10 +384,12 @@
 				return newestOf(acked[:max(0, len(acked)-1)])
 			}
 		},
-		"a first heartbeat is not waited for":                 func(m *model) { m.firstHeartbeats = func(bool) bool { return true } },
-		"the lower bound of acknowledged commits is ignored":  alterInput(func(s *ChoiceInput) { s.AckedLowerBound = nil }),
-		"commit limits outlast the pause":                     func(m *model) { m.clearLimits = func(map[string]discovery.Database) {} },
-		"the log of a draining database is assumed to remain": func(m *model) { m.sameDatabase = func(discovery.Database) bool { return true } },
+		"a first heartbeat is not waited for":                            func(m *model) { m.firstHeartbeats = func(bool) bool { return true } },
+		"a first heartbeat is not waited for where a pooler is lost":     func(m *model) { m.unreportedHeartbeats = func(bool) bool { return true } },
+		"what the remaining poolers report is ignored where one is lost": alterInput(func(s *ChoiceInput) { s.ReportedUpperBound = lineprotocol.Position{} }),
+		"the lower bound of acknowledged commits is ignored":             alterInput(func(s *ChoiceInput) { s.AckedLowerBound = nil }),
+		"commit limits outlast the pause":                                func(m *model) { m.clearLimits = func(map[string]discovery.Database) {} },
+		"the log of a draining database is assumed to remain":            func(m *model) { m.sameDatabase = func(discovery.Database) bool { return true } },
 	} {
 		found := ""
 		for seed := uint64(0); seed < 4*schedules && found == ""; seed++ {
--- a/internal/simulation/late_heartbeat_test.go
+++ b/internal/simulation/late_heartbeat_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +11,9 @@
 	"indigowalk/internal/tools"
 )
 
+// firstHeartbeatTimeout is how long a first heartbeat may take: heartbeat_ms + bounds.contact_ms.
+const firstHeartbeatTimeout = 5200 * time.Millisecond
+
 // replaceWithLateHeartbeats replaces a replica by one whose heartbeats arrive after the given
 // delay, and stops replication to the remaining replica, so that only the replacement receives
 // what the primary commits. It returns both.
@@ -95,3 +100,74 @@
 		g.awaitNewPrimary(remaining, 8*time.Second)
 	})
 }
+
+// loseZoneAfterWrites writes through a zone's pooler while no replica but the given ones receives
+// commits, and then loses the zone: its processes and the primary, which must be there.
+func loseZoneAfterWrites(w *World, g *Group, zone int, receivers ...*Database) {
+	w.T.Helper()
+	session, code := w.Login(zone, "p.ledger")
+	if session == nil {
+		w.T.Fatalf("login: %s", code)
+	}
+	for _, d := range g.Databases() {
+		d.SetReplicationStopped(len(receivers) > 0 && !slices.Contains(receivers, d))
+	}
+	for i := range 3 {
+		answer, id := session.Query(fmt.Sprintf("PUT last %d", i))
+		if answer.Code != "" {
+			w.T.Fatalf("write %d: %s", i, answer.Code)
+		}
+		g.Ack(id)
+	}
+	g.Primary().Crash(true)
+	for _, role := range []string{"pooler", "control"} {
+		w.Process(role, zone).Kill()
+	}
+	session.Close()
+	for _, d := range g.Databases() {
+		d.SetReplicationStopped(false)
+	}
+}
+
+// Guards against the loss of acknowledged commits (LOST) when a zone is lost with the primary and
+// with the pooler that acknowledged its latest commits, which only a replica has received whose
+// first heartbeat has not arrived. No upper bound of the acknowledged commits is known then.
+func TestZoneLostBeforeFirstHeartbeatOfHolder(t *testing.T) {
+	withCluster(t, func(w *World, g *Group) {
+		primary := g.Primary()
+		holder := g.AddDelayed("ledger-4", "10.4.64.9", "z4", "replica", 5*time.Second)
+		time.Sleep(300 * time.Millisecond)
+		loseZoneAfterWrites(w, g, 1, holder)
+		load := w.StartLoad(g, 8, 2, 3) // so that poolers detect the crash
+		defer load.Stop()
+		if g.awaitNewPrimary(primary, 10*time.Second) != holder {
+			t.Error("the replica that holds the acknowledged commits was not promoted")
+		}
+	})
+}
+
+// Guards against a failover that waits longer than a first heartbeat may take, after the loss of a
+// zone with the primary and a pooler.
+func TestZoneLostWithPrimaryAndPooler(t *testing.T) {
+	withCluster(t, func(w *World, g *Group) {
+		primary := g.Primary()
+		loseZoneAfterWrites(w, g, 1)
+		load := w.StartLoad(g, 8, 2, 3)
+		defer load.Stop()
+		g.awaitNewPrimary(primary, 3800*time.Millisecond+firstHeartbeatTimeout)
+	})
+}
+
+// Guards against a failover that waits for first heartbeats that are due: the pooler was lost long
+// before the primary, and no pooler has run a statement at the primary since.
+func TestPoolerLostLongBeforePrimary(t *testing.T) {
+	withCluster(t, func(w *World, g *Group) {
+		primary := g.Primary()
+		w.Process("pooler", 1).Kill()
+		time.Sleep(9 * time.Second)
+		primary.Crash(true)
+		load := w.StartLoad(g, 8, 2, 3)
+		defer load.Stop()
+		g.awaitNewPrimary(primary, 3*time.Second)
+	})
+}
