--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,6 +29,10 @@
 	// and restarted at the same address with its log. They are separated by spaces, the latest
 	// first.
 	PreviousIDs string `json:"was,omitempty"`
+	// Deregistered says that the database has deregistered without having been draining before. It
+	// may still serve, and receive commits, as a draining one does. The failover manager records it
+	// as gone once it has ended.
+	Deregistered bool `json:"deregistered,omitempty"`
 	// Gone says that neither the database nor its log will return. The failover manager removes
 	// the entry once it has recorded how far the log may have reached.
 	Gone bool `json:"gone,omitempty"`
@@ -94,8 +98,9 @@
 
 // Registry is the registry of databases at a control node.
 type Registry struct {
-	k     *kernel.Kernel
-	state *controlstate.Replica
+	k          *kernel.Kernel
+	state      *controlstate.Replica
+	leaderless bool // the databases of a service are all alike, and none receives commits of another
 
 	decoder          *controlstate.Decoder[Database]
 	departureDecoder *controlstate.Decoder[departure]
@@ -106,9 +111,10 @@
 	roleChanges kernel.Notifier
 }
 
-// New returns a registry that is stored in the control state, which it accesses through the given replica.
-func New(k *kernel.Kernel, state *controlstate.Replica) *Registry {
-	return &Registry{k: k, state: state, decoder: Decoder(), departureDecoder: controlstate.NewDecoder[departure](departedPrefix), observed: map[string]ObservedState{}}
+// New returns a registry that is stored in the control state, which it accesses through the given
+// replica. leaderless says that the databases of a service are all alike.
+func New(k *kernel.Kernel, state *controlstate.Replica, leaderless bool) *Registry {
+	return &Registry{k: k, state: state, leaderless: leaderless, decoder: Decoder(), departureDecoder: controlstate.NewDecoder[departure](departedPrefix), observed: map[string]ObservedState{}}
 }
 
 // Decoder returns a decoder of the databases in the control state.
@@ -164,10 +170,17 @@
 	}, "database known", "id", id, "zone", beat.Zone, "status", beat.Status, "role", beat.Role)
 }
 
+// withRecordOf returns a reported state with what only the record holds.
+func (d Database) withRecordOf(old Database) Database {
+	d.PreviousIDs, d.CommitLimit = old.PreviousIDs, old.CommitLimit
+	d.Gone, d.Deregistered = old.Gone, old.Deregistered
+	d.Draining = d.Draining || old.Draining
+	return d
+}
+
 // unchangedBy reports whether a heartbeat with the reported state requires no change of the record.
 func (d Database) unchangedBy(reported Database) bool {
-	reported.PreviousIDs, reported.CommitLimit, reported.Gone, reported.Draining = d.PreviousIDs, d.CommitLimit, d.Gone, d.Draining || reported.Draining
-	return reported == d
+	return reported.withRecordOf(d) == d
 }
 
 // recordObserved records the part of a heartbeat that is kept in memory only. It returns false for
@@ -198,7 +211,7 @@
 func registrationChanges(databases map[string]Database, d Database) (changes map[string]json.RawMessage, err error) {
 	changes = map[string]json.RawMessage{}
 	if old, ok := databases[d.ID]; ok {
-		d.PreviousIDs, d.CommitLimit, d.Gone, d.Draining = old.PreviousIDs, old.CommitLimit, old.Gone, d.Draining || old.Draining
+		d = d.withRecordOf(old)
 	}
 	for id, old := range databases {
 		if old.Address == d.Address && old.HadID(d.ID) && !old.Gone {
@@ -220,14 +233,16 @@
 	return changes, err
 }
 
-// Deregister records that a database has shut down gracefully. The departure of an unknown database
-// is recorded too, so that its delayed heartbeats do not register it.
+// Deregister records that a database is shutting down gracefully. One that was draining ends now. One
+// that was not may serve on for as long as a draining one does, so it is draining from now on; where
+// no database receives commits of another, it is gone at once. The departure of an unknown database is
+// recorded too, so that its delayed heartbeats do not register it.
 func (r *Registry) Deregister(ctx context.Context, id string) error {
 	return r.update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
 		if gone, err := r.hasDeparted(entries, id); gone || err != nil {
 			return nil, err
 		}
-		changes, err := editEntry(entries, id, func(d *Database) { d.Gone = true })
+		changes, err := editEntry(entries, id, r.deregister)
 		if err != nil {
 			return nil, err
 		}
@@ -235,6 +250,15 @@
 	}, "database gone", "id", id)
 }
 
+// deregister edits the record of a database that has deregistered.
+func (r *Registry) deregister(d *Database) {
+	if d.Draining || r.leaderless {
+		d.Gone = true
+		return
+	}
+	d.Draining, d.Deregistered = true, true
+}
+
 // editEntry returns the change that edits the entry of a database, or no change if it has none.
 func editEntry(entries map[string]json.RawMessage, id string, edit func(*Database)) (map[string]json.RawMessage, error) {
 	changes := map[string]json.RawMessage{}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -14,7 +14,7 @@
 // dropped.
 func TestStateOfGoneDatabasesIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), nil)
+		r := New(kernel.NewKernel("control", nil, slog.New(slog.DiscardHandler)), nil, false)
 		for day := range 1000 {
 			if !r.recordObserved(fmt.Sprint("database-", day), Beat{Seq: 1, Role: "replica"}) {
 				t.Fatal("a first heartbeat was considered delayed")
--- a/internal/failover/failover.go
+++ b/internal/failover/failover.go
@@ -41,6 +41,7 @@
 	Dialer                dbconn.Dialer
 	RequestTimeout        kernel.Micros // for one response of a database
 	HeartbeatWait         kernel.Micros // a promoted database that has sent no heartbeat for this long is queried
+	DrainTime             kernel.Micros // how long a leaving database serves on
 	FirstHeartbeatTimeout kernel.Micros // upper bound of the time that a replica receives commits before its first heartbeat is processed
 }
 
@@ -121,6 +122,7 @@
 	}
 	m.readLeases.SetServicesWithLeader(slices.Collect(maps.Keys(s.leaders)))
 	for svc := range s.services {
+		m.recordEnded(ctx, s, svc)
 		leader, recorded := s.leaders[svc]
 		switch returnedID := s.returnedLeader(leader); {
 		case recorded && returnedID != "" && !leader.PlatformCalled:
--- a/internal/failover/leaving.go
+++ b/internal/failover/leaving.go
@@ -12,8 +12,8 @@
 	"indigowalk/internal/lineprotocol"
 )
 
-// shutdownGrace is how long a database may still receive commits after it has deregistered, which
-// it does before it shuts down.
+// shutdownGrace is how long a draining database may still receive commits after it has deregistered,
+// which it does before it shuts down.
 const shutdownGrace = kernel.Second
 
 // notLeaving returns the databases that are not leaving: neither draining nor gone.
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -47,7 +47,8 @@
 	// Decisions of the failover manager, which a test replaces by wrong ones.
 	choose          func(ChoiceInput) (string, string)
 	clearLimits     func(map[string]discovery.Database)
-	sameDatabase    func(old discovery.Database) bool // whether a new database at its address is its next incarnation
+	leave           func(discovery.Database) discovery.Database // the record of a database that has announced its end and serves on
+	sameDatabase    func(old discovery.Database) bool           // whether a new database at its address is its next incarnation
 	upperBound      func(acked []lineprotocol.Position) lineprotocol.Position
 	firstHeartbeats func(due bool) bool // whether all first heartbeats are assumed to be processed
 	// unreportedHeartbeats is the same for those of replicas that may hold commits which no pooler
@@ -59,6 +60,7 @@
 	m := &model{
 		r: rand.New(rand.NewPCG(seed, 1)), tolerable: tolerable, entries: map[string]discovery.Database{}, term: 1,
 		choose: ChoosePrimary, clearLimits: clearCommitLimits, sameDatabase: func(old discovery.Database) bool { return !old.Draining },
+		leave:       func(d discovery.Database) discovery.Database { d.Draining = true; return d },
 		boundsKnown: seed/2%2 == 0, upperBound: newestOf, firstHeartbeats: func(due bool) bool { return due },
 		unreportedHeartbeats: func(due bool) bool { return due },
 	}
@@ -183,8 +185,7 @@
 			m.replicate(p, true)
 		}
 	case event == 6 && len(notLeaving(m.databases())) > 1 && registered && n.alive:
-		entry.Draining = true
-		m.entries[n.id] = entry
+		m.entries[n.id] = m.leave(entry)
 	case event == 7 && n.alive && entry.Draining: // it shuts down, with or without deregistering
 		if m.tolerable && (n.id == m.leader.Target || entry.CommitLimit == "" && (m.leader.FailoverInProgress || !m.up(m.leader.ID) || n.id == m.leader.ID) || !m.redundant(n)) {
 			return
@@ -388,8 +389,11 @@
 		"a first heartbeat is not waited for where a pooler is lost":     func(m *model) { m.unreportedHeartbeats = func(bool) bool { return true } },
 		"what the remaining poolers report is ignored where one is lost": alterInput(func(s *ChoiceInput) { s.ReportedUpperBound = lineprotocol.Position{} }),
 		"the lower bound of acknowledged commits is ignored":             alterInput(func(s *ChoiceInput) { s.AckedLowerBound = nil }),
-		"commit limits outlast the pause":                                func(m *model) { m.clearLimits = func(map[string]discovery.Database) {} },
-		"the log of a draining database is assumed to remain":            func(m *model) { m.sameDatabase = func(discovery.Database) bool { return true } },
+		"a database that serves on is assumed to have ended": func(m *model) {
+			m.leave = func(d discovery.Database) discovery.Database { d.Gone = true; return d }
+		},
+		"commit limits outlast the pause":                     func(m *model) { m.clearLimits = func(map[string]discovery.Database) {} },
+		"the log of a draining database is assumed to remain": func(m *model) { m.sameDatabase = func(discovery.Database) bool { return true } },
 	} {
 		found := ""
 		for seed := uint64(0); seed < 4*schedules && found == ""; seed++ {
--- a/internal/failover/plugin.go
+++ b/internal/failover/plugin.go
@@ -20,7 +20,8 @@
 			manager := New(k, Config{
 				Name: s.NodeName, PlatformAddr: s.PlatformAddr, Leaderless: s.Deploy == settings.DeployAPI, ReadLease: settings.FromMillis(s.ReaderLeaseMs),
 				Dialer:         dbconn.Dialer{Net: k.Net, ClientName: "failover", ConnectTimeout: settings.FromMillis(s.CheckTimeoutMs), UnresponsiveTimeout: settings.FromMillis(s.PeerTimeoutMs)},
-				RequestTimeout: kernel.Second, HeartbeatWait: 700 * kernel.Millisecond, FirstHeartbeatTimeout: settings.FromMillis(s.HeartbeatMs + s.ContactMs),
+				RequestTimeout: kernel.Second, HeartbeatWait: 700 * kernel.Millisecond, DrainTime: settings.FromMillis(s.DrainMs),
+				FirstHeartbeatTimeout: settings.FromMillis(s.HeartbeatMs + s.ContactMs),
 			}, kernel.Need[*controlstate.Replica](k), kernel.Need[*discovery.Registry](k),
 				kernel.Need[*health.Monitor](k), readLeases)
 			kernel.Offer(k, manager)
--- a/internal/simulation/late_heartbeat_test.go
+++ b/internal/simulation/late_heartbeat_test.go
@@ -11,8 +11,9 @@
 	"indigowalk/internal/tools"
 )
 
-// firstHeartbeatTimeout is how long a first heartbeat may take: heartbeat_ms + bounds.contact_ms.
-const firstHeartbeatTimeout = 5200 * time.Millisecond
+// firstHeartbeatTimeout is how long a first heartbeat may take: heartbeat_ms, which the simulation
+// leaves at 0, + bounds.contact_ms.
+const firstHeartbeatTimeout = 4 * time.Second
 
 // replaceWithLateHeartbeats replaces a replica by one whose heartbeats arrive after the given
 // delay, and stops replication to the remaining replica, so that only the replacement receives
@@ -154,7 +155,8 @@
 		loseZoneAfterWrites(w, g, 1)
 		load := w.StartLoad(g, 8, 2, 3)
 		defer load.Stop()
-		g.awaitNewPrimary(primary, 3800*time.Millisecond+firstHeartbeatTimeout)
+		// A control primary that is lost too, its lease and the poolers' leases take 5 s at most.
+		g.awaitNewPrimary(primary, 5*time.Second+firstHeartbeatTimeout)
 	})
 }
 
--- a/internal/tools/status.go
+++ b/internal/tools/status.go
@@ -177,8 +177,8 @@
 			deviating++
 		}
 		if (all || deviates || filter != "") && anyContains(filter, id, database.Service, database.Zone) {
-			lines = append(lines, fmt.Sprintf("  database %s of %s in %s: %s, %s%s%s", id, database.Service, database.Zone, role, state,
-				textIf(database.Draining, ", draining"), textIf(database.Gone, ", gone")))
+			lines = append(lines, fmt.Sprintf("  database %s of %s in %s: %s, %s%s%s%s", id, database.Service, database.Zone, role, state,
+				textIf(database.Draining, ", draining"), textIf(database.Deregistered, ", deregistered"), textIf(database.Gone, ", gone")))
 		}
 	}
 	withLeader := 0
