--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -96,6 +96,9 @@
 	ErrMalformed   = errors.New("discovery: malformed beat")
 )
 
+// AddressCheck reports whether the database with that ID, of that service, responds at its address.
+type AddressCheck func(ctx context.Context, d Database) bool
+
 // Registry is the registry of databases at a control node.
 type Registry struct {
 	k          *kernel.Kernel
@@ -105,6 +108,8 @@
 	decoder          *controlstate.Decoder[Database]
 	departureDecoder *controlstate.Decoder[departure]
 
+	confirm AddressCheck
+
 	mu          sync.Mutex
 	observed    map[string]ObservedState
 	sweep       kernel.SweepTimer // drops the observed state of databases that are gone
@@ -158,16 +163,36 @@
 	case stored != nil && (old.Gone || old.unchangedBy(reported) || delayed && (old.Draining || !reported.Draining)):
 		return nil
 	}
-	return r.update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		if gone, err := r.hasDeparted(entries, id); gone || err != nil {
+	inUse, err := r.register(ctx, reported, beat.Role, r.confirm == nil)
+	if err != nil || !inUse {
+		return err
+	}
+	if !r.confirm(ctx, reported) {
+		r.k.Counters.Add("discovery.address_in_use", 1)
+		return fmt.Errorf("%w: another database is known at %s, and %s does not respond there", ErrUnavailable, reported.Address, id)
+	}
+	_, err = r.register(ctx, reported, beat.Role, true)
+	return err
+}
+
+// register registers a database in the control state, or changes its record. If another database is
+// registered at its address, it replaces that one if it is confirmed to be there; otherwise nothing
+// is changed, and inUse is set.
+func (r *Registry) register(ctx context.Context, reported Database, role string, confirmed bool) (inUse bool, err error) {
+	err = r.update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
+		if gone, err := r.hasDeparted(entries, reported.ID); gone || err != nil {
 			return nil, err
 		}
 		databases, err := r.decoder.Decode(entries)
 		if err != nil {
 			return nil, err
 		}
+		if inUse = !confirmed && replacesAnother(databases, reported); inUse {
+			return nil, nil
+		}
 		return registrationChanges(databases, reported)
-	}, "database known", "id", id, "zone", beat.Zone, "status", beat.Status, "role", beat.Role)
+	}, "database known", "id", reported.ID, "zone", reported.Zone, "draining", reported.Draining, "role", role)
+	return inUse, err
 }
 
 // withRecordOf returns a reported state with what only the record holds.
@@ -183,6 +208,21 @@
 	return reported.withRecordOf(d) == d
 }
 
+// CheckAddresses sets the check that a database must pass which would replace another one at its
+// address: its heartbeat may be a delayed one of a database that has ended, while the other one runs.
+// Without a check, every database passes.
+func (r *Registry) CheckAddresses(check AddressCheck) { r.confirm = check }
+
+// replacesAnother reports whether the registration of a database replaces another one.
+func replacesAnother(databases map[string]Database, d Database) bool {
+	for id, other := range databases {
+		if id != d.ID && other.Address == d.Address && !other.Gone && !other.HadID(d.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordObserved records the part of a heartbeat that is kept in memory only. It returns false for
 // a heartbeat that is older than one processed before.
 func (r *Registry) recordObserved(id string, beat Beat) bool {
--- a/internal/failover/plugin.go
+++ b/internal/failover/plugin.go
@@ -25,6 +25,9 @@
 			}, kernel.Need[*controlstate.Replica](k), kernel.Need[*discovery.Registry](k),
 				kernel.Need[*health.Monitor](k), readLeases)
 			kernel.Offer(k, manager)
+			if !manager.cfg.Leaderless {
+				manager.registry.CheckAddresses(manager.respondsAtAddress)
+			}
 			manager.registerHandlers(kernel.Need[*rpc.Endpoint](k))
 			k.Supervise("failover", manager.Serve)
 			return nil
--- a/internal/failover/statements.go
+++ b/internal/failover/statements.go
@@ -13,6 +13,7 @@
 
 	"indigowalk/internal/dbconn"
 	"indigowalk/internal/discovery"
+	"indigowalk/internal/kernel"
 	"indigowalk/internal/lineprotocol"
 )
 
@@ -48,6 +49,19 @@
 	return m.cfg.Dialer.Open(ctx, d, m.cfg.RequestTimeout)
 }
 
+// addressCheckTimeout leaves time to acknowledge a heartbeat within a second.
+const addressCheckTimeout = 500 * kernel.Millisecond
+
+// respondsAtAddress reports whether the database with that ID accepts a log-in at its address.
+func (m *Manager) respondsAtAddress(ctx context.Context, d discovery.Database) bool {
+	conn, err := m.cfg.Dialer.Open(ctx, d, addressCheckTimeout)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 // executeOn sends a statement on an open connection. While the database has no free slot, it
 // repeats the statement within the request timeout.
 func (m *Manager) executeOn(conn *dbconn.Conn, text string) (statRow, error) {
--- a/internal/simulation/calls_test.go
+++ b/internal/simulation/calls_test.go
@@ -117,6 +117,8 @@
 		sendDelayed("second")
 		expectListed("third")
 		database.Crash(false)
+		w.Groups["lookup"] = &Group{standin.NewGroup(environment{w}, "lookup"), w}
+		w.Groups["lookup"].Add("other", database.IP, "z3", "primary")
 		otherService := fmt.Appendf(nil, `{"svc":"lookup","address":%q,"zone":"z3","slots":7,"status":"up","call_seq":9}`, database.Addr)
 		w.WaitUntil("the heartbeat of another service's database is acknowledged", 3*time.Second, func() bool {
 			return w.postToControl(controlPrimaryZone(w), "/Servers.Heartbeat/other", nil, otherService) == 200
