--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -96,9 +96,6 @@
 	ErrMalformed   = errors.New("discovery: malformed beat")
 )
 
-// AddressCheck reports whether the database with that ID, of that service, responds at its address.
-type AddressCheck func(ctx context.Context, d Database) bool
-
 // Registry is the registry of databases at a control node.
 type Registry struct {
 	k          *kernel.Kernel
@@ -157,10 +154,10 @@
 	if delayed {
 		r.k.Counters.Add("discovery.late_beats", 1)
 	}
-	switch {
-	case stored == nil && delayed:
+	if stored == nil && delayed {
 		return fmt.Errorf("%w: a delayed beat of a database that is not known", ErrUnavailable)
-	case stored != nil && (old.Gone || old.unchangedBy(reported) || delayed && (old.Draining || !reported.Draining)):
+	}
+	if stored != nil && !old.changedBy(reported, delayed) {
 		return nil
 	}
 	inUse, err := r.register(ctx, reported, beat.Role, r.confirm == nil)
@@ -175,26 +172,6 @@
 	return err
 }
 
-// register registers a database in the control state, or changes its record. If another database is
-// registered at its address, it replaces that one if it is confirmed to be there; otherwise nothing
-// is changed, and inUse is set.
-func (r *Registry) register(ctx context.Context, reported Database, role string, confirmed bool) (inUse bool, err error) {
-	err = r.update(ctx, func(entries map[string]json.RawMessage) (map[string]json.RawMessage, error) {
-		if gone, err := r.hasDeparted(entries, reported.ID); gone || err != nil {
-			return nil, err
-		}
-		databases, err := r.decoder.Decode(entries)
-		if err != nil {
-			return nil, err
-		}
-		if inUse = !confirmed && replacesAnother(databases, reported); inUse {
-			return nil, nil
-		}
-		return registrationChanges(databases, reported)
-	}, "database known", "id", reported.ID, "zone", reported.Zone, "draining", reported.Draining, "role", role)
-	return inUse, err
-}
-
 // withRecordOf returns a reported state with what only the record holds.
 func (d Database) withRecordOf(old Database) Database {
 	d.PreviousIDs, d.CommitLimit = old.PreviousIDs, old.CommitLimit
@@ -203,24 +180,16 @@
 	return d
 }
 
-// unchangedBy reports whether a heartbeat with the reported state requires no change of the record.
-func (d Database) unchangedBy(reported Database) bool {
-	return reported.withRecordOf(d) == d
-}
-
-// CheckAddresses sets the check that a database must pass which would replace another one at its
-// address: its heartbeat may be a delayed one of a database that has ended, while the other one runs.
-// Without a check, every database passes.
-func (r *Registry) CheckAddresses(check AddressCheck) { r.confirm = check }
-
-// replacesAnother reports whether the registration of a database replaces another one.
-func replacesAnother(databases map[string]Database, d Database) bool {
-	for id, other := range databases {
-		if id != d.ID && other.Address == d.Address && !other.Gone && !other.HadID(d.ID) {
-			return true
-		}
+// changedBy reports whether a heartbeat with the reported state requires a change of the record. A
+// delayed one is only of use if it is the first to report the database as draining.
+func (d Database) changedBy(reported Database, delayed bool) bool {
+	switch {
+	case d.Gone:
+		return false
+	case delayed && (d.Draining || !reported.Draining):
+		return false
 	}
-	return false
+	return reported.withRecordOf(d) != d
 }
 
 // recordObserved records the part of a heartbeat that is kept in memory only. It returns false for
@@ -244,35 +213,6 @@
 	return true
 }
 
-// registrationChanges returns the changes of the control state that register a database and replace
-// any other at its address. If the other one belongs to the same service and was not draining, it is
-// the previous incarnation of this one, which crashed and restarted with its log. Otherwise it has
-// left together with its log, and is marked as gone.
-func registrationChanges(databases map[string]Database, d Database) (changes map[string]json.RawMessage, err error) {
-	changes = map[string]json.RawMessage{}
-	if old, ok := databases[d.ID]; ok {
-		d = d.withRecordOf(old)
-	}
-	for id, old := range databases {
-		if old.Address == d.Address && old.HadID(d.ID) && !old.Gone {
-			return nil, nil // a delayed heartbeat of an earlier incarnation
-		}
-		switch {
-		case id == d.ID || old.Address != d.Address || old.Gone:
-		case old.Service == d.Service && !old.Draining:
-			d = d.SuccessorOf(old)
-			changes[keyPrefix+id] = nil
-		default:
-			old.Gone = true
-			if changes[keyPrefix+id], err = json.Marshal(old); err != nil {
-				return nil, err
-			}
-		}
-	}
-	changes[keyPrefix+d.ID], err = json.Marshal(d)
-	return changes, err
-}
-
 // Deregister records that a database is shutting down gracefully. One that was draining ends now. One
 // that was not may serve on for as long as a draining one does, so it is draining from now on; where
 // no database receives commits of another, it is gone at once. The departure of an unknown database is
--- a/internal/failover/acknowledged.go
+++ b/internal/failover/acknowledged.go
@@ -14,8 +14,10 @@
 // covered by an observation instead: the position in a primary's response to a statement covers
 // every commit acknowledged before that statement was sent.
 type ackTracker struct {
-	unreportedUntil kernel.Micros // poolers that no longer report may have acknowledged commits until then
-	services        []string      // those that have a leader
+	// unreportedUntil is the time until which earlier incarnations of poolers, and poolers that have
+	// been removed, may have acknowledged commits.
+	unreportedUntil kernel.Micros
+	services        []string // those that have a leader
 	observed        map[string]coveringPosition
 }
 
--- a/internal/failover/choose_test.go
+++ b/internal/failover/choose_test.go
@@ -85,3 +85,21 @@
 		t.Error("a failover waits for the lease of a pooler's previous incarnation")
 	}
 }
+
+// A pooler that was lost and returns later has acknowledged nothing after its lease: the failover
+// manager does not wait for first heartbeats from its return on.
+func TestReturnedPoolerAcknowledgedNothingAfterItsLease(t *testing.T) {
+	readLeases := NewReadLeases()
+	readLeases.RecordReport("p1", 1, Report{}, 100)
+	readLeases.Grant("p1", 1, 130)
+	readLeases.RecordReport("p2", 1, Report{}, 100)
+	readLeases.Grant("p2", 1, 180)
+	readLeases.RecordReport("p1", 2, Report{}, 170)
+	if until := readLeases.ReportedCommits("svc", 0).UnreportedUntil; until != 130 {
+		t.Errorf("the returned pooler may have acknowledged commits until %d, want 130", until)
+	}
+	readLeases.RecordReport("p2", 2, Report{}, 170)
+	if until := readLeases.ReportedCommits("svc", 0).UnreportedUntil; until != 170 {
+		t.Errorf("a pooler restarted during its lease may have acknowledged commits until %d, want 170", until)
+	}
+}
--- a/internal/failover/read_leases.go
+++ b/internal/failover/read_leases.go
@@ -66,10 +66,12 @@
 	newIncarnation := holder == nil || incarnation > holder.incarnation
 	if newIncarnation {
 		// A new incarnation does not hold the lease of the previous one. What the previous one
-		// acknowledged since its last report will not be reported any more.
+		// acknowledged under its lease since its last report will not be reported any more.
+		if holder != nil {
+			r.acks.unreportedUntil = max(r.acks.unreportedUntil, min(now, holder.leaseEnd))
+		}
 		holder = &leaseHolder{incarnation: incarnation}
 		r.poolers[pooler] = holder
-		r.acks.unreportedUntil = max(r.acks.unreportedUntil, now)
 	}
 	if changed := newIncarnation || !maps.Equal(holder.Released, report.Released); changed {
 		r.changes.NotifyAll()
