--- a/cmd/indigowalk/testbed.go
+++ b/cmd/indigowalk/testbed.go
@@ -47,6 +47,8 @@
   limits     descriptors full_disk log_reader
   processors throttle (a part of each tenth of a second only; it excuses nothing)
   databases  crash release reset hang deaf manners
+  several    zone (with a primary, while a new replica is not known yet) reuse (of an
+             address, while the former database's heartbeats still arrive)
   clients    rude; or none
 
     indigowalk testbed length_s=30 seed=7
--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -137,6 +137,9 @@
 	})
 }
 
+// Zone returns the zone that the database is in.
+func (d *Database) Zone() string { return d.zone }
+
 // Role returns the database's own view of its role, which is outdated in a superseded primary.
 func (d *Database) Role() string {
 	d.g.mu.Lock()
--- a/internal/testbed/database_faults.go
+++ b/internal/testbed/database_faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -51,14 +50,14 @@
 	}
 	faultNumber := f.traffic.BeginFault(history.Fault{Kind: kind, Node: d.ID, Planned: kind == ReplaceDatabase, At: f.traffic.Now()})
 	defer func() { f.traffic.EndFault(faultNumber) }()
-	id := fmt.Sprintf("%s-r%d", g.Service, f.replacementNumbers.next())
+	id := f.databaseID(g)
 	switch kind {
 	case Crash:
 		d.Crash(r.IntN(3) == 0)
 		sleep(ctx, randomDuration(r, maxCrashTime))
 		d.Restart(id)
 	case ReplaceDatabase:
-		f.replaceDatabase(ctx, g, serviceIndex, d, id, r)
+		f.replaceDatabase(ctx, serviceIndex, d, r)
 	case Reset:
 		f.cluster.loopback.ResetConns(d.IP)
 	case Hang:
@@ -96,15 +95,12 @@
 
 // replaceDatabase adds a database and then drains and removes the given one. Some databases deregister
 // without reporting that they drain, and the heartbeats of some new ones are delayed.
-func (f *faultInjector) replaceDatabase(ctx context.Context, g *standin.Group, serviceIndex int, d *standin.Database, id string, r *rand.Rand) {
-	zone := fmt.Sprintf("zone-%d", 1+r.IntN(zoneCount))
+func (f *faultInjector) replaceDatabase(ctx context.Context, serviceIndex int, d *standin.Database, r *rand.Rand) {
 	heartbeatDelay := time.Duration(0)
 	if r.IntN(2) == 0 {
 		heartbeatDelay = randomDuration(r, maxHeartbeatDelay)
 	}
-	f.addMu.Lock()
-	g.AddDelayed(id, address(databaseGroup+serviceIndex, len(g.Databases())), zone, "replica", heartbeatDelay)
-	f.addMu.Unlock()
+	f.addReplica(serviceIndex, heartbeatDelay, r)
 	sleep(ctx, time.Second)
 	if r.IntN(3) == 0 {
 		d.DeregisterAndStop(drainDuration)
--- a/internal/testbed/plan.go
+++ b/internal/testbed/plan.go
@@ -56,6 +56,12 @@
 	ProtocolViolation = "manners" // a database violates its protocol
 )
 
+// Kinds of faults that affect several things at once, in runs with poolers.
+const (
+	LoseZone     = "zone"  // a zone's machines and a primary are lost while a replica is not registered yet
+	ReuseAddress = "reuse" // a replica takes over the address of one whose heartbeats still arrive
+)
+
 // MisbehavingClients is the kind of fault where clients violate the protocol or stall.
 const MisbehavingClients = "rude"
 
@@ -91,7 +97,7 @@
 	// KillAllAtEnd kills all processes right after an order is acknowledged near the end, and erases the
 	// disk of one control machine.
 	KillAllAtEnd bool     `key:"closing"`
-	Faults       []string `key:"troubles" default:"kill,freeze,term,hup,wipe,replace,all,cut_core,cut_carrier,cut_databases,cut_primary,lose_replies,datagrams,delay,reset_links,descriptors,full_disk,log_reader,throttle,crash,release,reset,hang,deaf,manners,rude" validate:"dive,oneof=none kill freeze term hup wipe replace all cut_core cut_carrier cut_databases cut_primary lose_replies datagrams delay reset_links split descriptors full_disk log_reader throttle crash release reset hang deaf manners rude"`
+	Faults       []string `key:"troubles" default:"kill,freeze,term,hup,wipe,replace,all,cut_core,cut_carrier,cut_databases,cut_primary,lose_replies,datagrams,delay,reset_links,descriptors,full_disk,log_reader,throttle,crash,release,reset,hang,deaf,manners,zone,reuse,rude" validate:"dive,oneof=none kill freeze term hup wipe replace all cut_core cut_carrier cut_databases cut_primary lose_replies datagrams delay reset_links split descriptors full_disk log_reader throttle crash release reset hang deaf manners zone reuse rude"`
 }
 
 // DefaultPlan returns a plan with all keys at their defaults.
--- a/internal/testbed/timelines.go
+++ b/internal/testbed/timelines.go
@@ -63,6 +63,9 @@
 		timeline{"databases", []string{Crash, ReplaceDatabase, Reset, Hang, StopReplication, ProtocolViolation}, databases},
 		timeline{"clients", []string{MisbehavingClients}, f.injectClientFault},
 	)
+	if f.cluster.plan.Tier == Pooler {
+		all = append(all, timeline{"correlated", []string{LoseZone, ReuseAddress}, f.injectCorrelatedFault})
+	}
 	var enabled []timeline
 	for _, tl := range all {
 		if tl.kinds = f.plannedKinds(tl.kinds); len(tl.kinds) > 0 {
