--- a/internal/standin/database.go
+++ b/internal/standin/database.go
@@ -48,10 +48,11 @@
 // start listens for connections and starts to send heartbeats.
 func (d *Database) start() {
 	stopped := make(chan struct{})
+	// It listens before it counts as alive: a crash in between would leave the listener open.
+	serveAt(d.network(), d.Addr, d.serve)
 	d.g.mu.Lock()
 	d.alive, d.stopped = true, stopped
 	d.g.mu.Unlock()
-	serveAt(d.network(), d.Addr, d.serve)
 	go d.heartbeatLoop(stopped)
 }
 
