--- a/internal/distribution/commits.go
+++ b/internal/distribution/commits.go
@@ -14,6 +14,7 @@
 type commitTracker struct {
 	upperBounds positions      // upper bound for the commits that this process acknowledged, by service
 	lowerBounds positions      // lower bound for the newest of those commits, by service
+	peerBounds  positions      // newest of the commits that peers have notified this process of, by service
 	query       *positionQuery // from the last poll response, nil if it had none
 	queriedAt   kernel.Micros  // when that response arrived; only statements sent later count
 	observed    positions      // newest positions in primaries' responses since then
@@ -116,7 +117,19 @@
 // this proxy has not reported the primary as released. Once every proxy has released the old
 // primary, or its lease has expired, no further commit of that primary is acknowledged to
 // any client, even if replicas that resume later still receive it.
+//
+// Peers are notified of the commit before its client is, so that they can report it if this process
+// and the primary are lost together.
 func (s *Subscriber) Acknowledge(service, id string, begun PrimarySnapshot, position string) bool {
+	if !s.recordAcknowledged(service, id, begun, position) {
+		return false
+	}
+	s.notifyPeers(service, position)
+	return true
+}
+
+// recordAcknowledged makes the checks of Acknowledge and records the commit if they pass.
+func (s *Subscriber) recordAcknowledged(service, id string, begun PrimarySnapshot, position string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leader := s.leaders[service]
--- a/internal/distribution/plugin.go
+++ b/internal/distribution/plugin.go
@@ -61,6 +61,7 @@
 			switch k.Role {
 			case "pooler":
 				cfg.OnPosition = kernel.Need[*readrouting.Router](k).Observe
+				cfg.SendCommitNotice = commitNoticeSender(k, members)
 			case "gateway":
 				balancer := kernel.Need[*loadbalance.Balancer](k)
 				cfg.OnCosts = balancer.UpdateClusterCosts
@@ -68,6 +69,7 @@
 			}
 			subscriber := NewSubscriber(k, kernel.Need[*rpc.Endpoint](k), cfg)
 			kernel.Offer(k, subscriber)
+			members.Handle(CommitNoticeKind, subscriber.HandleCommitNotice)
 			kernel.Offer(k, connpool.MaxPerDatabase(func(service string) int {
 				return subscriber.connectionShare(service, 1+len(members.Peers(k.Role)))
 			}))
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -65,6 +65,8 @@
 	OnDatabases func(map[string]discovery.Database)
 	// OnPosition is called with a position that a primary's log has reached.
 	OnPosition func(service string, sent kernel.Micros, position lineprotocol.Position)
+	// SendCommitNotice notifies some peers of a commit; nil if they are not notified.
+	SendCommitNotice func(CommitNotice)
 	// Observations returns the observations of databases since the last call, nil if there are
 	// none.
 	Observations func() map[string]Observation
@@ -348,7 +350,7 @@
 			request.Released[service] = failoverNumber
 		}
 	}
-	request.AckedUpperBounds, request.AckedLowerBounds, request.QueryChecksum = s.commits.upperBounds.forServices(request.Released), s.commits.lowerBounds.forServices(request.Released), s.commits.query.checksum()
+	request.AckedUpperBounds, request.AckedLowerBounds, request.QueryChecksum = s.commits.reportedUpperBounds(request.Released), s.commits.lowerBounds.forServices(request.Released), s.commits.query.checksum()
 	return request
 }
 
--- a/internal/failover/acknowledged.go
+++ b/internal/failover/acknowledged.go
@@ -95,8 +95,8 @@
 
 // ReportedCommits is what is known of the commits of a service that were acknowledged to clients.
 type ReportedCommits struct {
-	// UpperBound covers the commits acknowledged by the poolers that report, and all those
-	// acknowledged before the latest observation.
+	// UpperBound covers the commits acknowledged by the poolers that report, those of other poolers
+	// of which they were notified, and all those acknowledged before the latest observation.
 	UpperBound lineprotocol.Position
 	// UnreportedUntil is the time until which poolers that no longer report may have acknowledged
 	// commits.
--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -39,8 +39,9 @@
 	MinPosition lineprotocol.Position `json:"least"`
 	// AckedUpperBound covers every commit that was acknowledged to a client; nil if no bound is known.
 	AckedUpperBound *lineprotocol.Position `json:"acked,omitempty"`
-	// ReportedUpperBound covers the commits that were acknowledged by poolers that still report, and
-	// what was observed at the old primary.
+	// ReportedUpperBound covers the commits that were acknowledged by poolers that still report, those
+	// that other poolers notified these of before they acknowledged them, and what was observed at
+	// the old primary.
 	ReportedUpperBound lineprotocol.Position `json:"reported"`
 	// AckedLowerBound is a position such that a commit at it, or at a later one, was acknowledged
 	// to a client; nil if none is known.
@@ -49,9 +50,6 @@
 	// poolers released the old primary, so that every replica that holds an acknowledged commit is
 	// known.
 	FirstHeartbeatsElapsed bool `json:"beats_due,omitempty"`
-	// UnreportedElapsed says that the maximum delay of a first heartbeat has passed since a pooler
-	// that no longer reports may last have acknowledged a commit.
-	UnreportedElapsed bool `json:"unreported_due,omitempty"`
 }
 
 // ChoiceKind is the kind of recorded event that holds a Choice.
@@ -85,10 +83,10 @@
 // databases may have held.
 //
 // Any replica that has reached the known upper bound of the acknowledged commits is eligible; one
-// that is not draining is preferred. If no known replica has reached it, or no upper bound is known,
-// a replica that has not sent its first heartbeat yet may hold more: the choice is deferred for as
-// long as a first heartbeat may take, or without limit if a commit is known to have been
-// acknowledged that no known replica holds.
+// that is not draining is preferred. If no known replica has reached it, or what is reported where no
+// upper bound is known, a replica that has not sent its first heartbeat yet may hold more: the choice
+// is deferred for as long as a first heartbeat may take, or without limit if a commit is known to
+// have been acknowledged that no known replica holds.
 //
 // Once a replica has been chosen in this failover, any that has received as much is eligible: the
 // poolers have released the old primary, and none writes to the chosen one before it is recorded as
@@ -125,20 +123,19 @@
 	case input.SyncReplicas == 0: // no replica is required to have an acknowledged commit
 	case input.AckedLowerBound != nil && best.Less(*input.AckedLowerBound):
 		return "", acknowledgedCommitMissing
-	case !input.holdersKnown(best):
+	case !input.FirstHeartbeatsElapsed && best.Less(input.reportedBound()):
 		return "", awaitingFirstHeartbeat
 	}
 	return replicas[0].ID, ""
 }
 
-// holdersKnown reports whether every replica that may hold an acknowledged commit past a position is
-// known. The position must not have reached AckedUpperBound. If what is reported ends before it,
-// only poolers that no longer report may have acknowledged a later commit.
-func (input ChoiceInput) holdersKnown(position lineprotocol.Position) bool {
-	if input.AckedUpperBound == nil && !position.Less(input.ReportedUpperBound) && input.UnreportedElapsed {
-		return true
+// reportedBound returns the position that covers what is known of the acknowledged commits, whether or
+// not all poolers report.
+func (input ChoiceInput) reportedBound() lineprotocol.Position {
+	if input.AckedUpperBound != nil {
+		return *input.AckedUpperBound
 	}
-	return input.FirstHeartbeatsElapsed
+	return input.ReportedUpperBound
 }
 
 // byPosition returns the replicas sorted by position, the most advanced first. Of replicas at the
@@ -201,7 +198,7 @@
 		"answered", input.Paused, "absent", input.Absent, "least", input.MinPosition.String(),
 		"held", positionText(input.PrimaryPosition), "acked", positionText(input.AckedUpperBound),
 		"reported", input.ReportedUpperBound.String(), "certain", positionText(input.AckedLowerBound),
-		"beats_due", input.FirstHeartbeatsElapsed, "unreported_due", input.UnreportedElapsed,
+		"beats_due", input.FirstHeartbeatsElapsed,
 	}
 }
 
--- a/internal/failover/choose_target.go
+++ b/internal/failover/choose_target.go
@@ -156,7 +156,6 @@
 	if reported.Complete {
 		input.AckedUpperBound = &reported.UpperBound
 	}
-	input.UnreportedElapsed = m.k.Clock.Now()-reported.UnreportedUntil > m.cfg.FirstHeartbeatTimeout
 	waived, _ := lineprotocol.ParsePosition(l.WaivedPosition)
 	if lowerBound, known := m.readLeases.AcknowledgedLowerBound(l.Service, l.FailoverID); known && waived.Less(lowerBound) {
 		input.AckedLowerBound = &lowerBound
--- a/internal/failover/read_leases.go
+++ b/internal/failover/read_leases.go
@@ -40,7 +40,7 @@
 	// old primary: it no longer acknowledges any commit of that primary.
 	Released map[string]int64
 	// AckedUpperBound holds, by released service, a position that covers every commit that the
-	// pooler acknowledged to a client.
+	// pooler acknowledged to a client, and those of other poolers of which it was notified.
 	AckedUpperBound map[string]lineprotocol.Position
 	// AckedLowerBound holds, by released service, a position such that the pooler acknowledged a
 	// commit at it or at a later one.
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -12,6 +12,7 @@
 	members   []Member            // by address, this process included
 	peers     map[string][]string // the others' addresses, by role
 	sameZone  []string            // addresses with this process's role and zone, its own included
+	otherZone []string            // addresses with this process's role in other zones
 	checksums [partitions]uint32  // over the addresses in each partition
 }
 
@@ -45,8 +46,12 @@
 	for _, m := range s.members {
 		partition, sum := hashAddr(m.Addr)
 		s.checksums[partition] ^= sum
-		if m.Role == l.self.Role && m.Zone == l.self.Zone {
+		switch {
+		case m.Role != l.self.Role:
+		case m.Zone == l.self.Zone:
 			s.sameZone = append(s.sameZone, m.Addr)
+		default:
+			s.otherZone = append(s.otherZone, m.Addr)
 		}
 		if m.Addr != l.self.Addr {
 			s.peers[m.Role] = append(s.peers[m.Role], m.Addr)
@@ -70,3 +75,13 @@
 // ZonePeers returns the internal addresses of the members with this process's role and zone,
 // sorted and including its own. The slice must not be modified.
 func (l *Memberlist) ZonePeers() []string { return l.snapshot().sameZone }
+
+// OtherZonePeers returns the internal addresses of the members with this process's role in other
+// zones, or in its own zone if there are none in others. The slice must not be modified.
+func (l *Memberlist) OtherZonePeers() []string {
+	s := l.snapshot()
+	if len(s.otherZone) == 0 {
+		return s.peers[l.Self().Role]
+	}
+	return s.otherZone
+}
