--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -134,3 +134,23 @@
 		}
 	}
 }
+
+// Peers in other zones are listed, or all peers if there are none in other zones.
+func TestOtherZonePeers(t *testing.T) {
+	l, _ := newTestMemberlist(t, 2)
+	if got := len(l.OtherZonePeers()); got != 2 {
+		t.Errorf("%d peers in other zones, want 2", got)
+	}
+	near := Member{Addr: "10.0.0.2:7441", Name: "near", Role: "pooler", Incarnation: 1}
+	control := Member{Addr: "10.2.0.1:7440", Name: "control", Role: "control", Zone: "z", Incarnation: 1}
+	l.mergeUpdate(near, false)
+	l.mergeUpdate(control, false)
+	if got := len(l.OtherZonePeers()); got != 2 {
+		t.Errorf("%d peers in other zones, want 2: a pooler of this zone and a control node do not count", got)
+	}
+	alone, _ := newTestMemberlist(t, 0)
+	alone.mergeUpdate(near, false)
+	if got := alone.OtherZonePeers(); len(got) != 1 || got[0] != near.Addr {
+		t.Errorf("peers without any in other zones: %v, want the one in this zone", got)
+	}
+}
