simulation: the harness shares no memory without a lock

Cause: the number of zones, the map of processes, a counter of polls and the random stream of the network were read by databases and connections while tests wrote them. Change: an atomic number of zones, a lock for the processes, draws under the network's lock; what is drawn is the same.

--- a/internal/simulation/catchup_test.go
+++ b/internal/simulation/catchup_test.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	view, _ := w.Process("control", z).replica().Primary()
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if p := w.Process("control", z); p != nil && view.Has(p.replica().Self()) {
 			zones = append(zones, z)
 		}
@@ -31,7 +31,7 @@
 // otherControlZone returns the first zone with a running control node that is not excluded, or 0.
 func otherControlZone(w *World, excluded ...int) int {
 next:
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		for _, excludedZone := range excluded {
 			if z == excludedZone {
 				continue next
--- a/internal/simulation/cluster_test.go
+++ b/internal/simulation/cluster_test.go
@@ -222,7 +222,7 @@
 // none does, and fails the test if two hold one.
 func controlPrimaryZone(w *World) int {
 	found := 0
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if p := w.Process("control", z); p != nil {
 			if _, remaining := kernel.Need[*controlstate.Replica](p.Kernel).Lease(); remaining > 0 {
 				if found != 0 {
@@ -354,7 +354,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			withCluster(t, func(w *World, g *Group) {
-				rng := w.Net.rng
+				rng := lockedRand{w.Net}
 				w.Net.SetLoss(0.03, 0.05)
 				load := withLoad(w, g, func() {
 					for round := range 6 {
--- a/internal/simulation/connection_resets_test.go
+++ b/internal/simulation/connection_resets_test.go
@@ -42,7 +42,7 @@
 // incrementCounter increments a counter in the control state at the control node that holds the
 // lease. sent is false if the increment certainly did not take effect.
 func incrementCounter(w *World, key string) (acked, sent bool) {
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		process := w.Process("control", z)
 		if process == nil {
 			continue
@@ -104,7 +104,7 @@
 						case <-stop:
 							return
 						case <-time.After(time.Duration(10+rng.IntN(60)) * time.Millisecond):
-							w.Net.ResetConnections(ip(1+rng.IntN(w.Zones)), ports...)
+							w.Net.ResetConnections(ip(1+rng.IntN(w.Zones())), ports...)
 						}
 					}
 				})
@@ -112,7 +112,7 @@
 				for end := time.Now().Add(5 * time.Second); time.Now().Before(end); changes++ {
 					body := w.Configuration(rev + 1)
 					for attempt := 0; ; attempt++ {
-						code := w.Replace(1+rng.IntN(w.Zones), rev, body)
+						code := w.Replace(1+rng.IntN(w.Zones()), rev, body)
 						if code == 200 {
 							rev++
 							break
@@ -149,7 +149,7 @@
 					t.Errorf("configuration version %d, want %d; %d changes, %d refused, %+v", version, rev, changes, refused, history)
 				}
 				unreachable := int64(0)
-				for _, process := range w.processes {
+				for _, process := range w.runningProcesses() {
 					counters := process.Kernel.Counters.Snapshot()
 					unreachable += counters["rpc.unreachable"]
 					for _, counter := range []string{"rpc.malformed", "rpc.unasked", "rpc.misdirected", "rpc.unknown_op"} {
--- a/internal/simulation/control_test.go
+++ b/internal/simulation/control_test.go
@@ -67,7 +67,7 @@
 				w.Process("control", z).Kill()
 				time.Sleep(time.Second)
 				w.Seeds = []string{ip(z) + ":8782", ip(z+1) + ":8782", ip(z+2) + ":8782"}
-				w.Zones = z + 4
+				w.SetZones(z + 4)
 				w.Start("control", z+4, false)
 				time.Sleep(6 * time.Second)
 				w.WaitUntil("a change is acknowledged", 3*time.Second, func() bool { return w.Replace(z+4, rev, w.Configuration(rev+1)) == 200 })
@@ -216,7 +216,7 @@
 // that it no longer counts towards the losses that are tolerated.
 func TestLostWitnessIsRemoved(t *testing.T) {
 	withClusterOf(t, 4, 2, func(w *World, g *Group) {
-		w.Zones = 5
+		w.SetZones(5)
 		w.Start("control", 5, false)
 		expectWitnesses := func(n int) {
 			w.WaitUntil(fmt.Sprint(n, " witnesses"), 8*time.Second, func() bool {
--- a/internal/simulation/gateway_test.go
+++ b/internal/simulation/gateway_test.go
@@ -393,7 +393,7 @@
 			if c.status != 200 {
 				continue
 			}
-			for z := range w.Zones {
+			for z := range w.Zones() {
 				for _, d := range []*Worker{s.DB(2 * z), s.DB(2*z + 1)} {
 					if h := d.Header(); h.Get("X-Indigowalk-Request-Id") == id && (!slices.Equal(h["X-Indigowalk-Tenant"], c.tenant) || h["X-Api-Key"] != nil) {
 						t.Errorf("%s: the database received tenant %q, key %q", path, h["X-Indigowalk-Tenant"], h["X-Api-Key"])
--- a/internal/simulation/group.go
+++ b/internal/simulation/group.go
@@ -45,7 +45,7 @@
 // zones, or of all zones if none are given.
 func (w *World) StartLoad(g *Group, seed uint64, zones ...int) *Load {
 	if len(zones) == 0 {
-		for z := range w.Zones {
+		for z := range w.Zones() {
 			zones = append(zones, z+1)
 		}
 	}
--- a/internal/simulation/net.go
+++ b/internal/simulation/net.go
@@ -309,3 +309,20 @@
 	}
 	return string(b[i:])
 }
+
+// lockedRand draws from a network's random stream, which its connections use at the same time.
+type lockedRand struct{ net *Net }
+
+// Uint64 returns a random number.
+func (r lockedRand) Uint64() uint64 {
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	return r.net.rng.Uint64()
+}
+
+// IntN returns a random number from 0 to n-1.
+func (r lockedRand) IntN(n int) int {
+	r.net.mu.Lock()
+	defer r.net.mu.Unlock()
+	return r.net.rng.IntN(n)
+}
--- a/internal/simulation/poll_test.go
+++ b/internal/simulation/poll_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,10 +29,10 @@
 			return k, rpc.NewEndpoint(k, addr)
 		}
 		const primary, other = "10.0.0.1:7440", "10.0.0.2:7440"
-		polls := 0
+		var polls atomic.Int32
 		_, primaryEndpoint := endpoint("10.0.0.1", primary)
 		primaryEndpoint.Handle("distribution.poll", func(context.Context, json.RawMessage) (any, error) {
-			if polls++; polls == 2 {
+			if polls.Add(1) == 2 {
 				return nil, errors.New("temporarily unavailable")
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -55,8 +56,8 @@
 		go otherEndpoint.Serve(ctx)
 		go subscriber.Serve(ctx)
 		time.Sleep(3 * time.Second)
-		if _, _, _, leaseLeft := subscriber.Version(); polls < 10 || leaseLeft <= 0 {
-			t.Errorf("the primary was polled %d times and the lease runs for another %d us, want at least 10 polls and a valid lease", polls, leaseLeft)
+		if _, _, _, leaseLeft := subscriber.Version(); polls.Load() < 10 || leaseLeft <= 0 {
+			t.Errorf("the primary was polled %d times and the lease runs for another %d us, want at least 10 polls and a valid lease", polls.Load(), leaseLeft)
 		}
 		cancel()
 		for _, host := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3"} {
--- a/internal/simulation/proxies_test.go
+++ b/internal/simulation/proxies_test.go
@@ -12,7 +12,7 @@
 // registeredProxies returns the names of the proxies in the control state.
 func registeredProxies(t *testing.T, w *World) (names []string) {
 	t.Helper()
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		state, err := kernel.Need[*controlstate.Replica](w.Process("control", z).Kernel).DurableState()
 		if err != nil {
 			continue
--- a/internal/simulation/quota_test.go
+++ b/internal/simulation/quota_test.go
@@ -222,7 +222,7 @@
 func checkRecordings(w *World, operations *operationTimes) {
 	w.T.Helper()
 	var paths []string
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		for _, role := range []string{"control", "pooler"} {
 			path := filepath.Join(w.Process(role, z).dir, role+".recording")
 			paths = append(paths, path)
--- a/internal/simulation/replacement_test.go
+++ b/internal/simulation/replacement_test.go
@@ -15,7 +15,7 @@
 func backupZones(w *World) (zones []int) {
 	primary := w.Process("control", controlPrimaryZone(w)).replica()
 	view, _ := primary.Primary()
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if process := w.Process("control", z); process != nil && process.replica() != primary && view.Has(process.replica().Self()) {
 			zones = append(zones, z)
 		}
@@ -37,7 +37,7 @@
 func replaceUntilAccepted(w *World, from, to int64) {
 	w.T.Helper()
 	w.WaitUntil("a configuration change is accepted", 5*time.Second, func() bool {
-		for z := 1; z <= w.Zones; z++ {
+		for z := 1; z <= w.Zones(); z++ {
 			if w.Process("control", z) != nil && w.Replace(z, from, w.Configuration(to)) == 200 {
 				return true
 			}
@@ -136,14 +136,14 @@
 			w.destroyControlNodes(lost...)
 			time.Sleep(100 * time.Millisecond)
 			for range lost {
-				w.Zones++
-				w.Start("control", w.Zones, false)
+				w.SetZones(w.Zones() + 1)
+				w.Start("control", w.Zones(), false)
 			}
 			time.Sleep(catchupTimeout)
 			primaryZone := controlPrimaryZone(w)
 			view, _ := w.Process("control", primaryZone).replica().Primary()
 			lost = append(lost[:0], primaryZone)
-			for other := 1; other <= w.Zones && len(lost) < c.losses; other++ {
+			for other := 1; other <= w.Zones() && len(lost) < c.losses; other++ {
 				if p := w.Process("control", other); p != nil && other != primaryZone && view.Has(p.replica().Self()) {
 					lost = append(lost, other)
 				}
@@ -166,15 +166,15 @@
 				rev += 6
 				w.destroyControlNodes(controlPrimaryZone(w), backupZones(w)[0])
 				w.Seeds = nil
-				for z := 1; z <= w.Zones; z++ {
+				for z := 1; z <= w.Zones(); z++ {
 					if w.Process("control", z) != nil {
 						w.Seeds = append(w.Seeds, ip(z)+":8782")
 					}
 				}
 				for range 2 {
 					time.Sleep(startInterval)
-					w.Zones++
-					w.Start("control", w.Zones, false)
+					w.SetZones(w.Zones() + 1)
+					w.Start("control", w.Zones(), false)
 				}
 				checkDurable(w, rev)
 				rev++
@@ -198,8 +198,8 @@
 		sleepUntil(500 * time.Millisecond)
 		w.Process("control", initialBackups[0]).Kill()
 		sleepUntil(time.Second)
-		w.Zones++
-		w.Start("control", w.Zones, false)
+		w.SetZones(w.Zones() + 1)
+		w.Start("control", w.Zones(), false)
 		sleepUntil(3 * time.Second)
 		w.Start("control", initialBackups[0], false)
 		sleepUntil(3400 * time.Millisecond)
@@ -228,8 +228,8 @@
 			w.destroyControlNodes(lost)
 			w.Process("control", down).Kill()
 			time.Sleep(time.Second)
-			w.Zones++
-			w.Start("control", w.Zones, false)
+			w.SetZones(w.Zones() + 1)
+			w.Start("control", w.Zones(), false)
 			time.Sleep(catchupTimeout)
 			replaceUntilAccepted(w, 7, 8)
 			w.Start("control", down, false)
@@ -253,7 +253,7 @@
 				}
 			}
 			w.destroyControlNodes(witness)
-			w.Zones++
+			w.SetZones(w.Zones() + 1)
 			w.Start("control", 6, false)
 			time.Sleep(delay)
 			w.destroyControlNodes(primaryZone)
--- a/internal/simulation/service.go
+++ b/internal/simulation/service.go
@@ -45,7 +45,7 @@
 func (w *World) AddService(name string, perZone int) *Service {
 	s := &Service{standin.NewService(environment{w}, name), w}
 	w.Services[name] = s
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		for i := range perZone {
 			s.Add(fmt.Sprintf("%s-%d-%d", name, z, i), fmt.Sprintf("10.%d.%d.%d", z, 100+len(w.Services), i+1), fmt.Sprintf("z%d", z))
 		}
@@ -61,7 +61,7 @@
 // StartRequests starts clients that send safe and unsafe requests to the gateways of all zones.
 func (s *Service) StartRequests(clients int, pause time.Duration) *RequestLoad {
 	var gateways []standin.Gateway
-	for z := 1; z <= s.world.Zones; z++ {
+	for z := 1; z <= s.world.Zones(); z++ {
 		gateways = append(gateways, standin.Gateway{Number: z, Address: standin.FixedAddress(ip(z) + ":8784"), Network: s.world.Net.Host(requestHost)})
 	}
 	return s.Service.StartLoad(gateways, clients, pause, nil)
--- a/internal/simulation/shutdown_test.go
+++ b/internal/simulation/shutdown_test.go
@@ -146,7 +146,7 @@
 	withGatewayCluster(t, func(w *World, s *Service) {
 		w.WaitUntil("a configuration is accepted", 3*time.Second, func() bool { return w.Replace(1, 1, w.configurationWithLongDeadlines(2)) == 200 })
 		time.Sleep(time.Second)
-		for i := range 2 * w.Zones {
+		for i := range 2 * w.Zones() {
 			s.DB(i).InjectFault(SendsNoResponse)
 		}
 		dial := func() net.Conn {
--- a/internal/simulation/stall_test.go
+++ b/internal/simulation/stall_test.go
@@ -11,7 +11,7 @@
 // poolersHaveVersion reports whether every pooler has this version of the configuration, or a newer
 // one.
 func (w *World) poolersHaveVersion(rev int64) bool {
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		subscriber := kernel.Need[*distribution.Subscriber](w.Process("pooler", z).Kernel)
 		if _, _, version, _ := subscriber.Version(); version < rev {
 			return false
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -8,12 +8,15 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"indigowalk/internal/invariant"
@@ -51,11 +54,12 @@
 type World struct {
 	T                 TB
 	Net               *Net
-	Zones             int // numbered from 1
 	Groups            map[string]*Group
 	Services          map[string]*Service
 	Deploy            string // settings key deploy; "" means pooler
 	dir               string
+	zones             atomic.Int64 // numbered from 1; see Zones
+	mu                sync.Mutex   // guards processes
 	processes         map[string]*Process
 	platform          *standin.Platform
 	LongPollTimeoutMs int       // settings key tune.poll_ms
@@ -86,9 +90,10 @@
 // and a proxy run once they are started. A process keeps its data directory when it restarts.
 func NewWorld(t TB, seed uint64, zones int) *World {
 	w := &World{
-		T: t, Net: NewNet(seed), Zones: zones, Groups: map[string]*Group{}, Services: map[string]*Service{}, dir: t.TempDir(),
+		T: t, Net: NewNet(seed), Groups: map[string]*Group{}, Services: map[string]*Service{}, dir: t.TempDir(),
 		processes: map[string]*Process{}, LongPollTimeoutMs: 600, TolerateHosts: 1, MaxConns: 90,
 	}
+	w.SetZones(zones)
 	w.platform = &standin.Platform{Promote: w.promoteDatabase}
 	listener, err := w.Net.Host(platformIP).Listen(platformIP + ":8783")
 	if err != nil {
@@ -121,7 +126,7 @@
 // ControlAddrs returns the control addresses of the control nodes.
 func (w *World) ControlAddrs() []string {
 	var addrs []string
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if w.ControlNodes == 0 || z <= w.ControlNodes {
 			addrs = append(addrs, ip(z)+":8782")
 		}
@@ -131,7 +136,7 @@
 
 // Boot starts every control node and proxy for the first time.
 func (w *World) Boot() {
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if w.ControlNodes == 0 || z <= w.ControlNodes {
 			w.Start("control", z, true)
 		}
@@ -152,7 +157,7 @@
 func (w *World) Start(role string, zone int, bootstrap bool) *Process {
 	name := fmt.Sprintf("%s-%d", role, zone)
 	p := &Process{world: w, Name: name, Role: role, IP: ip(zone), done: make(chan struct{}), dir: filepath.Join(w.dir, name)}
-	seeds := strings.Join(w.ControlAddrs()[:min(3, w.Zones)], ",")
+	seeds := strings.Join(w.ControlAddrs()[:min(3, w.Zones())], ",")
 	if w.Seeds != nil {
 		seeds = strings.Join(w.Seeds, ",")
 	}
@@ -193,6 +198,8 @@
 			w.T.Errorf("%s: %v", name, err)
 		}
 	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.processes[name] = p
 	return p
 }
@@ -215,9 +222,24 @@
 
 // Process returns the running process with a role in a zone, or nil if there is none.
 func (w *World) Process(role string, zone int) *Process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return w.processes[fmt.Sprintf("%s-%d", role, zone)]
 }
 
+// runningProcesses returns the processes that run.
+func (w *World) runningProcesses() []*Process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Values(w.processes))
+}
+
+// Zones returns the number of zones.
+func (w *World) Zones() int { return int(w.zones.Load()) }
+
+// SetZones changes the number of zones. Databases send heartbeats to the control nodes of all.
+func (w *World) SetZones(n int) { w.zones.Store(int64(n)) }
+
 // Kill ends the process abruptly, as SIGKILL does.
 func (p *Process) Kill() {
 	ports := []string{"7441", "8784", "8785"}
@@ -227,6 +249,8 @@
 	p.cancel()
 	p.world.Net.CloseSockets(p.IP, ports...)
 	<-p.done
+	p.world.mu.Lock()
+	defer p.world.mu.Unlock()
 	delete(p.world.processes, p.Name)
 }
 
@@ -241,7 +265,7 @@
 // Isolate separates a zone's machine from those of the given other zones (all if none are given),
 // or reconnects it to them. Databases, clients and the platform stay reachable.
 func (w *World) Isolate(zone int, isolated bool, from ...int) {
-	for z := 1; z <= w.Zones; z++ {
+	for z := 1; z <= w.Zones(); z++ {
 		if z != zone && (len(from) == 0 || slices.Contains(from, z)) {
 			w.Net.SetPartitioned(ip(zone), ip(z), isolated)
 		}
@@ -267,7 +291,7 @@
 			d.Crash(false)
 		}
 	}
-	for _, p := range w.processes {
+	for _, p := range w.runningProcesses() {
 		p.Kill()
 	}
 	w.Net.CloseSockets(platformIP)
@@ -350,7 +374,7 @@
 	body := w.Configuration(1)
 	w.WaitUntil("the configuration is accepted", 10*time.Second, func() bool { return w.Replace(1, 0, body) == 200 })
 	w.WaitUntil("every proxy is ready", 10*time.Second, func() bool {
-		for z := 1; z <= w.Zones; z++ {
+		for z := 1; z <= w.Zones(); z++ {
 			if code, _ := w.Call(w.Net.Host("10.250.0.1"), "GET", ip(z)+":8785", "/readyz", nil, nil); code != 200 {
 				return false
 			}
