--- a/internal/simulation/deregistered_test.go
+++ b/internal/simulation/deregistered_test.go
@@ -45,19 +45,27 @@
 	writeThrough(w, g, 2)
 }
 
+// crashPrimaryAfterWrite crashes the primary right after a write through pooler 2 that the given
+// databases have not received, and returns the next primary.
+func crashPrimaryAfterWrite(w *World, g *Group, behind ...*Database) *Database {
+	w.T.Helper()
+	primary := g.Primary()
+	writeWithout(w, g, behind...)
+	primary.Crash(false)
+	for _, d := range behind {
+		d.SetReplicationStopped(false)
+	}
+	load := w.StartLoad(g, 8, 3, 4) // so that poolers detect the crash
+	defer load.Stop()
+	return g.awaitNewPrimary(primary, 3*time.Second+firstHeartbeatTimeout)
+}
+
 // Guards against the loss of acknowledged commits (LOST) when a replica deregisters, serves on and
 // alone holds the latest commits when the primary crashes.
 func TestDeregisteredReplicaServesOn(t *testing.T) {
 	withCluster(t, func(w *World, g *Group) {
 		leaving := replaceDeregistering(w, g)
-		primary := g.Primary()
-		writeWithout(w, g, g.DB(1), g.DB(3))
-		primary.Crash(false)
-		g.DB(1).SetReplicationStopped(false)
-		g.DB(3).SetReplicationStopped(false)
-		load := w.StartLoad(g, 8, 3, 4) // so that poolers detect the crash
-		defer load.Stop()
-		if g.awaitNewPrimary(primary, 3*time.Second+firstHeartbeatTimeout) != leaving {
+		if crashPrimaryAfterWrite(w, g, g.DB(1), g.DB(3)) != leaving {
 			t.Error("the replica that holds the acknowledged commits was not promoted")
 		}
 	})
--- a/internal/simulation/reused_address_test.go
+++ b/internal/simulation/reused_address_test.go
@@ -25,16 +25,9 @@
 				time.Sleep(2300 * time.Millisecond)
 				replacement := g.Add("ledger-9", "10.4.64.9", "z4", "replica")
 				time.Sleep(6 * time.Second)
-				primary := g.Primary()
 				writeThrough(w, g, 3)
 				writeThrough(w, g, 3)
-				writeWithout(w, g, g.DB(1), g.DB(2))
-				primary.Crash(false)
-				g.DB(1).SetReplicationStopped(false)
-				g.DB(2).SetReplicationStopped(false)
-				load := w.StartLoad(g, 8, 3, 4) // so that poolers detect the crash
-				defer load.Stop()
-				if g.awaitNewPrimary(primary, 3*time.Second+firstHeartbeatTimeout) != replacement {
+				if crashPrimaryAfterWrite(w, g, g.DB(1), g.DB(2)) != replacement {
 					t.Error("the replica that holds the acknowledged commits was not promoted")
 				}
 			})
