--- a/internal/distribution/plugin.go
+++ b/internal/distribution/plugin.go
@@ -49,14 +49,7 @@
 				DownDatabases: kernel.Need[*health.Monitor](k).Down,
 				OnDatabases:   kernel.Need[connpool.DatabaseUpdater](k),
 				OnPosition:    func(string, kernel.Micros, lineprotocol.Position) {},
-				Bounds: func() Bounds {
-					now := live.Now()
-					bounds := Bounds{Drain: settings.FromMillis(now.DrainMs), StartupGrace: settings.FromMillis(now.ContactMs)}
-					if now.RevokeGlobal {
-						bounds.Revoke = settings.FromMillis(now.RevokeMs)
-					}
-					return bounds
-				},
+				Bounds:        func() Bounds { return boundsOf(live.Now()) },
 			}
 			switch k.Role {
 			case "pooler":
@@ -79,6 +72,15 @@
 	})
 }
 
+// boundsOf returns the bounds that the settings contain.
+func boundsOf(s *settings.Settings) Bounds {
+	bounds := Bounds{Drain: settings.FromMillis(s.DrainMs), StartupGrace: settings.FromMillis(s.ContactMs)}
+	if s.RevokeGlobal {
+		bounds.Revoke = settings.FromMillis(s.RevokeMs)
+	}
+	return bounds
+}
+
 // registerMetrics exports the configuration revision and the remaining lease as metrics.
 func (s *Subscriber) registerMetrics(counters *kernel.Counters) {
 	counters.Observable("distribution.revision", func() int64 {
